Add mesh address to heartbeats and digests, and WorkersKnown

Cause: peers are learned from messages, which did not say where to answer; while the log is down a new worker must be known to every live peer before its first use. Change: additive fields with defaults, one new message. Result: old encodings still decode, as the fields have defaults.

--- a/packages/fireflywharf-core/src/fireflywharf_core/messages/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/messages/__init__.py
@@ -17,6 +17,7 @@
     ServiceSlots,
     SubmitToScheduler,
     Verdict,
+    WorkersKnown,
 )
 
 __all__ = [
@@ -36,4 +37,5 @@
     "ServiceSlots",
     "SubmitToScheduler",
     "Verdict",
+    "WorkersKnown",
 ]
--- a/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
@@ -54,6 +54,7 @@
     contracts_offset: int = -1
     jobs_offset: int = -1
     queued_requests_count: int = 0
+    mesh_address: str = ""
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -71,6 +72,7 @@
     contracts_offset: int = -1
     set_aside_workers_count: int = 0
     set_aside_targets_count: int = 0
+    mesh_address: str = ""
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -174,6 +176,13 @@
     workers: list[VmInfo]
 
 
+@attrs.frozen(slots=True)
+class WorkersKnown:
+    """Tells a live peer of new workers while the log is down; answered by `Acknowledged`."""
+
+    workers: list[VmInfo]
+
+
 @attrs.frozen(slots=True)
 class Acknowledged:
     """Positive answer without content."""
@@ -196,6 +205,7 @@
         ContractsSince,
         ContractsCatchUp,
         Handover,
+        WorkersKnown,
         Acknowledged,
     ]
 )
