Add log writer, folds, contract registry, leases and membership

This adds GroupWriter, StreamReader, JobsFold, DomainFold, ContractRegistry, GranterLease, HolderLease, LeaseTable, PeerTable, SchedulerElection, TargetAssignment and DigestPlanner, all without I/O. The contract records moved from records/ to contracts/ and are re-exported, because the registry uses them and records/ imports contracts/.

--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
@@ -0,0 +1,270 @@
+"""Leases of many workers or targets, with renewals spread over time."""
+
+import hashlib
+import heapq
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import attrs
+
+from ._holder import AnswerStale, HolderLease, LeaseGained, LeaseRenewed, RenewalResult
+
+JITTER_FRACTION = 0.05
+ANSWER_TIMEOUT_FRACTION = 0.5
+MAX_UNHELD_INTERVALS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseUnwanted:
+    """A claim that was on its way during a release was granted; release `epoch` as well."""
+
+    epoch: int
+
+
+@attrs.define(slots=True)
+class _Row:
+    lease: HolderLease
+    phase: float
+    due_s: float
+    failures_count: int = 0
+    held: bool = False
+    wanted: bool = True
+    reclaim_s: float = float("-inf")
+    boot_id: str = ""
+    past_boot_ids: tuple[str, ...] = ()
+
+
+class LeaseTable:
+    """Holder side of many leases.
+
+    The caller asks `due`, sends one claim for each name with `begin(name, now_s)`, and reports the
+    answer. `held(now_s)` is what may be acted on.
+
+    Args:
+        lease_s: length of each lease.
+        renewal_interval_s: time between two renewals of a held lease.
+        claim_interval_s: time between two claims of a lease that is not held.
+        rng: source of jitter.
+    """
+
+    def __init__(
+        self,
+        lease_s: float = 5.0,
+        renewal_interval_s: float = 1.0,
+        claim_interval_s: float = 0.5,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.lease_s = lease_s
+        self.renewal_interval_s = renewal_interval_s
+        self.claim_interval_s = claim_interval_s
+        self.rng = rng or random.Random(0)
+        self._rows: dict[str, _Row] = {}
+        self._due: list[tuple[float, str]] = []
+        self._held: set[str] = set()
+        self._expiries: list[tuple[float, str]] = []
+        self._lapsed: set[str] = set()
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._rows
+
+    def names(self) -> list[str]:
+        """Return all tracked names."""
+        return list(self._rows)
+
+    def track(self, names: Iterable[str], now_s: float) -> None:
+        """Begin to claim and renew the leases of `names`; wanted ones are left as they are.
+
+        A lease that was released is claimed again only after its length has passed. Otherwise a
+        release that is still on its way could end the new lease unnoticed.
+        """
+        for name in names:
+            row = self._rows.get(name)
+            if row is None:
+                digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
+                phase = int.from_bytes(digest, "big") / 2**32
+                row = self._rows[name] = _Row(HolderLease(self.lease_s), phase, now_s)
+            elif row.wanted:
+                continue
+            row.wanted = True
+            first_s = now_s + row.phase * self.claim_interval_s
+            self._schedule(name, row, max(first_s, row.reclaim_s))
+
+    def forget(self, names: Iterable[str]) -> None:
+        """Stop claiming and renewing `names`; later answers for them are ignored."""
+        for name in names:
+            self._rows.pop(name, None)
+            self._held.discard(name)
+            self._lapsed.discard(name)
+
+    def due(self, now_s: float, limit: int = 1_000_000) -> list[str]:
+        """Return at most `limit` names whose lease must be claimed or renewed now."""
+        named = []
+        while self._due and self._due[0][0] <= now_s and len(named) < limit:
+            due_s, name = heapq.heappop(self._due)
+            row = self._rows.get(name)
+            if row is not None and row.wanted and row.due_s == due_s:
+                named.append(name)
+                self._schedule(name, row, now_s + self._answer_timeout_s())
+        return named
+
+    def begin(self, name: str, now_s: float) -> float:
+        """Note that a claim is about to be sent, and return the time to report with its answer."""
+        row = self._rows[name]
+        self._schedule(name, row, now_s + self._answer_timeout_s())
+        return now_s
+
+    def on_granted(
+        self,
+        name: str,
+        epoch: int,
+        sent_s: float,
+        now_s: float,
+        granted_s: float | None = None,
+        boot_id: str = "",
+    ) -> RenewalResult | LeaseUnwanted:
+        """Take a positive answer to a claim.
+
+        Args:
+            name: worker or target.
+            epoch: epoch in the answer.
+            sent_s: result of `begin`.
+            now_s: present time.
+            granted_s: length that the granter named.
+            boot_id: boot of the granter; a new one voids the earlier lease.
+
+        Returns:
+            The effect of the answer; see `HolderLease.on_granted`.
+        """
+        row = self._rows.get(name)
+        if row is None or not self._take_boot(name, row, boot_id):
+            return AnswerStale()
+        result = row.lease.on_granted(epoch, sent_s, now_s, granted_s)
+        row.failures_count = 0
+        if not row.wanted:
+            row.lease.on_released()
+            return LeaseUnwanted(epoch) if isinstance(result, LeaseGained) else AnswerStale()
+        if isinstance(result, LeaseGained | LeaseRenewed) and row.lease.may_act(now_s):
+            row.held = True
+            self._held.add(name)
+            expiry_s = now_s + row.lease.remaining_s(now_s)
+            heapq.heappush(self._expiries, (expiry_s, name))
+        self._answered(name, row, now_s)
+        return result
+
+    def on_refused(self, name: str, epoch: int, now_s: float) -> None:
+        """Take the refusal of a claim, with the epoch of the present holder."""
+        row = self._rows.get(name)
+        if row is None:
+            return
+        row.failures_count = 0
+        row.lease.on_refused(epoch)
+        if not row.lease.may_act(now_s):
+            self._lose(name, row)
+        self._answered(name, row, now_s)
+
+    def on_stale(self, name: str, epoch: int, now_s: float) -> None:
+        """Take the refusal of a command that carried `epoch`."""
+        row = self._rows.get(name)
+        if row is not None and row.lease.epoch == epoch:
+            row.lease.on_released()
+            self._lose(name, row)
+            self._answered(name, row, now_s)
+
+    def on_failed(self, name: str, now_s: float) -> None:
+        """Take a claim without an answer; a held lease lapses by itself."""
+        row = self._rows.get(name)
+        if row is not None:
+            row.failures_count += 1
+            self._answered(name, row, now_s)
+
+    def release(self, names: Iterable[str], now_s: float) -> list[tuple[str, int]]:
+        """Give up leases and stop claiming them until `track` is called again.
+
+        It must be called before the releases are sent.
+
+        Args:
+            names: workers or targets.
+            now_s: present time.
+
+        Returns:
+            Each held name with the epoch to release.
+        """
+        given_up = []
+        for name in names:
+            row = self._rows.get(name)
+            if row is None or not row.wanted:
+                continue
+            row.wanted = False
+            row.reclaim_s = now_s + self.lease_s
+            if row.held:
+                given_up.append((name, row.lease.epoch))
+            row.lease.on_released()
+            self._lose(name, row, lapsed=False)
+        return given_up
+
+    def epoch(self, name: str) -> int:
+        """Return the newest known epoch of `name`; 0 if it is not tracked."""
+        row = self._rows.get(name)
+        return row.lease.epoch if row is not None else 0
+
+    def may_act(self, name: str, now_s: float) -> bool:
+        """Return whether the lease of `name` is held now."""
+        row = self._rows.get(name)
+        return row is not None and row.lease.may_act(now_s)
+
+    def held(self, now_s: float) -> frozenset[str]:
+        """Return the names whose lease is held now."""
+        self._expire(now_s)
+        return frozenset(self._held)
+
+    def held_count(self, now_s: float) -> int:
+        """Return the number of leases held now."""
+        self._expire(now_s)
+        return len(self._held)
+
+    def lapsed(self, now_s: float) -> list[str]:
+        """Return the names that stopped being held since the last call, except released ones."""
+        self._expire(now_s)
+        lapsed, self._lapsed = sorted(self._lapsed), set()
+        return lapsed
+
+    def _expire(self, now_s: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now_s:
+            _, name = heapq.heappop(self._expiries)
+            row = self._rows.get(name)
+            if row is not None and row.held and not row.lease.may_act(now_s):
+                self._lose(name, row)
+
+    def _take_boot(self, name: str, row: _Row, boot_id: str) -> bool:
+        """Drop the lease after a restart of the granter; return False for an old boot's answer."""
+        if boot_id in ("", row.boot_id):
+            return True
+        if boot_id in row.past_boot_ids:
+            return False
+        if row.boot_id:
+            row.past_boot_ids = (*row.past_boot_ids[-3:], row.boot_id)
+            row.lease = HolderLease(self.lease_s)
+            self._lose(name, row)
+        row.boot_id = boot_id
+        return True
+
+    def _lose(self, name: str, row: _Row, lapsed: bool = True) -> None:
+        if row.held and lapsed:
+            self._lapsed.add(name)
+        row.held = False
+        self._held.discard(name)
+
+    def _answered(self, name: str, row: _Row, now_s: float) -> None:
+        interval_s = self.renewal_interval_s if row.held else self.claim_interval_s
+        if not row.held:
+            interval_s *= min(MAX_UNHELD_INTERVALS, 2 ** min(row.failures_count, 8))
+        interval_s *= 1 + self.rng.uniform(-JITTER_FRACTION, JITTER_FRACTION)
+        self._schedule(name, row, now_s + interval_s)
+
+    def _answer_timeout_s(self) -> float:
+        return self.lease_s * ANSWER_TIMEOUT_FRACTION
+
+    def _schedule(self, name: str, row: _Row, due_s: float) -> None:
+        row.due_s = due_s
+        heapq.heappush(self._due, (due_s, name))
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/membership/_digests.py
@@ -0,0 +1,71 @@
+"""Plan of the digests that a scheduler sends to other failure domains."""
+
+import hashlib
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+
+@attrs.define(slots=True)
+class _DomainRow:
+    due_s: float
+    position: int = 0
+
+
+class DigestPlanner:
+    """Chooses the receivers of the next `DomainDigest`.
+
+    Each other domain gets a digest once per interval at `fanout_count` of its VMs. The receivers
+    rotate over the VMs of the domain, so that every VM hears and one unreachable VM does not
+    matter. The domains are spread over the interval.
+
+    Args:
+        domain: own failure domain.
+        interval_s: time between two digests to the same domain.
+        fanout_count: receivers in each domain.
+        max_per_call: receivers named by one call, which bounds the work after a pause.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        interval_s: float = 1.0,
+        fanout_count: int = 2,
+        max_per_call: int = 64,
+    ) -> None:
+        self.domain = domain
+        self.interval_s = interval_s
+        self.fanout_count = fanout_count
+        self.max_per_call = max_per_call
+        self._rows: dict[str, _DomainRow] = {}
+
+    def due(self, members: Mapping[str, Sequence[str]], now_s: float) -> list[str]:
+        """Return the VMs that get a digest now.
+
+        Args:
+            members: entry VMs by failure domain; the own domain is skipped.
+            now_s: present time.
+
+        Returns:
+            Names of VMs; at most `fanout_count` of one domain within one interval.
+        """
+        for domain in set(self._rows).difference(members):
+            del self._rows[domain]
+        receivers: list[str] = []
+        for domain, names in members.items():
+            if domain == self.domain or not names:
+                continue
+            row = self._rows.get(domain)
+            if row is None:
+                row = self._rows[domain] = _DomainRow(now_s + self._phase_s(domain))
+            count = min(self.fanout_count, len(names))
+            if now_s < row.due_s or len(receivers) + count > self.max_per_call:
+                continue
+            receivers += [names[(row.position + i) % len(names)] for i in range(count)]
+            row.position = (row.position + count) % len(names)
+            row.due_s = max(row.due_s, now_s - self.interval_s / 10) + self.interval_s
+        return receivers
+
+    def _phase_s(self, domain: str) -> float:
+        digest = hashlib.blake2b(f"{self.domain}\x00{domain}".encode(), digest_size=4).digest()
+        return int.from_bytes(digest, "big") / 2**32 * self.interval_s
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/membership/_election.py
@@ -0,0 +1,246 @@
+"""Election of the scheduler of a failure domain by the leases of its workers."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from enum import Enum
+
+import attrs
+
+from ..leases import margin_s
+from ..messages import Heartbeat
+from ._rendezvous import rank_members
+
+
+@dataclass(frozen=True, slots=True)
+class StayStandby:
+    """Hold no workers; accept callers and forward."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWorkers:
+    """Claim the known workers and issue no command to any of them."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ActAsScheduler:
+    """Decide for the domain; more than half of the known workers are held."""
+
+    held_count: int
+    known_count: int
+    since_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StepDown:
+    """Stop starting, renewing and acknowledging at once, and release every held worker."""
+
+    reason: str
+
+
+ElectionDecision = StayStandby | ClaimWorkers | ActAsScheduler | StepDown
+
+
+class _State(Enum):
+    STANDBY = "standby"
+    CLAIMING = "claiming"
+    ACTING = "acting"
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class ElectionView:
+    """What a candidate knows at the time of a decision.
+
+    Args:
+        known_workers: workers with `worker_added` and without `worker_removed`.
+        held_workers: workers whose lease may be acted on now.
+        knowledge_s: start of the newest read that reached the end of the domain stream; while the
+            log is down, time of the newest exchange with all live peers; None for neither yet.
+        peers: heartbeats of the peers that are not suspected.
+        draining: whether the own process is leaving.
+    """
+
+    known_workers: Collection[str]
+    held_workers: Collection[str]
+    knowledge_s: float | None
+    peers: Collection[Heartbeat] = ()
+    draining: bool = False
+
+
+class SchedulerElection:
+    """Decides whether this process claims, acts, or leaves the domain to another.
+
+    Args:
+        domain: failure domain.
+        incarnation: own incarnation.
+        lease_s: length of a holder lease.
+        suspicion_s: silence after which the peer table suspects a peer.
+        task_lease_s: length of a task lease.
+        claim_patience_s: time in which a candidate must reach a majority before it lets others
+            try, and after which the next in the order may try although a better one is live.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        incarnation: str,
+        lease_s: float = 5.0,
+        suspicion_s: float = 2.0,
+        task_lease_s: float = 30.0,
+        claim_patience_s: float = 8.0,
+    ) -> None:
+        self.domain = domain
+        self.incarnation = incarnation
+        self.lease_s = lease_s
+        self.suspicion_s = suspicion_s
+        self.task_lease_s = task_lease_s
+        self.claim_patience_s = claim_patience_s
+        self.tenure_since_s: float | None = None
+        self._state = _State.STANDBY
+        self._started_s: float | None = None
+        self._vacant_since_s: float | None = None
+        self._claiming_since_s = float("-inf")
+        self._majority_since_s: float | None = None
+        self._rest_until_s = float("-inf")
+        self._reported: set[str] = set()
+
+    @property
+    def acting(self) -> bool:
+        """Whether the last decision was to act as scheduler."""
+        return self._state is _State.ACTING
+
+    def decide(self, view: ElectionView, now_s: float) -> ElectionDecision:
+        """Return what to do now; call it before each round of commands.
+
+        Args:
+            view: present knowledge; `held_workers` must be taken at `now_s`.
+            now_s: present time.
+
+        Returns:
+            The decision. Worker commands other than claims are allowed only with
+            `ActAsScheduler`.
+        """
+        if self._started_s is None:
+            self._started_s = now_s
+        known = set(view.known_workers)
+        held_count = len(known.intersection(view.held_workers))
+        if 2 * held_count <= len(known):
+            self._majority_since_s = None
+        elif self._majority_since_s is None:
+            self._majority_since_s = now_s
+        if self._state is _State.ACTING:
+            return self._decide_acting(view, held_count, len(known), now_s)
+        scheduler = next((peer for peer in view.peers if peer.scheduler), None)
+        if scheduler is not None:
+            self._vacant_since_s = None
+        elif self._vacant_since_s is None:
+            self._vacant_since_s = now_s
+        reason = self._reason_against(view, scheduler, known, now_s)
+        if reason is not None:
+            return self._leave(view, reason, now_s)
+        if self._state is _State.STANDBY:
+            self._state = _State.CLAIMING
+            self._claiming_since_s = now_s
+        return self._decide_claiming(view, held_count, len(known), now_s)
+
+    def may_command(self, held_count: int, known_count: int) -> bool:
+        """Return whether commands are allowed with these counts, taken just before the effect."""
+        return self._state is _State.ACTING and 2 * held_count > known_count
+
+    def on_report(self, worker: str) -> None:
+        """Note that a worker reported its attempts in the answer to a granted claim."""
+        self._reported.add(worker)
+
+    def on_lost(self, worker: str) -> None:
+        """Note that the lease of a worker lapsed, so that its report is no longer complete."""
+        self._reported.discard(worker)
+
+    def recovery_blockers(self, known_workers: Collection[str], now_s: float) -> set[str]:
+        """Return the workers that may still run attempts which this tenure does not know.
+
+        A worker stops blocking when it has reported, or when the task lease plus margin has passed
+        since the tenure began, because no earlier holder could renew task leases since then.
+
+        Args:
+            known_workers: known workers of the domain.
+            now_s: present time.
+
+        Returns:
+            The blocking workers; all known ones outside a tenure.
+        """
+        if self.tenure_since_s is None:
+            return set(known_workers)
+        passed_s = now_s - self.tenure_since_s
+        if passed_s >= self.task_lease_s + margin_s(self.task_lease_s):
+            return set()
+        return set(known_workers) - self._reported
+
+    def _reason_against(
+        self, view: ElectionView, scheduler: Heartbeat | None, known: set[str], now_s: float
+    ) -> str | None:
+        """Return why this process must not claim now, or None."""
+        if view.draining:
+            return "this process is draining"
+        if view.knowledge_s is None:
+            return "the known workers have not been read yet"
+        if not known:
+            return "no worker is known"
+        if now_s - self._started_s < self.suspicion_s:
+            return "peers have not had the time to be heard"
+        if scheduler is not None:
+            return f"{scheduler.incarnation} is the scheduler"
+        if now_s < self._rest_until_s:
+            return "another candidate has its turn after a failed attempt"
+        candidates = [p.incarnation for p in view.peers if not p.draining] + [self.incarnation]
+        order = rank_members(self.domain, candidates)
+        place = order.index(self.incarnation)
+        claiming = {p.incarnation for p in view.peers if p.held_workers_count > 0}
+        better = next((c for c in order[:place] if c in claiming), None)
+        if better is not None:
+            return f"{better} claims and comes first"
+        if now_s - self._vacant_since_s < place * self.claim_patience_s:
+            return f"{order[0]} comes first"
+        return None
+
+    def _decide_claiming(
+        self, view: ElectionView, held_count: int, known_count: int, now_s: float
+    ) -> ElectionDecision:
+        majority_since_s = self._majority_since_s
+        if majority_since_s is None:
+            if now_s - self._claiming_since_s >= self.claim_patience_s:
+                if any(not peer.draining for peer in view.peers):
+                    self._rest_until_s = now_s + self.claim_patience_s
+                return self._leave(view, f"{held_count} of {known_count} held in time", now_s)
+            return ClaimWorkers(f"{held_count} of {known_count} workers held")
+        # Workers that the previous scheduler added while this one was claiming count as well. The
+        # read that shows them must have begun when no other process could hold a majority.
+        if view.knowledge_s < majority_since_s:
+            return ClaimWorkers("the known workers must be read again after the majority")
+        self._state = _State.ACTING
+        self.tenure_since_s = now_s
+        return ActAsScheduler(held_count, known_count, now_s)
+
+    def _decide_acting(
+        self, view: ElectionView, held_count: int, known_count: int, now_s: float
+    ) -> ElectionDecision:
+        if view.draining:
+            return self._leave(view, "this process is draining", now_s)
+        if self._majority_since_s is None:
+            return self._leave(view, f"only {held_count} of {known_count} workers held", now_s)
+        return ActAsScheduler(held_count, known_count, self.tenure_since_s)
+
+    def _leave(self, view: ElectionView, reason: str, now_s: float) -> StepDown | StayStandby:
+        was = self._state
+        self._state = _State.STANDBY
+        self._majority_since_s = None
+        if was is not _State.STANDBY:
+            self._reported.clear()
+        if was is _State.ACTING:
+            self.tenure_since_s = None
+            self._vacant_since_s = now_s
+        if was is _State.STANDBY and not view.held_workers:
+            return StayStandby(reason)
+        return StepDown(reason)
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/membership/_peers.py
@@ -0,0 +1,136 @@
+"""Table of the other entry VMs of the own failure domain."""
+
+from collections import OrderedDict
+from enum import Enum
+
+import attrs
+
+from ..messages import Heartbeat
+
+RETIRED_MAX_COUNT = 256
+
+
+class HeartbeatEffect(Enum):
+    """What a heartbeat changed."""
+
+    NEW = "new"
+    REPLACED = "replaced"
+    UPDATED = "updated"
+    IGNORED = "ignored"
+
+
+@attrs.define(slots=True)
+class Peer:
+    """Newest state of one entry VM and the time at which it arrived."""
+
+    heartbeat: Heartbeat
+    heard_s: float
+    joined_s: float
+
+
+class PeerTable:
+    """Keeps the newest heartbeat of each VM and tells which VMs are suspected.
+
+    Args:
+        incarnation: own incarnation, whose heartbeats are ignored.
+        suspicion_s: silence after which a peer is suspected.
+        forget_s: silence after which a peer is removed.
+    """
+
+    def __init__(self, incarnation: str, suspicion_s: float = 2.0, forget_s: float = 60.0) -> None:
+        self.incarnation = incarnation
+        self.suspicion_s = suspicion_s
+        self.forget_s = forget_s
+        self.ignored_count_ = 0
+        self._peers: dict[str, Peer] = {}
+        # Highest sequence of incarnations that another one of the same VM replaced.
+        self._retired: OrderedDict[str, int] = OrderedDict()
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> HeartbeatEffect:
+        """Take a heartbeat; late, repeated and reordered ones are ignored.
+
+        Args:
+            heartbeat: message of a peer.
+            now_s: time of arrival.
+
+        Returns:
+            What it changed.
+        """
+        if heartbeat.incarnation == self.incarnation:
+            return self._ignore()
+        peer = self._peers.get(heartbeat.vm_name)
+        if peer is None:
+            if heartbeat.sequence <= self._retired.get(heartbeat.incarnation, -1):
+                return self._ignore()
+            self._peers[heartbeat.vm_name] = Peer(heartbeat, now_s, now_s)
+            return HeartbeatEffect.NEW
+        present = peer.heartbeat
+        if present.incarnation != heartbeat.incarnation:
+            return self._replace(peer, heartbeat, now_s)
+        if heartbeat.sequence <= present.sequence:
+            return self._ignore()
+        if self._is_suspected(peer, now_s):
+            peer.joined_s = now_s
+        peer.heartbeat, peer.heard_s = heartbeat, now_s
+        return HeartbeatEffect.UPDATED
+
+    def peers(self, now_s: float, include_draining: bool = True) -> list[Heartbeat]:
+        """Return the newest heartbeats of all peers that are not suspected."""
+        self._forget(now_s)
+        return [
+            peer.heartbeat
+            for peer in self._peers.values()
+            if not self._is_suspected(peer, now_s)
+            and (include_draining or not peer.heartbeat.draining)
+        ]
+
+    def suspected(self, now_s: float) -> list[Heartbeat]:
+        """Return the newest heartbeats of the suspected peers."""
+        self._forget(now_s)
+        return [p.heartbeat for p in self._peers.values() if self._is_suspected(p, now_s)]
+
+    def live_since_s(self, vm_name: str, now_s: float) -> float | None:
+        """Return since when a peer is heard without interruption; None if it is not live."""
+        peer = self._peers.get(vm_name)
+        if peer is None or self._is_suspected(peer, now_s):
+            return None
+        return peer.joined_s
+
+    def newest_contracts(self, now_s: float) -> Heartbeat | None:
+        """Return the live peer with the highest contracts offset."""
+        return max(self.peers(now_s), key=lambda peer: peer.contracts_offset, default=None)
+
+    def scheduler(self, now_s: float) -> Heartbeat | None:
+        """Return the live peer that says it is the scheduler of the domain."""
+        return next((peer for peer in self.peers(now_s) if peer.scheduler), None)
+
+    def _replace(self, peer: Peer, heartbeat: Heartbeat, now_s: float) -> HeartbeatEffect:
+        highest = self._retired.get(heartbeat.incarnation)
+        if highest is not None and (
+            # A retired incarnation comes back only when the one that replaced it is silent, which
+            # corrects a late first heartbeat of an incarnation that was already gone.
+            heartbeat.sequence <= highest
+            or not self._is_suspected(peer, now_s)
+        ):
+            return self._ignore()
+        self._retired[peer.heartbeat.incarnation] = peer.heartbeat.sequence
+        if len(self._retired) > RETIRED_MAX_COUNT:
+            self._retired.popitem(last=False)
+        self._retired.pop(heartbeat.incarnation, None)
+        self._peers[heartbeat.vm_name] = Peer(heartbeat, now_s, now_s)
+        return HeartbeatEffect.REPLACED
+
+    def _is_suspected(self, peer: Peer, now_s: float) -> bool:
+        return now_s - peer.heard_s >= self.suspicion_s
+
+    def _forget(self, now_s: float) -> None:
+        gone = [n for n, peer in self._peers.items() if now_s - peer.heard_s >= self.forget_s]
+        for vm_name in gone:
+            present = self._peers.pop(vm_name).heartbeat
+            self._retired[present.incarnation] = present.sequence
+        while len(self._retired) > RETIRED_MAX_COUNT:
+            self._retired.popitem(last=False)
+
+    def _ignore(self) -> HeartbeatEffect:
+        self.ignored_count_ += 1
+        return HeartbeatEffect.IGNORED
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/membership/_rendezvous.py
@@ -0,0 +1,28 @@
+"""Assignment of resources to members by rendezvous hash."""
+
+import hashlib
+from collections.abc import Iterable
+from functools import lru_cache
+
+
+@lru_cache(maxsize=65_536)
+def _score(resource: str, member: str) -> int:
+    digest = hashlib.blake2b(f"{resource}\x00{member}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def rank_members(resource: str, members: Iterable[str]) -> list[str]:
+    """Return the members in the order in which they should own `resource`."""
+    return sorted(members, key=lambda member: (_score(resource, member), member), reverse=True)
+
+
+def assign_owner(resource: str, members: Iterable[str]) -> str | None:
+    """Return the member that should own `resource`, or None without members.
+
+    When a member goes, only its resources move; when one comes, only those that move to it.
+
+    Example:
+        >>> assign_owner("target-1", ["a"])
+        'a'
+    """
+    return max(members, key=lambda member: (_score(resource, member), member), default=None)
--- a/packages/fireflywharf-core/src/fireflywharf_core/records/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/records/__init__.py
@@ -1,10 +1,9 @@
 """Log records and the codec for tagged data classes."""
 
+from ..contracts import ContractApplied, ContractsSnapshot, VersionedContract
 from ._codec import TaggedCodec, UndecodableError, UnknownTypeError
 from ._records import (
     RECORD_CODEC,
-    ContractApplied,
-    ContractsSnapshot,
     DomainLost,
     JobAccepted,
     JobCancelRequested,
@@ -16,7 +15,6 @@
     Record,
     StartIntent,
     TaskEnded,
-    VersionedContract,
     WorkerAdded,
     WorkerRemoved,
 )
--- a/packages/fireflywharf-core/src/fireflywharf_core/records/_records.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/records/_records.py
@@ -2,47 +2,12 @@
 
 import attrs
 
-from ..contracts import Contract
+from ..contracts import ContractApplied, ContractsSnapshot
 from ..jobs import AttemptEnd, AttemptId, JobSpec, JobState
 from ..platform import VmInfo
 from ._codec import TaggedCodec
 
 
-@attrs.frozen(slots=True)
-class VersionedContract:
-    """A contract and the version that its last winning change gave it; versions start at 1."""
-
-    contract: Contract
-    version: int
-
-
-@attrs.frozen(slots=True, kw_only=True)
-class ContractApplied:
-    """Change of one contract; wins only if `base_version` is current at its place in the log.
-
-    Args:
-        operation_id: unique id by which the writer recognises its own record.
-        contract: new content.
-        base_version: version that the operator edited; 0 for a new contract.
-        author: operator who applied it.
-        time_utc: time at the writer, for display only.
-    """
-
-    operation_id: str
-    contract: Contract
-    base_version: int
-    author: str = ""
-    time_utc: str = ""
-
-
-@attrs.frozen(slots=True)
-class ContractsSnapshot:
-    """All contracts after the record at `as_of_offset`."""
-
-    as_of_offset: int
-    contracts: list[VersionedContract]
-
-
 @attrs.frozen(slots=True, kw_only=True)
 class JobAccepted:
     """An accepted job and its home failure domain; the first record of a job id wins."""
