Add the scheduler of a failure domain with its baseline

The daemon needs the decisions of one failure domain behind one class. DomainScheduler takes events and returns actions; the policies FairShare and FirstComeFirstServed run on the same tables of jobs, workers and attempts.

--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_baseline.py
@@ -0,0 +1,122 @@
+"""Baseline engine: first come, first served; first fit."""
+
+import random
+from collections import deque
+
+from ..jobs import JobKind, JobSpec
+from ..results import ResultCode
+from ._actions import AdmissionForecast
+from ._attempts import AttemptTable
+from ._facts import CapacityChanged, ContractSet, Fact, JobGone, JobReady
+from ._jobs import JobTable
+from ._model import Job, Worker
+from ._policy import FirstComeFirstServed
+from ._rooms import rooms_in
+from ._workers import WorkerTable
+
+
+class FirstComeFirstServedEngine:
+    """Serves one queue in order of admission; its head blocks the rest.
+
+    Args:
+        policy: parameters.
+        rng: source of randomness.
+        jobs: table of jobs.
+        workers: table of workers.
+        attempts: table of attempts.
+    """
+
+    def __init__(
+        self,
+        policy: FirstComeFirstServed,
+        rng: random.Random,
+        jobs: JobTable,
+        workers: WorkerTable,
+        attempts: AttemptTable,
+    ) -> None:
+        self.policy = policy
+        self.rng = rng
+        self.jobs = jobs
+        self.workers = workers
+        self.attempts = attempts
+        self.more = False
+        self._queue: deque[Job] = deque()
+        self._customers: set[str] = set()
+
+    def observe(self, fact: Fact, now_s: float) -> None:
+        """Take up a fact from the tables."""
+        match fact:
+            case JobReady(job):
+                if not job.queued:
+                    job.queued = True
+                    self._queue.append(job)
+            case ContractSet(contract):
+                self._customers.add(contract.customer)
+            case JobGone() | CapacityChanged():
+                pass
+
+    def decide(self, now_s: float) -> None:
+        """Start the head of the queue while it fits."""
+        started = 0
+        self.more = False
+        while self._queue:
+            job = self._queue[0]
+            if job.final or job.stopping or job.waiting_count == 0:
+                self._queue.popleft().queued = False
+                continue
+            if started >= self.policy.max_starts_per_decision:
+                self.more = True
+                return
+            placed = self._start_next(job, now_s)
+            if placed == 0:
+                job.wait_code = ResultCode.ACCEPTED
+                job.wait_detail = "no worker has room for it now"
+                return
+            started += placed
+
+    def _start_next(self, job: Job, now_s: float) -> int:
+        count = job.waiting_count if job.is_gang else 1
+        placed: list[Worker] = []
+        for _ in range(count):
+            worker = self._first_fit(job)
+            if worker is None:
+                break
+            self.workers.charge(worker, job.spec.size, now_s)
+            placed.append(worker)
+        for worker in placed:
+            self.workers.discharge(worker, job.spec.size, now_s)
+        if len(placed) < count:
+            return 0
+        for worker in placed:
+            self.attempts.launch(job, worker, job.spec.size, now_s)
+        return count
+
+    def _first_fit(self, job: Job) -> Worker | None:
+        for worker in self.workers.all():
+            if worker.usable and worker.fits(job.spec.size):
+                return worker
+        return None
+
+    def predict(self, spec: JobSpec, now_s: float) -> AdmissionForecast:
+        """Return whether the workers can hold the job; starts are not forecast."""
+        obstacle = self.obstacle(spec)
+        code, detail = obstacle or (ResultCode.OK, "the baseline forecasts no start")
+        return AdmissionForecast(
+            feasible=obstacle is None,
+            expected_start_s=0.0,
+            expected_late=False,
+            code=code,
+            detail=detail,
+        )
+
+    def obstacle(self, spec: JobSpec) -> tuple[ResultCode, str] | None:
+        """Return why a job can never run with the present workers, or None."""
+        rooms = sum(
+            rooms_in(worker.vm.capacity, spec.size)
+            for worker in self.workers.all()
+            if worker.reported and not worker.lost
+        )
+        needed = spec.tasks_count if spec.kind is JobKind.GANG else 1
+        if rooms < needed:
+            return ResultCode.INFEASIBLE, f"the workers hold {rooms} of its {needed} tasks"
+        return None
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_estimators.py
@@ -0,0 +1,131 @@
+"""Learned run times and sizes per customer and workload."""
+
+import attrs
+from ddsketch import LogCollapsingLowestDenseDDSketch
+
+from ..jobs import JobSpec
+from ..resources import ResourceVector
+
+RELATIVE_ACCURACY = 0.02
+BIN_LIMIT = 512
+MIN_OBSERVATIONS = 5
+# Quantiles are computed again after this part of new observations, because one takes 20 us.
+REFRESH_PART = 0.1
+DEFAULT_RUN_TIME_S = 60.0
+SIZE_QUANTILE = 0.95
+SIZE_MARGIN = 1.1
+
+
+class Quantiles:
+    """Quantile sketch whose answers are kept until enough new values arrived.
+
+    Example:
+        >>> quantiles = Quantiles()
+        >>> for value in (1.0, 2.0, 3.0):
+        ...     quantiles.observe(value)
+        >>> 1.9 < quantiles.predict(0.5) < 2.1
+        True
+    """
+
+    def __init__(self) -> None:
+        self.count_ = 0
+        self._sketch = LogCollapsingLowestDenseDDSketch(RELATIVE_ACCURACY, BIN_LIMIT)
+        self._kept: dict[float, float] = {}
+        self._refresh_count = 0
+
+    def observe(self, value: float) -> None:
+        """Add a value."""
+        self._sketch.add(value)
+        self.count_ += 1
+        if self.count_ >= self._refresh_count:
+            self._kept.clear()
+            self._refresh_count = self.count_ + 1 + int(self.count_ * REFRESH_PART)
+
+    def predict(self, quantile: float) -> float:
+        """Return a quantile of the values so far."""
+        kept = self._kept.get(quantile)
+        if kept is None:
+            kept = self._kept[quantile] = self._sketch.get_quantile_value(quantile) or 0.0
+        return kept
+
+
+class RunTimes:
+    """Run time of a task, learned per customer and workload."""
+
+    def __init__(self) -> None:
+        self.workloads_: dict[tuple[str, str], Quantiles] = {}
+        self.all_ = Quantiles()
+
+    def observe(self, spec: JobSpec, elapsed_s: float) -> None:
+        """Take up the run time of a task that ran to its end."""
+        key = (spec.customer, spec.workload)
+        quantiles = self.workloads_.get(key)
+        if quantiles is None:
+            quantiles = self.workloads_[key] = Quantiles()
+        quantiles.observe(max(elapsed_s, 0.001))
+        self.all_.observe(max(elapsed_s, 0.001))
+
+    def predict(self, spec: JobSpec, quantile: float = 0.5) -> float:
+        """Return the expected run time; the declared one until enough tasks ended."""
+        quantiles = self.workloads_.get((spec.customer, spec.workload))
+        if quantiles is not None and quantiles.count_ >= MIN_OBSERVATIONS:
+            return quantiles.predict(quantile)
+        if spec.run_time_s > 0:
+            return spec.run_time_s
+        if self.all_.count_ >= MIN_OBSERVATIONS:
+            return self.all_.predict(quantile)
+        return DEFAULT_RUN_TIME_S
+
+    def predict_any(self) -> float:
+        """Return the median run time of all workloads."""
+        return self.all_.predict(0.5) if self.all_.count_ else DEFAULT_RUN_TIME_S
+
+
+@attrs.define(slots=True)
+class _UseRatios:
+    processors: Quantiles = attrs.field(factory=Quantiles)
+    memory: Quantiles = attrs.field(factory=Quantiles)
+
+
+class Sizes:
+    """Size of a task: the declared one, corrected by observed use within bounds.
+
+    Args:
+        factor_min: lowest corrected size relative to the declared one.
+        factor_max: highest corrected size relative to the declared one.
+        enabled: whether sizes are corrected at all.
+    """
+
+    def __init__(self, factor_min: float, factor_max: float, enabled: bool) -> None:
+        self.factor_min = factor_min
+        self.factor_max = factor_max
+        self.enabled = enabled
+        self.workloads_: dict[tuple[str, str], _UseRatios] = {}
+
+    def observe(self, spec: JobSpec, usage: ResourceVector) -> None:
+        """Take up the use of a running task."""
+        if not self.enabled:
+            return
+        ratios = self.workloads_.setdefault((spec.customer, spec.workload), _UseRatios())
+        ratios.processors.observe(
+            usage.processors_millicores / max(1, spec.size.processors_millicores)
+        )
+        ratios.memory.observe(usage.memory_mb / max(1, spec.size.memory_mb))
+
+    def predict(self, spec: JobSpec) -> ResourceVector:
+        """Return the size to reserve for one task."""
+        if not self.enabled:
+            return spec.size
+        ratios = self.workloads_.get((spec.customer, spec.workload))
+        if ratios is None or ratios.processors.count_ < MIN_OBSERVATIONS:
+            return spec.size
+        return ResourceVector(
+            self._corrected(spec.size.processors_millicores, ratios.processors),
+            self._corrected(spec.size.memory_mb, ratios.memory),
+            spec.size.accelerators_count,
+        )
+
+    def _corrected(self, declared: int, ratios: Quantiles) -> int:
+        factor = ratios.predict(SIZE_QUANTILE) * SIZE_MARGIN
+        factor = min(self.factor_max, max(self.factor_min, factor))
+        return max(1, round(declared * factor))
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_health.py
@@ -0,0 +1,90 @@
+"""Evidence against workers that fail every task."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ._model import Attempt, Job, Worker
+
+FAILURES_TO_SET_ASIDE = 3
+PROBE_FIRST_S = 5.0
+PROBE_LAST_S = 60.0
+# A workload whose failures exceed this part of its ends is no evidence against a worker.
+WORKLOAD_FAILURE_PART = 0.5
+EVIDENCE_DECAY = 0.95
+
+
+@attrs.define(slots=True)
+class _Record:
+    failures: list[tuple[Job, int]] = attrs.field(factory=list)
+    probe_wait_s: float = PROBE_FIRST_S
+    next_probe_s: float = 0.0
+
+
+class WorkerHealth:
+    """Learns which workers fail tasks of different jobs without a success in between.
+
+    Args:
+        set_aside: called with (worker, now_s) when the evidence suffices.
+        restore: called with (worker, now_s) after a successful probe.
+    """
+
+    def __init__(
+        self,
+        set_aside: Callable[[Worker, float], None],
+        restore: Callable[[Worker, float], None],
+    ) -> None:
+        self.set_aside = set_aside
+        self.restore = restore
+        self.records_: dict[str, _Record] = {}
+        self.workloads_: dict[tuple[str, str], tuple[float, float]] = {}
+
+    def observe(self, attempt: Attempt, succeeded: bool, now_s: float) -> bool:
+        """Take up an end; return whether a failure is held against the worker alone."""
+        spec, worker = attempt.job.spec, attempt.worker
+        key = (spec.customer, spec.workload)
+        ends, failures = self.workloads_.get(key, (0.0, 0.0))
+        suspect = failures > WORKLOAD_FAILURE_PART * ends and ends >= FAILURES_TO_SET_ASIDE
+        if not worker.set_aside:
+            # Ends on a worker that was set aside say nothing about the workload.
+            ends, failures = ends * EVIDENCE_DECAY + 1, failures * EVIDENCE_DECAY
+            self.workloads_[key] = (ends, failures + (not succeeded))
+        if succeeded:
+            self._observe_success(worker, now_s)
+            return False
+        record = self.records_.setdefault(worker.name, _Record())
+        if worker.set_aside:
+            record.probe_wait_s = min(PROBE_LAST_S, 2 * record.probe_wait_s)
+            record.next_probe_s = now_s + record.probe_wait_s
+            return True
+        if suspect:
+            return False
+        record.failures.append((attempt.job, attempt.ident.task.index))
+        jobs = {job.spec.job_id for job, _ in record.failures}
+        if len(jobs) >= FAILURES_TO_SET_ASIDE:
+            self._set_aside(worker, record, now_s)
+            return True
+        return False
+
+    def _observe_success(self, worker: Worker, now_s: float) -> None:
+        record = self.records_.pop(worker.name, None)
+        if record is not None and worker.set_aside:
+            self.restore(worker, now_s)
+
+    def _set_aside(self, worker: Worker, record: _Record, now_s: float) -> None:
+        # Earlier failures on this worker were the worker's; the last one is not yet counted.
+        for job, index in record.failures[:-1]:
+            if job.failures.get(index, 0) > 0:
+                job.failures[index] -= 1
+        record.failures.clear()
+        record.next_probe_s = now_s + record.probe_wait_s
+        self.set_aside(worker, now_s)
+
+    def predict(self, worker: Worker) -> bool:
+        """Return whether the worker is expected to run tasks."""
+        return not worker.set_aside
+
+    def decide(self, worker: Worker, now_s: float) -> bool:
+        """Return whether a worker that was set aside may get a probe now."""
+        record = self.records_.setdefault(worker.name, _Record())
+        return not worker.attempts and now_s >= record.next_probe_s
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_jobs.py
@@ -0,0 +1,146 @@
+"""Table of the jobs of a failure domain."""
+
+import heapq
+import math
+from collections.abc import Callable
+
+from ..jobs import JobState
+from ..results import ResultCode
+from ._actions import FinishJob, JobStatus, ReportLate
+from ._events import JobAdmitted
+from ._facts import Fact, JobGone, JobReady
+from ._model import Job
+from ._outbox import Outbox
+
+FINISHED_JOBS_KEPT = 50_000
+
+
+class JobTable:
+    """Jobs, their last states and their deadlines.
+
+    Args:
+        outbox: receives `FinishJob` and `ReportLate`.
+        tell: receives facts for the policy engine.
+    """
+
+    def __init__(self, outbox: Outbox, tell: Callable[[Fact, float], None]) -> None:
+        self.outbox = outbox
+        self.tell = tell
+        self.held_back = False
+        self._jobs: dict[str, Job] = {}
+        self._by_customer: dict[str, dict[str, Job]] = {}
+        self._deadlines: list[tuple[float, int, Job]] = []
+        self._finished: dict[str, None] = {}
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def get(self, job_id: str) -> Job | None:
+        """Return a job or None."""
+        return self._jobs.get(job_id)
+
+    def all(self) -> list[Job]:
+        """Return every job in order of admission."""
+        return list(self._jobs.values())
+
+    def of_customer(self, customer: str) -> list[Job]:
+        """Return the jobs of a customer in order of admission."""
+        return list(self._by_customer.get(customer, {}).values())
+
+    def admit(self, event: JobAdmitted, now_s: float) -> Job | None:
+        """Enter a job; return None when it is known already."""
+        known = self._jobs.get(event.spec.job_id)
+        if known is not None:
+            known.recorded |= event.recorded
+            known.late |= event.late_reported
+            return None
+        spec = event.spec
+        admitted_s = now_s - event.accepted_age_s
+        deadline_s = math.inf if spec.deadline_s is None else admitted_s + spec.deadline_s
+        self._sequence += 1
+        job = Job(
+            spec,
+            self._sequence,
+            admitted_s,
+            deadline_s,
+            event.recorded,
+            event.new_in_tenure,
+            late=event.late_reported,
+        )
+        self._jobs[spec.job_id] = job
+        self._by_customer.setdefault(spec.customer, {})[spec.job_id] = job
+        if deadline_s < math.inf and not job.late:
+            heapq.heappush(self._deadlines, (deadline_s, job.sequence, job))
+        return job
+
+    def offer(self, job: Job, now_s: float) -> None:
+        """Queue the waiting tasks of a job unless something holds them back."""
+        if job.final or job.stopping or job.waiting_count == 0:
+            return
+        if self.held_back and not job.new_in_tenure:
+            return
+        self.tell(JobReady(job), now_s)
+
+    def finish(self, job: Job, state: JobState, detail: str, now_s: float) -> None:
+        """Give a job its last state; the first call wins."""
+        if job.final:
+            return
+        job.late |= now_s > job.deadline_s
+        job.state = state
+        job.detail = detail
+        self.tell(JobGone(job), now_s)
+        self.outbox.put(FinishJob(job.spec.job_id, state, job.late, detail))
+
+    def finish_recorded(self, job_id: str) -> None:
+        """Note that the last state is durable, and forget the oldest finished jobs."""
+        job = self._jobs.get(job_id)
+        if job is None or not job.final:
+            return
+        job.finish_recorded = True
+        self._finished[job_id] = None
+        if len(self._finished) > FINISHED_JOBS_KEPT:
+            oldest = next(iter(self._finished))
+            del self._finished[oldest]
+            gone = self._jobs.pop(oldest)
+            of_customer = self._by_customer[gone.spec.customer]
+            del of_customer[oldest]
+            if not of_customer:
+                del self._by_customer[gone.spec.customer]
+
+    def report_late(self, now_s: float) -> None:
+        """Report each unfinished job that passed its deadline, once."""
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, _, job = heapq.heappop(self._deadlines)
+            if not job.final and not job.late:
+                job.late = True
+                self.outbox.put(ReportLate(job.spec.job_id))
+
+    def status(self, job: Job) -> JobStatus:
+        """Return the state of a job as its caller sees it."""
+        state = job.state
+        if not job.final:
+            state = JobState.RUNNING if job.live or job.done_count else JobState.WAITING
+            if not job.recorded:
+                state = JobState.PROVISIONAL
+        return JobStatus(
+            job_id=job.spec.job_id,
+            customer=job.spec.customer,
+            kind=job.spec.kind,
+            state=state,
+            tasks_waiting_count=0 if job.final else job.waiting_count,
+            tasks_running_count=len(job.live),
+            tasks_done_count=job.done_count,
+            late=job.late,
+            recorded=job.finish_recorded if job.final else job.recorded,
+            detail=job.detail,
+        )
+
+
+def final_code(state: JobState) -> ResultCode:
+    """Return the result code of a last state."""
+    return {
+        JobState.DONE: ResultCode.OK,
+        JobState.FAILED: ResultCode.JOB_FAILED,
+        JobState.CANCELLED: ResultCode.JOB_CANCELLED,
+    }.get(state, ResultCode.OUTCOME_UNKNOWN)
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
@@ -0,0 +1,118 @@
+"""Taking lent room back for customers below their share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ._model import Attempt, Job
+from ._share import Account
+
+if TYPE_CHECKING:
+    from ._fair_share import FairShareEngine
+
+# Distance from the share, in parts of it, below which no running work is taken back.
+TOLERANCE = 0.02
+MAX_RECLAIMS_PER_DECISION = 4
+MAX_PROMISES_PER_CUSTOMER = 16
+
+
+class Lending:
+    """Compares what customers hold with their shares, and reclaims from those above.
+
+    Args:
+        engine: policy engine with the tables.
+    """
+
+    def __init__(self, engine: FairShareEngine) -> None:
+        self.engine = engine
+        self._below_since_: dict[str, float] = {}
+        self._promised: dict[str, set[str]] = {}
+
+    def predict(self) -> dict[str, float]:
+        """Return the share of each customer that holds or waits for something."""
+        engine = self.engine
+        active = [
+            account
+            for name, account in engine.ledger.accounts_.items()
+            if account.rate > 0 or name in engine.queue.customers
+        ]
+        weights = sum(account.weight for account in active) or 1.0
+        return {account.name: account.weight / weights for account in active}
+
+    def decide(self, now_s: float) -> None:
+        """Take room back for customers that waited long enough below their share."""
+        engine, shares = self.engine, self.predict()
+        accounts = engine.ledger.accounts_
+        above = sorted(
+            (accounts[name].rate / share, name)
+            for name, share in shares.items()
+            if accounts[name].rate > share * (1 + TOLERANCE)
+            and engine.reclaimer.by_customer.get(name)
+        )
+        for name, share in shares.items():
+            account = accounts[name]
+            if name not in engine.queue.customers or account.rate >= share * (1 - TOLERANCE):
+                self._below_since_.pop(name, None)
+                continue
+            since_s = self._below_since_.setdefault(name, now_s)
+            if now_s - since_s >= engine.policy.reclaim_delay_s and above:
+                self._take_back(account, [donor for _, donor in reversed(above)], now_s)
+
+    def _take_back(self, account: Account, donors: list[str], now_s: float) -> None:
+        engine = self.engine
+        for _ in range(MAX_RECLAIMS_PER_DECISION):
+            promised = self._promised.setdefault(account.name, set())
+            promised &= engine.reclaimer.promises.keys()
+            count = sum(len(engine.reclaimer.promises[job_id]) for job_id in promised)
+            if count >= MAX_PROMISES_PER_CUSTOMER:
+                return
+            job = self._next_job(account)
+            victim = self._victim(donors)
+            if job is None or victim is None:
+                return
+            size = engine.size_of(job.spec)
+            wait_s = engine.policy.reclaim_escalation_s
+            if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
+                return
+            promised.add(job.spec.job_id)
+
+    def _next_job(self, account: Account) -> Job | None:
+        engine = self.engine
+        for queue in sorted(
+            engine.queue.customers.get(account.name, {}).values(), key=lambda q: q.head_key
+        ):
+            for job in queue.first(engine.policy.lookahead_count):
+                promised = len(engine.reclaimer.promises.get(job.spec.job_id, ()))
+                if job.is_gang or promised >= job.waiting_count:
+                    continue
+                size = engine.size_of(job.spec)
+                if engine.allowed_by_quota(job, account, size, promised + 1):
+                    return job
+        return None
+
+    def _victim(self, donors: list[str]) -> Attempt | None:
+        # The newest attempt of the customer that is furthest above its share.
+        for name in donors:
+            attempts = self.engine.reclaimer.by_customer.get(name)
+            if attempts:
+                return next(reversed(attempts.values()))
+        return None
+
+    def start_promised(self, now_s: float) -> None:
+        """Start the jobs whose promised room has become free."""
+        engine = self.engine
+        for job_id in list(engine.reclaimer.promises):
+            job = engine.jobs.get(job_id)
+            if job is None or not job.queued:
+                continue
+            account = engine.ledger.accounts_.get(job.spec.customer)
+            size = engine.size_of(job.spec)
+            worker = engine.reclaimer.promised_room(job, size)
+            while worker is not None and job.waiting_count:
+                if not engine.allowed_by_quota(job, account, size, 1):
+                    break
+                engine.reclaimer.end_promise(job_id, worker)
+                estimate_s = engine.times_.predict(job.spec)
+                engine.attempts.launch(job, worker, size, now_s, estimate_s)
+                engine.dequeue_if_done(job)
+                worker = engine.reclaimer.promised_room(job, size)
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_queue.py
@@ -0,0 +1,90 @@
+"""Waiting jobs by customer and size class, in order of their deadlines."""
+
+import attrs
+from sortedcontainers import SortedList
+
+from ..jobs import JobKind
+from ._model import Job
+
+
+@attrs.frozen(slots=True)
+class SizeClass:
+    """Jobs that fit in similar room and wait for the same bounds."""
+
+    team: str
+    kind: JobKind
+    short: bool
+    accelerated: bool
+    processors_octave: int
+    memory_octave: int
+
+
+class SizeQueue:
+    """Waiting jobs of one size class of one customer, earliest deadline first."""
+
+    def __init__(self, size_class: SizeClass) -> None:
+        self.size_class = size_class
+        self._entries: SortedList = SortedList()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def add(self, job: Job) -> None:
+        """Enter a job."""
+        self._entries.add((job.order_key, job.sequence, job))
+
+    def remove(self, job: Job) -> None:
+        """Take a job out."""
+        self._entries.remove((job.order_key, job.sequence, job))
+
+    def first(self, count: int) -> list[Job]:
+        """Return the first jobs."""
+        return [entry[2] for entry in self._entries.islice(0, count)]
+
+    @property
+    def head_key(self) -> float:
+        """Order key of the first job."""
+        return self._entries[0][0]
+
+
+class WaitingQueue:
+    """Size queues of all customers."""
+
+    def __init__(self) -> None:
+        self.customers: dict[str, dict[SizeClass, SizeQueue]] = {}
+        self.urgent: SortedList = SortedList()
+        self._places: dict[str, SizeQueue] = {}
+        self.tasks_counts: dict[str, int] = {}
+
+    def add(self, job: Job, size_class: SizeClass, order_key: float) -> None:
+        """Enter a job that is not queued."""
+        job.queued, job.order_key = True, order_key
+        if job.spec.kind is JobKind.URGENT:
+            self.urgent.add((order_key, job.sequence, job))
+            return
+        queues = self.customers.setdefault(job.spec.customer, {})
+        queue = queues.get(size_class)
+        if queue is None:
+            queue = queues[size_class] = SizeQueue(size_class)
+        queue.add(job)
+        self._places[job.spec.job_id] = queue
+
+    def remove(self, job: Job) -> None:
+        """Take a job out; the cost does not depend on its tasks."""
+        if not job.queued:
+            return
+        job.queued = False
+        if job.spec.kind is JobKind.URGENT:
+            self.urgent.remove((job.order_key, job.sequence, job))
+            return
+        queue = self._places.pop(job.spec.job_id)
+        queue.remove(job)
+        if not queue:
+            queues = self.customers[job.spec.customer]
+            del queues[queue.size_class]
+            if not queues:
+                del self.customers[job.spec.customer]
+
+    def waiting_jobs_count(self, customer: str) -> int:
+        """Return the number of queued jobs of a customer, urgent ones excluded."""
+        return sum(len(queue) for queue in self.customers.get(customer, {}).values())
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
@@ -0,0 +1,267 @@
+"""The scheduler of one failure domain: events in, actions out."""
+
+import random
+
+from ..jobs import JobSpec, JobState
+from ..results import ResultCode
+from ._actions import Action, AdmissionForecast, JobStatus, ReportInfeasible, ReportLate
+from ._attempts import AttemptTable
+from ._baseline import FirstComeFirstServedEngine
+from ._events import (
+    AttemptEndedObserved,
+    AttemptEndRecorded,
+    ContractChanged,
+    Event,
+    JobAdmitted,
+    JobCancelled,
+    JobFinishRecorded,
+    RecoveryFinished,
+    RecoveryStarted,
+    StartAnswered,
+    StartIntentDurable,
+    StartUncertain,
+    TaskDone,
+    WorkerJoined,
+    WorkerLeaving,
+    WorkerLost,
+    WorkerReport,
+)
+from ._facts import AttemptReleased, CapacityChanged, ContractSet, Fact
+from ._fair_share import FairShareEngine
+from ._jobs import JobTable, final_code
+from ._model import Job, Phase
+from ._outbox import Outbox
+from ._policy import FairShare, FirstComeFirstServed, Policy
+from ._probes import Probes
+from ._recovery import Recovery
+from ._reports import ReportReader
+from ._workers import WorkerTable
+
+JANITOR_PERIOD_S = 1.0
+
+
+class DomainScheduler:
+    """Decides for all workers and jobs of one failure domain.
+
+    Args:
+        policy: `FairShare` or the baseline `FirstComeFirstServed`.
+        rng: source of randomness.
+
+    Example:
+        >>> scheduler = DomainScheduler(policy=FirstComeFirstServed(), rng=random.Random(1))
+        >>> scheduler.decide(now_s=0.0)
+        []
+    """
+
+    def __init__(self, *, policy: Policy, rng: random.Random) -> None:
+        self.policy = policy
+        self.rng = rng
+        self._now_s = 0.0
+        self._outbox = Outbox()
+        self._jobs = JobTable(self._outbox, self._tell)
+        self._workers = WorkerTable(self._tell)
+        self._attempts = AttemptTable(
+            self._jobs, self._workers, self._outbox, self._tell, self._failed
+        )
+        self._reports = ReportReader(
+            self._jobs, self._workers, self._attempts, self._outbox, self._tell
+        )
+        self._recovery = Recovery(self._jobs, self._attempts)
+        self._probes = Probes(self._jobs, self._workers, self._attempts, self._outbox)
+        match policy:
+            case FairShare():
+                engine_class = FairShareEngine
+            case FirstComeFirstServed():
+                engine_class = FirstComeFirstServedEngine
+        self._engine = engine_class(policy, rng, self._jobs, self._workers, self._attempts)
+        self._capacity_shrank = False
+        self._janitor_s = 0.0
+
+    def _tell(self, fact: Fact, now_s: float) -> None:
+        match fact:
+            case AttemptReleased(attempt, _, True) if attempt.job is not None:
+                self._probes.observe(attempt, True, now_s)
+            case CapacityChanged():
+                self._capacity_shrank = True
+        self._engine.observe(fact, now_s)
+
+    def _failed(self, attempt, now_s: float) -> bool:
+        return self._probes.observe(attempt, False, now_s)
+
+    @property
+    def more(self) -> bool:
+        """Whether `decide` has further actions at once, because one call is bounded."""
+        return self._engine.more or len(self._outbox) > 0
+
+    @property
+    def recovering(self) -> bool:
+        """Whether tasks of earlier accepted jobs are held back."""
+        return self._recovery.active
+
+    def observe(self, event: Event, now_s: float) -> None:
+        """Take up an event.
+
+        Args:
+            event: what happened.
+            now_s: present time.
+        """
+        match event:
+            case WorkerReport():
+                if self._reports.read(event, now_s):
+                    self._recovery.worker_resolved(event.worker, now_s)
+            case StartAnswered(attempt, _, accepted, reason):
+                self._attempts.start_answered(attempt, accepted, reason, now_s)
+            case AttemptEndedObserved(attempt, worker, end, elapsed_s):
+                self._reports.ended(attempt, worker, end, elapsed_s, now_s)
+            case StartUncertain(attempt, _):
+                self._attempts.start_uncertain(attempt, now_s)
+            case JobAdmitted():
+                self._admit(event, now_s)
+            case JobCancelled(job_id):
+                self._cancel(job_id, now_s)
+            case JobFinishRecorded(job_id):
+                self._jobs.finish_recorded(job_id)
+            case ContractChanged(contract):
+                self._tell(ContractSet(contract), now_s)
+            case TaskDone() | AttemptEndRecorded() | StartIntentDurable():
+                self._observe_record(event, now_s)
+            case WorkerJoined() | WorkerLost() | WorkerLeaving():
+                self._observe_worker(event, now_s)
+            case RecoveryStarted(known_workers):
+                reported = {worker.name for worker in self._workers.all() if worker.reported}
+                self._recovery.start(known_workers, reported)
+            case RecoveryFinished():
+                self._recovery.replay_finished(now_s)
+
+    def _observe_worker(self, event: Event, now_s: float) -> None:
+        match event:
+            case WorkerJoined(vm):
+                self._workers.join(vm, now_s)
+            case WorkerLost(name, attempts_ended):
+                self._lose(name, attempts_ended, now_s)
+            case WorkerLeaving(name):
+                worker = self._workers.get(name)
+                if worker is not None:
+                    self._workers.set_state(worker, now_s, leaving=True)
+
+    def _lose(self, name: str, attempts_ended: bool, now_s: float) -> None:
+        worker = self._workers.get(name)
+        if worker is not None:
+            self._workers.set_state(worker, now_s, lost=True, reported=False)
+            for attempt in list(worker.attempts.values()):
+                if attempt.phase is Phase.INTENT:
+                    self._attempts.return_task(attempt, now_s)
+                elif attempts_ended:
+                    self._attempts.vanished(attempt, now_s)
+                elif attempt.phase is Phase.STARTING:
+                    self._attempts.start_uncertain(attempt.ident, now_s)
+        if attempts_ended:
+            self._recovery.worker_resolved(name, now_s)
+
+    def _admit(self, event: JobAdmitted, now_s: float) -> None:
+        job = self._jobs.admit(event, now_s)
+        if job is None:
+            return
+        for early in self._recovery.take_early(event.spec.job_id):
+            self._observe_record(early, now_s)
+        self._reports.job_known(job, now_s)
+        self._jobs.offer(job, now_s)
+
+    def _observe_record(self, event: Event, now_s: float) -> None:
+        task = event.task if isinstance(event, TaskDone) else event.attempt.task
+        job = self._jobs.get(task.job_id)
+        if job is None:
+            self._recovery.keep_early(task.job_id, event)
+            return
+        if task.index >= job.spec.tasks_count:
+            return
+        match event:
+            case TaskDone():
+                self._attempts.task_done(job, task.index, now_s)
+            case AttemptEndRecorded(attempt, end):
+                self._attempts.end_recorded(job, attempt, end, now_s)
+            case StartIntentDurable(attempt):
+                self._attempts.intent_durable(attempt, now_s)
+
+    def _cancel(self, job_id: str, now_s: float) -> None:
+        job = self._jobs.get(job_id)
+        if job is not None and not job.final:
+            job.cancelled = True
+            self._attempts.fail_job(job, JobState.CANCELLED, "cancelled by its caller", now_s)
+
+    def decide(self, now_s: float) -> list[Action]:
+        """Return the actions to take now; call again while `more` is true.
+
+        Args:
+            now_s: present time.
+
+        Returns:
+            Starts first, then other actions, at a bounded number per call.
+        """
+        self._now_s = now_s
+        self._engine.decide(now_s)
+        self._jobs.report_late(now_s)
+        if now_s >= self._janitor_s:
+            self._janitor_s = now_s + JANITOR_PERIOD_S
+            self._reports.stop_unknown(now_s)
+            self._probes.decide(now_s)
+            if self._capacity_shrank and not self._recovery.active:
+                self._capacity_shrank = False
+                self._report_infeasible()
+        return self._outbox.drain()
+
+    def _report_infeasible(self) -> None:
+        for job in self._jobs.all():
+            if job.final or job.waiting_count == 0:
+                continue
+            obstacle = self._engine.obstacle(job.spec)
+            infeasible = obstacle is not None and obstacle[0] is ResultCode.INFEASIBLE
+            if infeasible and not job.infeasible:
+                self._outbox.put(ReportInfeasible(job.spec.job_id, obstacle[1]))
+                if job.spec.deadline_s is not None and not job.late:
+                    job.late = True
+                    self._outbox.put(ReportLate(job.spec.job_id))
+            job.infeasible = infeasible
+
+    def predict(self, spec: JobSpec, now_s: float) -> AdmissionForecast:
+        """Return the expected fate of a job that is not yet admitted."""
+        return self._engine.predict(spec, now_s)
+
+    def job_status(self, job_id: str) -> JobStatus | None:
+        """Return the state of a job, or None when it is not known."""
+        job = self._jobs.get(job_id)
+        return None if job is None else self._jobs.status(job)
+
+    def jobs(self, customer: str) -> list[JobStatus]:
+        """Return the jobs of a customer in order of admission."""
+        return [self._jobs.status(job) for job in self._jobs.of_customer(customer)]
+
+    def explain(self, job_id: str, now_s: float) -> str:
+        """Return one sentence that names the result code: why the job waits, or what it does."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            return f"{ResultCode.UNKNOWN_JOB.name}: no job {job_id} is known here."
+        if job.final:
+            detail = f": {job.detail}" if job.detail else ""
+            return f"{final_code(job.state).name}: the job is {job.state.value}{detail}."
+        if job.waiting_count == 0:
+            return f"{ResultCode.ACCEPTED.name}: all of its unfinished tasks run."
+        code, detail = self._waiting_reason(job)
+        waits_s = now_s - job.admitted_s
+        return (
+            f"{code.name}: {job.waiting_count} tasks wait after {waits_s:.1f} s because {detail}."
+        )
+
+    def _waiting_reason(self, job: Job) -> tuple[ResultCode, str]:
+        if self._recovery.active and not job.new_in_tenure:
+            count = len(self._recovery.waiting_for)
+            return ResultCode.NO_SCHEDULER, f"{count} workers have not reported to this scheduler"
+        if job.stopping:
+            return ResultCode.ACCEPTED, "the gang is stopped to start again as a whole"
+        obstacle = self._engine.obstacle(job.spec)
+        return obstacle or (job.wait_code, job.wait_detail)
+
+    @property
+    def set_aside_count(self) -> int:
+        """Number of workers that are set aside."""
+        return sum(worker.set_aside for worker in self._workers.all())
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_share.py
@@ -0,0 +1,146 @@
+"""Use of each customer and team, and its distance from the contract's share."""
+
+import math
+
+import attrs
+
+from ..contracts import UNLIMITED, Contract, Quota
+from ..resources import ResourceVector
+from ._model import Attempt
+from ._policy import Charging
+
+# Customers whose use per weight differs by less are equal, so that priority decides.
+KEY_STEPS = 50
+
+
+def _bound(limit: object) -> float:
+    return math.inf if limit == UNLIMITED else limit
+
+
+@attrs.define(slots=True, eq=False)
+class Account:
+    """Use of one customer or team.
+
+    Args:
+        name: customer or team.
+        weight: weight of its share.
+        quota: bounds on what runs at one time.
+        held: what it holds now.
+        rate: dominant share of `held`.
+        debt: past share-seconds, fading with the window.
+        updated_s: time to which `debt` is computed.
+    """
+
+    name: str
+    weight: float
+    quota: Quota
+    priority: int = 0
+    held: ResourceVector = ResourceVector()
+    rate: float = 0.0
+    debt: float = 0.0
+    updated_s: float = 0.0
+    teams: dict[str, "Account"] = attrs.field(factory=dict)
+    contract: Contract | None = None
+
+    def allows(self, size: ResourceVector, tasks_count: int = 1) -> bool:
+        """Return whether the quota has room for more tasks of a size."""
+        held, quota = self.held, self.quota
+        return (
+            held.processors_millicores + size.processors_millicores * tasks_count
+            <= _bound(quota.processors_millicores)
+            and held.memory_mb + size.memory_mb * tasks_count <= _bound(quota.memory_mb)
+            and held.accelerators_count + size.accelerators_count * tasks_count
+            <= _bound(quota.accelerators_count)
+        )
+
+
+class ShareLedger:
+    """Dominant-resource use of customers in a window, with debt that fades.
+
+    Args:
+        window_s: time constant of the fading.
+        charging: when use is charged.
+    """
+
+    def __init__(self, window_s: float, charging: Charging) -> None:
+        self.window_s = window_s
+        self.charging = charging
+        self.total = ResourceVector()
+        self.accounts_: dict[str, Account] = {}
+
+    def set_contract(self, contract: Contract, now_s: float) -> None:
+        """Take up a contract; what the customer holds is kept."""
+        account = self.accounts_.get(contract.customer)
+        if account is None:
+            account = Account(contract.customer, contract.share_weight, contract.quota)
+            account.updated_s = now_s
+            self.accounts_[contract.customer] = account
+        account.weight, account.quota = contract.share_weight, contract.quota
+        account.priority, account.contract = contract.priority, contract
+        names = {row.team for row in contract.teams}
+        for row in contract.teams:
+            team = account.teams.get(row.team)
+            if team is None:
+                team = account.teams[row.team] = Account(row.team, row.weight, row.quota)
+                team.updated_s = now_s
+            team.weight, team.quota = row.weight, row.quota
+        for gone in [name for name in account.teams if name not in names]:
+            if account.teams[gone].held == ResourceVector():
+                del account.teams[gone]
+
+    def set_total(self, total: ResourceVector, now_s: float) -> None:
+        """Take up a changed sum of capacities."""
+        for account in self.accounts_.values():
+            for each in (account, *account.teams.values()):
+                self._advance(each, now_s)
+                each.rate = each.held.dominant_share(total)
+        self.total = total
+
+    def _advance(self, account: Account, now_s: float) -> None:
+        elapsed_s = now_s - account.updated_s
+        if elapsed_s > 0:
+            fade = math.exp(-elapsed_s / self.window_s)
+            account.debt *= fade
+            if self.charging is Charging.METERED:
+                account.debt += account.rate * self.window_s * (1 - fade)
+            account.updated_s = now_s
+
+    def _affected(self, attempt: Attempt) -> list[Account]:
+        spec = attempt.job.spec
+        account = self.accounts_.get(spec.customer)
+        if account is None:
+            return []
+        team = account.teams.get(spec.team)
+        return [account] if team is None else [account, team]
+
+    def observe(self, attempt: Attempt, change: ResourceVector, now_s: float) -> None:
+        """Take up a change of what a customer holds."""
+        for account in self._affected(attempt):
+            self._advance(account, now_s)
+            account.held += change
+            account.rate = account.held.dominant_share(self.total)
+
+    def prepay(self, attempt: Attempt, now_s: float) -> None:
+        """Charge the estimate at the start, where the policy says so."""
+        if self.charging is Charging.ESTIMATE_FIRST:
+            attempt.prepaid = attempt.charged.dominant_share(self.total) * attempt.estimate_s
+            for account in self._affected(attempt):
+                account.debt += attempt.prepaid
+
+    def correct(self, attempt: Attempt, elapsed_s: float | None, now_s: float) -> None:
+        """Replace the estimate by the use; an unknown use keeps the estimate."""
+        if self.charging is not Charging.ESTIMATE_FIRST or elapsed_s is None:
+            return
+        fade = math.exp(-max(0.0, now_s - attempt.started_s) / self.window_s)
+        used = attempt.charged.dominant_share(self.total) * elapsed_s
+        for account in self._affected(attempt):
+            account.debt += (used - attempt.prepaid) * fade
+
+    def predict(self, account: Account, now_s: float) -> float:
+        """Return the use per weight; the customer with the least is served next."""
+        self._advance(account, now_s)
+        return (account.debt / self.window_s + account.rate) / account.weight
+
+    def decide(self, account: Account, now_s: float, weights: float) -> tuple[int, int]:
+        """Return the order of a customer: use in steps of its share, then priority."""
+        return int(self.predict(account, now_s) * weights * KEY_STEPS), -account.priority
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_stragglers.py
@@ -0,0 +1,93 @@
+"""Room that long work and stragglers leave to short work."""
+
+import heapq
+import math
+
+from ..jobs import JobKind
+from ..resources import ResourceVector
+from ._estimators import RunTimes
+from ._model import Attempt, Job
+from ._policy import FairShare
+
+STRAGGLER_FACTOR = 4.0
+# Offered load counts a burst only in the mean, so more than the mean is kept free.
+RESERVE_FACTOR = 1.5
+
+
+class ShortWorkGuard:
+    """Bounds what long work holds by the load that short work offers.
+
+    Args:
+        policy: bounds of the reserve.
+        times: learned run times.
+    """
+
+    def __init__(self, policy: FairShare, times: RunTimes) -> None:
+        self.policy = policy
+        self.times = times
+        self.total = ResourceVector()
+        self.long_held = ResourceVector()
+        self.offered_ = 0.0
+        self._updated_s = 0.0
+        self._checks: list[tuple[float, int, Attempt]] = []
+        self._count = 0
+
+    def is_short(self, job: Job) -> bool:
+        """Return whether the tasks of a job are expected to be short."""
+        spec = job.spec
+        if spec.kind in (JobKind.SERVICE, JobKind.GANG):
+            return False
+        return self.times.predict(spec) <= self.policy.short_run_s
+
+    def observe(self, job: Job, short: bool, now_s: float) -> None:
+        """Take up the load of a newly queued job."""
+        self._fade(now_s)
+        if short:
+            share = job.spec.size.dominant_share(self.total)
+            self.offered_ += job.waiting_count * share * self.times.predict(job.spec)
+
+    def _fade(self, now_s: float) -> None:
+        if now_s > self._updated_s:
+            self.offered_ *= math.exp((self._updated_s - now_s) / self.policy.window_s)
+            self._updated_s = now_s
+
+    def held(self, attempt: Attempt) -> None:
+        """Count an attempt that holds room; watch a short one for straggling."""
+        job = attempt.job
+        attempt.long = job is None or not self.is_short(job)
+        if attempt.long:
+            self.long_held += attempt.charged
+            return
+        expected_s = self.times.predict(job.spec, 0.95)
+        late_s = attempt.started_s + max(self.policy.short_run_s, STRAGGLER_FACTOR * expected_s)
+        self._count += 1
+        heapq.heappush(self._checks, (late_s, self._count, attempt))
+
+    def released(self, attempt: Attempt) -> None:
+        """Count out an attempt."""
+        if attempt.long:
+            self.long_held -= attempt.charged
+
+    def recharged(self, attempt: Attempt, before: ResourceVector) -> None:
+        """Take up a changed charge."""
+        if attempt.long:
+            self.long_held += attempt.charged - before
+
+    def find_stragglers(self, now_s: float) -> None:
+        """Count short attempts that run far beyond their expected time as long."""
+        while self._checks and self._checks[0][0] <= now_s:
+            attempt = heapq.heappop(self._checks)[2]
+            if attempt.worker.attempts.get(attempt.ident) is attempt:
+                attempt.long = True
+                self.long_held += attempt.charged
+
+    def predict(self, now_s: float) -> float:
+        """Return the part of the domain that long work must leave free."""
+        self._fade(now_s)
+        offered = RESERVE_FACTOR * self.offered_ / self.policy.window_s
+        return min(self.policy.short_reserve_max, offered)
+
+    def decide(self, size: ResourceVector, now_s: float) -> bool:
+        """Return whether a long task of this size may start."""
+        share = (self.long_held + size).dominant_share(self.total)
+        return share <= 1.0 - self.predict(now_s)
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_workers.py
@@ -0,0 +1,78 @@
+"""Table of the workers of a failure domain and the room that is free on each."""
+
+from collections.abc import Callable
+
+from ..platform import VmInfo
+from ..resources import ResourceVector
+from ._facts import CapacityChanged, Fact, RoomChanged
+from ._model import Worker
+
+
+class WorkerTable:
+    """Workers by name and by number.
+
+    Args:
+        tell: receives facts for the policy engine.
+    """
+
+    def __init__(self, tell: Callable[[Fact, float], None]) -> None:
+        self.tell = tell
+        self._by_name: dict[str, Worker] = {}
+        self.by_order: list[Worker] = []
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def get(self, name: str) -> Worker | None:
+        """Return a worker or None."""
+        return self._by_name.get(name)
+
+    def all(self) -> list[Worker]:
+        """Return every worker in order of joining."""
+        return self.by_order
+
+    def join(self, vm: VmInfo, now_s: float) -> None:
+        """Enter a worker, or take up a changed row of the VM list."""
+        known = self._by_name.get(vm.name)
+        if known is None:
+            size = vm.capacity
+            worker = Worker(
+                vm,
+                len(self.by_order),
+                size.processors_millicores,
+                size.memory_mb,
+                size.accelerators_count,
+            )
+            self._by_name[vm.name] = worker
+            self.by_order.append(worker)
+            return
+        if known.vm == vm:
+            return
+        change = vm.capacity - known.vm.capacity
+        known.vm = vm
+        self.charge(known, ResourceVector() - change, now_s)
+        self.tell(CapacityChanged(known), now_s)
+
+    def charge(self, worker: Worker, size: ResourceVector, now_s: float) -> None:
+        """Take room from a worker."""
+        worker.free_cpu -= size.processors_millicores
+        worker.free_mem -= size.memory_mb
+        worker.free_acc -= size.accelerators_count
+        self.tell(RoomChanged(worker, False), now_s)
+
+    def discharge(self, worker: Worker, size: ResourceVector, now_s: float) -> None:
+        """Give room back to a worker."""
+        worker.free_cpu += size.processors_millicores
+        worker.free_mem += size.memory_mb
+        worker.free_acc += size.accelerators_count
+        self.tell(RoomChanged(worker, True), now_s)
+
+    def set_state(self, worker: Worker, now_s: float, **changes: bool) -> None:
+        """Change flags of a worker and tell of it when its usability changed."""
+        usable, counted = worker.usable, worker.reported and not worker.lost
+        for name, value in changes.items():
+            setattr(worker, name, value)
+        if usable != worker.usable:
+            self.tell(RoomChanged(worker, worker.usable), now_s)
+        if counted != (worker.reported and not worker.lost):
+            self.tell(CapacityChanged(worker), now_s)
