--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_keys.py
@@ -0,0 +1,122 @@
+"""Keys that this incarnation issues."""
+
+import hashlib
+import hmac
+import random
+import re
+from dataclasses import dataclass
+
+PREFIX = "k1."
+_TAG_BYTES = 12
+_SECRET_BITS = 256
+_INCARNATION = re.compile(r"(.+?)([^0-9A-Za-z]?)([0-9A-Za-z]+)")
+_KEY = re.compile(r"k1\.(.+)\.([0-9A-Za-z]+)\.([0-9]{1,16})\.([0-9]{1,16})\.([0-9a-f]+)")
+
+
+@dataclass(frozen=True, slots=True)
+class OwnKey:
+    """This incarnation issued the key, and it has not expired."""
+
+    expires_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class OtherKey:
+    """Another incarnation issued the key."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidKey:
+    """The key is malformed, expired, forged or of another customer."""
+
+    reason: str
+
+
+KeyOrigin = OwnKey | OtherKey | InvalidKey
+
+
+class IssuedKeys:
+    """Issues keys that only this incarnation may execute, and checks presented keys.
+
+    A key carries a tag computed with a secret of this incarnation, so nothing is stored for a key
+    until it is used.
+
+    Args:
+        incarnation: own incarnation, which ends in letters and digits after a separator.
+        rng: source of the secret; `random.SystemRandom` in a daemon.
+        lifetime_s: validity of a key.
+
+    Example:
+        >>> keys = IssuedKeys("entry-1.9f", random.Random(1), 60.0)
+        >>> keys.check(keys.issue("austral", 1, now_s=5.0)[0], "austral", now_s=6.0)
+        OwnKey(expires_s=65.0)
+    """
+
+    def __init__(self, incarnation: str, rng: random.Random, lifetime_s: float) -> None:
+        self.incarnation = incarnation
+        self.rng = rng
+        self.lifetime_s = lifetime_s
+        self._secret = rng.getrandbits(_SECRET_BITS).to_bytes(_SECRET_BITS // 8, "big")
+        self._number = 0
+        match = _INCARNATION.fullmatch(incarnation)
+        self._vm, self._separator, self.suffix = match.groups() if match else (incarnation, "", "")
+
+    def issue(self, customer: str, count: int, now_s: float) -> list[str]:
+        """Return new keys of a customer.
+
+        Args:
+            customer: owner of the keys.
+            count: number of keys.
+            now_s: present time.
+
+        Returns:
+            The keys.
+
+        Raises:
+            ValueError: the incarnation cannot be written into a key.
+        """
+        if not self.suffix:
+            raise ValueError(f"incarnation {self.incarnation!r} has no suffix of letters or digits")
+        expiry_ms = int((now_s + self.lifetime_s) * 1000)
+        keys = []
+        for _ in range(count):
+            self._number += 1
+            start = f"{PREFIX}{self._vm}.{self.suffix}.{expiry_ms}.{self._number}"
+            keys.append(f"{start}.{self._tag(customer, start)}")
+        return keys
+
+    def check(self, key: str, customer: str, now_s: float) -> KeyOrigin:
+        """Return who decides for a presented key.
+
+        Args:
+            key: key that starts with `k1.`.
+            customer: customer that presents it.
+            now_s: present time.
+
+        Returns:
+            `OwnKey`, `OtherKey` or `InvalidKey`.
+        """
+        match = _KEY.fullmatch(key)
+        if match is None:
+            return InvalidKey("the key is not of the form k1.VM.INCARNATION.EXPIRY.NUMBER.TAG")
+        vm, suffix, expiry_ms, _, tag = match.groups()
+        if (vm, suffix) != (self._vm, self.suffix):
+            return OtherKey(f"{vm}{self._separator}{suffix}")
+        start = key[: -len(tag) - 1]
+        if not hmac.compare_digest(tag, self._tag(customer, start)):
+            return InvalidKey("this entry VM did not issue the key to this customer")
+        expires_s = int(expiry_ms) / 1000
+        if now_s >= expires_s:
+            return InvalidKey("the key has expired")
+        return OwnKey(expires_s)
+
+    def is_earlier_self(self, incarnation: str) -> bool:
+        """Return whether an incarnation is an earlier one of this VM."""
+        match = _INCARNATION.fullmatch(incarnation)
+        return bool(match) and match[1] == self._vm and match[3] != self.suffix
+
+    def _tag(self, customer: str, start: str) -> str:
+        data = f"{customer}\n{start}".encode()
+        return hashlib.blake2b(data, key=self._secret, digest_size=_TAG_BYTES).hexdigest()
