Add settings of the daemon with checks of every field

Cause: the daemon needs its addresses, peers and intervals before any other part can start. Change: FieldChecker becomes the public package fireflywharf_core.checking; settings are attrs classes loaded from TOML, with range checks, cross-field checks and two examples.

--- a/packages/fireflywharf-core/src/fireflywharf_core/_checking.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/checking/_field_checker.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 
-from .results import Problem, ResultCode
+from ..results import Problem, ResultCode
 
 
 class FieldChecker:
--- a/packages/fireflywharf-core/src/fireflywharf_core/contracts/_parse.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/contracts/_parse.py
@@ -1,24 +1,18 @@
 """Parsing of contracts from TOML or JSON objects, with all errors at once."""
 
 import math
-import re
 from typing import Any, Literal
 
-from .._checking import FieldChecker
+from ..checking import NAME_TEXT, FieldChecker, is_name
 from ..results import Problem, ResultCode
 from ._contract import UNLIMITED, Contract, Quota, ReclaimStep, TeamQuota
 
-NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
 KINDS = ("batch", "gang", "service", "urgent", "request")
 _LIMIT = int | Literal["unlimited"]
 _RATE = float | Literal["unlimited"]
 _LIMIT_TEXT = 'a whole number of at least 0, or "unlimited"'
 
 
-def _is_name(value: str) -> bool:
-    return NAME_PATTERN.fullmatch(value) is not None
-
-
 def _is_limit(value: int | float | str) -> bool:
     return value == UNLIMITED or (not isinstance(value, bool) and value >= 0)
 
@@ -40,7 +34,7 @@
 
 def _parse_team(data: Any, path: str, problems: list[Problem]) -> TeamQuota | None:
     checker = FieldChecker(data, ResultCode.INVALID_CONTRACT, path)
-    team = checker.take("team", str, "lower-case letters, digits and hyphens", check=_is_name)
+    team = checker.take("team", str, NAME_TEXT, check=is_name)
     weight = checker.take("weight", float, "a number above 0", 1.0, _is_positive)
     quota = _parse_quota(checker.section("quota"), f"{path}.quota", checker.problems)
     found = checker.finish()
@@ -77,7 +71,7 @@
     checker = FieldChecker(data, ResultCode.INVALID_CONTRACT)
     take = checker.take
     fields = {
-        "customer": take("customer", str, "lower-case letters, digits and hyphens", check=_is_name),
+        "customer": take("customer", str, NAME_TEXT, check=is_name),
         "share_weight": take("share_weight", float, "a number above 0", check=_is_positive),
         "priority": take("priority", int, "0 to 9", 5, lambda value: 0 <= value <= 9),
         "quota": _parse_quota(checker.section("quota"), "quota", checker.problems),
--- a/packages/fireflywharf-core/src/fireflywharf_core/jobs/_parse.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/jobs/_parse.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any
 
-from .._checking import FieldChecker
+from ..checking import FieldChecker
 from ..resources import ResourceVector
 from ..results import Problem, ResultCode
 from ._job import JobKind, JobSpec
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/settings/_cross_checks.py
@@ -0,0 +1,80 @@
+"""Checks that concern more than one field of the settings."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from fireflywharf_core.results import Problem, ResultCode
+
+from ._settings import MeshSettings, SchedulingSettings, VmSettings, split_address
+
+
+def _problem(field: str, value: Any, accepted: str) -> Problem:
+    return Problem(ResultCode.INVALID_SETTINGS, field, repr(value), accepted)
+
+
+def _check_peers(vm: VmSettings | None, mesh: MeshSettings) -> Iterator[Problem]:
+    seen = {mesh.listen}
+    regions = {} if vm is None else {vm.failure_domain: vm.region}
+    for index, peer in enumerate(mesh.peers):
+        path = f"mesh.peers[{index}]"
+        if peer.address in seen:
+            yield _problem(
+                f"{path}.address", peer.address, "each peer once, and not mesh.listen itself"
+            )
+        seen.add(peer.address)
+        region = regions.setdefault(peer.failure_domain, peer.region)
+        if region != peer.region:
+            accepted = f"{region}, as elsewhere for failure domain {peer.failure_domain}"
+            yield _problem(f"{path}.region", peer.region, accepted)
+
+
+def _check_scheduling(scheduling: SchedulingSettings) -> Iterator[Problem]:
+    # Two lost heartbeats in a row must not make a live peer suspect.
+    if scheduling.suspicion_s < 3 * scheduling.heartbeat_interval_s:
+        accepted = "at least three times scheduling.heartbeat_interval_s"
+        yield _problem("scheduling.suspicion_s", scheduling.suspicion_s, accepted)
+    # One lost renewal must not end the lease.
+    if scheduling.renew_interval_s > scheduling.holder_lease_s / 3:
+        accepted = "at most a third of scheduling.holder_lease_s"
+        yield _problem("scheduling.renew_interval_s", scheduling.renew_interval_s, accepted)
+    # Attempts must outlive a change of the scheduler, which takes one holder lease.
+    if scheduling.task_lease_s < 2 * scheduling.holder_lease_s:
+        accepted = "at least twice scheduling.holder_lease_s"
+        yield _problem("scheduling.task_lease_s", scheduling.task_lease_s, accepted)
+
+
+def _check_listeners(sections: Mapping[str, Any]) -> Iterator[Problem]:
+    seen: dict[str, str] = {}
+    for name in ("http", "mesh", "metrics"):
+        if sections[name] is None or split_address(sections[name].listen)[1] == 0:
+            continue
+        listen = sections[name].listen
+        if listen in seen:
+            yield _problem(f"{name}.listen", listen, f"an address other than {seen[listen]}.listen")
+        seen.setdefault(listen, name)
+
+
+def cross_check(sections: Mapping[str, Any]) -> list[Problem]:
+    """Return the problems between fields; a section that is None has problems of its own.
+
+    Args:
+        sections: parsed sections by name.
+
+    Returns:
+        Every problem found.
+    """
+    problems = list(_check_listeners(sections))
+    vm, mesh, platform = sections["vm"], sections["mesh"], sections["platform"]
+    scheduling, routing = sections["scheduling"], sections["routing"]
+    if mesh is not None:
+        problems.extend(_check_peers(vm, mesh))
+    if scheduling is not None:
+        problems.extend(_check_scheduling(scheduling))
+    if scheduling and routing and scheduling.renew_interval_s > routing.target_lease_s / 3:
+        accepted = "at least three times scheduling.renew_interval_s"
+        problems.append(_problem("routing.target_lease_s", routing.target_lease_s, accepted))
+    # A claim must outlive its key in the log, or a repeat could run the request again.
+    if routing and platform and routing.key_lifetime_s > platform.retention_s / 2:
+        accepted = "at most half of platform.retention_s"
+        problems.append(_problem("routing.key_lifetime_s", routing.key_lifetime_s, accepted))
+    return problems
