--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_router.py
@@ -0,0 +1,290 @@
+"""WSGI application with every route of `docs/api.md`."""
+
+import functools
+import logging
+import re
+import threading
+import time
+import urllib.parse
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import attrs
+
+from fireflywharf_core.results import Problem, ResultCode
+
+from ._answers import HttpAnswer, answer_of, error_answer, json_answer
+from ._body import decode_json, read_body
+from ._parse import (
+    parse_contract_change,
+    parse_key_count,
+    parse_lost_domain,
+    parse_request,
+    parse_submission,
+)
+from ._service import CallerError, CallerService
+
+_logger = logging.getLogger(__name__)
+
+
+class HttpObserver(Protocol):
+    """Receives one call per answered HTTP request; called from many threads at once."""
+
+    def http_answered(self, route: str, code: ResultCode, elapsed_s: float) -> None:
+        """Observe an answer of `route`, a path with `NAME` or `ID` in place of variable parts."""
+
+
+@functools.cache
+def _pattern_of(path: str) -> re.Pattern[str]:
+    return re.compile(re.sub(r"NAME|ID", "([^/]+)", path))
+
+
+@attrs.frozen(slots=True)
+class _Call:
+    service: CallerService
+    parts: tuple[str, ...]
+    query: dict[str, str]
+    data: Any
+
+
+@attrs.frozen(slots=True)
+class _Route:
+    """One method of one path.
+
+    Args:
+        method: HTTP method.
+        path: path for metrics and error texts.
+        handle: answers the call.
+        has_body: whether the call carries a JSON body.
+        query: accepted query parameters.
+        reserved: whether the call is answered although all request slots are taken.
+    """
+
+    method: str
+    path: str
+    handle: Callable[[_Call], Any]
+    has_body: bool = False
+    query: tuple[str, ...] = ()
+    reserved: bool = False
+
+    def match(self, path: str) -> tuple[str, ...] | None:
+        """Return the variable parts of `path`, or None if it is another path."""
+        found = _pattern_of(self.path).fullmatch(path)
+        return None if found is None else found.groups()
+
+
+def _with_parsed(
+    parse: Callable[..., Any], use: Callable[[CallerService, Any], Any]
+) -> Callable[[_Call], Any]:
+    def handle(call: _Call) -> Any:
+        parsed = parse(*call.parts, call.data)
+        return parsed if isinstance(parsed, CallerError) else use(call.service, parsed)
+
+    return handle
+
+
+def _probe(code: ResultCode, ask: Callable[[CallerService], bool]) -> Callable[[_Call], Any]:
+    def handle(call: _Call) -> Any:
+        if ask(call.service):
+            return json_answer(ResultCode.OK, {})
+        return CallerError(code, "not ready" if code is ResultCode.NOT_READY else "not healthy")
+
+    return handle
+
+
+_ROUTES = (
+    _Route(
+        "POST",
+        "/v1/jobs",
+        _with_parsed(parse_submission, lambda service, job: service.submit_job(job)),
+        has_body=True,
+    ),
+    _Route(
+        "GET",
+        "/v1/jobs",
+        lambda call: call.service.list_jobs(call.query.get("customer")),
+        query=("customer",),
+    ),
+    _Route("GET", "/v1/jobs/ID", lambda call: call.service.job_status(*call.parts)),
+    _Route("GET", "/v1/jobs/ID/explain", lambda call: call.service.explain_job(*call.parts)),
+    _Route("POST", "/v1/jobs/ID/cancel", lambda call: call.service.cancel_job(*call.parts)),
+    _Route(
+        "POST",
+        "/v1/keys",
+        _with_parsed(parse_key_count, lambda service, asked: service.issue_keys(asked)),
+        has_body=True,
+    ),
+    _Route(
+        "POST",
+        "/v1/requests",
+        _with_parsed(parse_request, lambda service, request: service.execute_request(request)),
+        has_body=True,
+    ),
+    _Route("GET", "/v1/contracts", lambda call: call.service.list_contracts()),
+    _Route("GET", "/v1/contracts/NAME", lambda call: call.service.get_contract(*call.parts)),
+    _Route(
+        "GET",
+        "/v1/contracts/NAME/history",
+        lambda call: call.service.contract_history(*call.parts),
+    ),
+    _Route(
+        "PUT",
+        "/v1/contracts/NAME",
+        _with_parsed(parse_contract_change, lambda service, change: service.apply_contract(change)),
+        has_body=True,
+    ),
+    _Route("GET", "/v1/vms", lambda call: call.service.list_vms()),
+    _Route("GET", "/v1/status", lambda call: call.service.status(), reserved=True),
+    _Route(
+        "POST",
+        "/v1/domains/NAME/lost",
+        _with_parsed(
+            parse_lost_domain, lambda service, declared: service.declare_domain_lost(declared)
+        ),
+        has_body=True,
+    ),
+    _Route(
+        "GET",
+        "/healthz",
+        _probe(ResultCode.INTERNAL_ERROR, lambda service: service.healthy()),
+        reserved=True,
+    ),
+    _Route(
+        "GET",
+        "/readyz",
+        _probe(ResultCode.NOT_READY, lambda service: service.ready()),
+        reserved=True,
+    ),
+)
+
+
+def _find_route(method: str, path: str) -> tuple[_Route, tuple[str, ...]] | CallerError:
+    methods = []
+    for route in _ROUTES:
+        parts = route.match(path)
+        if parts is not None:
+            if route.method == method:
+                return route, parts
+            methods.append(route.method)
+    if methods:
+        detail = f"{path[:200]} has no method {method[:20]}; it has {', '.join(methods)}"
+    else:
+        detail = f"no such path: {path[:200]}"
+    return CallerError(ResultCode.UNKNOWN_ROUTE, detail)
+
+
+def _parse_query(text: str, route: _Route) -> dict[str, str] | CallerError:
+    pairs = urllib.parse.parse_qsl(text, keep_blank_values=True)
+    values = dict(pairs)
+    accepted = f"one of: {', '.join(route.query)}" if route.query else "no query parameters"
+    problems = tuple(
+        Problem(ResultCode.INVALID_FIELD, name, repr(value)[:80], accepted)
+        for name, value in values.items()
+        if name not in route.query
+    )
+    if len(values) < len(pairs):
+        problems += (Problem(ResultCode.INVALID_FIELD, "(query)", text[:80], "each name once"),)
+    if problems:
+        return CallerError(ResultCode.INVALID_FIELD, "the query is not valid", problems)
+    return values
+
+
+class _Application:
+    """WSGI application; see `build_application`."""
+
+    def __init__(
+        self,
+        service: CallerService,
+        body_max_bytes: int,
+        requests_max: int,
+        observer: HttpObserver | None,
+    ) -> None:
+        self.service = service
+        self.body_max_bytes = body_max_bytes
+        self.requests_max = requests_max
+        self.observer = observer
+        self._slots = threading.BoundedSemaphore(requests_max)
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        started_s = time.monotonic()
+        found = _find_route(environ["REQUEST_METHOD"], environ.get("PATH_INFO", ""))
+        if isinstance(found, CallerError):
+            route_path, answer, body_read = "unknown", error_answer(found), False
+        else:
+            route, parts = found
+            route_path = route.path
+            answer, body_read = self._guard(route, parts, environ)
+        headers = list(answer.headers)
+        if not body_read and (
+            environ.get("CONTENT_LENGTH", "0") != "0" or environ.get("wsgi.input_terminated")
+        ):
+            # The rest of the body would be taken for the next request.
+            headers.append(("Connection", "close"))
+        if self.observer is not None:
+            self.observer.http_answered(route_path, answer.code, time.monotonic() - started_s)
+        start_response(answer.status_line, headers)
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [answer.body]
+
+    def _guard(
+        self, route: _Route, parts: tuple[str, ...], environ: dict[str, Any]
+    ) -> tuple[HttpAnswer, bool]:
+        """Answer within a request slot; reserved routes need none."""
+        if route.reserved:
+            return self._answer(route, parts, environ)
+        if not self._slots.acquire(blocking=False):
+            detail = f"{self.requests_max} calls are in progress at this entry VM"
+            error = CallerError(ResultCode.QUEUE_FULL, detail, retry_after_s=1.0)
+            return error_answer(error), False
+        try:
+            return self._answer(route, parts, environ)
+        finally:
+            self._slots.release()
+
+    def _answer(
+        self, route: _Route, parts: tuple[str, ...], environ: dict[str, Any]
+    ) -> tuple[HttpAnswer, bool]:
+        query = _parse_query(environ.get("QUERY_STRING", ""), route)
+        if isinstance(query, CallerError):
+            return error_answer(query), False
+        body = read_body(environ, self.body_max_bytes)
+        if isinstance(body, CallerError):
+            return error_answer(body), False
+        data = None
+        if route.has_body:
+            data, error = decode_json(body)
+            if error is not None:
+                return error_answer(error), True
+        try:
+            result = route.handle(_Call(self.service, parts, query, data))
+            return (result if isinstance(result, HttpAnswer) else answer_of(result)), True
+        except Exception:
+            error_id = uuid.uuid4().hex[:12]
+            _logger.exception(
+                "%s %s failed", route.method, route.path, extra={"error_id": error_id}
+            )
+            detail = f"unexpected error {error_id}; see the log of the daemon"
+            return error_answer(CallerError(ResultCode.INTERNAL_ERROR, detail)), True
+
+
+def build_application(
+    service: CallerService,
+    body_max_bytes: int = 1_048_576,
+    requests_max: int = 56,
+    observer: HttpObserver | None = None,
+) -> Callable[..., Iterable[bytes]]:
+    """Return the WSGI application for callers and operators.
+
+    Args:
+        service: application that answers the calls.
+        body_max_bytes: largest accepted body.
+        requests_max: calls in progress at once before `QUEUE_FULL`. It has to be lower than the
+            number of HTTP threads, so that `/healthz`, `/readyz`, `/v1/status` and refusals are
+            answered while all calls wait.
+        observer: is told of every answer.
+
+    Returns:
+        The application for `HttpServer`.
+    """
+    return _Application(service, body_max_bytes, requests_max, observer)
