Add the operators' command line

Operators need one client for contracts, jobs, VMs, requests and keys that never repeats a request whose outcome is unknown. The package fireflywharf_cli sends each request once and tries the next server only when no connection was established.

--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_answers.py
@@ -0,0 +1,151 @@
+"""Typed forms of the daemon's answers; fields that this version does not know are ignored."""
+
+from typing import Any, TypeVar
+
+import attrs
+import msgspec
+
+Answer = TypeVar("Answer")
+
+
+@attrs.frozen(kw_only=True)
+class ContractAnswer:
+    """Answer of `GET /v1/contracts/NAME`."""
+
+    customer: str
+    version: int
+    contract: dict[str, Any]
+
+
+@attrs.frozen(kw_only=True)
+class ContractsAnswer:
+    """Answer of `GET /v1/contracts`."""
+
+    contracts: list[ContractAnswer]
+    offset: int
+
+
+@attrs.frozen(kw_only=True)
+class ContractChange:
+    """One change in the history of a contract; a change that lost its race has `won` false."""
+
+    version: int
+    author: str = ""
+    time_utc: str = ""
+    contract: dict[str, Any]
+    won: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class HistoryAnswer:
+    """Answer of `GET /v1/contracts/NAME/history`."""
+
+    changes: list[ContractChange]
+
+
+@attrs.frozen(kw_only=True)
+class AppliedAnswer:
+    """Answer of `PUT /v1/contracts/NAME`."""
+
+    customer: str
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class JobAnswer:
+    """Answer of the calls for one job; each call fills in its own fields."""
+
+    job_id: str
+    state: str
+    tasks_waiting_count: int | None = None
+    tasks_running_count: int | None = None
+    tasks_done_count: int | None = None
+    late: bool | None = None
+    recorded: bool | None = None
+    expected_late: bool | None = None
+    detail: str | None = None
+    explanation: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class JobRow:
+    """One job of `GET /v1/jobs`."""
+
+    job_id: str
+    customer: str
+    kind: str
+    state: str
+    home_domain: str = ""
+    late: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class JobsAnswer:
+    """Answer of `GET /v1/jobs`."""
+
+    jobs: list[JobRow]
+
+
+@attrs.frozen(kw_only=True)
+class KeysAnswer:
+    """Answer of `POST /v1/keys`."""
+
+    keys: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class RequestAnswer:
+    """Answer of `POST /v1/requests`."""
+
+    request_id: str
+    status: int
+    body: str
+
+
+@attrs.frozen(kw_only=True)
+class VmsAnswer:
+    """Answer of `GET /v1/vms`; its rows have the fields of the VM list and two more."""
+
+    vms: list[dict[str, Any]]
+
+
+@attrs.frozen(kw_only=True)
+class DomainAnswer:
+    """Answer of `POST /v1/domains/NAME/lost`."""
+
+    domain: str
+
+
+@attrs.frozen(kw_only=True)
+class StatusAnswer:
+    """Answer of `GET /v1/status`; lists and tables are shown as they come."""
+
+    vm_name: str
+    incarnation: str
+    domain: str
+    region: str
+    scheduler: Any
+    ready: bool
+    draining: bool
+    log_available: bool
+    peers: Any = None
+    domains: Any = None
+    offsets: Any = None
+    customers: Any = None
+    targets: Any = None
+
+
+def convert_answer(document: dict[str, Any], kind: type[Answer]) -> Answer | str:
+    """Convert a JSON answer to its typed form.
+
+    Args:
+        document: the JSON answer.
+        kind: class of the answer.
+
+    Returns:
+        The typed answer, or a sentence that names the field in error.
+    """
+    try:
+        return msgspec.convert(document, kind)
+    except msgspec.ValidationError as error:
+        return str(error)
--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_client.py
@@ -0,0 +1,152 @@
+"""HTTP client of the daemon's interface; it sends each request at most once."""
+
+import ipaddress
+import json
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import urllib3
+
+from fireflywharf_core.results import ResultCode
+
+from ._outcomes import Answered, AnswerLost, CallOutcome, NotSent
+
+CONNECT_TIMEOUT_S = 3.0
+SERVER_FORM = "IP:PORT with an IP number and a port of 1 to 65535, or several separated by commas"
+
+
+def parse_server(text: str) -> tuple[str, int] | None:
+    """Split an address such as `10.0.0.1:8080` or `[::1]:8080`.
+
+    Args:
+        text: the address.
+
+    Returns:
+        IP number and port, or None if the text is not a valid address.
+
+    Example:
+        >>> parse_server("10.0.0.1:8080")
+        ('10.0.0.1', 8080)
+    """
+    host, separator, port_text = text.strip().rpartition(":")
+    try:
+        version = ipaddress.ip_address(host.removeprefix("[").removesuffix("]")).version
+    except ValueError:
+        return None
+    bracketed = host.startswith("[") and host.endswith("]")
+    if not separator or bracketed != (version == 6):
+        return None
+    if not (port_text.isascii() and port_text.isdigit() and 1 <= int(port_text) <= 65535):
+        return None
+    return host, int(port_text)
+
+
+def build_path(*parts: str, **query: str) -> str:
+    """Return a path under `/v1` with quoted parts and the non-empty query fields."""
+    path = "/".join(["/v1", *(quote(part, safe="") for part in parts)])
+    fields = {name: value for name, value in query.items() if value}
+    return f"{path}?{urlencode(fields)}" if fields else path
+
+
+def decode_answer(data: bytes, server: str) -> Answered | None:
+    """Decode an answer of the daemon.
+
+    Args:
+        data: body of the HTTP answer.
+        server: address that answered.
+
+    Returns:
+        The answer, or None if the body is not an object with a known `code`.
+    """
+    try:
+        document = json.loads(data)
+        code = ResultCode(document["code"])
+    except (ValueError, TypeError, KeyError, RecursionError):
+        return None
+    return Answered(code, document, server) if isinstance(document, dict) else None
+
+
+class DaemonClient:
+    """Calls the first entry VM that accepts a connection.
+
+    The next server is tried only when no connection was established, because then nothing was
+    sent. Each call uses a connection of its own, so that a pooled connection that the daemon has
+    just closed cannot make the outcome of a call unknown.
+
+    Args:
+        servers: addresses in the order in which they are tried.
+        timeout_s: longest wait for the next part of an answer.
+    """
+
+    def __init__(self, servers: list[str], timeout_s: float) -> None:
+        self.servers = servers
+        self.timeout_s = timeout_s
+
+    def read(self, path: str) -> CallOutcome:
+        """Send a GET request; it changes nothing."""
+        return self._call("GET", path, None, self.timeout_s)
+
+    def write(
+        self, method: str, path: str, body: dict[str, Any], timeout_s: float = 0.0
+    ) -> CallOutcome:
+        """Send a request that may have an effect.
+
+        Args:
+            method: `POST` or `PUT`.
+            path: path with quoted parts.
+            body: JSON object.
+            timeout_s: wait for the answer where it must be longer than that of the client.
+
+        Returns:
+            The answer, or whether anything was sent.
+        """
+        data = json.dumps(body, allow_nan=False).encode()
+        return self._call(method, path, data, max(timeout_s, self.timeout_s))
+
+    def _call(self, method: str, path: str, data: bytes | None, timeout_s: float) -> CallOutcome:
+        reasons = []
+        for server in self.servers:
+            outcome = self._call_server(server, method, path, data, timeout_s)
+            if not isinstance(outcome, NotSent):
+                return outcome
+            reasons.append(outcome.detail)
+        return NotSent("; ".join(reasons))
+
+    def _call_server(
+        self, server: str, method: str, path: str, data: bytes | None, timeout_s: float
+    ) -> CallOutcome:
+        host, port = parse_server(server)
+        timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        headers = {"Connection": "close", "Accept": "application/json"}
+        if data is not None:
+            headers["Content-Type"] = "application/json"
+        pool = urllib3.HTTPConnectionPool(host, port, timeout=timeout, retries=False)
+        try:
+            response = pool.urlopen(method, path, data, headers, redirect=False)
+        except urllib3.exceptions.NewConnectionError as error:
+            return NotSent(f"{server} refused the connection ({describe_cause(error)})")
+        except urllib3.exceptions.ConnectTimeoutError:
+            return NotSent(f"{server} did not accept the connection in time")
+        except urllib3.exceptions.ReadTimeoutError:
+            return AnswerLost(f"{server} took the request and did not answer in {timeout_s:g} s")
+        except urllib3.exceptions.HTTPError as error:
+            return AnswerLost(f"{server} broke the connection ({describe_cause(error)})")
+        except KeyboardInterrupt:
+            return AnswerLost(f"interrupted while waiting for {server}")
+        finally:
+            pool.close()
+        answer = decode_answer(response.data, server)
+        if answer is None:
+            return AnswerLost(
+                f"{server} answered HTTP status {response.status} without a known result code"
+            )
+        return answer
+
+
+def describe_cause(error: BaseException) -> str:
+    """Return the innermost known cause of an error in a few words."""
+    while error.__cause__ is not None:
+        error = error.__cause__
+    if isinstance(error, OSError) and error.strerror:
+        return error.strerror
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_cluster_commands.py
@@ -0,0 +1,233 @@
+"""Commands for VMs, failure domains, status, requests and keys."""
+
+import time
+
+from ._answers import DomainAnswer, KeysAnswer, RequestAnswer, StatusAnswer, VmsAnswer
+from ._calls import finish_read, finish_write
+from ._client import DaemonClient, build_path
+from ._console import Console
+from ._contract_commands import default_author
+from ._files import read_text
+from ._outcomes import CommandOutcome, Failure, usage_failure
+from ._tables import format_fields, format_objects, format_section
+
+MAX_KEYS_COUNT = 1000
+MAX_REFRESHES_COUNT = 1000
+MAX_INTERVAL_S = 3600.0
+ANSWER_MARGIN_S = 5.0
+VM_COLUMNS = (
+    "name", "role", "state", "failure_domain", "region", "rack", "address", "service", "held_by",
+    "set_aside",
+)  # fmt: skip
+STATUS_SECTIONS = ("peers", "domains", "offsets", "customers", "targets")
+TOP_SECTIONS = ("domains", "customers", "targets")
+STATUS_FIELDS = (
+    "vm_name", "incarnation", "domain", "region", "scheduler", "ready", "draining", "log_available",
+)  # fmt: skip
+TOP_FIELDS = ("vm_name", "domain", "scheduler", "ready", "draining", "log_available")
+
+
+def status_text(answer: StatusAnswer, fields: tuple[str, ...], sections: tuple[str, ...]) -> str:
+    """Return the named fields and sections of a status answer."""
+    parts = [format_fields({name: getattr(answer, name) for name in fields})]
+    for name in sections:
+        if getattr(answer, name) is not None:
+            parts.append(format_section(name, getattr(answer, name)))
+    return "\n".join(parts)
+
+
+class ClusterCommands:
+    """The commands for the pool as a whole.
+
+    Args:
+        client: client of the daemon.
+        console: output.
+    """
+
+    def __init__(self, client: DaemonClient, console: Console) -> None:
+        self.client = client
+        self.console = console
+
+    def list_vms(self, *, role: str = "", domain: str = "") -> CommandOutcome:
+        """List the VMs with their holders; VMs that were set aside are marked.
+
+        Args:
+            role: only entry, worker or target VMs
+            domain: only VMs of this failure domain
+
+        Returns:
+            One row for each VM.
+        """
+        if role not in ("", "entry", "worker", "target"):
+            return usage_failure("--role", role, "entry, worker or target")
+
+        def render(answer: VmsAnswer) -> str:
+            rows = [
+                vm
+                for vm in answer.vms
+                if role in ("", vm.get("role")) and domain in ("", vm.get("failure_domain"))
+            ]
+            return format_objects(rows, VM_COLUMNS)
+
+        return finish_read(self.client.read(build_path("vms")), VmsAnswer, render)
+
+    def status(self) -> CommandOutcome:
+        """Show the entry VM that answers, its peers, queues, shares and targets.
+
+        Returns:
+            The status document.
+        """
+        return finish_read(
+            self.client.read(build_path("status")),
+            StatusAnswer,
+            lambda answer: status_text(answer, STATUS_FIELDS, STATUS_SECTIONS),
+        )
+
+    def top(self, *, count: int = 30, interval_s: float = 2.0) -> CommandOutcome:
+        """Show queues, shares and targets again and again; continues while no daemon answers.
+
+        Args:
+            count: number of refreshes, 1 to 1000
+            interval_s: seconds between refreshes, 0.1 to 3600
+
+        Returns:
+            The last refresh.
+        """
+        if not 1 <= count <= MAX_REFRESHES_COUNT:
+            return usage_failure("--count", count, f"1 to {MAX_REFRESHES_COUNT}")
+        if not 0.1 <= interval_s <= MAX_INTERVAL_S:
+            return usage_failure("--interval-s", interval_s, f"0.1 to {MAX_INTERVAL_S:g}")
+        outcome = self._refresh()
+        for _ in range(count - 1):
+            self.console.write(outcome)
+            time.sleep(interval_s)
+            outcome = self._refresh()
+        return outcome
+
+    def _refresh(self) -> CommandOutcome:
+        outcome = finish_read(
+            self.client.read(build_path("status")),
+            StatusAnswer,
+            lambda answer: status_text(answer, TOP_FIELDS, TOP_SECTIONS),
+        )
+        self.console.clear_screen()
+        return outcome
+
+    def declare_lost(self, name: str, *, yes: bool = False, author: str = "") -> CommandOutcome:
+        """Declare that all workers of a failure domain have stopped; its jobs restart elsewhere.
+
+        Args:
+            name: failure domain
+            yes: confirms that its workers have stopped; a task of a worker that still runs would
+                run in two places
+            author: name for the record; the login name by default
+
+        Returns:
+            The failure domain.
+        """
+        if not yes:
+            return usage_failure(
+                "--yes",
+                None,
+                f"--yes, which asserts that every worker of {name} has stopped; otherwise its "
+                "tasks would run in two places",
+            )
+        outcome = self.client.write(
+            "POST", build_path("domains", name, "lost"), {"author": author or default_author()}
+        )
+        how_to_ask = "to find out: fireflywharf status; declaring the domain lost again is harmless"
+        return finish_write(
+            outcome, DomainAnswer, lambda answer: f"{answer.domain}: declared lost", how_to_ask
+        )
+
+    def send_request(
+        self,
+        service: str,
+        *,
+        customer: str,
+        kind: str,
+        body: str = "",
+        body_file: str = "",
+        idempotent: bool = False,
+        key: str = "",
+        deadline_ms: int | None = None,
+    ) -> CommandOutcome:
+        """Send one request to a service and print its answer.
+
+        Args:
+            service: name of the service
+            customer: name of the contract
+            kind: kind of the request, under which its times are learned
+            body: text of the request
+            body_file: file with the text of the request
+            idempotent: allows the daemon to repeat the request after a fault
+            key: key of a request that is not idempotent
+            deadline_ms: longest time until the answer; the contract's default without it
+
+        Returns:
+            The answer of the target.
+        """
+        failure = _check_request(body, body_file, idempotent, key, deadline_ms)
+        if failure is not None:
+            return failure
+        text = read_text(body_file) if body_file else body
+        if isinstance(text, Failure):
+            return text
+        document = {
+            "customer": customer,
+            "service": service,
+            "kind": kind,
+            "idempotent": idempotent,
+            "body": text,
+        }
+        document |= {"key": key} if key else {}
+        document |= {} if deadline_ms is None else {"deadline_ms": deadline_ms}
+        timeout_s = (deadline_ms or 0) / 1000 + ANSWER_MARGIN_S
+        outcome = self.client.write("POST", build_path("requests"), document, timeout_s)
+        return finish_write(outcome, RequestAnswer, _request_text, _how_to_ask_request(key))
+
+    def issue_keys(self, customer: str, *, count: int = 1) -> CommandOutcome:
+        """Issue request keys, one a line; they remain usable while the log is down.
+
+        Args:
+            customer: name of the contract
+            count: number of keys, 1 to 1000
+
+        Returns:
+            The keys.
+        """
+        if not 1 <= count <= MAX_KEYS_COUNT:
+            return usage_failure("--count", count, f"1 to {MAX_KEYS_COUNT}")
+        body = {"customer": customer, "count": count}
+        return finish_write(
+            self.client.write("POST", build_path("keys"), body),
+            KeysAnswer,
+            lambda answer: "\n".join(answer.keys),
+            "an issued key has no effect until it is used; issue others",
+        )
+
+
+def _check_request(
+    body: str, body_file: str, idempotent: bool, key: str, deadline_ms: int | None
+) -> Failure | None:
+    if body and body_file:
+        return usage_failure("--body-file", body_file, "either --body or --body-file")
+    if not idempotent and not key:
+        accepted = "1 to 128 printable ASCII characters, because the request is not --idempotent"
+        return usage_failure("--key", None, accepted)
+    if deadline_ms is not None and deadline_ms < 1:
+        return usage_failure("--deadline-ms", deadline_ms, "a whole number of at least 1")
+    return None
+
+
+def _how_to_ask_request(key: str) -> str:
+    if key:
+        return (
+            f"to find out: send the same request again with the same key {key!r}; it answers the "
+            "recorded outcome and cannot run the request twice"
+        )
+    return "the request is idempotent, so it can be sent again"
+
+
+def _request_text(answer: RequestAnswer) -> str:
+    return f"request {answer.request_id}: status {answer.status}\n{answer.body}"
--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_files.py
@@ -0,0 +1,74 @@
+"""Reading of contract and job files."""
+
+import json
+import math
+import pathlib
+import tomllib
+from collections.abc import Iterator
+from typing import Any
+
+from fireflywharf_core.results import Problem, ResultCode
+
+from ._outcomes import Failure, usage_failure
+
+FILE_MAX_BYTES = 1024 * 1024
+
+
+def read_text(path: str) -> str | Failure:
+    """Read a text file of at most 1 MiB, the body limit of the daemon.
+
+    Args:
+        path: file name.
+
+    Returns:
+        The text, or the failure to report.
+    """
+    try:
+        with pathlib.Path(path).open("rb") as file:
+            data = file.read(FILE_MAX_BYTES + 1)
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        return usage_failure("FILE", path, f"a readable file ({reason})")
+    if len(data) > FILE_MAX_BYTES:
+        return usage_failure("FILE", path, f"a file of at most {FILE_MAX_BYTES} bytes")
+    try:
+        return data.decode()
+    except UnicodeDecodeError as error:
+        return usage_failure("FILE", path, f"UTF-8 text (invalid byte at {error.start})")
+
+
+def read_object(path: str, code: ResultCode) -> dict[str, Any] | Failure:
+    """Read a TOML file, or a JSON file if its name ends in `.json`.
+
+    Args:
+        path: file name.
+        code: result code of a file that cannot be parsed.
+
+    Returns:
+        The parsed object, or the failure to report.
+    """
+    text = read_text(path)
+    if isinstance(text, Failure):
+        return text
+    is_json = path.endswith(".json")
+    try:
+        data = json.loads(text) if is_json else tomllib.loads(text)
+    except (ValueError, RecursionError) as error:
+        accepted = f"valid {'JSON' if is_json else 'TOML'} ({error})"
+        return Failure(code, problems=(Problem(code, "FILE", repr(path), accepted),))
+    if not isinstance(data, dict):
+        accepted = "an object with named fields"
+        return Failure(code, problems=(Problem(code, "FILE", repr(path), accepted),))
+    return data
+
+
+def find_non_finite(data: Any, code: ResultCode, path: str = "") -> Iterator[Problem]:
+    """Yield a problem for each number that JSON cannot carry, such as TOML's `inf`."""
+    if isinstance(data, float) and not math.isfinite(data):
+        yield Problem(code, path, repr(data), "a finite number")
+    elif isinstance(data, dict):
+        for name, value in data.items():
+            yield from find_non_finite(value, code, f"{path}.{name}" if path else str(name))
+    elif isinstance(data, list):
+        for index, value in enumerate(data):
+            yield from find_non_finite(value, code, f"{path}[{index}]")
--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_job_commands.py
@@ -0,0 +1,132 @@
+"""Commands for jobs."""
+
+from typing import Any
+
+from fireflywharf_core.jobs import job_id_of, parse_job
+from fireflywharf_core.results import ResultCode
+
+from ._answers import JobAnswer, JobsAnswer
+from ._calls import finish_read, finish_write
+from ._client import DaemonClient, build_path
+from ._files import find_non_finite, read_object
+from ._outcomes import CommandOutcome, Failure
+from ._tables import format_fields, format_objects, printable
+
+
+def read_job(path: str, key: str) -> dict[str, Any] | Failure:
+    """Read and check a job file.
+
+    Args:
+        path: name of a TOML file, or of a JSON file if it ends in `.json`.
+        key: key that replaces the one in the file, unless empty.
+
+    Returns:
+        The body of the submission, or a failure with every problem.
+    """
+    data = read_object(path, ResultCode.INVALID_FIELD)
+    if isinstance(data, Failure):
+        return data
+    if key:
+        data = data | {"key": key}
+    spec, problems = parse_job(data)
+    problems = [*problems, *find_non_finite(data, ResultCode.INVALID_FIELD)]
+    if spec is None or problems:
+        return Failure(ResultCode.INVALID_FIELD, f"file {path}", tuple(problems))
+    return data
+
+
+def job_text(answer: JobAnswer) -> str:
+    """Return the known fields of a job."""
+    names = JobAnswer.__attrs_attrs__
+    values = {item.name: getattr(answer, item.name) for item in names}
+    return format_fields({name: value for name, value in values.items() if value is not None})
+
+
+class JobCommands:
+    """The commands under `job`.
+
+    Args:
+        client: client of the daemon.
+    """
+
+    def __init__(self, client: DaemonClient) -> None:
+        self.client = client
+
+    def submit(self, file: str, *, key: str = "") -> CommandOutcome:
+        """Submit a job. A repeat with the same key and content cannot run the job twice.
+
+        Args:
+            file: TOML file, or JSON file if its name ends in .json
+            key: unique key of the job, which replaces the one in the file
+
+        Returns:
+            The job and whether it is expected to be late.
+        """
+        job = read_job(file, key)
+        if isinstance(job, Failure):
+            return job
+        job_id = job_id_of(job["customer"], job["key"])
+        how_to_ask = (
+            f"to find out: fireflywharf job status {job_id}; or submit again with the same key "
+            f"{job['key']!r}, which cannot run the job twice"
+        )
+        outcome = self.client.write("POST", build_path("jobs"), job)
+        return finish_write(outcome, JobAnswer, job_text, how_to_ask)
+
+    def status(self, job: str) -> CommandOutcome:
+        """Show the state of a job; the exit status tells a failed or cancelled one.
+
+        Args:
+            job: identifier of the job
+
+        Returns:
+            The state and the counts of tasks.
+        """
+        return finish_read(self.client.read(build_path("jobs", job)), JobAnswer, job_text)
+
+    def cancel(self, job: str) -> CommandOutcome:
+        """Cancel a job.
+
+        Args:
+            job: identifier of the job
+
+        Returns:
+            The state of the job.
+        """
+        outcome = self.client.write("POST", build_path("jobs", job, "cancel"), {})
+        how_to_ask = f"to find out: fireflywharf job status {job}; cancelling again is harmless"
+        return finish_write(outcome, JobAnswer, job_text, how_to_ask)
+
+    def list_all(self, *, customer: str = "") -> CommandOutcome:
+        """List jobs.
+
+        Args:
+            customer: only jobs of this customer
+
+        Returns:
+            One row for each job.
+        """
+        outcome = self.client.read(build_path("jobs", customer=customer))
+        return finish_read(outcome, JobsAnswer, _jobs_text)
+
+    def explain(self, job: str) -> CommandOutcome:
+        """Say in one sentence why a job waits or what became of it.
+
+        Args:
+            job: identifier of the job
+
+        Returns:
+            The explanation.
+        """
+        outcome = self.client.read(build_path("jobs", job, "explain"))
+        return finish_read(
+            outcome,
+            JobAnswer,
+            lambda answer: f"{answer.job_id}: {answer.state}: {printable(answer.explanation)}",
+        )
+
+
+def _jobs_text(answer: JobsAnswer) -> str:
+    columns = ("job_id", "customer", "kind", "state", "home_domain", "late")
+    rows = [{name: getattr(job, name) for name in columns} for job in answer.jobs]
+    return format_objects(rows, columns)
--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_tables.py
@@ -0,0 +1,71 @@
+"""Text output: tables, and contracts as TOML."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import tomli_w
+from tabulate import tabulate
+
+
+def printable(value: Any) -> str:
+    """Return a value as text without control characters, which could drive a terminal."""
+    if isinstance(value, bool):
+        text = "yes" if value else "no"
+    elif value is None or value == "" or value == [] or value == {}:
+        text = "-"
+    elif isinstance(value, float):
+        text = f"{value:.3f}".rstrip("0").rstrip(".")
+    elif isinstance(value, Mapping):
+        text = ", ".join(f"{name}={printable(item)}" for name, item in value.items())
+    elif isinstance(value, list):
+        text = ", ".join(printable(item) for item in value)
+    else:
+        text = str(value)
+    return "".join(char if char.isprintable() else "?" for char in text)
+
+
+def format_table(rows: Sequence[Sequence[Any]], headers: Sequence[str]) -> str:
+    """Return rows as an aligned table, or a note that there is none."""
+    if not rows:
+        return "(none)"
+    cells = [[printable(value) for value in row] for row in rows]
+    return tabulate(cells, headers=headers, tablefmt="simple", disable_numparse=True)
+
+
+def format_objects(objects: Sequence[Mapping[str, Any]], columns: Iterable[str] = ()) -> str:
+    """Return objects as a table.
+
+    Args:
+        objects: one object a row.
+        columns: fields in order; all fields that occur if empty.
+
+    Returns:
+        The table.
+    """
+    names = list(columns) or list(dict.fromkeys(name for item in objects for name in item))
+    return format_table([[item.get(name) for name in names] for item in objects], names)
+
+
+def format_fields(fields: Mapping[str, Any]) -> str:
+    """Return named values as two columns."""
+    width = max(map(len, fields), default=0)
+    return "\n".join(f"{name:<{width}}  {printable(value)}" for name, value in fields.items())
+
+
+def format_section(title: str, value: Any) -> str:
+    """Return one part of a status document, whatever its shape."""
+    if isinstance(value, Mapping) and value and all(isinstance(v, Mapping) for v in value.values()):
+        value = [{"name": name} | dict(item) for name, item in value.items()]
+    if isinstance(value, list) and all(isinstance(item, Mapping) for item in value):
+        body = format_objects(value)
+    elif isinstance(value, Mapping):
+        body = format_fields(value) or "(none)"
+    else:
+        body = printable(value)
+    return f"\n{title}\n{body}"
+
+
+def format_contract(contract: Mapping[str, Any], version: int) -> str:
+    """Return a contract as TOML that `contract apply` accepts."""
+    body = tomli_w.dumps({name: value for name, value in contract.items() if value is not None})
+    return f"# version {version}\n{body.rstrip()}"
--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/main.py
@@ -0,0 +1,179 @@
+"""Entry point of the command `fireflywharf`."""
+
+import argparse
+import math
+import os
+import sys
+from collections.abc import Mapping
+
+import attrs
+import defopt
+
+from fireflywharf_core.results import ResultCode, describe_code
+
+from ._client import SERVER_FORM, DaemonClient, parse_server
+from ._cluster_commands import ClusterCommands
+from ._console import Console
+from ._contract_commands import ContractCommands
+from ._job_commands import JobCommands
+from ._outcomes import Failure, usage_failure
+
+SERVER_VARIABLE = "FIREFLYWHARF_SERVER"
+DEFAULT_SERVER = "127.0.0.1:8080"
+DEFAULT_TIMEOUT_S = 30.0
+INTERRUPTED_EXIT_STATUS = 130
+DESCRIPTION = "Operators' command line of the fireflywharf cluster scheduler."
+EPILOG = f"""options of every command:
+  --server IP:PORT[,IP:PORT...]  entry VMs; the next one is tried only if nothing was sent
+                                 (default: ${SERVER_VARIABLE}, else {DEFAULT_SERVER})
+  --output table|json            form of the output (default: table)
+  --timeout-s SECONDS            longest wait for an answer (default: {DEFAULT_TIMEOUT_S:g})
+
+The exit status follows docs/result-codes.md.
+"""
+
+
+@attrs.frozen(kw_only=True)
+class CommonOptions:
+    """Options of every command.
+
+    Args:
+        servers: addresses of entry VMs.
+        output: `table` or `json`.
+        timeout_s: longest wait for an answer.
+    """
+
+    servers: list[str]
+    output: str
+    timeout_s: float
+
+
+def parse_whole_number(text: str) -> int:
+    """Convert an option; the error names what is accepted."""
+    try:
+        return int(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is not valid; accepted: a whole number"
+        ) from None
+
+
+def parse_number(text: str) -> float:
+    """Convert an option; the error names what is accepted."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise argparse.ArgumentTypeError(f"{text!r} is not valid; accepted: a number")
+    return value
+
+
+def parse_common_options(
+    arguments: list[str], environment: Mapping[str, str]
+) -> tuple[CommonOptions, list[str]] | Failure:
+    """Take the options of every command out of the command line, wherever they stand.
+
+    Args:
+        arguments: command line without the program name.
+        environment: environment variables.
+
+    Returns:
+        The options and the other arguments, or the failure to report.
+    """
+    parser = argparse.ArgumentParser(prog="fireflywharf", add_help=False, allow_abbrev=False)
+    parser.add_argument("--server", default=environment.get(SERVER_VARIABLE) or DEFAULT_SERVER)
+    parser.add_argument("--output", default="table", choices=["table", "json"])
+    parser.add_argument("--timeout-s", default=DEFAULT_TIMEOUT_S, type=parse_number)
+    found, others = parser.parse_known_args(arguments)
+    servers = [server.strip() for server in found.server.split(",")]
+    for server in servers:
+        if parse_server(server) is None:
+            return usage_failure("--server", server, SERVER_FORM)
+    if found.timeout_s <= 0:
+        return usage_failure("--timeout-s", found.timeout_s, "a number above 0")
+    options = CommonOptions(servers=servers, output=found.output, timeout_s=found.timeout_s)
+    return options, others
+
+
+def list_commands(client: DaemonClient, console: Console) -> dict:
+    """Return the commands by name, in the form that defopt takes."""
+    contract, job = ContractCommands(client, console), JobCommands(client)
+    cluster = ClusterCommands(client, console)
+    return {
+        "contract": {
+            "apply": contract.apply,
+            "get": contract.get,
+            "list": contract.list_all,
+            "history": contract.history,
+            "diff": contract.diff,
+            "check": contract.check,
+        },
+        "job": {
+            "submit": job.submit,
+            "status": job.status,
+            "cancel": job.cancel,
+            "list": job.list_all,
+            "explain": job.explain,
+        },
+        "explain": job.explain,
+        "vm": {"list": cluster.list_vms},
+        "status": cluster.status,
+        "top": cluster.top,
+        "domain": {"lost": cluster.declare_lost},
+        "request": {"send": cluster.send_request},
+        "keys": {"issue": cluster.issue_keys},
+    }
+
+
+def run(arguments: list[str], environment: Mapping[str, str]) -> int:
+    """Run one command.
+
+    Args:
+        arguments: command line without the program name.
+        environment: environment variables.
+
+    Returns:
+        The exit status.
+
+    Raises:
+        SystemExit: after `--help` or an argument that cannot be parsed.
+    """
+    parsed = parse_common_options(arguments, environment)
+    if isinstance(parsed, Failure):
+        Console("table").write(parsed)
+        return describe_code(parsed.code).exit_status
+    options, others = parsed
+    console = Console(options.output)
+    outcome = defopt.run(
+        list_commands(DaemonClient(options.servers, options.timeout_s), console),
+        argv=others,
+        short={},
+        no_negated_flags=True,
+        version=False,
+        parsers={int: parse_whole_number, float: parse_number},
+        argparse_kwargs={"prog": "fireflywharf", "description": DESCRIPTION, "epilog": EPILOG},
+    )
+    console.write(outcome)
+    return describe_code(outcome.code).exit_status
+
+
+def main() -> int:
+    """Run the command line of this process and return the exit status."""
+    try:
+        return run(sys.argv[1:], os.environ)
+    except KeyboardInterrupt:
+        print("interrupted", file=sys.stderr)
+        return INTERRUPTED_EXIT_STATUS
+    except BrokenPipeError:
+        # Later writes, such as the flush at exit, must not fail again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 0
+    except Exception as error:  # noqa: BLE001
+        failure = Failure(ResultCode.INTERNAL_ERROR, f"{type(error).__name__}: {error}")
+        print(failure.to_text(), file=sys.stderr)
+        return describe_code(failure.code).exit_status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
