Add features of the command line against a fake daemon

The command line needs proof that it never repeats a request with an unknown outcome and that racing applies end with one refusal.

--- /dev/null
+++ b/features/cli.feature
@@ -0,0 +1,180 @@
+Feature: Operators' command line
+  The command line reports what a call did, never repeats a request whose outcome is unknown, and
+  answers every mistake with the field, the value and what is accepted.
+
+  Background:
+    Given a fake daemon with the contract "austral"
+
+  # Guards against a silent overwrite of another operator's change.
+  Scenario: of two operators who race, one is refused with both versions
+    When two operators apply different changes of "austral" at the same time
+    Then one apply exits with 0 and the other with 23
+    And the refused apply names base version 1 and current version 2
+    And the history of "austral" has 2 versions
+
+  # Guards against an apply on a version that the operator has not seen.
+  Scenario: apply without a base version shows the current contract and the change
+    When the CLI runs "contract apply austral-v2.toml --author ana"
+    Then the CLI exits with 0
+    And its output contains "# version 1"
+    And its output contains "share_weight 1 2"
+    And its output contains "austral: version 2 applied"
+
+  # Guards against a contract that cannot be edited and applied again as printed.
+  Scenario: a printed contract can be applied again
+    When the CLI runs "contract get austral"
+    And its output is written to "printed.toml"
+    And the CLI runs "contract diff printed.toml"
+    Then the CLI exits with 0
+    And its output contains "no difference"
+
+  # Guards against a stale base version that is taken as current.
+  Scenario: a stale base version is refused
+    When the CLI runs "contract apply austral-v2.toml --base-version 0"
+    Then the CLI exits with 23
+    And its errors contain "base version 0, current version 1"
+
+  # Guards against errors that hide further errors or do not say what is accepted.
+  Scenario: an invalid contract is refused offline with every problem
+    When the CLI runs "contract check invalid.toml"
+    Then the CLI exits with 22
+    And its errors contain "share_weight: -1 is not valid; accepted: a number above 0"
+    And its errors contain "priority: 11 is not valid; accepted: 0 to 9"
+    And its errors contain "requests_per_second: inf is not valid; accepted: a finite number"
+    And the fake daemon has received 0 calls
+
+  # Guards against commands that fail on valid input, and against a wrong exit status.
+  Scenario Outline: commands exit with the status of the result code
+    Given the job of "job.toml" was submitted
+    When the CLI runs "<command>"
+    Then the CLI exits with <status>
+    And its output contains "<text>"
+
+    Examples:
+      | command                                                                 | status | text                          |
+      | contract list                                                           | 0      | austral                       |
+      | contract history austral                                                | 0      | (first version)               |
+      | contract check austral-v2.toml                                          | 0      | valid contract of austral     |
+      | contract diff austral-v2.toml                                           | 0      | share_weight                  |
+      | job submit job.toml                                                     | 0      | waiting                       |
+      | job submit job.json                                                     | 0      | waiting                       |
+      | job status JOB                                                          | 0      | waiting                       |
+      | job cancel JOB                                                          | 0      | cancelled                     |
+      | job list --customer austral                                             | 0      | centro                        |
+      | explain JOB                                                             | 0      | waits for 2 free accelerators |
+      | job explain JOB                                                         | 0      | waits for 2 free accelerators |
+      | vm list                                                                 | 0      | entry-1/00ff                  |
+      | vm list --role worker                                                   | 0      | leaving                       |
+      | status                                                                  | 0      | 0.618                         |
+      | top --count 2 --interval-s 0.1                                          | 0      | queued_tasks_count            |
+      | domain lost caribe --yes                                                | 0      | declared lost                 |
+      | request send dispatch --customer austral --kind check --body a --key k1 | 0      | A                             |
+      | keys issue austral --count 2                                            | 0      | k1.1                          |
+
+  # Guards against output that a program cannot parse, in success and in failure.
+  Scenario Outline: JSON output is one object with the result code
+    When the CLI runs "<command> --output json"
+    Then the CLI exits with <status>
+    And its output is one JSON object with code <code>
+
+    Examples:
+      | command                                    | status | code |
+      | contract get austral                       | 0      | 0    |
+      | contract apply austral-v2.toml             | 0      | 0    |
+      | contract get nobody                        | 20     | 112  |
+      | contract check invalid.toml                | 22     | 110  |
+      | contract apply austral-v2.toml --base-version 0 | 23 | 111  |
+      | job submit job.toml                        | 0      | 10   |
+      | job status j-none                          | 20     | 105  |
+      | domain lost caribe                         | 2      | 402  |
+      | status                                     | 0      | 0    |
+
+  # Guards against a failed or cancelled job that a script takes for a success.
+  Scenario: the status of a cancelled job has the exit status of its code
+    Given the job of "job.toml" was submitted
+    When the CLI runs "job cancel JOB"
+    And the CLI runs "job status JOB"
+    Then the CLI exits with 11
+
+  # Guards against usage errors that do not name the option, the value and what is accepted.
+  Scenario Outline: wrong usage is explained and nothing is sent
+    When the CLI runs "<command>"
+    Then the CLI exits with <status>
+    And its errors contain "<text>"
+    And the fake daemon has received 0 calls
+
+    Examples:
+      | command                                             | status | text                                                 |
+      | status --server localhost:1                         | 2      | --server: 'localhost:1' is not valid; accepted: IP:P |
+      | status --server 127.0.0.1:0                         | 2      | --server: '127.0.0.1:0' is not valid                 |
+      | status --timeout-s 0                                | 2      | --timeout-s: 0.0 is not valid; accepted: a number    |
+      | status --output xml                                 | 2      | choose from 'table', 'json'                          |
+      | top --count x                                       | 2      | --count: 'x' is not valid; accepted: a whole number  |
+      | top --count 0                                       | 2      | --count: 0 is not valid; accepted: 1 to 1000         |
+      | vm list --role node                                 | 2      | accepted: entry, worker or target                    |
+      | keys issue austral --count 1001                     | 2      | accepted: 1 to 1000                                  |
+      | domain lost caribe                                  | 2      | its tasks would run in two places                    |
+      | request send s --customer a --kind b                | 2      | --key: (missing) is not valid; accepted: 1 to 128    |
+      | contract apply missing.toml                         | 2      | FILE: 'missing.toml' is not valid; accepted: a reada |
+      | contract apply austral-v2.toml --base-version -1    | 2      | --base-version                                       |
+      | contract apply broken.toml                          | 22     | FILE: 'broken.toml' is not valid; accepted: valid TO |
+      | job submit keyless.toml                             | 20     | key: '(missing)' is not valid; accepted: 1 to 128    |
+      | job                                                 | 2      | too few arguments                                    |
+      | contract move                                       | 2      | 'move'                                               |
+
+  # Guards against a request that is sent twice because the first server took it and failed.
+  Scenario: the next server is tried only when the connection was refused
+    When the CLI runs "job submit job.toml --server 127.0.0.1:1,FAKE"
+    Then the CLI exits with 0
+    Given the fake daemon has the fault "close"
+    And a second fake daemon
+    When the CLI runs "job submit job.toml --server FAKE,SECOND"
+    Then the CLI exits with 40
+    And the second fake daemon has received 0 calls
+
+  # Guards against "no daemon answered" told in a way that does not exclude an effect.
+  Scenario: an unreachable server is named and nothing was sent
+    When the CLI runs "job submit job.toml --server 127.0.0.1:1"
+    Then the CLI exits with 50
+    And its errors contain "127.0.0.1:1 refused the connection"
+    And its errors contain "nothing was sent"
+
+  # Guards against a claim of failure, or a repeat, after the request was sent.
+  Scenario Outline: a lost answer to a request with an effect is an unknown outcome
+    Given the fake daemon has the fault "<fault>"
+    When the CLI runs "<command> --timeout-s 0.3"
+    Then the CLI exits with 40
+    And its errors contain "OUTCOME_UNKNOWN (300, outcome unknown)"
+    And its errors contain "<advice>"
+    And the fake daemon has received 1 call
+
+    Examples:
+      | fault         | command                                          | advice                            |
+      | close         | job submit job.toml                              | the same key 'plan-1'             |
+      | truncate      | job submit job.toml                              | fireflywharf job status j-        |
+      | silent        | job submit job.toml                              | did not answer in 0.3 s           |
+      | gateway error | job submit job.toml                              | HTTP status 502                   |
+      | close         | contract apply austral-v2.toml --base-version 1  | contract history austral          |
+      | truncate      | job cancel j-1                                   | fireflywharf job status j-1       |
+      | close         | request send s --customer a --kind b --key k9    | the same key 'k9'                 |
+      | close         | domain lost caribe --yes                         | fireflywharf status               |
+      | close         | keys issue austral                               | no effect until it is used        |
+
+  # Guards against the alarm of an unknown outcome for a call that only reads.
+  Scenario: a lost answer to a call that reads is not an unknown outcome
+    Given the fake daemon has the fault "truncate"
+    When the CLI runs "job status j-1"
+    Then the CLI exits with 50
+    And its errors contain "only reads"
+
+  # Guards against a traceback, and against an exit status that is not in the table.
+  Scenario: no file content and no answer of a daemon causes a traceback
+    Then any contract file gives a documented exit status without a traceback
+    And any answer of a daemon gives a documented exit status without a traceback
+
+  # Guards against terminal control by names that a caller chose.
+  Scenario: control characters in answers do not reach the terminal
+    Given the fake daemon answers with a job state that contains an escape character
+    When the CLI runs "job status j-1"
+    Then the CLI exits with 0
+    And its output contains "?[2J"
--- /dev/null
+++ b/features/steps/cli_steps.py
@@ -0,0 +1,262 @@
+"""Steps for the operators' command line, run against a fake of the daemon's HTTP interface."""
+
+import contextlib
+import io
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+from unittest import mock
+
+import tomli_w
+from behave import given, then, when
+from cli_fake_daemon import FakeDaemon
+from hypothesis import example, settings, strategies
+from hypothesis import given as given_values
+
+from fireflywharf_cli.main import main
+from fireflywharf_core.jobs import job_id_of
+from fireflywharf_core.results import ResultCode, describe_code
+
+CONTRACT = {
+    "customer": "austral",
+    "share_weight": 1.0,
+    "quota": {"processors_millicores": "unlimited", "memory_mb": 1, "accelerators_count": 0},
+    "requests_per_second": "unlimited",
+    "queue_max_tasks": 100,
+}
+JOB = {
+    "customer": "austral",
+    "key": "plan-1",
+    "kind": "batch",
+    "size": {"processors_millicores": 500, "memory_mb": 256},
+}
+EXIT_STATUSES = {describe_code(code).exit_status for code in ResultCode}
+CONTRACT_OBJECTS = strategies.dictionaries(
+    strategies.sampled_from([*CONTRACT, "priority", "teams", "other"]),
+    strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5)
+    | strategies.lists(strategies.integers(), max_size=2)
+    | strategies.dictionaries(strategies.text(max_size=3), strategies.integers(), max_size=2),
+)
+ANSWERS = strategies.recursive(
+    strategies.none() | strategies.integers() | strategies.text(max_size=5),
+    lambda inner: strategies.lists(inner, max_size=2)
+    | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+def run_cli(context, arguments):
+    """Run the command line in this process in the folder of the scenario."""
+    output, errors = io.StringIO(), io.StringIO()
+    environment = {"FIREFLYWHARF_SERVER": context.fake.address, "USER": "operator"}
+    with (
+        mock.patch.object(sys, "argv", ["fireflywharf", *arguments]),
+        mock.patch.dict(os.environ, environment),
+        contextlib.chdir(context.folder),
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(errors),
+    ):
+        try:
+            context.status = main()
+        except SystemExit as stop:
+            context.status = stop.code
+    context.output, context.errors = output.getvalue(), errors.getvalue()
+
+
+def start_fake(context):
+    """Start a fake daemon that ends with the scenario."""
+    fake = FakeDaemon()
+    context.add_cleanup(fake.server_close)
+    context.add_cleanup(fake.shutdown)
+    return fake
+
+
+@given('a fake daemon with the contract "{name}"')
+def start_fake_with_contract(context, name):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = pathlib.Path(folder.name)
+    invalid = CONTRACT | {"share_weight": -1, "priority": 11, "requests_per_second": float("inf")}
+    keyless = {name: value for name, value in JOB.items() if name != "key"}
+    files = {
+        "austral-v2.toml": tomli_w.dumps(CONTRACT | {"share_weight": 2.0}),
+        "austral-v3.toml": tomli_w.dumps(CONTRACT | {"share_weight": 3.0}),
+        "invalid.toml": tomli_w.dumps(invalid),
+        "broken.toml": "customer = ",
+        "job.toml": tomli_w.dumps(JOB),
+        "job.json": json.dumps(JOB),
+        "keyless.toml": tomli_w.dumps(keyless),
+    }
+    for file_name, text in files.items():
+        (context.folder / file_name).write_text(text)
+    context.fake = start_fake(context)
+    change = {"customer": name, "version": 1, "contract": CONTRACT, "author": "ana", "won": True}
+    context.fake.contracts[name] = [change]
+
+
+@given("a second fake daemon")
+def start_second_fake(context):
+    context.second = start_fake(context)
+
+
+@given('the fake daemon has the fault "{fault}"')
+def set_fault(context, fault):
+    context.fake.fault = fault
+
+
+@given("the fake daemon answers with a job state that contains an escape character")
+def answer_with_escape(context):
+    context.fake.fault = "raw"
+    context.fake.raw_answer = json.dumps({"code": 0, "job_id": "j-1", "state": "\x1b[2J"}).encode()
+
+
+@given('the job of "{file}" was submitted')
+def submit_job(context, file):
+    run_cli(context, ["job", "submit", file])
+    assert context.status == 0, context.errors
+
+
+@when('the CLI runs "{command}"')
+def run_command(context, command):
+    replacements = {
+        "FAKE": context.fake.address,
+        "SECOND": context.second.address if "second" in context else "",
+        "JOB": job_id_of(JOB["customer"], JOB["key"]),
+    }
+    for name, value in replacements.items():
+        command = command.replace(name, value)
+    run_cli(context, command.split())
+
+
+@when('its output is written to "{file}"')
+def write_output(context, file):
+    (context.folder / file).write_text(context.output)
+
+
+@when('two operators apply different changes of "{name}" at the same time')
+def apply_racing_changes(context, name):
+    # Both read the current version before either writes.
+    context.fake.read_barrier = threading.Barrier(2)
+    environment = os.environ | {"FIREFLYWHARF_SERVER": context.fake.address}
+    command = [sys.executable, "-m", "fireflywharf_cli.main", "--output", "json", "contract"]
+    racers = [
+        subprocess.Popen(
+            [*command, "apply", f"{name}-{version}.toml"],
+            cwd=context.folder,
+            env=environment,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for version in ("v2", "v3")
+    ]
+    context.racers = [(racer.communicate(timeout=30)[0], racer.returncode) for racer in racers]
+    context.fake.read_barrier = None
+
+
+@then("one apply exits with {first:d} and the other with {second:d}")
+def check_racers(context, first, second):
+    assert sorted(status for _, status in context.racers) == [first, second], context.racers
+
+
+@then("the refused apply names base version {base:d} and current version {current:d}")
+def check_refused_racer(context, base, current):
+    refused = [json.loads(output) for output, status in context.racers if status != 0]
+    versions = [(item["base_version"], item["current_version"]) for item in refused]
+    assert versions == [(base, current)], refused
+
+
+@then('the history of "{name}" has {count:d} versions')
+def check_history(context, name, count):
+    assert len(context.fake.contracts[name]) == count
+
+
+@then("the CLI exits with {status:d}")
+def check_status(context, status):
+    assert context.status == status, (context.status, context.output, context.errors)
+    assert "Traceback" not in context.errors, context.errors
+
+
+@then('its output contains "{text}"')
+def check_output(context, text):
+    wanted, found = " ".join(text.split()), " ".join(context.output.split())
+    assert wanted in found, context.output
+    assert "\x1b" not in context.output
+
+
+@then('its errors contain "{text}"')
+def check_errors(context, text):
+    assert text in context.errors, context.errors
+    assert context.output == "", context.output
+
+
+@then("its output is one JSON object with code {code:d}")
+def check_json(context, code):
+    document = json.loads(context.output)
+    assert document["code"] == code, document
+    assert context.errors == "", context.errors
+
+
+@then("the fake daemon has received {count:d} call")
+@then("the fake daemon has received {count:d} calls")
+def check_received(context, count):
+    assert len(context.fake.received) == count, context.fake.received
+
+
+@then("the second fake daemon has received {count:d} calls")
+def check_second_received(context, count):
+    assert len(context.second.received) == count, context.second.received
+
+
+def check_documented(context, arguments):
+    """Run a command and check its exit status and that no traceback was written."""
+    run_cli(context, arguments)
+    assert context.status in EXIT_STATUSES, (context.status, context.errors)
+    assert "Traceback" not in context.errors, context.errors
+    assert "INTERNAL_ERROR" not in context.errors, context.errors
+
+
+@then("any contract file gives a documented exit status without a traceback")
+def check_any_file(context):
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given_values(strategies.binary(max_size=40) | CONTRACT_OBJECTS)
+    @example(b"[" * 100_000)
+    @example(CONTRACT | {"queue_max_tasks": float("inf")})
+    def check_file(content):
+        is_object = isinstance(content, dict)
+        as_json = json.dumps(content).encode() if is_object else content
+        as_toml = tomli_w.dumps(content).encode() if is_object else content
+        (context.folder / "any.json").write_bytes(as_json)
+        (context.folder / "any.toml").write_bytes(as_toml)
+        check_documented(context, ["contract", "check", "any.json"])
+        check_documented(context, ["contract", "apply", "any.toml"])
+
+    check_file()
+
+
+@then("any answer of a daemon gives a documented exit status without a traceback")
+def check_any_answer(context):
+    codes = strategies.sampled_from([int(code) for code in ResultCode] + [999])
+    documents = strategies.fixed_dictionaries(
+        {"code": codes},
+        optional=dict.fromkeys(
+            ("job_id", "state", "jobs", "vms", "problems", "detail", "retry_after_s"), ANSWERS
+        ),
+    )
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given_values(strategies.binary(max_size=20) | documents.map(json.dumps).map(str.encode))
+    @example(b"[]")
+    @example(b'{"code": 0, "job_id": "j-1", "state": "waiting", "explanation": ["x"]}')
+    def check_answer(data):
+        context.fake.fault, context.fake.raw_answer = "raw", data
+        for command in (["job", "status", "j-1"], ["job", "list"], ["vm", "list"]):
+            check_documented(context, command)
+
+    check_answer()
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_outcomes.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_outcomes.py
@@ -5,6 +5,8 @@
 
 from fireflywharf_core.results import Problem, ResultCode, describe_code
 
+from ._tables import printable
+
 
 @dataclass(frozen=True, slots=True)
 class Answered:
@@ -98,7 +100,7 @@
         lines += [f"  {problem}" for problem in self.problems]
         if self.advice:
             lines.append(f"  {self.advice}")
-        return "\n".join(lines)
+        return "\n".join(map(printable, lines))
 
 
 CommandOutcome = Report | Failure
