--- a/features/cli.feature
+++ b/features/cli.feature
@@ -66,7 +66,7 @@
       | vm list                                                                 | 0      | entry-1/00ff                  |
       | vm list --role worker                                                   | 0      | leaving                       |
       | status                                                                  | 0      | 0.618                         |
-      | top --count 2 --interval-s 0.1                                          | 0      | queued_tasks_count            |
+      | top --count 2 --interval-s 0.1                                          | 0      | waiting_tasks_count           |
       | domain lost caribe --yes                                                | 0      | declared lost                 |
       | request send dispatch --customer austral --kind check --body a --key k1 | 0      | A                             |
       | keys issue austral --count 2                                            | 0      | k1.1                          |
@@ -90,11 +90,18 @@
       | status                                     | 0      | 0    |
 
   # Guards against a failed or cancelled job that a script takes for a success.
-  Scenario: the status of a cancelled job has the exit status of its code
-    Given the job of "job.toml" was submitted
-    When the CLI runs "job cancel JOB"
-    And the CLI runs "job status JOB"
-    Then the CLI exits with 11
+  Scenario Outline: the exit status of "job status" tells how the job ended
+    Given the job of "job.toml" was submitted and is <state>
+    When the CLI runs "job status JOB --output json"
+    Then the CLI exits with <status>
+    And its output is one JSON object with code <code>
+
+    Examples:
+      | state     | status | code |
+      | done      | 0      | 0    |
+      | failed    | 10     | 20   |
+      | cancelled | 11     | 21   |
+      | unknown   | 40     | 300  |
 
   # Guards against usage errors that do not name the option, the value and what is accepted.
   Scenario Outline: wrong usage is explained and nothing is sent
@@ -119,6 +126,7 @@
       | contract apply austral-v2.toml --base-version -1    | 2      | --base-version                                       |
       | contract apply broken.toml                          | 22     | FILE: 'broken.toml' is not valid; accepted: valid TO |
       | job submit keyless.toml                             | 20     | key: '(missing)' is not valid; accepted: 1 to 128    |
+      | job submit twice.json                               | 20     | valid JSON (field 'key' is given more than once)     |
       | job                                                 | 2      | too few arguments                                    |
       | contract move                                       | 2      | 'move'                                               |
 
--- a/features/cli_fake_daemon.py
+++ b/features/cli_fake_daemon.py
@@ -159,12 +159,9 @@
         spec, problems = parse_job(body)
         assert spec is not None, problems
         job_id = job_id_of(body["customer"], body["key"])
-        known = self.server.jobs.get(job_id)
-        if known is not None and known["body"] != body:
-            return ResultCode.KEY_CONFLICT, {"detail": body["key"], "problems": []}
         row = {"job_id": job_id, "customer": spec.customer, "kind": spec.kind.value}
         row |= {"state": "waiting", "home_domain": "centro", "late": False}
-        self.server.jobs.setdefault(job_id, {"body": body, "row": row, "code": ResultCode.OK})
+        self.server.jobs.setdefault(job_id, {"body": body, "row": row})
         return ResultCode.ACCEPTED, {"job_id": job_id, "state": "waiting", "expected_late": False}
 
     def _route_job(self, job_id: str, rest: list) -> tuple[ResultCode, dict]:
@@ -172,12 +169,12 @@
         if job is None:
             return ResultCode.UNKNOWN_JOB, {"detail": job_id, "problems": []}
         if rest == ["cancel"]:
-            job["row"]["state"], job["code"] = "cancelled", ResultCode.JOB_CANCELLED
+            job["row"]["state"] = "cancelled"
             return ResultCode.OK, {"job_id": job_id, "state": "cancelled"}
         fields = {"job_id": job_id, "state": job["row"]["state"], "late": False, "recorded": True}
         if rest == ["explain"]:
             fields["explanation"] = "waits for 2 free accelerators"
-        return job["code"], fields
+        return ResultCode.OK, fields
 
     @staticmethod
     def _status() -> dict:
@@ -186,13 +183,13 @@
             "incarnation": "entry-1/00ff",
             "domain": "centro",
             "region": "centro",
-            "scheduler": "entry-1/00ff",
+            "scheduler": True,
             "ready": True,
             "draining": False,
             "peers": [{"vm_name": "entry-2", "draining": False}],
-            "domains": {"caribe": {"free_slots_count": 8}},
+            "domains": [{"domain": "caribe", "reachable": False}],
             "offsets": {"contracts": 4},
-            "customers": [{"customer": "austral", "share": 0.61803, "queued_tasks_count": 3}],
+            "customers": [{"customer": "austral", "share": 0.61803, "waiting_tasks_count": 3}],
             "targets": [],
             "log_available": True,
         }
--- /dev/null
+++ b/features/documentation.feature
@@ -0,0 +1,15 @@
+Feature: Documentation and examples
+  Pages and examples stay true to the code that they describe.
+
+  # Guards against a page of result codes that lacks a code or shows an old meaning.
+  Scenario: the page of result codes matches the table in the code
+    Then docs/result-codes.md is what tools/write_result_codes.py writes
+
+  # Guards against examples that operators cannot apply.
+  Scenario: every example contract and job is valid
+    Then every file in examples/contracts is a valid contract
+    And every file in examples/jobs is a valid job of an example customer
+
+  # Guards against links to pages that were renamed or never written.
+  Scenario: links between pages lead to files
+    Then every relative link in README.md and docs leads to a file
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -92,6 +92,7 @@
         "broken.toml": "customer = ",
         "job.toml": tomli_w.dumps(JOB),
         "job.json": json.dumps(JOB),
+        "twice.json": '{"key": "a", "key": "b"}',
         "keyless.toml": tomli_w.dumps(keyless),
     }
     for file_name, text in files.items():
@@ -123,6 +124,13 @@
     assert context.status == 0, context.errors
 
 
+@given('the job of "{file}" was submitted and is {state}')
+def submit_ended_job(context, file, state):
+    submit_job(context, file)
+    for job in context.fake.jobs.values():
+        job["row"]["state"] = state
+
+
 @when('the CLI runs "{command}"')
 def run_command(context, command):
     replacements = {
@@ -243,11 +251,10 @@
 @then("any answer of a daemon gives a documented exit status without a traceback")
 def check_any_answer(context):
     codes = strategies.sampled_from([int(code) for code in ResultCode] + [999])
+    names = ("job_id", "state", "jobs", "vms", "problems", "detail", "retry_after_s")
     documents = strategies.fixed_dictionaries(
         {"code": codes},
-        optional=dict.fromkeys(
-            ("job_id", "state", "jobs", "vms", "problems", "detail", "retry_after_s"), ANSWERS
-        ),
+        optional=dict.fromkeys(names, ANSWERS),
     )
 
     @settings(derandomize=True, max_examples=60, deadline=None)
--- /dev/null
+++ b/features/steps/documentation_steps.py
@@ -0,0 +1,60 @@
+"""Steps for documentation and examples."""
+
+import importlib.util
+import pathlib
+import re
+import tomllib
+
+from behave import then
+
+from fireflywharf_core.contracts import parse_contract
+from fireflywharf_core.jobs import parse_job
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+LINK = re.compile(r"\]\(([^)#:\s]+)(?:#[^)\s]*)?\)")
+
+
+def load_objects(folder):
+    """Return the parsed TOML files of an examples folder by path."""
+    paths = sorted((ROOT / "examples" / folder).rglob("*.toml"))
+    assert paths, f"examples/{folder} has no file"
+    return {path: tomllib.loads(path.read_text()) for path in paths}
+
+
+@then("docs/result-codes.md is what tools/write_result_codes.py writes")
+def check_result_codes(context):
+    path = ROOT / "tools" / "write_result_codes.py"
+    spec = importlib.util.spec_from_file_location("write_result_codes", path)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    written = (ROOT / "docs" / "result-codes.md").read_text()
+    assert written == module.render_page(), "run .venv/bin/python tools/write_result_codes.py"
+
+
+@then("every file in examples/contracts is a valid contract")
+def check_contracts(context):
+    for path, data in load_objects("contracts").items():
+        _, problems = parse_contract(data)
+        assert not problems, (path, list(map(str, problems)))
+
+
+@then("every file in examples/jobs is a valid job of an example customer")
+def check_jobs(context):
+    contracts = {data["customer"]: data for data in load_objects("contracts").values()}
+    for path, data in load_objects("jobs").items():
+        _, problems = parse_job(data)
+        assert not problems, (path, list(map(str, problems)))
+        teams = [team["team"] for team in contracts[data["customer"]].get("teams", [])]
+        assert data.get("team", "") in ["", *teams], path
+
+
+@then("every relative link in README.md and docs leads to a file")
+def check_links(context):
+    pages = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+    missing = [
+        f"{page.relative_to(ROOT)}: {link}"
+        for page in pages
+        for link in LINK.findall(page.read_text())
+        if not (page.parent / link).exists()
+    ]
+    assert not missing, missing
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_files.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_files.py
@@ -37,6 +37,19 @@
         return usage_failure("FILE", path, f"UTF-8 text (invalid byte at {error.start})")
 
 
+def _refuse_repeated_fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    names = [name for name, _ in pairs]
+    for name in names:
+        if names.count(name) > 1:
+            raise ValueError(f"field {name!r} is given more than once")
+    return dict(pairs)
+
+
+def decode_json(text: str) -> Any:
+    """Decode JSON; a field that is given twice is an error, as in TOML and in the daemon."""
+    return json.loads(text, object_pairs_hook=_refuse_repeated_fields)
+
+
 def read_object(path: str, code: ResultCode) -> dict[str, Any] | Failure:
     """Read a TOML file, or a JSON file if its name ends in `.json`.
 
@@ -52,7 +65,7 @@
         return text
     is_json = path.endswith(".json")
     try:
-        data = json.loads(text) if is_json else tomllib.loads(text)
+        data = decode_json(text) if is_json else tomllib.loads(text)
     except (ValueError, RecursionError) as error:
         accepted = f"valid {'JSON' if is_json else 'TOML'} ({error})"
         return Failure(code, problems=(Problem(code, "FILE", repr(path), accepted),))
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_job_commands.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_job_commands.py
@@ -2,16 +2,22 @@
 
 from typing import Any
 
-from fireflywharf_core.jobs import job_id_of, parse_job
-from fireflywharf_core.results import ResultCode
+from fireflywharf_core.jobs import JobState, job_id_of, parse_job
+from fireflywharf_core.results import ResultCode, describe_code
 
 from ._answers import JobAnswer, JobsAnswer
 from ._calls import finish_read, finish_write
 from ._client import DaemonClient, build_path
 from ._files import find_non_finite, read_object
-from ._outcomes import CommandOutcome, Failure
+from ._outcomes import CommandOutcome, Failure, Report
 from ._tables import format_fields, format_objects, printable
 
+CODES_BY_STATE = {
+    JobState.FAILED.value: ResultCode.JOB_FAILED,
+    JobState.CANCELLED.value: ResultCode.JOB_CANCELLED,
+    JobState.UNKNOWN.value: ResultCode.OUTCOME_UNKNOWN,
+}
+
 
 def read_job(path: str, key: str) -> dict[str, Any] | Failure:
     """Read and check a job file.
@@ -82,7 +88,8 @@
         Returns:
             The state and the counts of tasks.
         """
-        return finish_read(self.client.read(build_path("jobs", job)), JobAnswer, job_text)
+        outcome = finish_read(self.client.read(build_path("jobs", job)), JobAnswer, job_text)
+        return _with_code_of_state(outcome)
 
     def cancel(self, job: str) -> CommandOutcome:
         """Cancel a job.
@@ -126,6 +133,19 @@
         )
 
 
+def _with_code_of_state(outcome: CommandOutcome) -> CommandOutcome:
+    """Replace `OK`, the result of the call, with the result of the job."""
+    if not isinstance(outcome, Report) or outcome.code is not ResultCode.OK:
+        return outcome
+    code = CODES_BY_STATE.get(outcome.document["state"], ResultCode.OK)
+    fields = {
+        "code": int(code),
+        "name": code.name,
+        "class": describe_code(code).code_class.value,
+    }
+    return Report(code, outcome.document | fields, outcome.text)
+
+
 def _jobs_text(answer: JobsAnswer) -> str:
     columns = ("job_id", "customer", "kind", "state", "home_domain", "late")
     rows = [{name: getattr(job, name) for name in columns} for job in answer.jobs]
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/main.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/main.py
@@ -81,6 +81,9 @@
     Returns:
         The options and the other arguments, or the failure to report.
     """
+    for argument in arguments:
+        if any("\ud800" <= char <= "\udfff" for char in argument):
+            return usage_failure("command line", argument, "UTF-8 text")
     parser = argparse.ArgumentParser(prog="fireflywharf", add_help=False, allow_abbrev=False)
     parser.add_argument("--server", default=environment.get(SERVER_VARIABLE) or DEFAULT_SERVER)
     parser.add_argument("--output", default="table", choices=["table", "json"])
