Add stand-ins for log, VM list, workers and targets

Tests and the demo need the platform's four interfaces, with faults and a record of what really took effect, because a daemon's own word cannot prove a promise.

--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_faults.py
@@ -0,0 +1,111 @@
+"""Faults that a stand-in can show, and the seeded decision for each call."""
+
+import math
+import random
+from typing import Any, Literal
+
+import attrs
+
+from fireflywharf_core._checking import FieldChecker
+from fireflywharf_core.results import Problem, ResultCode
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class FaultSettings:
+    """Faults of one stand-in.
+
+    Args:
+        slow_s: delay before each call is handled.
+        down: `refuse` closes the listening socket and all connections, `error` answers 503.
+        lose_answer_p: probability that the connection closes after the effect without an answer.
+        cut_answer_p: probability that the connection closes in the middle of the answer.
+        fail_p: probability that a call fails: a log or VM list answers 500 without an effect, a
+            worker fails the started attempt at once, a target runs the request and answers 500.
+        silent: connections that exist now never carry an answer again; new ones work.
+        lag_s: additional lag of the VM list and of usage reports.
+        only: path prefixes that the faults apply to; empty means all.
+        duration_s: time until all faults end; zero means until the next change.
+        seed: seed of the probabilities.
+    """
+
+    slow_s: float = 0.0
+    down: Literal["", "refuse", "error"] = ""
+    lose_answer_p: float = 0.0
+    cut_answer_p: float = 0.0
+    fail_p: float = 0.0
+    silent: bool = False
+    lag_s: float = 0.0
+    only: list[str] = attrs.field(factory=list)
+    duration_s: float = 0.0
+    seed: int = 0
+
+
+NO_FAULTS = FaultSettings()
+
+
+def _is_probability(value: float) -> bool:
+    return 0 <= value <= 1
+
+
+def _is_duration(value: float) -> bool:
+    return math.isfinite(value) and value >= 0
+
+
+def parse_faults(data: Any) -> tuple[FaultSettings | None, list[Problem]]:
+    """Convert a parsed JSON object into fault settings.
+
+    Args:
+        data: parsed object; absent fields mean no such fault.
+
+    Returns:
+        The settings and an empty list, or None and every problem found.
+    """
+    checker = FieldChecker(data, ResultCode.INVALID_FIELD)
+    take = checker.take
+    fields = {
+        name: take(name, float, "a number of at least 0", 0.0, _is_duration)
+        for name in ("slow_s", "lag_s", "duration_s")
+    }
+    fields |= {
+        name: take(name, float, "0 to 1", 0.0, _is_probability)
+        for name in ("lose_answer_p", "cut_answer_p", "fail_p")
+    }
+    fields["down"] = take("down", Literal["", "refuse", "error"], 'refuse, error or ""', "")
+    fields["silent"] = take("silent", bool, "true or false", False)
+    fields["only"] = take("only", list[str], "a list of path prefixes", [])
+    fields["seed"] = take("seed", int, "a whole number", 0)
+    problems = checker.finish()
+    return (None, problems) if problems else (FaultSettings(**fields), [])
+
+
+@attrs.frozen(slots=True)
+class CallFaults:
+    """What happens to one call."""
+
+    slow_s: float = 0.0
+    error: bool = False
+    lose_answer: bool = False
+    cut_answer: bool = False
+    fail: bool = False
+
+
+class FaultPlan:
+    """Decides the faults of each call from settings and their seed."""
+
+    def __init__(self, settings: FaultSettings = NO_FAULTS) -> None:
+        self.settings = settings
+        self._random = random.Random(settings.seed)
+
+    def next_call(self, path: str) -> CallFaults:
+        """Return the faults of a call to `path`."""
+        settings = self.settings
+        if settings.only and not any(path.startswith(prefix) for prefix in settings.only):
+            return CallFaults()
+        lose, cut, fail = (self._random.random() for _ in range(3))
+        return CallFaults(
+            slow_s=settings.slow_s,
+            error=settings.down == "error",
+            lose_answer=lose < settings.lose_answer_p,
+            cut_answer=cut < settings.cut_answer_p,
+            fail=fail < settings.fail_p,
+        )
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_lease_routes.py
@@ -0,0 +1,33 @@
+"""HTTP routes of the holder lease, shared by workers and targets."""
+
+import math
+from collections.abc import Callable
+
+from fireflywharf_core._checking import FieldChecker
+from fireflywharf_core.platform import ClaimAnswer
+from fireflywharf_core.results import ResultCode
+
+from ._server import Answer, Call, json_answer
+
+
+def handle_claim(call: Call, claim: Callable[[str, float], ClaimAnswer]) -> Answer:
+    """Answer `POST /v1/claim {"holder", "ttl_s"}`."""
+    checker = FieldChecker(call.json(), ResultCode.INVALID_FIELD)
+    holder = checker.take("holder", str, "the holder's incarnation", check=bool)
+    ttl_s = checker.take(
+        "ttl_s", float, "a number above 0", check=lambda v: math.isfinite(v) and v > 0
+    )
+    if problems := checker.finish():
+        return json_answer({"problems": [str(problem) for problem in problems]}, 400)
+    return json_answer(claim(holder, ttl_s))
+
+
+def handle_release(call: Call, release: Callable[[int], bool]) -> Answer:
+    """Answer `POST /v1/release {"epoch"}`."""
+    checker = FieldChecker(call.json(), ResultCode.INVALID_FIELD)
+    epoch = checker.take("epoch", int, "the holder's epoch")
+    if problems := checker.finish():
+        return json_answer({"problems": [str(problem) for problem in problems]}, 400)
+    if not release(epoch):
+        return json_answer({"detail": "stale epoch or lapsed lease"}, 409)
+    return json_answer({})
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_server.py
@@ -0,0 +1,271 @@
+"""HTTP server of a stand-in, with faults at the level of connections and answers."""
+
+import json
+import logging
+import threading
+import time
+import urllib.parse
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+from cheroot import server as cheroot_server
+
+from ._faults import NO_FAULTS, CallFaults, FaultPlan, FaultSettings, parse_faults
+from ._ports import free_port
+
+FAULTS_PATH = "/v1/faults"
+_REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict"}
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(slots=True)
+class Call:
+    """One HTTP request to a stand-in; header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    faults: CallFaults = CallFaults()
+
+    def json(self) -> Any:
+        """Return the decoded body, or None when it is not JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return None
+
+
+@attrs.frozen(slots=True)
+class Answer:
+    """HTTP answer of a stand-in."""
+
+    status: int = 200
+    body: bytes = b"{}"
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+
+def json_answer(value: Any, status: int = 200) -> Answer:
+    """Return an answer with `value` as JSON."""
+    return Answer(status, msgspec.json.encode(value), {"Content-Type": "application/json"})
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    """Connection that can stay open without ever being answered."""
+
+    def __init__(self, server: Any, sock: Any, makefile: Any = cheroot_server.MakeFile) -> None:
+        super().__init__(server, sock, makefile)
+        self.opened_s = time.monotonic()
+        self.parked = False
+
+    def close(self) -> None:
+        """Close the connection unless it is parked."""
+        if not self.parked:
+            super().close()
+
+
+class _HttpServer(cheroot_server.HTTPServer):
+    """Cheroot server that knows its stand-in."""
+
+    ConnectionClass = _Connection
+    timeout = 60
+    shutdown_timeout = 2
+    expiration_interval = 0.25
+    request_queue_size = 256
+    stand_in: "StandInServer"
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Write errors of the server to the module's logger."""
+        _logger.log(level, "%s", msg, exc_info=traceback)
+
+
+class _Gateway(cheroot_server.Gateway):
+    """Reads one request, passes it to the stand-in and writes or spoils the answer."""
+
+    def respond(self) -> None:
+        """Process the current request."""
+        request = self.req
+        request.sent_headers = True
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in request.inheaders.items()
+        }
+        query = urllib.parse.parse_qs((request.qs or b"").decode("latin-1"))
+        call = Call(
+            method=request.method.decode("latin-1"),
+            path=request.path.decode("latin-1"),
+            query={name: values[-1] for name, values in query.items()},
+            headers=headers,
+            body=request.rfile.read(),
+        )
+        request.server.stand_in.serve_call(request, call)
+
+
+class StandInServer:
+    """Serves one stand-in on one port.
+
+    Args:
+        name: name of the VM or service.
+        handler: returns the answer to a call; it runs in several threads.
+        threads_count: threads that handle calls.
+        connections_count: open connections between calls; None for no limit.
+        host: IP address to listen on.
+        port: port, or 0 for a free one.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        handler: Callable[[Call], Answer],
+        threads_count: int = 3,
+        connections_count: int | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ) -> None:
+        self.name = name
+        self.handler = handler
+        self.threads_count = threads_count
+        self.connections_count = connections_count
+        self.host = host
+        self.port = port
+        self._lock = threading.RLock()
+        self._plan = FaultPlan()
+        self._silent_before_s = 0.0
+        self._parked: list[_Connection] = []
+        self._refusing = False
+        self._server: _HttpServer | None = None
+        self._thread: threading.Thread | None = None
+        self._timer: threading.Timer | None = None
+
+    @property
+    def address(self) -> str:
+        """Return `ip:port`."""
+        return f"{self.host}:{self.port}"
+
+    @property
+    def faults(self) -> FaultSettings:
+        """Return the present faults."""
+        return self._plan.settings
+
+    def start(self) -> None:
+        """Listen and serve; does nothing when the server runs."""
+        with self._lock:
+            self._refusing = False
+            if self._server is not None:
+                return
+            self.port = self.port or free_port(self.host)
+            server = _HttpServer(
+                (self.host, self.port),
+                _Gateway,
+                minthreads=self.threads_count,
+                maxthreads=self.threads_count,
+            )
+            server.keep_alive_conn_limit = self.connections_count
+            server.stand_in = self
+            server.prepare()
+            self._server = server
+            self._thread = threading.Thread(target=server.serve, name=self.name, daemon=True)
+            self._thread.start()
+
+    def refuse(self) -> None:
+        """Drop every call from now on without an effect or an answer, until `start`."""
+        self._refusing = True
+
+    def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        with self._lock:
+            server, self._server = self._server, None
+            parked, self._parked = self._parked, []
+            if self._timer is not None:
+                self._timer.cancel()
+        if server is not None:
+            server.stop()
+            if self._thread is not None:
+                self._thread.join()
+        for connection in parked:
+            connection.parked = False
+            connection.close()
+
+    def set_faults(self, settings: FaultSettings) -> None:
+        """Replace the faults of this stand-in."""
+        with self._lock:
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+            self._plan = FaultPlan(settings)
+            if settings.silent:
+                self._silent_before_s = time.monotonic()
+        if settings.down == "refuse":
+            self.refuse()
+            self.stop()
+        else:
+            self.start()
+        if settings.duration_s > 0:
+            self._timer = threading.Timer(settings.duration_s, self.set_faults, [NO_FAULTS])
+            self._timer.daemon = True
+            self._timer.start()
+
+    def serve_call(self, request: Any, call: Call) -> None:
+        """Handle one call; runs in a thread of the HTTP server."""
+        if call.path == FAULTS_PATH and call.method == "POST":
+            self._write(request, self._control(call))
+            return
+        with self._lock:
+            faults = self._plan.next_call(call.path)
+        if self._drop(request):
+            return
+        if faults.slow_s:
+            time.sleep(faults.slow_s)
+        if faults.error:
+            answer = json_answer({"detail": f"{self.name} is down"}, 503)
+        else:
+            answer = self._handle(attrs.evolve(call, faults=faults))
+        if self._drop(request):
+            return
+        if faults.lose_answer:
+            request.close_connection = True
+        elif faults.cut_answer:
+            request.close_connection = True
+            self._write(request, answer, cut=True)
+        else:
+            self._write(request, answer)
+
+    def _handle(self, call: Call) -> Answer:
+        try:
+            return self.handler(call)
+        except Exception as error:
+            _logger.exception("stand-in %s failed on %s", self.name, call.path)
+            return json_answer({"detail": f"error of the stand-in: {error!r}"}, 500)
+
+    def _control(self, call: Call) -> Answer:
+        settings, problems = parse_faults(call.json())
+        if settings is None:
+            return json_answer({"problems": [str(problem) for problem in problems]}, 400)
+        threading.Thread(target=self.set_faults, args=[settings], daemon=True).start()
+        return json_answer(settings)
+
+    def _drop(self, request: Any) -> bool:
+        """Close a connection when the server is down, or keep it open and silent."""
+        if self._refusing:
+            request.close_connection = True
+            return True
+        if request.conn.opened_s >= self._silent_before_s:
+            return False
+        request.conn.parked = True
+        request.close_connection = True
+        with self._lock:
+            self._parked.append(request.conn)
+        return True
+
+    def _write(self, request: Any, answer: Answer, cut: bool = False) -> None:
+        reason = _REASONS.get(answer.status, "Status")
+        lines = [f"HTTP/1.1 {answer.status} {reason}", f"Content-Length: {len(answer.body)}"]
+        lines += [f"{name}: {value}" for name, value in answer.headers.items()]
+        if request.close_connection:
+            lines.append("Connection: close")
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        body = answer.body[: len(answer.body) // 2] if cut else answer.body
+        request.conn.wfile.write(head + body)
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_task.py
@@ -0,0 +1,132 @@
+"""What a task does, and its progress as a timer."""
+
+import json
+import math
+import threading
+from typing import Any
+
+import attrs
+
+from fireflywharf_core.jobs import AttemptId, TaskId
+from fireflywharf_core.resources import ResourceVector
+
+
+@attrs.frozen(slots=True)
+class TaskBehaviour:
+    """Behaviour of one attempt.
+
+    Args:
+        run_s: run time at full speed; infinite for a service.
+        fail: whether it ends as failed.
+        use: resources that it really uses; None for its size.
+    """
+
+    run_s: float
+    fail: bool = False
+    use: ResourceVector | None = None
+
+
+def read_behaviour(command: str, run_time_s: float, default_run_s: float) -> TaskBehaviour:
+    """Return the behaviour that a start command asks for.
+
+    Args:
+        command: JSON object with optional `run_s` (null for a service that never ends), `fail` and
+            `use`; any other text means a plain task.
+        run_time_s: declared run time; zero when unknown.
+        default_run_s: run time when neither says one.
+
+    Returns:
+        The behaviour.
+
+    Example:
+        >>> read_behaviour('{"run_s": 1.5, "fail": true}', 0.0, 1.0)
+        TaskBehaviour(run_s=1.5, fail=True, use=None)
+    """
+    run_s = run_time_s if run_time_s > 0 else default_run_s
+    try:
+        data: Any = json.loads(command) if command else {}
+    except ValueError:
+        data = {}
+    if not isinstance(data, dict):
+        return TaskBehaviour(run_s)
+    if "run_s" in data:
+        asked = data["run_s"]
+        if asked is None:
+            run_s = math.inf
+        elif isinstance(asked, int | float) and asked >= 0:
+            run_s = float(asked)
+    use = None
+    if isinstance(data.get("use"), dict):
+        names = [field.name for field in attrs.fields(ResourceVector)]
+        use = ResourceVector(*(int(data["use"].get(name, 0)) for name in names))
+    return TaskBehaviour(run_s, data.get("fail") is True, use)
+
+
+@attrs.define
+class TaskRun:
+    """A running attempt.
+
+    Args:
+        attempt: identifier.
+        declared: size that the start asked for.
+        size: size reserved now.
+        behaviour: what it does; `run_s` is already scaled.
+        started_s: start on the worker's clock.
+        progress_s: run time done at `progress_at_s`.
+        progress_at_s: time of the last change of speed.
+    """
+
+    attempt: AttemptId
+    declared: ResourceVector
+    size: ResourceVector
+    behaviour: TaskBehaviour
+    started_s: float
+    progress_s: float
+    progress_at_s: float
+
+    @property
+    def speed(self) -> float:
+        """Return the progress per second; below one when throttled."""
+        if self.declared.processors_millicores <= 0:
+            return 1.0
+        return self.size.processors_millicores / self.declared.processors_millicores
+
+    @property
+    def due_s(self) -> float:
+        """Return the time at which it ends by itself."""
+        rest_s = max(0.0, self.behaviour.run_s - self.progress_s)
+        return self.progress_at_s + rest_s / self.speed if self.speed > 0 else math.inf
+
+    def progress_to(self, now_s: float) -> float:
+        """Move the progress to `now_s` and return it."""
+        self.progress_s += max(0.0, now_s - self.progress_at_s) * self.speed
+        self.progress_at_s = max(self.progress_at_s, now_s)
+        return self.progress_s
+
+    def throttle(self, processors_millicores: int, now_s: float) -> None:
+        """Change the reserved processors, at most to the declared ones."""
+        self.progress_to(now_s)
+        self.size = self.throttled_size(processors_millicores)
+
+    def throttled_size(self, processors_millicores: int) -> ResourceVector:
+        """Return the size under a limit on processors."""
+        limit = min(max(0, processors_millicores), self.declared.processors_millicores)
+        return attrs.evolve(self.declared, processors_millicores=limit)
+
+
+class CheckpointStore:
+    """Progress of checkpointed tasks, shared by the workers of a platform."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._progress_s: dict[TaskId, float] = {}
+
+    def save(self, task: TaskId, progress_s: float) -> None:
+        """Store the progress of a task."""
+        with self._lock:
+            self._progress_s[task] = progress_s
+
+    def load(self, task: TaskId) -> float:
+        """Return the stored progress, or zero."""
+        with self._lock:
+            return self._progress_s.get(task, 0.0)
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_topology.py
@@ -0,0 +1,210 @@
+"""Topology of a set of stand-ins, read from TOML with all errors at once."""
+
+import math
+import pathlib
+import re
+import tomllib
+from typing import Any
+
+import attrs
+
+from fireflywharf_core._checking import FieldChecker
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.results import Problem, ResultCode
+
+_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
+_CODE = ResultCode.INVALID_SETTINGS
+
+
+class TopologyError(ValueError):
+    """The topology is not valid; the message names every problem."""
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class WorkerGroup:
+    """Equal workers of a failure domain."""
+
+    count: int = 1
+    rack_size: int = 8
+    capacity: ResourceVector = ResourceVector(16_000, 64_000, 0)
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class TargetGroup:
+    """Equal targets of a failure domain; times as in `TargetSettings`."""
+
+    service: str
+    count: int = 1
+    slots_count: int = 8
+    connections_count: int = 64
+    service_ms: float = 20.0
+    service_sigma: float = 0.0
+    straggler_percent: float = 0.0
+    straggler_factor: float = 20.0
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Domain:
+    """One failure domain."""
+
+    name: str
+    region: str
+    entry_vms_count: int = 1
+    workers: list[WorkerGroup] = attrs.field(factory=list)
+    targets: list[TargetGroup] = attrs.field(factory=list)
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Topology:
+    """Everything that a `Platform` starts.
+
+    Args:
+        domains: failure domains.
+        seed: seed of service times.
+        host: IP address to listen on.
+        time_scale: factor on run times and service times.
+        vm_list_lag_s: age of the VM list.
+        usage_lag_s: age of reported use.
+        task_lease_s: task lease of workers.
+        default_run_s: run time of a task that states none.
+        appends_per_second: limit of the log; zero for none.
+        retention_s: age at which log records are removed; zero to keep them.
+        retention_records: log records kept per stream; zero to keep all.
+    """
+
+    domains: list[Domain]
+    seed: int = 0
+    host: str = "127.0.0.1"
+    time_scale: float = 1.0
+    vm_list_lag_s: float = 0.5
+    usage_lag_s: float = 2.0
+    task_lease_s: float = 30.0
+    default_run_s: float = 1.0
+    appends_per_second: float = 300.0
+    retention_s: float = 0.0
+    retention_records: int = 0
+
+
+def _at_least(low: float) -> Any:
+    return lambda value: math.isfinite(value) and value >= low
+
+
+def _is_name(value: str) -> bool:
+    return _NAME.fullmatch(value) is not None
+
+
+def _numbers(checker: FieldChecker, kind: type, defaults: dict[str, Any], low: float) -> dict:
+    accepted = f"a number of at least {low}"
+    return {
+        name: checker.take(name, kind, accepted, default, _at_least(low))
+        for name, default in defaults.items()
+    }
+
+
+def _rows(checker: FieldChecker, name: str) -> list[Any]:
+    rows = checker.section(name)
+    if rows is None:
+        return []
+    if not isinstance(rows, list):
+        checker.add(name, rows, "an array of tables")
+        return []
+    return rows
+
+
+def _parse_workers(data: Any, path: str, problems: list[Problem]) -> WorkerGroup | None:
+    checker = FieldChecker(data, _CODE, path)
+    counts = _numbers(checker, int, {"count": 1, "rack_size": 8}, 1)
+    sizes = _numbers(checker, int, {"processors_millicores": 16_000, "memory_mb": 64_000}, 1)
+    sizes |= _numbers(checker, int, {"accelerators_count": 0}, 0)
+    found = checker.finish()
+    problems.extend(found)
+    return None if found else WorkerGroup(**counts, capacity=ResourceVector(**sizes))
+
+
+def _parse_targets(data: Any, path: str, problems: list[Problem]) -> TargetGroup | None:
+    checker = FieldChecker(data, _CODE, path)
+    service = checker.take("service", str, "lower-case letters, digits and hyphens", check=_is_name)
+    counts = _numbers(checker, int, {"count": 1, "slots_count": 8, "connections_count": 64}, 1)
+    times = _numbers(checker, float, {"service_ms": 20.0, "service_sigma": 0.0}, 0)
+    times |= _numbers(checker, float, {"straggler_percent": 0.0, "straggler_factor": 20.0}, 0)
+    found = checker.finish()
+    problems.extend(found)
+    return None if found else TargetGroup(service=service, **counts, **times)
+
+
+def _parse_domain(data: Any, path: str, problems: list[Problem]) -> Domain | None:
+    checker = FieldChecker(data, _CODE, path)
+    fields = {
+        name: checker.take(name, str, "lower-case letters, digits and hyphens", check=_is_name)
+        for name in ("name", "region")
+    }
+    fields |= _numbers(checker, int, {"entry_vms_count": 1}, 0)
+    fields["workers"] = [
+        _parse_workers(row, f"{path}.workers[{index}]", checker.problems)
+        for index, row in enumerate(_rows(checker, "workers"))
+    ]
+    fields["targets"] = [
+        _parse_targets(row, f"{path}.targets[{index}]", checker.problems)
+        for index, row in enumerate(_rows(checker, "targets"))
+    ]
+    found = checker.finish()
+    problems.extend(found)
+    return None if found else Domain(**fields)
+
+
+def parse_topology(data: Any) -> tuple[Topology | None, list[Problem]]:
+    """Convert a parsed TOML object into a topology.
+
+    Args:
+        data: parsed object.
+
+    Returns:
+        The topology and an empty list, or None and every problem found.
+    """
+    checker = FieldChecker(data, _CODE)
+    fields = {
+        "seed": checker.take("seed", int, "a whole number", 0),
+        "host": checker.take("host", str, "a loopback IP address", "127.0.0.1", _is_loopback),
+    }
+    defaults = {
+        field.name: field.default for field in attrs.fields(Topology) if field.type is float
+    }
+    fields |= _numbers(checker, float, defaults, 0)
+    fields |= _numbers(checker, int, {"retention_records": 0}, 0)
+    fields["domains"] = [
+        _parse_domain(row, f"domains[{index}]", checker.problems)
+        for index, row in enumerate(_rows(checker, "domains"))
+    ]
+    if not fields["domains"]:
+        checker.add("domains", "(missing)", "at least one failure domain")
+    names = [domain.name for domain in fields["domains"] if domain is not None]
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        checker.add("domains", name, "each name once")
+    problems = checker.finish()
+    return (None, problems) if problems else (Topology(**fields), [])
+
+
+def _is_loopback(value: str) -> bool:
+    return re.fullmatch(r"127\.\d{1,3}\.\d{1,3}\.\d{1,3}", value) is not None
+
+
+def load_topology(path: pathlib.Path) -> Topology:
+    """Return the topology in a TOML file.
+
+    Args:
+        path: file.
+
+    Returns:
+        The topology.
+
+    Raises:
+        TopologyError: the file cannot be read or is not valid; names every problem.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise TopologyError(f"{path}: {error}") from error
+    topology, problems = parse_topology(data)
+    if topology is None:
+        raise TopologyError("\n".join(f"{path}: {problem}" for problem in problems))
+    return topology
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_vm_list.py
@@ -0,0 +1,88 @@
+"""Stand-in for the platform's VM list."""
+
+import bisect
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+
+from fireflywharf_core.history import VmAdded, VmLeaving, VmRemoved
+from fireflywharf_core.platform import VmInfo, VmState
+
+from ._effects import EffectsRecorder
+from ._server import Answer, Call, json_answer
+
+
+class VmListStandIn:
+    """Shows the VMs as they were some time ago.
+
+    Args:
+        lag_s: age of the shown state.
+        recorder: receives changes at the time they are made.
+        clock: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        lag_s: float,
+        recorder: EffectsRecorder,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.lag_s = lag_s
+        self.recorder = recorder
+        self.clock = clock
+        self._lock = threading.Lock()
+        self._times_s: list[float] = []
+        self._states: list[dict[str, VmInfo]] = []
+
+    def add(self, *vms: VmInfo) -> None:
+        """Add VMs, or replace those of the same name."""
+        now_s = self._change(lambda rows: rows.update({vm.name: vm for vm in vms}))
+        for vm in vms:
+            self.recorder.add(VmAdded(time_s=now_s, vm=vm.name))
+
+    def remove(self, name: str) -> None:
+        """Remove a VM."""
+        now_s = self._change(lambda rows: rows.pop(name))
+        self.recorder.add(VmRemoved(time_s=now_s, vm=name))
+
+    def mark_leaving(self, name: str) -> None:
+        """Set the state of a VM to leaving."""
+
+        def change(rows: dict[str, VmInfo]) -> None:
+            rows[name] = attrs.evolve(rows[name], state=VmState.LEAVING)
+
+        now_s = self._change(change)
+        self.recorder.add(VmLeaving(time_s=now_s, vm=name))
+
+    def present(self) -> list[VmInfo]:
+        """Return the VMs without lag."""
+        with self._lock:
+            return list(self._states[-1].values()) if self._states else []
+
+    def shown(self, extra_lag_s: float = 0.0) -> list[VmInfo]:
+        """Return the VMs as they were `lag_s + extra_lag_s` ago; at first, the first state."""
+        with self._lock:
+            if not self._states:
+                return []
+            at_s = self.clock() - self.lag_s - extra_lag_s
+            index = max(0, bisect.bisect_right(self._times_s, at_s) - 1)
+            return list(self._states[index].values())
+
+    def handle(self, call: Call, extra_lag_s: float = 0.0) -> Answer:
+        """Answer one HTTP call."""
+        if call.faults.fail:
+            return json_answer({"detail": "internal error of the VM list"}, 500)
+        if call.method == "GET" and call.path == "/v1/vms":
+            return json_answer(self.shown(extra_lag_s))
+        return json_answer({"detail": f"no such route: {call.method} {call.path}"}, 404)
+
+    def _change(self, change: Callable[[dict[str, VmInfo]], object]) -> float:
+        with self._lock:
+            rows = dict(self._states[-1]) if self._states else {}
+            change(rows)
+            now_s = self.clock()
+            self._times_s.append(now_s)
+            self._states.append(rows)
+            return now_s
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_worker.py
@@ -0,0 +1,308 @@
+"""Stand-in for a worker."""
+
+import math
+import secrets
+import threading
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+import msgspec
+
+from fireflywharf_core.history import (
+    AttemptEnded,
+    AttemptResized,
+    AttemptStarted,
+    HistoryRecord,
+    LeaseGranted,
+)
+from fireflywharf_core.jobs import AttemptEnd, AttemptId
+from fireflywharf_core.platform import (
+    AcknowledgeAttempt,
+    CheckpointAttempt,
+    ClaimAnswer,
+    CommandAnswer,
+    EndedAttempt,
+    RunningAttempt,
+    StartAttempt,
+    StopAttempt,
+    ThrottleAttempt,
+    VmInfo,
+    WorkerCommand,
+    WorkerListing,
+)
+from fireflywharf_core.resources import ResourceVector
+
+from ._effects import EffectsRecorder
+from ._lease import HolderLease
+from ._lease_routes import handle_claim, handle_release
+from ._server import Answer, Call, json_answer
+from ._task import CheckpointStore, TaskBehaviour, TaskRun, read_behaviour
+
+_COMMAND_TYPES = {cls.__name__: cls for cls in WorkerCommand.__args__}
+ACCEPTED = CommandAnswer(True)
+UNKNOWN_ATTEMPT = CommandAnswer(False, "unknown_attempt")
+NO_ROOM = CommandAnswer(False, "no_room")
+DUPLICATE = CommandAnswer(False, "duplicate")
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class WorkerSettings:
+    """Behaviour of a worker.
+
+    Args:
+        task_lease_s: attempts end when the holder has not renewed for this time.
+        usage_lag_s: age of reported use.
+        default_run_s: run time of a task that states none.
+        time_scale: factor on run times.
+    """
+
+    task_lease_s: float = 30.0
+    usage_lag_s: float = 2.0
+    default_run_s: float = 1.0
+    time_scale: float = 1.0
+
+
+class WorkerStandIn:
+    """Runs attempts as timers under a holder lease and task leases.
+
+    Ends of attempts are found at the next call or `advance`, but carry the exact time.
+
+    Args:
+        vm: row of the VM list; its capacity is enforced.
+        settings: behaviour.
+        recorder: receives the effects.
+        checkpoints: shared store of checkpoints.
+        clock: monotonic clock of this worker.
+    """
+
+    def __init__(
+        self,
+        vm: VmInfo,
+        settings: WorkerSettings,
+        recorder: EffectsRecorder,
+        checkpoints: CheckpointStore,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.vm = vm
+        self.settings = settings
+        self.recorder = recorder
+        self.checkpoints = checkpoints
+        self.clock = clock
+        self.leaving = False
+        self.extra_lag_s = 0.0
+        self._lock = threading.RLock()
+        self._lease = HolderLease()
+        self._boot_id = secrets.token_hex(8)
+        self._renewed_s = -math.inf
+        self._running: dict[AttemptId, TaskRun] = {}
+        self._ended: dict[AttemptId, EndedAttempt] = {}
+        self._seen: set[AttemptId] = set()
+
+    def claim(self, holder: str, ttl_s: float) -> ClaimAnswer:
+        """Grant, renew or refuse the holder lease; a grant renews the task leases."""
+        with self._lock:
+            now_s = self.advance()
+            epoch_before = self._lease.epoch
+            granted = self._lease.claim(holder, ttl_s, now_s)
+            if granted:
+                self._renewed_s = now_s
+            if self._lease.epoch != epoch_before:
+                self._record(
+                    LeaseGranted(
+                        time_s=now_s, vm=self.vm.name, holder=holder, epoch=self._lease.epoch
+                    )
+                )
+            return ClaimAnswer(
+                granted=granted,
+                holder=self._lease.current_holder(now_s),
+                epoch=self._lease.epoch,
+                remaining_s=self._lease.remaining_s(now_s),
+                leaving=self.leaving,
+                running=self._running_rows(now_s) if granted else [],
+                ended=list(self._ended.values()) if granted else [],
+                boot_id=self._boot_id,
+            )
+
+    def release(self, epoch: int) -> bool:
+        """Give up the holder lease and return whether `epoch` was valid."""
+        with self._lock:
+            return self._lease.release(epoch, self.advance())
+
+    def commands(
+        self, epoch: int, commands: Sequence[WorkerCommand], fail_starts: bool = False
+    ) -> list[CommandAnswer] | None:
+        """Run commands in order.
+
+        Args:
+            epoch: epoch of the holder.
+            commands: commands.
+            fail_starts: whether started attempts fail at once.
+
+        Returns:
+            One answer per command, or None when the epoch is not valid.
+        """
+        with self._lock:
+            now_s = self.advance()
+            if not self._lease.accepts(epoch, now_s):
+                return None
+            return [self._run_command(command, now_s, fail_starts) for command in commands]
+
+    def listing(self) -> WorkerListing:
+        """Return what the worker runs."""
+        with self._lock:
+            now_s = self.advance()
+            return WorkerListing(
+                boot_id=self._boot_id,
+                epoch=self._lease.epoch,
+                holder=self._lease.current_holder(now_s),
+                capacity=self.vm.capacity,
+                leaving=self.leaving,
+                running=self._running_rows(now_s),
+                ended=list(self._ended.values()),
+            )
+
+    def advance(self) -> float:
+        """End the attempts whose run time or task lease has passed, and return the time."""
+        with self._lock:
+            now_s = self.clock()
+            for run in list(self._running.values()):
+                lapse_s = max(run.started_s, self._renewed_s) + self.settings.task_lease_s
+                if min(run.due_s, lapse_s) > now_s:
+                    continue
+                if run.due_s <= lapse_s:
+                    end = AttemptEnd.FAILED if run.behaviour.fail else AttemptEnd.SUCCEEDED
+                    self._end(run, end, run.due_s)
+                else:
+                    self._end(run, AttemptEnd.LEASE_LAPSED, lapse_s)
+            return now_s
+
+    def die(self) -> None:
+        """Lose all attempts, as when the VM stops; the epoch is kept."""
+        with self._lock:
+            now_s = self.advance()
+            for run in self._running.values():
+                self._record(
+                    AttemptEnded(
+                        time_s=now_s, worker=self.vm.name, attempt=run.attempt, end="vm_died"
+                    )
+                )
+            self._running.clear()
+            self._ended.clear()
+            self._seen.clear()
+            self._boot_id = secrets.token_hex(8)
+
+    def used(self) -> ResourceVector:
+        """Return the reserved resources."""
+        with self._lock:
+            return sum((run.size for run in self._running.values()), ResourceVector())
+
+    def handle(self, call: Call) -> Answer:
+        """Answer one HTTP call."""
+        match (call.method, call.path):
+            case ("POST", "/v1/claim"):
+                return handle_claim(call, self.claim)
+            case ("POST", "/v1/release"):
+                return handle_release(call, self.release)
+            case ("POST", "/v1/commands"):
+                return self._handle_commands(call)
+            case ("GET", "/v1/list"):
+                return json_answer(self.listing())
+        return json_answer({"detail": f"no such route: {call.method} {call.path}"}, 404)
+
+    def _handle_commands(self, call: Call) -> Answer:
+        data = call.json()
+        if not isinstance(data, dict) or not isinstance(data.get("epoch"), int):
+            return json_answer({"detail": "expected epoch and commands"}, 400)
+        try:
+            commands = [_decode_command(item) for item in data.get("commands", [])]
+        except (msgspec.ValidationError, KeyError, TypeError, AttributeError) as error:
+            return json_answer({"detail": f"invalid command: {error}"}, 400)
+        answers = self.commands(data["epoch"], commands, call.faults.fail)
+        if answers is None:
+            detail = {"detail": "stale epoch or lapsed lease", "epoch": self._lease.epoch}
+            return json_answer(detail, 409)
+        return json_answer(answers)
+
+    def _run_command(self, command: WorkerCommand, now_s: float, fail: bool) -> CommandAnswer:
+        match command:
+            case StartAttempt():
+                return self._start(command, now_s, fail)
+            case AcknowledgeAttempt(attempt):
+                found = self._ended.pop(attempt, None)
+                return UNKNOWN_ATTEMPT if found is None else ACCEPTED
+        run = self._running.get(command.attempt)
+        if run is None:
+            return UNKNOWN_ATTEMPT
+        match command:
+            case StopAttempt():
+                self._end(run, AttemptEnd.STOPPED, now_s)
+            case CheckpointAttempt():
+                self.checkpoints.save(run.attempt.task, run.progress_to(now_s))
+                self._end(run, AttemptEnd.CHECKPOINTED, now_s)
+            case ThrottleAttempt(_, processors_millicores):
+                return self._throttle(run, processors_millicores, now_s)
+        return ACCEPTED
+
+    def _start(self, command: StartAttempt, now_s: float, fail: bool) -> CommandAnswer:
+        if command.attempt in self._seen:
+            return DUPLICATE
+        if not (self.used() + command.size).fits_in(self.vm.capacity):
+            return NO_ROOM
+        settings = self.settings
+        behaviour = read_behaviour(command.command, command.run_time_s, settings.default_run_s)
+        behaviour = attrs.evolve(behaviour, run_s=behaviour.run_s * settings.time_scale)
+        if fail:
+            behaviour = TaskBehaviour(0.0, True, behaviour.use)
+        progress_s = self.checkpoints.load(command.attempt.task)
+        self._seen.add(command.attempt)
+        run = TaskRun(
+            command.attempt, command.size, command.size, behaviour, now_s, progress_s, now_s
+        )
+        self._running[command.attempt] = run
+        self._record(
+            AttemptStarted(
+                time_s=now_s,
+                worker=self.vm.name,
+                attempt=command.attempt,
+                size=command.size,
+                capacity=self.vm.capacity,
+                epoch=self._lease.epoch,
+            )
+        )
+        return ACCEPTED
+
+    def _throttle(self, run: TaskRun, processors_millicores: int, now_s: float) -> CommandAnswer:
+        size = run.throttled_size(processors_millicores)
+        if not (self.used() - run.size + size).fits_in(self.vm.capacity):
+            return NO_ROOM
+        run.throttle(processors_millicores, now_s)
+        self._record(
+            AttemptResized(time_s=now_s, worker=self.vm.name, attempt=run.attempt, size=run.size)
+        )
+        return ACCEPTED
+
+    def _end(self, run: TaskRun, end: AttemptEnd, at_s: float) -> None:
+        del self._running[run.attempt]
+        elapsed_s = max(0.0, at_s - run.started_s)
+        self._ended[run.attempt] = EndedAttempt(run.attempt, end, elapsed_s)
+        self._record(
+            AttemptEnded(time_s=at_s, worker=self.vm.name, attempt=run.attempt, end=end.value)
+        )
+
+    def _running_rows(self, now_s: float) -> list[RunningAttempt]:
+        lag_s = self.settings.usage_lag_s + self.extra_lag_s
+        rows = []
+        for run in self._running.values():
+            elapsed_s = now_s - run.started_s
+            usage = (run.behaviour.use or run.size) if elapsed_s >= lag_s else None
+            rows.append(RunningAttempt(run.attempt, run.size, usage, elapsed_s))
+        return rows
+
+    def _record(self, record: HistoryRecord) -> None:
+        self.recorder.add(record)
+
+
+def _decode_command(item: Any) -> WorkerCommand:
+    return msgspec.convert(item, _COMMAND_TYPES[item["type"]])
