Renew task leases only on request of a holder with a majority

Cause: a candidate without a majority, or a claim that a pause delayed, could prolong the tasks of a worker that the new scheduler cannot reach, while the new scheduler counts them as ended after 30 s. Change: the claim has the flag renew_tasks, which works only on an unexpired lease.

--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_lease_routes.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_lease_routes.py
@@ -10,16 +10,17 @@
 from ._server import Answer, Call, json_answer
 
 
-def handle_claim(call: Call, claim: Callable[[str, float], ClaimAnswer]) -> Answer:
-    """Answer `POST /v1/claim {"holder", "ttl_s"}`."""
+def handle_claim(call: Call, claim: Callable[[str, float, bool], ClaimAnswer]) -> Answer:
+    """Answer `POST /v1/claim {"holder", "ttl_s", "renew_tasks"}`."""
     checker = FieldChecker(call.json(), ResultCode.INVALID_FIELD)
     holder = checker.take("holder", str, "the holder's incarnation", check=bool)
     ttl_s = checker.take(
         "ttl_s", float, "a number above 0", check=lambda v: math.isfinite(v) and v > 0
     )
+    renew_tasks = checker.take("renew_tasks", bool, "true or false", False)
     if problems := checker.finish():
         return json_answer({"problems": [str(problem) for problem in problems]}, 400)
-    return json_answer(claim(holder, ttl_s))
+    return json_answer(claim(holder, ttl_s, renew_tasks))
 
 
 def handle_release(call: Call, release: Callable[[int], bool]) -> Answer:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
@@ -75,7 +75,7 @@
         self._in_progress: dict[int, str] = {}
         self._stopping = threading.Event()
 
-    def claim(self, holder: str, ttl_s: float) -> ClaimAnswer:
+    def claim(self, holder: str, ttl_s: float, _renew_tasks: bool = False) -> ClaimAnswer:
         """Grant, renew or refuse the holder lease."""
         with self._lock:
             now_s = self.clock()
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_worker.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_worker.py
@@ -100,13 +100,17 @@
         self._ended: dict[AttemptId, EndedAttempt] = {}
         self._seen: set[AttemptId] = set()
 
-    def claim(self, holder: str, ttl_s: float) -> ClaimAnswer:
-        """Grant, renew or refuse the holder lease; a grant renews the task leases."""
+    def claim(self, holder: str, ttl_s: float, renew_tasks: bool = False) -> ClaimAnswer:
+        """Grant, renew or refuse the holder lease.
+
+        Only the renewal of an unexpired lease renews the task leases, and only if `renew_tasks` is
+        set. A claim that was delayed by a pause of its sender therefore cannot prolong tasks.
+        """
         with self._lock:
             now_s = self.advance()
             epoch_before = self._lease.epoch
             granted = self._lease.claim(holder, ttl_s, now_s)
-            if granted:
+            if granted and renew_tasks and self._lease.epoch == epoch_before:
                 self._renewed_s = now_s
             if self._lease.epoch != epoch_before:
                 self._record(
