--- a/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
@@ -176,6 +176,11 @@
     workers: list[VmInfo]
 
 
+@attrs.frozen(slots=True)
+class KnownWorkersQuery:
+    """Asks a peer of the domain for the workers that it knows; answered by `WorkersKnown`."""
+
+
 @attrs.frozen(slots=True)
 class WorkersKnown:
     """Tells a live peer of new workers while the log is down; answered by `Acknowledged`."""
@@ -205,6 +210,7 @@
         ContractsSince,
         ContractsCatchUp,
         Handover,
+        KnownWorkersQuery,
         WorkersKnown,
         Acknowledged,
     ]
--- a/packages/fireflywharf-core/src/fireflywharf_core/platform/_workers.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/platform/_workers.py
@@ -1,8 +1,8 @@
 """Data of the worker and target interfaces.
 
 HTTP mapping of a worker: `POST /v1/claim {"holder", "ttl_s", "renew_tasks"}` answers a
-`ClaimAnswer`; task leases are renewed only if `renew_tasks` is true and the claim renews an unexpired
-lease, so that a delayed claim cannot prolong tasks;
+`ClaimAnswer`; task leases are renewed only if `renew_tasks` is true and the claim renews an
+unexpired lease, so that a delayed claim cannot prolong tasks;
 `POST /v1/commands {"epoch", "commands"}` answers a list of `CommandAnswer`, or 409 when the epoch
 is stale or the holder lease has lapsed; `POST /v1/release {"epoch"}`; `GET /v1/list` answers a
 `WorkerListing`. A command is an object `{"type": "StartAttempt", ...fields}`.
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_contracts.py
@@ -0,0 +1,111 @@
+"""Contracts: changes through the log, and catching up from peers while it is down."""
+
+import datetime
+import logging
+import uuid
+from collections.abc import Callable
+
+from fireflywharf_core.contracts import (
+    ChangeLost,
+    ChangeUndetermined,
+    ChangeWon,
+    Contract,
+    ContractApplied,
+    ContractRegistry,
+)
+from fireflywharf_core.log import ReadRecord, StreamReader
+from fireflywharf_core.messages import ContractsCatchUp, ContractsSince
+from fireflywharf_core.results import NotRun, OutcomeUnknown, ResultCode
+
+from ..http import AppliedContract, ApplyContract, CallerError, VersionConflict
+from ._context import Context
+from ._log_stream import LogStream
+
+_LOG = logging.getLogger(__name__)
+APPLY_TIMEOUT_S = 8.0
+CATCH_UP_TIMEOUT_S = 1.0
+
+
+class ContractService:
+    """Applies contract changes and tells listeners of contracts that came into force.
+
+    Args:
+        context: shared parts.
+        on_change: called with the customer and its contract when it changes.
+    """
+
+    def __init__(self, context: Context, on_change: Callable[[str, Contract], None]) -> None:
+        self.context = context
+        self.on_change = on_change
+        self.registry = ContractRegistry(context.settings.platform.retention_s)
+        self.stream: LogStream | None = None
+        self._versions: dict[str, int] = {}
+
+    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
+        """Fold the records of stream `contracts`."""
+        now_s = self.context.now_s()
+        if reader.truncation is not None:
+            self.registry.on_truncated(reader.truncation.first_available)
+        for row in records:
+            self.registry.fold(row.offset, row.record, now_s, live=self.stream.end_read_s > 0)
+        self.registry.on_read_to(reader.next_offset)
+        self._announce()
+
+    def _announce(self) -> None:
+        for customer, row in self.registry.current().items():
+            if row.version > self._versions.get(customer, 0):
+                self._versions[customer] = row.version
+                self.on_change(customer, row.contract)
+                _LOG.info("contract %s version %d is in force", customer, row.version)
+
+    async def apply(self, change: ApplyContract) -> AppliedContract | VersionConflict | CallerError:
+        """Write a change and wait until it is known to have won or lost."""
+        customer = change.contract.customer
+        record = ContractApplied(
+            operation_id=uuid.uuid4().hex,
+            contract=change.contract,
+            base_version=change.base_version,
+            author=change.author,
+            time_utc=datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
+        )
+        current = self.registry.get(customer)
+        current_version = 0 if current is None else current.version
+        if change.base_version < current_version:
+            # Versions never fall, so this change can only lose; it need not be written.
+            return VersionConflict(customer, change.base_version, current_version)
+        offset = await self.stream.append(record, APPLY_TIMEOUT_S)
+        match offset:
+            case NotRun(code, detail, retry_after_s):
+                return CallerError(code, detail, retry_after_s=retry_after_s)
+            case OutcomeUnknown(code, detail):
+                return CallerError(code, f"{detail}; read the contract before you repeat")
+        await self.stream.read_past(offset, APPLY_TIMEOUT_S)
+        match self.registry.outcome(record.operation_id):
+            case ChangeWon(version):
+                return AppliedContract(customer, version)
+            case ChangeLost(base_version, current_version):
+                return VersionConflict(customer, base_version, current_version)
+            case ChangeUndetermined() | None:
+                detail = "the change is in the log but was not read back; read the contract"
+                return CallerError(ResultCode.OUTCOME_UNKNOWN, detail)
+
+    async def catch_up_from(self, address: str) -> bool:
+        """Ask a peer for its contracts; returns whether the peer answered."""
+        question = ContractsSince(self.registry.offset)
+        answer = await self.context.call(address, question, CATCH_UP_TIMEOUT_S)
+        if not isinstance(answer, ContractsCatchUp):
+            return False
+        if self.registry.catch_up(answer.as_of_offset, answer.contracts):
+            self._announce()
+        return True
+
+    def answer_peer(self, question: ContractsSince) -> ContractsCatchUp:
+        """Return the contracts in force if the peer is behind, else nothing but the offset."""
+        snapshot = self.registry.snapshot()
+        newer = snapshot.as_of_offset > question.offset
+        return ContractsCatchUp(snapshot.as_of_offset, snapshot.contracts if newer else [])
+
+    def write_snapshot_if_due(self) -> None:
+        """Append a snapshot record when the retention time requires one."""
+        if self.registry.snapshot_due(self.context.now_s()) and self.stream.available:
+            self.stream.submit(self.registry.snapshot())
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_membership.py
@@ -0,0 +1,125 @@
+"""Heartbeats inside the failure domain and digests to other domains."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from fireflywharf_core.membership import DigestPlanner, HeartbeatEffect, PeerTable
+from fireflywharf_core.messages import DomainDigest, Heartbeat
+
+from ._context import Context
+
+_LOG = logging.getLogger(__name__)
+DIGEST_STALE_S = 5.0
+
+
+@attrs.define(slots=True)
+class RemoteDomain:
+    """Newest digest of another failure domain and the time at which it arrived."""
+
+    digest: DomainDigest
+    heard_s: float
+
+
+class Membership:
+    """Knows the other entry VMs by what they send.
+
+    Args:
+        context: shared parts.
+        make_heartbeat: returns the own heartbeat with the given sequence.
+        make_digest: returns the own digest with the given sequence; None when not scheduler.
+        on_heartbeat: called with each heartbeat that told something new.
+        on_digest: called with each digest that told something new.
+        on_suspected: called with the incarnation of a peer that fell silent or was replaced.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        make_heartbeat: Callable[[int], Heartbeat],
+        make_digest: Callable[[int], DomainDigest | None],
+        on_heartbeat: Callable[[Heartbeat], None],
+        on_digest: Callable[[DomainDigest], None],
+        on_suspected: Callable[[str], None],
+    ) -> None:
+        self.context = context
+        self.make_heartbeat = make_heartbeat
+        self.make_digest = make_digest
+        self.on_heartbeat = on_heartbeat
+        self.on_digest = on_digest
+        self.on_suspected = on_suspected
+        settings = context.settings
+        self.peers = PeerTable(context.incarnation, settings.scheduling.suspicion_s)
+        self.planner = DigestPlanner(context.domain, settings.scheduling.digest_interval_s)
+        self.remote: dict[str, RemoteDomain] = {}
+        self._sequence = 0
+        self._addresses: dict[str, str] = {}
+        self._suspected: set[str] = set()
+
+    def address_of(self, incarnation: str) -> str | None:
+        """Return the mesh address of an incarnation that was heard."""
+        return self._addresses.get(incarnation)
+
+    def live_peers(self) -> list[Heartbeat]:
+        """Return the heartbeats of the peers of the domain that are not suspected."""
+        return self.peers.peers(self.context.now_s())
+
+    def scheduler_address(self) -> str | None:
+        """Return the mesh address of the scheduler of the own domain, if it is another VM."""
+        scheduler = self.peers.scheduler(self.context.now_s())
+        return None if scheduler is None else scheduler.mesh_address
+
+    def live_remote(self) -> list[RemoteDomain]:
+        """Return the other domains that were heard of lately."""
+        now_s = self.context.now_s()
+        return [row for row in self.remote.values() if now_s - row.heard_s < DIGEST_STALE_S]
+
+    def send_heartbeats(self) -> None:
+        """Send one heartbeat to each peer of the domain and look for silent peers."""
+        self._sequence += 1
+        heartbeat = self.make_heartbeat(self._sequence)
+        for peer in self.context.settings.mesh.peers:
+            if peer.failure_domain == self.context.domain:
+                self.context.mesh.send(peer.address, heartbeat)
+        silent = {row.incarnation for row in self.peers.suspected(self.context.now_s())}
+        for incarnation in silent - self._suspected:
+            _LOG.warning("no heartbeat from %s; it is suspected to have failed", incarnation)
+            self.on_suspected(incarnation)
+        self._suspected = silent
+
+    def send_digests(self) -> None:
+        """Send the digest of the domain to a few VMs of each other domain."""
+        digest = self.make_digest(self._sequence)
+        if digest is None:
+            return
+        members: dict[str, list[str]] = {}
+        for peer in self.context.settings.mesh.peers:
+            members.setdefault(peer.failure_domain, []).append(peer.address)
+        for address in self.planner.due(members, self.context.now_s()):
+            self.context.mesh.send(address, digest)
+
+    def take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat of a peer; one of another domain is ignored."""
+        if heartbeat.domain != self.context.domain:
+            return
+        known = {row.vm_name: row.incarnation for row in self.live_peers()}
+        effect = self.peers.on_heartbeat(heartbeat, self.context.now_s())
+        if effect is HeartbeatEffect.IGNORED:
+            return
+        if effect is HeartbeatEffect.REPLACED and heartbeat.vm_name in known:
+            self.on_suspected(known[heartbeat.vm_name])
+        self._addresses[heartbeat.incarnation] = heartbeat.mesh_address
+        self.on_heartbeat(heartbeat)
+
+    def take_digest(self, digest: DomainDigest) -> None:
+        """Take a digest of another domain; an older one of the same sender is ignored."""
+        known = self.remote.get(digest.domain)
+        same_sender = known is not None and known.digest.incarnation == digest.incarnation
+        if digest.domain == self.context.domain:
+            return
+        if same_sender and digest.sequence <= known.digest.sequence:
+            return
+        self.remote[digest.domain] = RemoteDomain(digest, self.context.now_s())
+        self._addresses[digest.incarnation] = digest.mesh_address
+        self.on_digest(digest)
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -0,0 +1,378 @@
+"""The scheduler of the own failure domain: election, tenure and execution of its decisions."""
+
+import logging
+import random
+import time
+
+from fireflywharf_core.contracts import Contract
+from fireflywharf_core.jobs import AttemptId, TaskId
+from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord, StreamReader
+from fireflywharf_core.membership import (
+    ActAsScheduler,
+    ClaimWorkers,
+    ElectionView,
+    SchedulerElection,
+    StepDown,
+    plan_worker_changes,
+)
+from fireflywharf_core.messages import Acknowledged, KnownWorkersQuery, WorkersKnown
+from fireflywharf_core.platform import ClaimAnswer, VmInfo, VmRole, VmState
+from fireflywharf_core.records import WorkerAdded, WorkerRemoved
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.results import NotRun
+from fireflywharf_core.scheduling import (
+    AttemptEndRecorded,
+    ContractChanged,
+    DomainScheduler,
+    Event,
+    FairShare,
+    JobAdmitted,
+    JobCancelled,
+    RecoveryFinished,
+    RecoveryStarted,
+    StartIntentDurable,
+    TaskDone,
+    WorkerJoined,
+    WorkerLeaving,
+    WorkerLost,
+    WorkerReport,
+)
+
+from ._context import Context
+from ._execution import DecisionExecutor
+from ._log_stream import LogStream
+from ._membership import Membership
+from ._tasks import TaskGroup
+from ._worker_gateway import WorkerGateway
+
+_LOG = logging.getLogger(__name__)
+PEER_TIMEOUT_S = 1.0
+REPLAY_TIMEOUT_S = 5.0
+
+
+class SchedulerService:
+    """Takes part in the election and, during a tenure, runs the decisions of the scheduler core.
+
+    Args:
+        context: shared parts.
+        jobs_fold: fold of stream `jobs`.
+        membership: other entry VMs.
+    """
+
+    def __init__(self, context: Context, jobs_fold: JobsFold, membership: Membership) -> None:
+        settings = context.settings.scheduling
+        self.context = context
+        self.jobs_fold = jobs_fold
+        self.membership = membership
+        self.domain_fold = DomainFold(context.settings.platform.retention_s)
+        self.election = SchedulerElection(
+            context.domain,
+            context.incarnation,
+            settings.holder_lease_s,
+            settings.suspicion_s,
+            settings.task_lease_s,
+        )
+        self.tasks = TaskGroup()
+        self.gateway = WorkerGateway(
+            context, self.tasks, self.may_command, self._take_report, self._take_lost
+        )
+        self.core: DomainScheduler | None = None
+        self.stream: LogStream | None = None
+        self.jobs_stream: LogStream | None = None
+        self.contracts: dict[str, Contract] = {}
+        self.listed: dict[str, VmInfo] = {}
+        self.extra_workers: dict[str, VmInfo] = {}
+        self.provisional: dict[str, JobAdmitted] = {}
+        self._peers_asked_s: float | None = None
+        self._asking_peers = False
+        self._change_pending = False
+        self._executor: DecisionExecutor | None = None
+        self._joined: dict[str, VmInfo] = {}
+        self._claimed_free: dict[str, ResourceVector] = {}
+        self._releasing = False
+
+    # State seen by other components.
+
+    @property
+    def acting(self) -> bool:
+        """Whether this process is the scheduler of its domain."""
+        return self.core is not None
+
+    def known_workers(self) -> dict[str, VmInfo]:
+        """Return the known workers of the domain."""
+        return self.domain_fold.workers_ | self.extra_workers
+
+    def may_command(self) -> bool:
+        """Return whether worker commands are allowed now."""
+        known = self.known_workers()
+        held = self.gateway.held().intersection(known)
+        return self.core is not None and self.election.may_command(len(held), len(known))
+
+    def free(self) -> tuple[ResourceVector, ResourceVector]:
+        """Return the free resources of the held workers, and the largest free part of one."""
+        free = [self._claimed_free.get(name, ResourceVector()) for name in self.gateway.held()]
+        return sum(free, ResourceVector()), max(free, key=_volume, default=ResourceVector())
+
+    # Input.
+
+    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
+        """Fold the records of the stream of the domain."""
+        now_s = self.context.now_s()
+        for row in records:
+            self.domain_fold.fold(row.offset, row.record, now_s, live=self.stream.end_read_s > 0)
+            if isinstance(row.record, WorkerAdded | WorkerRemoved):
+                self._change_pending = False
+                name = getattr(row.record, "name", "") or row.record.vm.name
+                self.extra_workers.pop(name, None)
+
+    def set_contract(self, contract: Contract) -> None:
+        """Take a contract that is in force."""
+        self.contracts[contract.customer] = contract
+        self._observe(ContractChanged(contract))
+
+    def set_listed(self, vms: list[VmInfo]) -> None:
+        """Take the VM list."""
+        self.listed = {
+            vm.name: vm
+            for vm in vms
+            if vm.role is VmRole.WORKER and vm.failure_domain == self.context.domain
+        }
+        for vm in self.listed.values():
+            if vm.state is VmState.LEAVING:
+                self._observe(WorkerLeaving(vm.name))
+
+    def job_became_live(self, job_id: str) -> None:
+        """Admit a job whose record was just read."""
+        job = self.jobs_fold.live_.get(job_id)
+        if self.core is None or job is None or job.home_domain != self.context.domain:
+            return
+        self.provisional.pop(job_id, None)
+        # Jobs of a read that began in this tenure were never seen by an earlier scheduler.
+        new = self.jobs_stream.end_read_s >= (self.election.tenure_since_s or float("inf"))
+        self._admit(job, new_in_tenure=new)
+
+    def job_cancelled(self, job_id: str) -> None:
+        """Cancel a job."""
+        self.provisional.pop(job_id, None)
+        self._observe(JobCancelled(job_id))
+
+    def admit_provisional(self, admitted: JobAdmitted) -> None:
+        """Admit a job whose record waits for the log."""
+        self.provisional[admitted.spec.job_id] = admitted
+        self._observe(admitted)
+
+    def _observe(self, event: Event) -> None:
+        if self.core is not None:
+            self.core.observe(event, self.context.now_s())
+
+    def _take_report(self, name: str, claim: ClaimAnswer, sent_s: float) -> None:
+        self.election.on_report(name)
+        vm = self.known_workers().get(name)
+        if vm is not None:
+            used = sum((row.size for row in claim.running), ResourceVector())
+            self._claimed_free[name] = vm.capacity - used
+        self._observe(WorkerReport(name, claim.running, claim.ended, sent_s))
+        if claim.leaving:
+            self._observe(WorkerLeaving(name))
+
+    def _take_lost(self, name: str, attempts_ended: bool) -> None:
+        self.election.on_lost(name)
+        # Task leases that a predecessor renewed count from the start of this tenure.
+        if attempts_ended and name in self.election.recovery_blockers(
+            self.known_workers(), self.context.now_s()
+        ):
+            attempts_ended = False
+        self._observe(WorkerLost(name, attempts_ended))
+
+    # Periodic step.
+
+    def step(self) -> None:
+        """Take part in the election and execute what the scheduler core decides."""
+        now_s = self.context.now_s()
+        known = self.known_workers()
+        view = ElectionView(
+            known_workers=list(known),
+            held_workers=self.gateway.held(),
+            knowledge_s=self._knowledge_s(),
+            peers=self.membership.live_peers(),
+            draining=self.context.draining,
+        )
+        match self.election.decide(view, now_s):
+            case ActAsScheduler():
+                self._track(known)
+                if self.core is None:
+                    self._begin_tenure(known)
+                self._change_workers(known)
+                self._run_decisions()
+            case ClaimWorkers():
+                self._track(known)
+            case StepDown(reason):
+                self._end_tenure(reason)
+        self._bootstrap_workers(known)
+
+    def _track(self, known: dict[str, VmInfo]) -> None:
+        self.gateway.track(known)
+        self.gateway.step(self.context.settings.scheduling.worker_calls_count)
+
+    def _knowledge_s(self) -> float | None:
+        if self.stream.end_read_s > float("-inf") and self.stream.available:
+            self.stream.kick()
+            return self.stream.end_read_s
+        if not self.stream.available and not self._asking_peers:
+            self._asking_peers = True
+            self.tasks.spawn(self._ask_peers())
+        return self._peers_asked_s
+
+    async def _ask_peers(self) -> None:
+        """Learn the known workers from all live peers while the log is down."""
+        started_s = self.context.now_s()
+        complete = True
+        for peer in self.membership.live_peers():
+            answer = await self.context.call(peer.mesh_address, KnownWorkersQuery(), PEER_TIMEOUT_S)
+            if not isinstance(answer, WorkersKnown):
+                complete = False
+                continue
+            for vm in answer.workers:
+                if vm.name not in self.domain_fold.workers_:
+                    self.extra_workers[vm.name] = vm
+        if complete:
+            self._peers_asked_s = started_s
+        self._asking_peers = False
+
+    def _bootstrap_workers(self, known: dict[str, VmInfo]) -> None:
+        """Record the first workers of a domain; nobody can hold a majority of an empty set."""
+        if known or not self.listed or self._change_pending or self.context.draining:
+            return
+        if self.stream.available and self.stream.end_read_s > float("-inf"):
+            self._change_workers(known)
+
+    def _change_workers(self, known: dict[str, VmInfo]) -> None:
+        changes = plan_worker_changes(
+            known,
+            self.listed,
+            self.gateway.unreachable_since_s(),
+            self._change_pending,
+            self.context.now_s(),
+            self.context.settings.scheduling.task_lease_s,
+        )
+        if not changes:
+            return
+        self._change_pending = True
+        if not self.stream.available:
+            self.tasks.spawn(self._add_through_peers(changes))
+            return
+        for change in changes:
+            if isinstance(self.stream.submit(change), NotRun):
+                self._change_pending = False
+
+    async def _add_through_peers(self, changes: list[WorkerAdded | WorkerRemoved]) -> None:
+        """Make a new worker known to every live peer while the log is down."""
+        added = [change.vm for change in changes if isinstance(change, WorkerAdded)]
+        answers = [
+            await self.context.call(peer.mesh_address, WorkersKnown(added), PEER_TIMEOUT_S)
+            for peer in self.membership.live_peers()
+        ]
+        if added and all(isinstance(answer, Acknowledged) for answer in answers):
+            self.extra_workers.update({vm.name: vm for vm in added})
+            for vm in added:
+                self.stream.submit(WorkerAdded(vm))
+        self._change_pending = False
+
+    # Tenure.
+
+    def _begin_tenure(self, known: dict[str, VmInfo]) -> None:
+        _LOG.info("this process is now the scheduler of %s", self.context.domain)
+        core = DomainScheduler(policy=FairShare(), rng=random.Random())
+
+        def observe(event: Event) -> None:
+            if core is self.core:
+                core.observe(event, self.context.now_s())
+
+        self.core = core
+        self._executor = DecisionExecutor(self.gateway, self.stream, self.jobs_stream, observe)
+        self._joined = {}
+        for contract in self.contracts.values():
+            self._observe(ContractChanged(contract))
+        self._join_workers(known)
+        self._observe(RecoveryStarted(frozenset(known)))
+        self.tasks.spawn(self._replay(core, self.context.now_s()))
+
+    def _join_workers(self, known: dict[str, VmInfo]) -> None:
+        for name, vm in known.items():
+            if self._joined.get(name) != vm:
+                self._joined[name] = vm
+                self._observe(WorkerJoined(vm))
+
+    async def _replay(self, core: DomainScheduler, since_s: float) -> None:
+        """Feed accepted jobs and recorded ends, once the streams were read to their ends."""
+        complete = False
+        while core is self.core and not complete:
+            complete = await self.stream.read_to_end(since_s, REPLAY_TIMEOUT_S)
+            complete = complete and await self.jobs_stream.read_to_end(since_s, REPLAY_TIMEOUT_S)
+            if core is not self.core:
+                return
+            self._feed_jobs()
+        if core is self.core:
+            self._observe(RecoveryFinished())
+            _LOG.info("replay of the log is complete")
+
+    def _feed_jobs(self) -> None:
+        for job in self.jobs_fold.live_jobs(self.context.domain):
+            if job.home_lost_s is None:
+                self._admit(job, new_in_tenure=False)
+        for admitted in self.provisional.values():
+            self._observe(admitted)
+
+    def _admit(self, job: LiveJob, new_in_tenure: bool) -> None:
+        age_s = max(0.0, time.time() - job.accepted_utc_s)
+        self._observe(
+            JobAdmitted(
+                spec=job.spec,
+                accepted_age_s=age_s,
+                late_reported=job.late,
+                recorded=True,
+                new_in_tenure=new_in_tenure,
+            )
+        )
+        job_id = job.spec.job_id
+        for index, facts in self.domain_fold.tasks_of(job_id).items():
+            task = TaskId(job_id, index)
+            if facts.done:
+                self._observe(TaskDone(task))
+            elif facts.end is not None:
+                self._observe(AttemptEndRecorded(AttemptId(task, facts.ended_attempt), facts.end))
+            if facts.open_intent:
+                self._observe(StartIntentDurable(AttemptId(task, facts.open_intent)))
+        if job.cancel_requested:
+            self._observe(JobCancelled(job_id))
+
+    def _end_tenure(self, reason: str) -> None:
+        if self.core is not None:
+            _LOG.warning("no longer the scheduler of %s: %s", self.context.domain, reason)
+        self.core = None
+        self._executor = None
+        if not self._releasing:
+            self._releasing = True
+            self.tasks.spawn(self._release())
+
+    async def _release(self) -> None:
+        try:
+            await self.gateway.release_all()
+        finally:
+            self._releasing = False
+
+    def _run_decisions(self) -> None:
+        self._join_workers(self.known_workers())
+        now_s = self.context.now_s()
+        with self.context.metrics.time_decision("scheduler"):
+            actions = self.core.decide(now_s)
+        for action in actions:
+            self._executor.execute(action)
+        for record in self.jobs_fold.due_records(now_s):
+            self.jobs_stream.submit(record)
+        for record in self.domain_fold.due_records(now_s):
+            self.stream.submit(record)
+
+
+def _volume(vector: ResourceVector) -> tuple[int, int, int]:
+    return (vector.accelerators_count, vector.processors_millicores, vector.memory_mb)
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
@@ -0,0 +1,163 @@
+"""Claims, renewals and status reads of the targets of the own failure domain."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from fireflywharf_core.leases import LeaseTable
+from fireflywharf_core.membership import TargetAssignment
+from fireflywharf_core.platform import VmInfo, VmRole, VmState
+from fireflywharf_core.routing import (
+    Event,
+    TargetGone,
+    TargetHeld,
+    TargetLeaving,
+    TargetLost,
+    TargetSeen,
+    TargetStatusSeen,
+)
+
+from ..platform import TargetClaimed, TargetStatusRead
+from ._context import Context
+from ._membership import Membership
+from ._tasks import TaskGroup
+
+_LOG = logging.getLogger(__name__)
+CLAIMS_PER_STEP_MAX = 64
+
+
+class TargetService:
+    """Holds the targets that the assignment gives to this entry VM.
+
+    Args:
+        context: shared parts.
+        membership: other entry VMs of the domain.
+        observe: takes events for the router.
+    """
+
+    def __init__(
+        self, context: Context, membership: Membership, observe: Callable[[Event], None]
+    ) -> None:
+        settings = context.settings
+        self.context = context
+        self.membership = membership
+        self.observe = observe
+        self.leases = LeaseTable(
+            settings.routing.target_lease_s,
+            settings.scheduling.renew_interval_s,
+            settings.scheduling.claim_interval_s,
+        )
+        self.assignment = TargetAssignment(context.incarnation)
+        self.tasks = TaskGroup()
+        self.vms: dict[str, VmInfo] = {}
+        self.services: set[str] = set()
+
+    def set_listed(self, vms: list[VmInfo]) -> None:
+        """Take the VM list."""
+        targets = [vm for vm in vms if vm.role is VmRole.TARGET]
+        self.services = {vm.service for vm in targets}
+        own = {vm.name: vm for vm in targets if vm.failure_domain == self.context.domain}
+        for name in set(self.vms).difference(own):
+            self.leases.forget([name])
+            self.observe(TargetGone(name))
+        for name, vm in own.items():
+            if name in self.vms and self.vms[name].address != vm.address:
+                # A VM that replaced a target under its name grants afresh.
+                self.leases.forget([name])
+                self.observe(TargetGone(name))
+            self.observe(TargetSeen(vm))
+            if vm.state is VmState.LEAVING:
+                self.observe(TargetLeaving(name))
+        self.vms = own
+
+    def held(self) -> frozenset[str]:
+        """Return the targets whose lease may be acted on now."""
+        return self.leases.held(self.context.now_s())
+
+    def step(self) -> None:
+        """Start the claims that are due and give up targets of better owners."""
+        now_s = self.context.now_s()
+        members = [p.incarnation for p in self.membership.live_peers() if not p.draining]
+        plan = self.assignment.decide(
+            list(self.vms), members, self.held(), now_s, draining=False
+        )
+        self.leases.track(plan.claim + plan.keep, now_s)
+        wanted = set(plan.claim) | set(plan.keep)
+        stale = [name for name in self.leases.names() if name not in wanted]
+        for name in self.leases.lapsed(now_s):
+            _LOG.warning("lease of target %s lapsed", name)
+            self.observe(TargetLost(name))
+        self._release(stale)
+        for name in self.leases.due(now_s, CLAIMS_PER_STEP_MAX):
+            if name in self.vms:
+                self.tasks.spawn(self._claim(name))
+
+    async def release_all(self) -> None:
+        """Give up all leases after the last request has ended."""
+        self._release(self.leases.names())
+        await asyncio.sleep(0)
+        await self.tasks.drain()
+
+    def poll(self, name: str) -> None:
+        """Read the status of a target."""
+        self.tasks.spawn(self._poll(name))
+
+    def _release(self, names: list[str]) -> None:
+        for name, epoch in self.leases.release(names):
+            self.observe(TargetLost(name))
+            if name in self.vms:
+                self.tasks.spawn(self._send_release(name, epoch))
+        self.leases.forget(names)
+
+    async def _send_release(self, name: str, epoch: int) -> None:
+        vm = self.vms.get(name)
+        if vm is not None:
+            release = self.context.clients.target.release
+            await self.context.pools.run("control", release, vm.address, epoch)
+
+    async def _claim(self, name: str) -> None:
+        vm = self.vms[name]
+        if name not in self.leases:
+            return
+        sent_s = self.leases.begin(name, self.context.now_s())
+        answer = await self.context.pools.run(
+            "control",
+            self.context.clients.target.claim,
+            vm.address,
+            self.context.incarnation,
+            self.context.settings.routing.target_lease_s,
+        )
+        now_s = self.context.now_s()
+        match answer:
+            case TargetClaimed(answer=claim) if claim.granted:
+                self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
+                if self.leases.may_act(name, now_s):
+                    self.observe(
+                        TargetHeld(
+                            name=name,
+                            epoch=claim.epoch,
+                            in_progress=claim.in_progress,
+                            boot_id=claim.boot_id,
+                            leaving=claim.leaving,
+                            lease_until_s=self.leases.lease_until_s(name, now_s),
+                            asked_s=sent_s,
+                        )
+                    )
+            case TargetClaimed(answer=claim):
+                self.leases.on_refused(name, claim.epoch, now_s)
+            case _:
+                self.leases.on_failed(name, now_s)
+
+    async def _poll(self, name: str) -> None:
+        vm = self.vms.get(name)
+        if vm is None:
+            return
+        asked_s = self.context.now_s()
+        answer = await self.context.pools.run(
+            "control", self.context.clients.target.status, vm.address
+        )
+        match answer:
+            case TargetStatusRead(status=status):
+                self.observe(TargetStatusSeen(name, status, asked_s))
+                if status.leaving:
+                    self.observe(TargetLeaving(name))
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
@@ -0,0 +1,253 @@
+"""Claims, renewals and commands of the workers of the own failure domain."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+import attrs
+
+from fireflywharf_core.leases import LeaseGained, LeaseTable, margin_s
+from fireflywharf_core.platform import ClaimAnswer, CommandAnswer, VmInfo, WorkerCommand
+
+from ..platform import CommandsDone, Failed, RefusedBeforeRun, WorkerClaimed, WorkerListed
+from ._context import Context
+from ._tasks import TaskGroup
+
+_LOG = logging.getLogger(__name__)
+COMMANDS_PER_CALL_MAX = 200
+
+
+@dataclass(frozen=True, slots=True)
+class CommandTaken:
+    """The worker answered the command."""
+
+    answer: CommandAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class CommandNotRun:
+    """The command certainly had no effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CommandUncertain:
+    """The command was sent and its answer was lost."""
+
+
+CommandResult = CommandTaken | CommandNotRun | CommandUncertain
+OnResult = Callable[[CommandResult], None]
+
+
+@attrs.define(slots=True)
+class _Row:
+    """State of one worker.
+
+    `last_claim_s` is the end of the last claim that may have renewed task leases.
+    """
+
+    vm: VmInfo
+    queue: deque[tuple[WorkerCommand, OnResult]] = attrs.field(factory=deque)
+    sending: bool = False
+    last_claim_s: float = float("-inf")
+    unreachable_since_s: float | None = None
+    ended_reported: bool = False
+
+
+class WorkerGateway:
+    """Keeps leases of workers and sends commands under them.
+
+    Args:
+        context: shared parts.
+        tasks: background tasks of the owner.
+        may_command: whether this process holds a majority; asked before each call.
+        on_report: called with the worker, its claim answer, and the time before the claim.
+        on_lost: called with the worker and whether its attempts have certainly ended.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        tasks: TaskGroup,
+        may_command: Callable[[], bool],
+        on_report: Callable[[str, ClaimAnswer, float], None],
+        on_lost: Callable[[str, bool], None],
+    ) -> None:
+        settings = context.settings.scheduling
+        self.context = context
+        self.tasks = tasks
+        self.may_command = may_command
+        self.on_report = on_report
+        self.on_lost = on_lost
+        self.leases = LeaseTable(
+            settings.holder_lease_s, settings.renew_interval_s, settings.claim_interval_s
+        )
+        self.holders: dict[str, str] = {}
+        self._rows: dict[str, _Row] = {}
+
+    def held(self) -> frozenset[str]:
+        """Return the workers whose lease may be acted on now."""
+        return self.leases.held(self.context.now_s())
+
+    def unreachable_since_s(self) -> dict[str, float]:
+        """Return since when the workers that do not answer have not answered."""
+        rows = self._rows.items()
+        return {
+            name: row.unreachable_since_s
+            for name, row in rows
+            if row.unreachable_since_s is not None
+        }
+
+    def track(self, workers: dict[str, VmInfo]) -> None:
+        """Claim exactly these workers from now on."""
+        for name, vm in workers.items():
+            row = self._rows.get(name)
+            if row is None or row.vm.address != vm.address:
+                self._drop([name])
+                self._rows[name] = _Row(vm)
+            else:
+                row.vm = vm
+        self._drop(sorted(set(self._rows).difference(workers)))
+        self.leases.track(workers, self.context.now_s())
+
+    def step(self, limit: int) -> None:
+        """Start the claims that are due and report lapsed leases."""
+        now_s = self.context.now_s()
+        for name in self.leases.lapsed(now_s):
+            _LOG.warning("lease of worker %s lapsed", name)
+            self._drop_commands(name)
+            self.on_lost(name, False)
+        for name in self.leases.due(now_s, limit):
+            if name in self._rows:
+                self.tasks.spawn(self._claim(name))
+        self._report_ended(now_s)
+
+    async def release_all(self) -> None:
+        """Give up all leases, so that the next scheduler need not wait for them to lapse."""
+        names = self.leases.names()
+        worker = self.context.clients.worker
+        calls = [
+            self.context.pools.run("workers", worker.release, self._rows[name].vm.address, epoch)
+            for name, epoch in self.leases.release(names)
+        ]
+        self._drop(names)
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    def send(self, name: str, command: WorkerCommand, on_result: OnResult) -> None:
+        """Queue a command; commands of one worker are sent in order and in groups."""
+        row = self._rows.get(name)
+        if row is None:
+            on_result(CommandNotRun("unknown_worker"))
+            return
+        row.queue.append((command, on_result))
+        if not row.sending:
+            row.sending = True
+            self.tasks.spawn(self._send_queue(name, row))
+
+    def _drop(self, names: Collection[str]) -> None:
+        for name in list(names):
+            self._drop_commands(name)
+            self._rows.pop(name, None)
+        self.leases.forget(names)
+
+    def _drop_commands(self, name: str) -> None:
+        row = self._rows.get(name)
+        while row is not None and row.queue:
+            row.queue.popleft()[1](CommandNotRun("stale_epoch"))
+
+    async def _claim(self, name: str) -> None:
+        row = self._rows.get(name)
+        if row is None:
+            return
+        worker = self.context.clients.worker
+        was_held = self.leases.may_act(name, self.context.now_s())
+        if not was_held and row.unreachable_since_s is not None:
+            # A claim could prolong the tasks of a worker whose answers are lost, so a worker that
+            # fell silent is first asked without effect.
+            listed = await self.context.pools.run("workers", worker.list, row.vm.address)
+            if not isinstance(listed, WorkerListed):
+                self.leases.on_failed(name, self.context.now_s())
+                return
+        sent_s = self.leases.begin(name, self.context.now_s()) if name in self.leases else 0.0
+        settings = self.context.settings.scheduling
+        answer = await self.context.pools.run(
+            "workers",
+            worker.claim,
+            row.vm.address,
+            self.context.incarnation,
+            settings.holder_lease_s,
+            was_held and self.may_command(),
+        )
+        self._take_claim(name, row, answer, sent_s)
+
+    def _take_claim(self, name: str, row: _Row, answer: object, sent_s: float) -> None:
+        now_s = self.context.now_s()
+        row.last_claim_s = now_s
+        if self._rows.get(name) is not row:
+            return
+        match answer:
+            case WorkerClaimed(answer=claim) if claim.granted:
+                row.unreachable_since_s, row.ended_reported = None, False
+                self.holders[name] = self.context.incarnation
+                result = self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
+                if isinstance(result, LeaseGained):
+                    self._drop_commands(name)
+                    _LOG.info("lease of worker %s gained", name, extra={"epoch": claim.epoch})
+                if self.leases.may_act(name, now_s):
+                    self.on_report(name, claim, sent_s)
+            case WorkerClaimed(answer=claim):
+                row.unreachable_since_s, row.ended_reported = None, False
+                self.holders[name] = claim.holder
+                self.leases.on_refused(name, claim.epoch, now_s)
+            case _:
+                if row.unreachable_since_s is None:
+                    row.unreachable_since_s = sent_s
+                self.leases.on_failed(name, now_s)
+
+    def _report_ended(self, now_s: float) -> None:
+        task_lease_s = self.context.settings.scheduling.task_lease_s
+        wait_s = task_lease_s + margin_s(task_lease_s) + self.context.settings.platform.timeout_s
+        for name, row in self._rows.items():
+            if row.unreachable_since_s is None or row.ended_reported:
+                continue
+            if now_s - row.last_claim_s >= wait_s and now_s - row.unreachable_since_s >= wait_s:
+                row.ended_reported = True
+                self.on_lost(name, True)
+
+    async def _send_queue(self, name: str, row: _Row) -> None:
+        try:
+            while row.queue:
+                count = min(len(row.queue), COMMANDS_PER_CALL_MAX)
+                batch = [row.queue.popleft() for _ in range(count)]
+                await self._send_batch(name, row, batch)
+        finally:
+            row.sending = False
+
+    async def _send_batch(
+        self, name: str, row: _Row, batch: list[tuple[WorkerCommand, OnResult]]
+    ) -> None:
+        # A pause can follow this check; then the worker refuses the epoch.
+        if not (self.may_command() and self.leases.may_act(name, self.context.now_s())):
+            results: list[CommandResult] = [CommandNotRun("stale_epoch")] * len(batch)
+        else:
+            answer = await self.context.pools.run(
+                "workers",
+                self.context.clients.worker.commands,
+                row.vm.address,
+                self.leases.epoch(name),
+                [command for command, _ in batch],
+            )
+            match answer:
+                case CommandsDone(answers=answers) if len(answers) == len(batch):
+                    results = [CommandTaken(one) for one in answers]
+                case RefusedBeforeRun():
+                    results = [CommandNotRun("stale_epoch")] * len(batch)
+                case Failed(bytes_sent=False):
+                    results = [CommandNotRun("unreachable")] * len(batch)
+                case _:
+                    results = [CommandUncertain()] * len(batch)
+        for (_, on_result), result in zip(batch, results, strict=True):
+            on_result(result)
