Follow the moved field checker and harden the stand-in servers

Idle new connections could also occupy all threads of a worker, and concurrent fault changes could race on the port. The stand-ins use `fireflywharf_core.checking`; new connections wait in the selector; one lock orders starts and stops; `down = "hang"` accepts calls and never answers.

--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_faults.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_faults.py
@@ -6,9 +6,11 @@
 
 import attrs
 
-from fireflywharf_core._checking import FieldChecker
+from fireflywharf_core.checking import FieldChecker
 from fireflywharf_core.results import Problem, ResultCode
 
+_Down = Literal["", "refuse", "error", "hang"]
+
 
 @attrs.frozen(slots=True, kw_only=True)
 class FaultSettings:
@@ -16,20 +18,22 @@
 
     Args:
         slow_s: delay before each call is handled.
-        down: `refuse` closes the listening socket and all connections, `error` answers 503.
+        down: `refuse` closes the listening socket and all connections, `error` answers 503, `hang`
+            accepts calls and neither runs nor answers them.
         lose_answer_p: probability that the connection closes after the effect without an answer.
         cut_answer_p: probability that the connection closes in the middle of the answer.
         fail_p: probability that a call fails: a log or VM list answers 500 without an effect, a
             worker fails the started attempt at once, a target runs the request and answers 500.
         silent: connections that exist now never carry an answer again; new ones work.
         lag_s: additional lag of the VM list and of usage reports.
-        only: path prefixes that the faults apply to; empty means all.
+        only: path prefixes that the faults apply to; empty means all. `refuse`, `hang` and `silent`
+            always apply to all.
         duration_s: time until all faults end; zero means until the next change.
         seed: seed of the probabilities.
     """
 
     slow_s: float = 0.0
-    down: Literal["", "refuse", "error"] = ""
+    down: _Down = ""
     lose_answer_p: float = 0.0
     cut_answer_p: float = 0.0
     fail_p: float = 0.0
@@ -70,7 +74,7 @@
         name: take(name, float, "0 to 1", 0.0, _is_probability)
         for name in ("lose_answer_p", "cut_answer_p", "fail_p")
     }
-    fields["down"] = take("down", Literal["", "refuse", "error"], 'refuse, error or ""', "")
+    fields["down"] = take("down", _Down, 'refuse, error, hang or ""', "")
     fields["silent"] = take("silent", bool, "true or false", False)
     fields["only"] = take("only", list[str], "a list of path prefixes", [])
     fields["seed"] = take("seed", int, "a whole number", 0)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_lease_routes.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_lease_routes.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable
 
-from fireflywharf_core._checking import FieldChecker
+from fireflywharf_core.checking import FieldChecker
 from fireflywharf_core.platform import ClaimAnswer
 from fireflywharf_core.results import ResultCode
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_log.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_log.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from fireflywharf_core._checking import FieldChecker
+from fireflywharf_core.checking import FieldChecker
 from fireflywharf_core.history import AppendDone
 from fireflywharf_core.platform import AppendAnswer, LogEntry, ReadAnswer
 from fireflywharf_core.results import ResultCode
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_server.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_server.py
@@ -77,6 +77,16 @@
     request_queue_size = 256
     stand_in: "StandInServer"
 
+    def process_conn(self, conn: _Connection) -> None:
+        """Wait for data on a new connection in the selector instead of in a thread.
+
+        A client that connects and sends nothing would otherwise occupy one of few threads.
+        """
+        if conn.last_used is None:
+            self.put_conn(conn)
+        else:
+            super().process_conn(conn)
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Write errors of the server to the module's logger."""
         _logger.log(level, "%s", msg, exc_info=traceback)
@@ -131,11 +141,12 @@
         self.connections_count = connections_count
         self.host = host
         self.port = port
-        self._lock = threading.RLock()
+        self._lock = threading.Lock()
+        self._life_lock = threading.RLock()
         self._plan = FaultPlan()
         self._silent_before_s = 0.0
         self._parked: list[_Connection] = []
-        self._refusing = False
+        self._refusing = threading.Event()
         self._server: _HttpServer | None = None
         self._thread: threading.Thread | None = None
         self._timer: threading.Timer | None = None
@@ -152,8 +163,8 @@
 
     def start(self) -> None:
         """Listen and serve; does nothing when the server runs."""
-        with self._lock:
-            self._refusing = False
+        with self._life_lock:
+            self._refusing.clear()
             if self._server is not None:
                 return
             self.port = self.port or free_port(self.host)
@@ -172,41 +183,44 @@
 
     def refuse(self) -> None:
         """Drop every call from now on without an effect or an answer, until `start`."""
-        self._refusing = True
+        self._refusing.set()
 
     def stop(self) -> None:
         """Close the listening socket and all connections."""
-        with self._lock:
-            server, self._server = self._server, None
-            parked, self._parked = self._parked, []
-            if self._timer is not None:
-                self._timer.cancel()
-        if server is not None:
-            server.stop()
-            if self._thread is not None:
+        self.refuse()
+        with self._life_lock:
+            self._cancel_timer()
+            if self._server is not None and self._thread is not None:
+                self._server.stop()
                 self._thread.join()
-        for connection in parked:
-            connection.parked = False
-            connection.close()
+                self._server = None
+            with self._lock:
+                parked, self._parked = self._parked, []
+            for connection in parked:
+                connection.parked = False
+                connection.close()
 
     def set_faults(self, settings: FaultSettings) -> None:
         """Replace the faults of this stand-in."""
-        with self._lock:
-            if self._timer is not None:
-                self._timer.cancel()
-                self._timer = None
-            self._plan = FaultPlan(settings)
-            if settings.silent:
-                self._silent_before_s = time.monotonic()
-        if settings.down == "refuse":
-            self.refuse()
-            self.stop()
-        else:
-            self.start()
-        if settings.duration_s > 0:
-            self._timer = threading.Timer(settings.duration_s, self.set_faults, [NO_FAULTS])
-            self._timer.daemon = True
-            self._timer.start()
+        with self._life_lock:
+            self._cancel_timer()
+            with self._lock:
+                self._plan = FaultPlan(settings)
+                if settings.silent:
+                    self._silent_before_s = time.monotonic()
+            if settings.down == "refuse":
+                self.stop()
+            else:
+                self.start()
+            if settings.duration_s > 0:
+                self._timer = threading.Timer(settings.duration_s, self.set_faults, [NO_FAULTS])
+                self._timer.daemon = True
+                self._timer.start()
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     def serve_call(self, request: Any, call: Call) -> None:
         """Handle one call; runs in a thread of the HTTP server."""
@@ -217,8 +231,9 @@
             faults = self._plan.next_call(call.path)
         if self._drop(request):
             return
-        if faults.slow_s:
-            time.sleep(faults.slow_s)
+        if faults.slow_s and self._refusing.wait(faults.slow_s):
+            request.close_connection = True
+            return
         if faults.error:
             answer = json_answer({"detail": f"{self.name} is down"}, 503)
         else:
@@ -249,10 +264,11 @@
 
     def _drop(self, request: Any) -> bool:
         """Close a connection when the server is down, or keep it open and silent."""
-        if self._refusing:
+        if self._refusing.is_set():
             request.close_connection = True
             return True
-        if request.conn.opened_s >= self._silent_before_s:
+        silent = request.conn.opened_s < self._silent_before_s
+        if not silent and self.faults.down != "hang":
             return False
         request.conn.parked = True
         request.close_connection = True
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_topology.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_topology.py
@@ -8,11 +8,10 @@
 
 import attrs
 
-from fireflywharf_core._checking import FieldChecker
+from fireflywharf_core.checking import NAME_TEXT, FieldChecker, is_name
 from fireflywharf_core.resources import ResourceVector
 from fireflywharf_core.results import Problem, ResultCode
 
-_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
 _CODE = ResultCode.INVALID_SETTINGS
 
 
@@ -89,10 +88,6 @@
     return lambda value: math.isfinite(value) and value >= low
 
 
-def _is_name(value: str) -> bool:
-    return _NAME.fullmatch(value) is not None
-
-
 def _numbers(checker: FieldChecker, kind: type, defaults: dict[str, Any], low: float) -> dict:
     accepted = f"a number of at least {low}"
     return {
@@ -123,7 +118,7 @@
 
 def _parse_targets(data: Any, path: str, problems: list[Problem]) -> TargetGroup | None:
     checker = FieldChecker(data, _CODE, path)
-    service = checker.take("service", str, "lower-case letters, digits and hyphens", check=_is_name)
+    service = checker.take("service", str, NAME_TEXT, check=is_name)
     counts = _numbers(checker, int, {"count": 1, "slots_count": 8, "connections_count": 64}, 1)
     times = _numbers(checker, float, {"service_ms": 20.0, "service_sigma": 0.0}, 0)
     times |= _numbers(checker, float, {"straggler_percent": 0.0, "straggler_factor": 20.0}, 0)
@@ -135,7 +130,7 @@
 def _parse_domain(data: Any, path: str, problems: list[Problem]) -> Domain | None:
     checker = FieldChecker(data, _CODE, path)
     fields = {
-        name: checker.take(name, str, "lower-case letters, digits and hyphens", check=_is_name)
+        name: checker.take(name, str, NAME_TEXT, check=is_name)
         for name in ("name", "region")
     }
     fields |= _numbers(checker, int, {"entry_vms_count": 1}, 0)
