Add mesh transport between entry VMs

Cause: entry VMs exchange heartbeats, digests and calls, and a call must say whether anything was sent when it fails. Change: Mesh over pynng Push/Pull with one sender thread, one receiver thread and a bounded pool for calls; queues per peer are bounded, a newer heartbeat replaces an older one, silent connections are opened anew, and failures are Unreachable, CallRefused or NoAnswer.

--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_calls.py
@@ -0,0 +1,108 @@
+"""Calls that wait for their answers."""
+
+import heapq
+import itertools
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ._outcomes import NoAnswer, Unreachable
+
+
+@attrs.define(slots=True)
+class PendingCall:
+    """A call without an outcome.
+
+    Args:
+        address: mesh address of the peer.
+        deadline_s: time until which the caller waits.
+        on_done: receives the answer or the failure, once.
+        sent: whether bytes of the call left this process.
+    """
+
+    address: str
+    deadline_s: float
+    on_done: Callable[[Any], None]
+    sent: bool = False
+
+
+class CallTable:
+    """Pending calls by number, with their deadlines; safe for several threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, PendingCall] = {}
+        self._deadlines: list[tuple[float, int]] = []
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def add(self, call: PendingCall) -> int:
+        """Register a call and return its number."""
+        with self._lock:
+            call_id = next(self._numbers)
+            self._pending[call_id] = call
+            heapq.heappush(self._deadlines, (call.deadline_s, call_id))
+        return call_id
+
+    def mark_sent(self, call_id: int) -> None:
+        """Note that bytes of a call are about to leave this process."""
+        with self._lock:
+            call = self._pending.get(call_id)
+            if call is not None:
+                call.sent = True
+
+    def finish(self, call_id: int, outcome: Any, address: str | None = None) -> bool:
+        """Give a call its outcome.
+
+        Args:
+            call_id: number of the call.
+            outcome: answer or failure.
+            address: if given, only a call to this peer is finished.
+
+        Returns:
+            Whether the call was pending; late answers find none.
+        """
+        with self._lock:
+            call = self._pending.get(call_id)
+            if call is None or (address is not None and call.address != address):
+                return False
+            del self._pending[call_id]
+        call.on_done(outcome)
+        return True
+
+    def next_deadline_s(self) -> float | None:
+        """Return the earliest deadline; calls that have ended may still count."""
+        with self._lock:
+            return self._deadlines[0][0] if self._deadlines else None
+
+    def expired(self, now_s: float) -> list[tuple[int, PendingCall]]:
+        """Return the pending calls whose deadline has passed."""
+        found = []
+        with self._lock:
+            while self._deadlines and self._deadlines[0][0] <= now_s:
+                _, call_id = heapq.heappop(self._deadlines)
+                call = self._pending.get(call_id)
+                if call is not None:
+                    found.append((call_id, call))
+        return found
+
+    def to_peer(self, address: str) -> list[tuple[int, PendingCall]]:
+        """Return the pending calls to one peer."""
+        with self._lock:
+            return [
+                (call_id, call)
+                for call_id, call in self._pending.items()
+                if call.address == address
+            ]
+
+    def fail_all(self, detail: str) -> None:
+        """Give every pending call a failure."""
+        with self._lock:
+            pending, self._pending = self._pending, {}
+            self._deadlines.clear()
+        for call in pending.values():
+            call.on_done(NoAnswer(detail) if call.sent else Unreachable(detail))
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_incoming.py
@@ -0,0 +1,100 @@
+"""Handling of calls from peers in a bounded pool of threads."""
+
+import concurrent.futures
+import logging
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from fireflywharf_core.messages import MESSAGE_CODEC, Envelope
+from fireflywharf_core.records import UndecodableError, UnknownTypeError
+
+from ._frames import FrameKind, Sender
+from ._outcomes import IncomingCall
+
+_logger = logging.getLogger(__name__)
+
+
+class CallHandler:
+    """Runs the handler of incoming calls and sends its answers.
+
+    Args:
+        incarnation: incarnation of this process.
+        on_call: returns the answer, or None if it replies later.
+        put_frame: queues an answer; takes address, kind, body and the reason for counters.
+        threads_count: calls handled at once.
+        waiting_max: calls that wait for a thread; further ones are refused.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        on_call: Callable[[IncomingCall], Any],
+        put_frame: Callable[[str, FrameKind, bytes, str], None],
+        threads_count: int,
+        waiting_max: int,
+    ) -> None:
+        self.incarnation = incarnation
+        self.on_call = on_call
+        self.put_frame = put_frame
+        self.threads_count = threads_count
+        self.waiting_max = waiting_max
+        self._room = threading.BoundedSemaphore(threads_count + waiting_max)
+        self._pool = concurrent.futures.ThreadPoolExecutor(threads_count, "mesh-call")
+
+    def accept(self, sender: Sender, envelope: Envelope) -> None:
+        """Give a call to the pool, or refuse it.
+
+        Args:
+            sender: peer that calls.
+            envelope: the call.
+        """
+        try:
+            message = MESSAGE_CODEC.decode(envelope.payload)
+        except (UnknownTypeError, UndecodableError) as error:
+            self._refuse(sender, envelope, f"message cannot be read: {error}")
+            return
+        if not self._room.acquire(blocking=False):
+            self._refuse(sender, envelope, "too many calls wait")
+            return
+        deadline_s = time.monotonic() + envelope.budget_ms / 1000
+
+        def send_reply(answer: Any | None) -> None:
+            kind = FrameKind.FAILED if answer is None else FrameKind.ANSWER
+            payload = b"" if answer is None else MESSAGE_CODEC.encode(answer)
+            self._reply(sender, envelope, kind, payload, type(answer).__name__)
+
+        call = IncomingCall(sender, message, deadline_s, send_reply)
+        try:
+            self._pool.submit(self._handle, call, envelope)
+        except RuntimeError:
+            self._room.release()
+            self._refuse(sender, envelope, "the daemon is shutting down")
+
+    def close(self) -> None:
+        """Stop the pool without waiting for handlers that run."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _handle(self, call: IncomingCall, envelope: Envelope) -> None:
+        try:
+            if time.monotonic() >= call.deadline_s:
+                self._refuse(call.sender, envelope, "the time budget passed before handling")
+                return
+            answer = self.on_call(call)
+            if answer is not None:
+                call.reply(answer)
+        except Exception:
+            _logger.exception("handler of a mesh call failed")
+            call.fail()
+        finally:
+            self._room.release()
+
+    def _refuse(self, sender: Sender, envelope: Envelope, detail: str) -> None:
+        self._reply(sender, envelope, FrameKind.REFUSED, detail.encode("utf-8"), "refused")
+
+    def _reply(
+        self, sender: Sender, envelope: Envelope, kind: FrameKind, payload: bytes, reason: str
+    ) -> None:
+        answer = Envelope(self.incarnation, envelope.call_id, envelope.budget_ms, payload)
+        self.put_frame(sender.address, kind, MESSAGE_CODEC.encode(answer), reason)
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
@@ -0,0 +1,387 @@
+"""Mesh of entry VMs: one sender thread, one receiver thread and a pool for incoming calls."""
+
+import concurrent.futures
+import logging
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pynng
+
+from fireflywharf_core.messages import MESSAGE_CODEC, DomainDigest, Envelope, Heartbeat
+from fireflywharf_core.records import UndecodableError, UnknownTypeError
+
+from ._calls import CallTable, PendingCall
+from ._frames import (
+    FRAME_OVERHEAD_BYTES,
+    MESSAGE_MAX_BYTES,
+    Frame,
+    FrameKind,
+    Sender,
+    decode_frame,
+    encode_frame,
+    is_peer_address,
+)
+from ._incoming import CallHandler
+from ._link import Link, Outgoing
+from ._outcomes import CallRefused, IncomingCall, MeshObserver, NoAnswer, Unreachable
+
+_logger = logging.getLogger(__name__)
+
+LINKS_MAX_COUNT = 512
+# Time between looks at the connections while calls are pending, and otherwise.
+TICK_S = 0.1
+IDLE_TICK_S = 0.5
+ROUND_MIN_S = 0.0001
+# Longest delay between a new connection and the first frame on it.
+CONNECT_POLL_S = 0.01
+RECEIVE_TIMEOUT_MS = 1000
+# The sender thread ends calls at their deadline; this covers its delay under load.
+CALL_MARGIN_S = 2.0
+# A failed connection attempt costs about 1.6 ms of processor time in nng, so that 70 lost peers
+# tried once a second would take a tenth of a core. Peers of other domains are tried less often.
+RECONNECT_MAX_S = 8.0
+DOMAIN_RECONNECT_MAX_S = 1.0
+# nng drops what its transport has not yet written when a socket is closed.
+FLUSH_S = 0.05
+_REPLACED_BY_NEWER = (Heartbeat, DomainDigest)
+
+
+class Mesh:
+    """Sends and receives messages and calls.
+
+    Args:
+        listen: own mesh address `ip:port`, at which peers answer.
+        incarnation: incarnation of this process.
+        on_message: receives the sender and the message; runs in the receiver thread and must not
+            block.
+        on_call: receives an `IncomingCall` in a thread of the pool and returns the answer, or
+            None if it will call `IncomingCall.reply` later, from any thread.
+        domain_peers: addresses of peers that are tried again every second.
+        call_threads_count: incoming calls handled at once.
+        queue_max_messages: frames that wait for one peer, and incoming calls that wait for a
+            thread; further ones are refused.
+        observer: is told of traffic and drops.
+
+    Example:
+        >>> mesh = Mesh("127.0.0.1:7101", "entry-1#1", print, lambda call: None)
+        >>> mesh.start()
+        >>> mesh.close()
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        incarnation: str,
+        on_message: Callable[[Sender, Any], None],
+        on_call: Callable[[IncomingCall], Any],
+        domain_peers: frozenset[str] = frozenset(),
+        call_threads_count: int = 16,
+        queue_max_messages: int = 1000,
+        observer: MeshObserver | None = None,
+    ) -> None:
+        self.listen = listen
+        self.incarnation = incarnation
+        self.on_message = on_message
+        self.on_call = on_call
+        self.domain_peers = domain_peers
+        self.call_threads_count = call_threads_count
+        self.queue_max_messages = queue_max_messages
+        self.observer = observer
+        self._sender = Sender(incarnation, listen)
+        self._calls = CallTable()
+        self._links: dict[str, Link] = {}
+        self._changed = threading.Condition()
+        self._stopping = False
+        self._receiver_socket: pynng.Pull0 | None = None
+        self._handler = CallHandler(
+            incarnation, on_call, self._put_control, call_threads_count, queue_max_messages
+        )
+        self._threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Listen and start the threads.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        receiver = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS, recv_max_size=MESSAGE_MAX_BYTES)
+        try:
+            receiver.listen(f"tcp://{self.listen}")
+        except pynng.NNGException as error:
+            receiver.close()
+            raise OSError(f"cannot listen on mesh address {self.listen}: {error}") from error
+        self._receiver_socket = receiver
+        for name, target in (("mesh-send", self._send_loop), ("mesh-receive", self._receive_loop)):
+            thread = threading.Thread(target=target, name=name, daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def send(self, address: str, message: Any) -> bool:
+        """Queue a one-way message; never blocks.
+
+        Args:
+            address: mesh address of the peer.
+            message: a message of `MESSAGE_CODEC`.
+
+        Returns:
+            Whether the message was queued; a queued message can still be lost.
+        """
+        data = encode_frame(FrameKind.MESSAGE, self._sender, MESSAGE_CODEC.encode(message))
+        replaces = isinstance(message, _REPLACED_BY_NEWER)
+        item = Outgoing(type(message).__name__, lambda: data, replaces=replaces)
+        return self._put(address, item, len(data))
+
+    def call(self, address: str, message: Any, budget_ms: int) -> Any:
+        """Call a peer and wait for its answer.
+
+        Args:
+            address: mesh address of the peer.
+            message: a message of `MESSAGE_CODEC`.
+            budget_ms: time to wait.
+
+        Returns:
+            The answer, or `Unreachable`, `CallRefused` or `NoAnswer`.
+        """
+        outcome: concurrent.futures.Future[Any] = concurrent.futures.Future()
+        self.start_call(address, message, budget_ms, outcome.set_result)
+        try:
+            return outcome.result(budget_ms / 1000 + CALL_MARGIN_S)
+        except concurrent.futures.TimeoutError:
+            return NoAnswer("the mesh is overloaded")
+
+    def start_call(
+        self, address: str, message: Any, budget_ms: int, on_done: Callable[[Any], None]
+    ) -> None:
+        """Call a peer without waiting.
+
+        Args:
+            address: mesh address of the peer.
+            message: a message of `MESSAGE_CODEC`.
+            budget_ms: time until the outcome is `Unreachable` or `NoAnswer`.
+            on_done: receives the outcome once, in a thread of the mesh or in this one; must not
+                block.
+        """
+        if budget_ms <= 0:
+            on_done(Unreachable("the time budget is used up"))
+            return
+        link = self._link(address)
+        if link is None or link.unreachable:
+            on_done(Unreachable(f"no connection to {address}"))
+            return
+        payload = MESSAGE_CODEC.encode(message)
+        deadline_s = time.monotonic() + budget_ms / 1000
+        call_id = self._calls.add(PendingCall(address, deadline_s, on_done))
+
+        def build() -> bytes:
+            remaining_ms = max(1, int((deadline_s - time.monotonic()) * 1000))
+            envelope = Envelope(self.incarnation, call_id, remaining_ms, payload)
+            return encode_frame(FrameKind.CALL, self._sender, MESSAGE_CODEC.encode(envelope))
+
+        item = Outgoing(type(message).__name__, build, call_id, deadline_s)
+        if not self._put(address, item, len(payload)):
+            detail = f"the queue for {address} is full or the message is too large"
+            self._calls.finish(call_id, Unreachable(detail))
+
+    def close(self) -> None:
+        """Send what is queued for live connections, fail pending calls and free everything."""
+        with self._changed:
+            if self._stopping:
+                return
+            self._stopping = True
+            self._changed.notify_all()
+        self._handler.close()
+        if self._receiver_socket is not None:
+            self._receiver_socket.close()
+        for thread in self._threads:
+            thread.join()
+        self._calls.fail_all("the daemon is shutting down")
+        for link in self._links.values():
+            link.close()
+
+    def _link(self, address: str) -> Link | None:
+        with self._changed:
+            link = self._links.get(address)
+            if link is not None:
+                return link
+            if self._stopping or len(self._links) >= LINKS_MAX_COUNT:
+                return None
+            if not is_peer_address(address):
+                return None
+            reconnect_max_s = (
+                DOMAIN_RECONNECT_MAX_S if address in self.domain_peers else RECONNECT_MAX_S
+            )
+            link = Link(address, self.queue_max_messages, reconnect_max_s)
+            self._links[address] = link
+            return link
+
+    def _put(self, address: str, item: Outgoing, size_bytes: int) -> bool:
+        link = self._link(address)
+        if link is None or size_bytes > MESSAGE_MAX_BYTES - 1024:
+            self._drop(address, item.reason)
+            return False
+        queued, dropped = link.put(item)
+        if dropped is not None:
+            self._drop(address, dropped)
+        with self._changed:
+            self._changed.notify()
+        return queued
+
+    def _drop(self, address: str, reason: str) -> None:
+        if self.observer is not None:
+            self.observer.mesh_dropped(address, reason)
+
+    def _put_control(self, address: str, kind: FrameKind, body: bytes, reason: str = "") -> None:
+        data = encode_frame(kind, self._sender, body)
+        self._put(address, Outgoing(reason or kind.name.lower(), lambda: data), len(data))
+
+    def _send_loop(self) -> None:
+        while not self._stopping:
+            try:
+                wait_s = self._send_round()
+            except Exception:
+                _logger.exception("mesh sender failed in one round")
+                wait_s = TICK_S
+            with self._changed:
+                if not self._stopping and wait_s > 0:
+                    self._changed.wait(wait_s)
+        end_s = time.monotonic() + FLUSH_S
+        while time.monotonic() < end_s and any(link.has_waiting for link in self._links.values()):
+            time.sleep(self._send_round() / 10)
+        time.sleep(FLUSH_S)
+
+    def _send_round(self) -> float:
+        """Send what can be sent and end expired calls; returns the time until the next round."""
+        now_s = time.monotonic()
+        next_s = now_s + (TICK_S if len(self._calls) else IDLE_TICK_S)
+        with self._changed:
+            links = list(self._links.values())
+        for link in links:
+            self._watch_connection(link, now_s)
+            while link.retry_at_s <= now_s and (taken := link.send_next(now_s)) is not None:
+                self._note_taken(link, *taken)
+            if link.has_waiting and not link.unreachable:
+                poll_s = 0.0 if link.connection_id else CONNECT_POLL_S
+                next_s = min(next_s, max(link.retry_at_s, now_s + poll_s))
+        for call_id, call in self._calls.expired(now_s):
+            self._end_expired(call_id, call)
+        deadline_s = self._calls.next_deadline_s()
+        if deadline_s is not None:
+            next_s = min(next_s, deadline_s)
+        return max(ROUND_MIN_S, next_s - time.monotonic())
+
+    def _watch_connection(self, link: Link, now_s: float) -> None:
+        lost = link.refresh_connection()
+        if lost:
+            for call_id, call in self._calls.to_peer(link.address):
+                if call.sent:
+                    detail = f"the connection to {link.address} was lost"
+                    self._calls.finish(call_id, NoAnswer(detail))
+        if link.unreachable:
+            for call_id, _ in self._calls.to_peer(link.address):
+                if link.withdraw(call_id):
+                    self._calls.finish(call_id, Unreachable(f"no connection to {link.address}"))
+        if link.needs_ping(now_s):
+            self._put_control(link.address, FrameKind.PING, b"")
+        if link.reset_if_silent(now_s):
+            _logger.info("mesh peer %s is silent; connecting anew", link.address)
+
+    def _note_taken(self, link: Link, item: Outgoing, size_bytes: int) -> None:
+        if size_bytes == 0:
+            self._drop(link.address, item.reason)
+            self._calls.finish(item.call_id, Unreachable(f"{link.address} took no call in time"))
+            return
+        # Sends, lost connections and expiry are handled in this thread only, so that a call that
+        # was sent is always marked before its outcome is decided.
+        self._calls.mark_sent(item.call_id)
+        if self.observer is not None:
+            self.observer.mesh_sent(link.address, item.reason, size_bytes)
+
+    def _end_expired(self, call_id: int, call: PendingCall) -> None:
+        link = self._links.get(call.address)
+        if link is not None:
+            link.withdraw(call_id)
+        if not call.sent:
+            outcome: Any = Unreachable(f"{call.address} took no call in time")
+        else:
+            outcome = NoAnswer(f"{call.address} did not answer in time")
+        self._calls.finish(call_id, outcome)
+
+    def _receive_loop(self) -> None:
+        receiver = self._receiver_socket
+        while not self._stopping and receiver is not None:
+            try:
+                data = receiver.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                _logger.warning("mesh receiver: %s", error)
+                continue
+            try:
+                self._receive(data)
+            except Exception:
+                _logger.exception("handler of a mesh message failed")
+
+    def _receive(self, data: bytes) -> None:
+        frame = decode_frame(data)
+        if frame is None:
+            self._drop("", "undecodable")
+            return
+        address = frame.sender.address
+        link = self._links.get(address)
+        if link is not None:
+            link.note_received()
+        match frame.kind:
+            case FrameKind.PING:
+                self._put_control(address, FrameKind.PONG, b"")
+                self._count_received(address, "ping", data)
+            case FrameKind.PONG:
+                self._count_received(address, "pong", data)
+            case FrameKind.MESSAGE:
+                message = self._decode(frame, data)
+                if message is not None:
+                    self.on_message(frame.sender, message)
+            case FrameKind.CALL | FrameKind.ANSWER | FrameKind.REFUSED | FrameKind.FAILED:
+                envelope = self._decode(frame, data)
+                if isinstance(envelope, Envelope):
+                    self._receive_envelope(frame, envelope)
+            case _:
+                self._drop(address, "unknown_kind")
+
+    def _count_received(self, address: str, reason: str, data: bytes) -> None:
+        if self.observer is not None:
+            size_bytes = len(data) + FRAME_OVERHEAD_BYTES
+            self.observer.mesh_received(address, reason, size_bytes)
+
+    def _decode(self, frame: Frame, data: bytes) -> Any | None:
+        try:
+            message = MESSAGE_CODEC.decode(frame.body)
+        except UnknownTypeError:
+            self._drop(frame.sender.address, "unknown_type")
+            return None
+        except UndecodableError:
+            self._drop(frame.sender.address, "undecodable")
+            return None
+        self._count_received(frame.sender.address, type(message).__name__, data)
+        return message
+
+    def _receive_envelope(self, frame: Frame, envelope: Envelope) -> None:
+        address, call_id = frame.sender.address, envelope.call_id
+        match frame.kind:
+            case FrameKind.CALL:
+                self._handler.accept(frame.sender, envelope)
+            case FrameKind.REFUSED:
+                detail = envelope.payload.decode("utf-8", "replace")
+                self._calls.finish(call_id, CallRefused(detail), address)
+            case FrameKind.FAILED:
+                detail = f"the handler at {address} failed"
+                self._calls.finish(call_id, NoAnswer(detail), address)
+            case FrameKind.ANSWER:
+                try:
+                    outcome = MESSAGE_CODEC.decode(envelope.payload)
+                except (UnknownTypeError, UndecodableError) as error:
+                    outcome = NoAnswer(f"the answer of {address} cannot be read: {error}")
+                self._calls.finish(call_id, outcome, address)
