Add clients of the platform log, VM list, workers and targets

Cause: the daemon must know for each call whether the other side can have acted on it. Change: pools of urllib3 connections without retries, a deadline socket that counts sent bytes, and the outcomes Success, RefusedBeforeRun and Failed; answers of targets are checked for request id, digest and length, and a connection with a failed check is closed.

--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_vm_list.py
@@ -0,0 +1,33 @@
+"""Client of the platform's VM list."""
+
+import urllib.parse
+
+from fireflywharf_core.platform import VmInfo
+
+from ._json_calls import call_json
+from ._outcomes import PlatformOutcome
+from ._pool import PoolSet
+
+
+class VmListClient:
+    """Reads the VM list, which lags and is a hint only.
+
+    Args:
+        url: base URL with IP number and port.
+        timeout_s: time limit of one call.
+    """
+
+    def __init__(self, url: str, timeout_s: float = 2.0) -> None:
+        self.url = url
+        self.timeout_s = timeout_s
+        self._pools = PoolSet(2, connect_timeout_s=timeout_s)
+
+    def list(self) -> PlatformOutcome[list[VmInfo]]:
+        """Return all VMs of all failure domains."""
+        parts = urllib.parse.urlsplit(self.url)
+        path = f"{parts.path.rstrip('/')}/v1/vms"
+        return call_json(self._pools.get(parts.netloc), "GET", path, list[VmInfo], self.timeout_s)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pools.close()
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_workers.py
@@ -0,0 +1,71 @@
+"""Client of workers."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from fireflywharf_core.platform import ClaimAnswer, CommandAnswer, WorkerCommand, WorkerListing
+
+from ._json_calls import call_json
+from ._outcomes import PlatformOutcome
+from ._pool import PoolSet
+
+CONNECTIONS_COUNT = 2
+
+
+def encode_command(command: WorkerCommand) -> dict[str, Any]:
+    """Return the JSON object of a command."""
+    return {"type": type(command).__name__, **msgspec.to_builtins(command)}
+
+
+class WorkerClient:
+    """Calls workers by address.
+
+    A refusal with `STALE_EPOCH` means that the epoch is not the present one or that the holder
+    lease has lapsed; no command of the call took effect.
+
+    Args:
+        timeout_s: time limit of one call.
+        connect_timeout_s: time limit of a connection attempt.
+    """
+
+    def __init__(self, timeout_s: float = 2.0, connect_timeout_s: float = 1.0) -> None:
+        self.timeout_s = timeout_s
+        self.connect_timeout_s = connect_timeout_s
+        self._pools = PoolSet(CONNECTIONS_COUNT, connect_timeout_s)
+
+    def claim(self, address: str, holder: str, ttl_s: float) -> PlatformOutcome[ClaimAnswer]:
+        """Claim or renew the holder lease; `granted` tells whether it was granted."""
+        return self._call(
+            address, "POST", "/v1/claim", ClaimAnswer, {"holder": holder, "ttl_s": ttl_s}
+        )
+
+    def commands(
+        self, address: str, epoch: int, commands: Sequence[WorkerCommand]
+    ) -> PlatformOutcome[list[CommandAnswer]]:
+        """Send commands; each has its own answer, in order."""
+        data = {"epoch": epoch, "commands": [encode_command(command) for command in commands]}
+        return self._call(address, "POST", "/v1/commands", list[CommandAnswer], data)
+
+    def release(self, address: str, epoch: int) -> PlatformOutcome[None]:
+        """Give up the holder lease."""
+        return self._call(address, "POST", "/v1/release", None, {"epoch": epoch})
+
+    def retain(self, addresses: set[str]) -> None:
+        """Close the connections to all other addresses."""
+        self._pools.retain(addresses)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pools.close()
+
+    def _call(
+        self, address: str, method: str, path: str, answer_type: Any, data: object = None
+    ) -> PlatformOutcome:
+        pool = self._pools.get(address)
+        return call_json(pool, method, path, answer_type, self.timeout_s, data)
+
+    def list(self, address: str) -> PlatformOutcome[WorkerListing]:
+        """Return everything that the worker runs."""
+        return self._call(address, "GET", "/v1/list", WorkerListing)
