--- a/features/documentation.feature
+++ b/features/documentation.feature
@@ -13,3 +13,8 @@
   # Guards against links to pages that were renamed or never written.
   Scenario: links between pages lead to files
     Then every relative link in README.md and docs leads to a file
+
+  # Guards against pasted requests that the daemon refuses as malformed.
+  Scenario: the requests of the page for callers have valid bodies
+    Given a fake daemon with the contract "austral"
+    Then the fake daemon accepts every curl request in docs/callers.md
--- a/features/steps/documentation_steps.py
+++ b/features/steps/documentation_steps.py
@@ -1,16 +1,20 @@
 """Steps for documentation and examples."""
 
 import importlib.util
+import json
 import pathlib
 import re
+import shlex
 import tomllib
 
+import urllib3
 from behave import then
 
 from fireflywharf_core.contracts import parse_contract
 from fireflywharf_core.jobs import parse_job
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+CURL_BLOCK = re.compile(r"^```sh\n(.*?)^```", re.S | re.M)
 LINK = re.compile(r"\]\(([^)#:\s]+)(?:#[^)\s]*)?\)")
 
 
@@ -58,3 +62,28 @@
         if not (page.parent / link).exists()
     ]
     assert not missing, missing
+
+
+def curl_requests(page):
+    """Yield method, URL and body of each curl command in the shell blocks of a page."""
+    script = "\n".join(CURL_BLOCK.findall(page.read_text()))
+    for command in script.split("curl ")[1:]:
+        words = shlex.split(command.split("\ncurl ")[0].split("\nexport ")[0])
+        url = next(word for word in words if word.startswith("http://"))
+        body = words[words.index("-d") + 1] if "-d" in words else None
+        method = words[words.index("-X") + 1] if "-X" in words else "POST" if body else "GET"
+        yield method, url, body
+
+
+@then("the fake daemon accepts every curl request in docs/callers.md")
+def check_curl_requests(context):
+    job_id = ""
+    requests = list(curl_requests(ROOT / "docs" / "callers.md"))
+    assert requests
+    for method, template, body in requests:
+        url = template.replace("$SERVER", context.fake.address).replace("$JOB", job_id)
+        headers = {"Content-Type": "application/json"}
+        answer = urllib3.request(method, url, body=body, headers=headers, retries=False)
+        document = json.loads(answer.data)
+        assert document["class"] in ("completed", "pending"), (url, document)
+        job_id = document.get("job_id", job_id)
