--- a/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
@@ -213,6 +213,11 @@
         row = self._rows.get(name)
         return row is not None and row.lease.may_act(now_s)
 
+    def remaining_s(self, name: str, now_s: float) -> float:
+        """Return how long the lease of `name` may still be acted on."""
+        row = self._rows.get(name)
+        return row.lease.remaining_s(now_s) if row is not None else 0.0
+
     def held(self, now_s: float) -> frozenset[str]:
         """Return the names whose lease is held now."""
         self._expire(now_s)
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -0,0 +1,357 @@
+"""The application: owns every component, starts and stops them in order."""
+
+import asyncio
+import logging
+import signal
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from fireflywharf_core.contracts import Contract
+from fireflywharf_core.leases import margin_s
+from fireflywharf_core.log import GroupWriter, JobsFold, StreamReader
+from fireflywharf_core.messages import (
+    CancelJob,
+    ContractsSince,
+    DomainDigest,
+    ForwardRequest,
+    Handover,
+    Heartbeat,
+    JobQuery,
+    KnownWorkersQuery,
+    SubmitToScheduler,
+    WorkersKnown,
+)
+from fireflywharf_core.platform import VmInfo
+from fireflywharf_core.records import RECORD_CODEC
+from fireflywharf_core.results import ResultCode, describe_code
+
+from ..http import HttpServer, build_application
+from ..mesh import IncomingCall, Mesh, Sender
+from ..metrics import Metrics, MetricsServer
+from ..platform import LogClient, Success, TargetClient, VmListClient, WorkerClient
+from ..settings import Settings
+from ._callers import Callers
+from ._context import Clients, Context, draw_incarnation
+from ._contracts import ContractService
+from ._jobs import JobService
+from ._log_stream import LogStream
+from ._membership import Membership
+from ._pools import IoPools
+from ._reports import make_digest, make_heartbeat, update_gauges
+from ._requests import RequestService
+from ._scheduling import SchedulerService
+from ._tasks import TaskGroup
+
+_LOG = logging.getLogger(__name__)
+POOL_SIZES = {"log": 8, "workers": 16, "targets": 128, "control": 16}
+TARGET_STEP_S = 0.1
+DIGEST_STEP_S = 0.1
+SNAPSHOT_STEP_S = 5.0
+LATE_STEP_S = 2.0
+DRAIN_POLL_S = 0.02
+# The balancer and the peers need this long to stop sending new work to a leaving entry VM.
+DRAIN_NOTICE_S = 0.6
+
+
+class Application:
+    """One entry VM daemon.
+
+    Life cycle: `run` starts all components, serves until `request_stop`, drains, and stops them.
+
+    Args:
+        settings: checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.ready = False
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.vms: list[VmInfo] = []
+        self.started = threading.Event()
+        timeout_s = settings.platform.timeout_s
+        self.context = Context(
+            settings=settings,
+            incarnation=draw_incarnation(settings.vm.name),
+            clients=Clients(
+                log=LogClient(settings.platform.log_url, timeout_s),
+                vm_list=VmListClient(settings.platform.vm_list_url, timeout_s),
+                worker=WorkerClient(timeout_s),
+                target=TargetClient(
+                    timeout_s,
+                    settings.routing.connect_timeout_s,
+                    settings.routing.idle_connection_max_s,
+                    settings.routing.answer_max_bytes,
+                ),
+            ),
+            pools=IoPools(POOL_SIZES | {"workers": settings.scheduling.worker_calls_count}),
+            metrics=Metrics(settings),
+        )
+        self.jobs_fold = JobsFold(self.context.domain, settings.platform.retention_s)
+        self.contracts = ContractService(self.context, self._contract_changed)
+        self.membership = Membership(
+            self.context,
+            lambda sequence: make_heartbeat(self, sequence),
+            lambda sequence: make_digest(self, sequence),
+            on_heartbeat=lambda heartbeat: self.requests.take_heartbeat(heartbeat),
+            on_digest=lambda digest: self.requests.take_digest(digest),
+            on_suspected=lambda incarnation: self.requests.peer_gone(incarnation),
+        )
+        self.requests = RequestService(self.context, self.membership)
+        self.scheduler = SchedulerService(self.context, self.jobs_fold, self.membership)
+        self.jobs = JobService(
+            self.context, self.membership, self.jobs_fold, self.scheduler, self.requests
+        )
+        self.streams: dict[str, LogStream] = {}
+        self._tasks = TaskGroup()
+        self._stop_wanted: asyncio.Event | None = None
+        self._stop_signals_count = 0
+        self._http = HttpServer(
+            build_application(Callers(self), settings.http),
+            settings.http.listen,
+            settings.http.threads_count,
+            settings.http.body_timeout_s,
+            settings.http.waiting_connections_max,
+        )
+        self._metrics_server = MetricsServer(self.context.metrics, settings.metrics.listen)
+
+    @property
+    def address(self) -> str:
+        """Return `ip:port` of the HTTP interface."""
+        return self._http.address
+
+    @property
+    def log_available(self) -> bool:
+        """Whether the platform log answers."""
+        return bool(self.streams) and all(row.available for row in self.streams.values())
+
+    # Life cycle.
+
+    async def run(self, handle_signals: bool = True) -> int:
+        """Serve until a stop is requested.
+
+        Args:
+            handle_signals: whether SIGTERM and SIGINT request the stop.
+
+        Returns:
+            Exit status: 0 after a complete shutdown, else that of `SHUTDOWN_CUT`.
+        """
+        self.loop = asyncio.get_running_loop()
+        self._stop_wanted = asyncio.Event()
+        if handle_signals:
+            for number in (signal.SIGTERM, signal.SIGINT):
+                self.loop.add_signal_handler(number, self._on_stop_signal)
+        await self._start()
+        await self._stop_wanted.wait()
+        complete = await self._drain()
+        await self._close()
+        return 0 if complete else describe_code(ResultCode.SHUTDOWN_CUT).exit_status
+
+    def request_stop(self) -> None:
+        """Begin a graceful shutdown; may be called from any thread."""
+        if self.loop is not None:
+            self.loop.call_soon_threadsafe(self._stop_wanted.set)
+
+    def _on_stop_signal(self) -> None:
+        self._stop_signals_count += 1
+        self._stop_wanted.set()
+        if self._stop_signals_count > 1:
+            _LOG.warning("second stop signal; exiting without waiting for work in progress")
+
+    async def _start(self) -> None:
+        self._create_streams()
+        self.context.mesh = Mesh(
+            self.settings.mesh.listen,
+            self.context.incarnation,
+            self._on_message,
+            self._on_call,
+            domain_peers=frozenset(
+                peer.address
+                for peer in self.settings.mesh.peers
+                if peer.failure_domain == self.context.domain
+            ),
+            call_threads_count=self.settings.mesh.call_threads_count,
+            queue_max_messages=self.settings.mesh.queue_max_messages,
+            observer=self.context.metrics,
+        )
+        self.context.mesh.start()
+        for stream in self.streams.values():
+            stream.start()
+        self._start_periodic_steps()
+        await asyncio.to_thread(self._metrics_server.start)
+        await asyncio.to_thread(self._http.start)
+        self._tasks.spawn(self._become_ready())
+        self.started.set()
+        _LOG.info("serving on %s", self.address)
+
+    def _create_streams(self) -> None:
+        domain_stream = f"domain-{self.context.domain}"
+        self.streams = {
+            "contracts": self._create_stream("contracts", self.contracts.on_records),
+            "jobs": self._create_stream("jobs", self.jobs.on_records),
+            "keys": self._create_stream("keys", self.requests.on_records),
+            domain_stream: self._create_stream(domain_stream, self.scheduler.on_records),
+        }
+        self.contracts.stream = self.streams["contracts"]
+        self.jobs.stream = self.scheduler.jobs_stream = self.streams["jobs"]
+        self.requests.stream = self.streams["keys"]
+        self.scheduler.stream = self.streams[domain_stream]
+
+    def _create_stream(self, name: str, on_records: Callable[..., None]) -> LogStream:
+        scheduling = self.settings.scheduling
+        writer = GroupWriter(
+            self.context.incarnation,
+            name,
+            append_interval_s=scheduling.append_interval_s,
+            backlog_max_records=scheduling.backlog_max_records,
+        )
+        return LogStream(
+            self.context.clients.log,
+            self.context.pools,
+            writer,
+            StreamReader(name, RECORD_CODEC),
+            on_records,
+            scheduling.log_poll_interval_s,
+        )
+
+    def _start_periodic_steps(self) -> None:
+        scheduling = self.settings.scheduling
+        every = self._tasks.every
+        every(scheduling.heartbeat_interval_s, self.membership.send_heartbeats)
+        every(DIGEST_STEP_S, self.membership.send_digests)
+        every(scheduling.vm_list_interval_s, self._read_vm_list)
+        every(scheduling.decision_interval_s, self.scheduler.step)
+        every(TARGET_STEP_S, self.requests.targets.step)
+        every(scheduling.log_poll_interval_s, self._catch_up)
+        every(SNAPSHOT_STEP_S, self._write_snapshot)
+        every(LATE_STEP_S, self._look_after_other_domains)
+        every(1.0, lambda: update_gauges(self))
+
+    async def _become_ready(self) -> None:
+        """Wait for the end of the log, or for every reachable peer while it is down."""
+        contracts = self.streams["contracts"]
+        while not self.ready:
+            since_s = self.context.now_s()
+            read = await contracts.read_to_end(since_s, self.settings.scheduling.suspicion_s)
+            self.ready = read and not self.contracts.registry.has_gap
+            if not self.ready:
+                self.ready = await self._learn_contracts_from_peers()
+        _LOG.info("ready; contracts offset %d", self.contracts.registry.offset)
+
+    async def _learn_contracts_from_peers(self) -> bool:
+        """Ask all peers that are heard; an entry VM that hears nobody has no contracts to apply."""
+        addresses = [peer.mesh_address for peer in self.membership.live_peers()]
+        addresses += [row.digest.mesh_address for row in self.membership.live_remote()]
+        answered = [await self.contracts.catch_up_from(address) for address in addresses]
+        return any(answered) and self.contracts.registry.offset >= 0
+
+    async def _drain(self) -> bool:
+        """Finish work in progress; returns whether all of it ended before the deadline."""
+        deadline_s = self.context.now_s() + self.settings.shutdown.shutdown_deadline_s
+        self.context.draining = True
+        _LOG.info("draining")
+        self.membership.send_heartbeats()
+        self.scheduler.step()
+        await self._wait_until(lambda: False, self.context.now_s() + DRAIN_NOTICE_S)
+        self.requests.start_drain()
+        http_done = asyncio.create_task(
+            asyncio.to_thread(self._http.stop, max(0.1, deadline_s - self.context.now_s()))
+        )
+        complete = await self._wait_until(lambda: http_done.done() and self._idle(), deadline_s)
+        if complete:
+            await self.scheduler.tasks.drain()
+            await self.requests.targets.release_all()
+        return complete and await http_done
+
+    def _idle(self) -> bool:
+        backlog = any(s.available and s.writer.backlog_count for s in self.streams.values())
+        return self.requests.router.unfinished_count == 0 and not backlog
+
+    async def _wait_until(self, condition: Callable[[], bool], deadline_s: float) -> bool:
+        while not condition():
+            if self.context.now_s() >= deadline_s or self._stop_signals_count > 1:
+                return False
+            await asyncio.sleep(DRAIN_POLL_S)
+        return True
+
+    async def _close(self) -> None:
+        await self._tasks.close()
+        for group in (self.scheduler.tasks, self.requests.tasks, self.requests.targets.tasks):
+            await group.close()
+        for stream in self.streams.values():
+            await stream.stop()
+        await asyncio.to_thread(self.context.mesh.close)
+        await asyncio.to_thread(self._metrics_server.stop)
+        clients = self.context.clients
+        for client in (clients.log, clients.vm_list, clients.worker, clients.target):
+            client.close()
+        self.context.pools.close()
+        _LOG.info("stopped")
+
+    # Periodic steps.
+
+    async def _read_vm_list(self) -> None:
+        answer = await self.context.pools.run("control", self.context.clients.vm_list.list)
+        if isinstance(answer, Success):
+            self.vms = answer.value
+            self.scheduler.set_listed(answer.value)
+            self.requests.set_listed(answer.value)
+
+    async def _catch_up(self) -> None:
+        """Take newer contracts from a peer when the log cannot be read."""
+        newest = self.membership.peers.newest_contracts(self.context.now_s())
+        remotes = [row.digest for row in self.membership.live_remote()]
+        candidates = [row for row in [newest, *remotes] if row is not None]
+        best = max(candidates, key=lambda row: row.contracts_offset, default=None)
+        if best is None or best.contracts_offset <= self.contracts.registry.offset:
+            return
+        if self.streams["contracts"].available:
+            self.streams["contracts"].kick()
+        else:
+            await self.contracts.catch_up_from(best.mesh_address)
+
+    def _write_snapshot(self) -> None:
+        names = {row.digest.domain for row in self.membership.live_remote()}
+        if self.scheduler.acting and all(self.context.domain < name for name in names):
+            self.contracts.write_snapshot_if_due()
+
+    def _look_after_other_domains(self) -> None:
+        task_lease_s = self.settings.scheduling.task_lease_s
+        self.jobs.report_late_elsewhere()
+        self.jobs.take_over_orphans(task_lease_s + margin_s(task_lease_s))
+
+    def _contract_changed(self, customer: str, contract: Contract) -> None:
+        self.requests.set_contract(contract)
+        self.scheduler.set_contract(contract)
+
+    # Messages of peers, which arrive in threads of the mesh.
+
+    def _on_message(self, _: Sender, message: Any) -> None:
+        self.loop.call_soon_threadsafe(self._take_message, message)
+
+    def _take_message(self, message: Any) -> None:
+        match message:
+            case Heartbeat():
+                self.membership.take_heartbeat(message)
+            case DomainDigest():
+                self.membership.take_digest(message)
+            case SubmitToScheduler(recorded=True):
+                self.jobs.answer_peer(message)
+            case Handover():
+                self.scheduler.stream.kick()
+
+    def _on_call(self, call: IncomingCall) -> None:
+        self.loop.call_soon_threadsafe(self._take_call, call)
+
+    def _take_call(self, call: IncomingCall) -> None:
+        match call.message:
+            case ForwardRequest():
+                self.requests.take_forwarded(call)
+            case SubmitToScheduler() | JobQuery() | CancelJob():
+                call.reply(self.jobs.answer_peer(call.message))
+            case ContractsSince():
+                call.reply(self.contracts.answer_peer(call.message))
+            case KnownWorkersQuery() | WorkersKnown():
+                call.reply(self.scheduler.answer_peer(call.message))
+            case _:
+                call.fail()
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -0,0 +1,396 @@
+"""Jobs: submission through the log, queries, cancellation."""
+
+import asyncio
+import logging
+import time
+from typing import Any
+
+import attrs
+
+from fireflywharf_core.contracts import Contract
+from fireflywharf_core.jobs import JobSpec, JobState
+from fireflywharf_core.log import (
+    FinishedJob,
+    JobBecameLive,
+    JobCancelled,
+    JobRehomed,
+    JobsFold,
+    LiveJob,
+    ReadRecord,
+    StreamReader,
+)
+from fireflywharf_core.messages import (
+    Acknowledged,
+    CancelJob,
+    JobAnswer,
+    JobQuery,
+    SubmitToScheduler,
+    Verdict,
+)
+from fireflywharf_core.records import JobAccepted, JobCancelRequested, JobLate
+from fireflywharf_core.results import NotRun, OutcomeUnknown, ResultCode
+from fireflywharf_core.routing import OwnKey
+from fireflywharf_core.scheduling import JobAdmitted
+
+from ..http import CallerError, CancelledJob, JobStatus, SubmitJob, SubmittedJob
+from ._context import Context
+from ._log_stream import LogStream
+from ._membership import Membership
+from ._requests import RequestService
+from ._scheduling import SchedulerService
+
+_LOG = logging.getLogger(__name__)
+RECORD_TIMEOUT_S = 5.0
+PEER_TIMEOUT_S = 2.0
+# The scheduler of an unreachable domain is given this time to report lateness itself.
+LATE_GRACE_S = 15.0
+MESSAGES_OF_SCHEDULER = SubmitToScheduler | JobQuery | CancelJob
+
+
+class JobService:
+    """Accepts jobs of callers and answers questions about them.
+
+    Args:
+        context: shared parts.
+        membership: other entry VMs.
+        fold: fold of stream `jobs`.
+        scheduler: scheduler of the own domain.
+        requests: holder of the issued keys.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        membership: Membership,
+        fold: JobsFold,
+        scheduler: SchedulerService,
+        requests: RequestService,
+    ) -> None:
+        self.context = context
+        self.membership = membership
+        self.fold = fold
+        self.scheduler = scheduler
+        self.requests = requests
+        self.stream: LogStream | None = None
+        self._provisional: dict[str, JobAccepted] = {}
+
+    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
+        """Fold the records of stream `jobs` and tell the scheduler."""
+        now_s = self.context.now_s()
+        if reader.truncation is not None:
+            self.fold.drop_below(reader.truncation.first_available)
+        for row in records:
+            live = self.stream.end_read_s > 0
+            match self.fold.fold(row.offset, row.record, now_s, live=live):
+                case JobBecameLive(job_id) | JobRehomed(job_id):
+                    self._provisional.pop(job_id, None)
+                    self.scheduler.job_became_live(job_id)
+                case JobCancelled(job_id):
+                    self.scheduler.job_cancelled(job_id)
+
+    # Submission.
+
+    async def submit(self, job: SubmitJob, contract: Contract) -> SubmittedJob | CallerError:
+        """Ask the scheduler, record the job, and answer the caller."""
+        spec = job.spec
+        known = self.fold.lookup(spec.job_id)
+        if known is not None:
+            return self._repeated(spec.job_id, job.digest, known)
+        provisional = self._provisional.get(spec.job_id)
+        if provisional is not None:
+            return self._provisional_answer(provisional, job.digest)
+        refusal = _refuse(spec, contract)
+        if refusal is not None:
+            return refusal
+        domain, verdict = await self._ask_schedulers(spec)
+        code = ResultCode(verdict.code)
+        if code not in (ResultCode.OK, ResultCode.ACCEPTED_LATE):
+            return CallerError(code, verdict.detail)
+        if verdict.expected_late and contract.late_jobs == "refuse":
+            return CallerError(ResultCode.WOULD_BE_LATE, verdict.detail)
+        record = JobAccepted(
+            spec=spec,
+            home_domain=domain,
+            accepted_utc_s=time.time(),
+            submission_digest=job.digest,
+            expected_late=verdict.expected_late,
+        )
+        if not self.stream.available and self._may_be_provisional(job, contract, domain):
+            return await self._accept_provisionally(record)
+        return await self._record(record, verdict)
+
+    async def _record(self, record: JobAccepted, verdict: Verdict) -> SubmittedJob | CallerError:
+        job_id = record.spec.job_id
+        offset = await self.stream.append(record, RECORD_TIMEOUT_S)
+        match offset:
+            case NotRun(code, detail, retry_after_s):
+                detail = f"{detail}; keys issued by POST /v1/keys work without it"
+                return CallerError(code, detail, retry_after_s=retry_after_s)
+            case OutcomeUnknown(code, detail):
+                return CallerError(code, f"{detail}; repeat with the same key")
+        if not await self.stream.read_past(offset, RECORD_TIMEOUT_S):
+            detail = "the job is in the log but was not read back; repeat with the same key"
+            return CallerError(ResultCode.OUTCOME_UNKNOWN, detail)
+        known = self.fold.lookup(job_id)
+        if known is not None and known.submission_digest not in ("", record.submission_digest):
+            return _conflict(job_id)
+        self._notify(record)
+        _LOG.info("job accepted", extra={"job_id": job_id})
+        late = verdict.expected_late
+        return SubmittedJob(
+            code=ResultCode.ACCEPTED_LATE if late else ResultCode.ACCEPTED,
+            job_id=job_id,
+            state=JobState.WAITING,
+            expected_late=late,
+            detail=verdict.detail,
+        )
+
+    def _notify(self, record: JobAccepted) -> None:
+        """Let the home scheduler read the log now instead of at its next poll."""
+        if record.home_domain == self.context.domain:
+            address = None if self.scheduler.acting else self.membership.scheduler_address()
+        else:
+            remote = self.membership.remote.get(record.home_domain)
+            address = None if remote is None else remote.digest.mesh_address
+        if address is not None:
+            self.context.mesh.send(address, SubmitToScheduler(spec=record.spec, recorded=True))
+
+    def _may_be_provisional(self, job: SubmitJob, contract: Contract, domain: str) -> bool:
+        if not contract.provisional_admission or domain != self.context.domain:
+            return False
+        keys = self.requests.router.issued_keys
+        now_s = self.context.now_s()
+        return isinstance(keys.check(job.key, job.spec.customer, now_s), OwnKey)
+
+    async def _accept_provisionally(self, record: JobAccepted) -> SubmittedJob | CallerError:
+        """Hand the job over before its record is durable; only this incarnation may accept it."""
+        job_id = record.spec.job_id
+        self._provisional[job_id] = record
+        future = self.stream.submit(record)
+        if isinstance(future, NotRun):
+            del self._provisional[job_id]
+            return CallerError(future.code, future.detail, retry_after_s=future.retry_after_s)
+        asyncio.get_running_loop().create_task(self._hand_over(record))
+        return self._provisional_answer(record, record.submission_digest)
+
+    async def _hand_over(self, record: JobAccepted) -> None:
+        """Give a provisional job to each new scheduler until its record is read."""
+        job_id = record.spec.job_id
+        given_to = ""
+        while job_id in self._provisional:
+            scheduler = self.membership.peers.scheduler(self.context.now_s())
+            if self.scheduler.acting and given_to != self.context.incarnation:
+                given_to = self.context.incarnation
+                self._admit_provisional(record.spec)
+            elif scheduler is not None and given_to != scheduler.incarnation:
+                message = SubmitToScheduler(spec=record.spec, recorded=False, provisional=True)
+                answer = await self.context.call(scheduler.mesh_address, message, PEER_TIMEOUT_S)
+                if isinstance(answer, Verdict) and answer.code == ResultCode.PROVISIONAL:
+                    given_to = scheduler.incarnation
+            await asyncio.sleep(0.2)
+
+    def _admit_provisional(self, spec: JobSpec) -> None:
+        self.scheduler.admit_provisional(JobAdmitted(spec=spec, recorded=False))
+
+    def _provisional_answer(self, record: JobAccepted, digest: str) -> SubmittedJob | CallerError:
+        if record.submission_digest != digest:
+            return _conflict(record.spec.job_id)
+        return SubmittedJob(
+            code=ResultCode.PROVISIONAL,
+            job_id=record.spec.job_id,
+            state=JobState.PROVISIONAL,
+            expected_late=record.expected_late,
+            detail="the job runs; its record waits for the platform log",
+        )
+
+    def _repeated(
+        self, job_id: str, digest: str, known: LiveJob | FinishedJob
+    ) -> SubmittedJob | CallerError:
+        if known.submission_digest not in ("", digest):
+            return _conflict(job_id)
+        state = known.state if isinstance(known, FinishedJob) else JobState.WAITING
+        detail = "the job was accepted before"
+        return SubmittedJob(code=ResultCode.ACCEPTED, job_id=job_id, state=state, detail=detail)
+
+    async def _ask_schedulers(self, spec: JobSpec) -> tuple[str, Verdict]:
+        """Ask the own domain first, and another one only if the job can never run here."""
+        verdict = await self._ask_own(SubmitToScheduler(spec=spec, recorded=False))
+        domain = self.context.domain
+        if verdict.code not in (ResultCode.INFEASIBLE, ResultCode.NO_SCHEDULER):
+            return domain, verdict
+        for remote in self.membership.live_remote():
+            digest = remote.digest
+            if verdict.code == ResultCode.INFEASIBLE and not spec.size.fits_in(digest.largest_free):
+                continue
+            message = SubmitToScheduler(spec=spec, recorded=False)
+            answer = await self.context.call(digest.mesh_address, message, PEER_TIMEOUT_S)
+            if isinstance(answer, Verdict) and answer.code in (
+                ResultCode.OK,
+                ResultCode.ACCEPTED_LATE,
+            ):
+                return digest.domain, answer
+        return domain, verdict
+
+    async def _ask_own(self, message: SubmitToScheduler) -> Verdict:
+        if self.scheduler.acting:
+            return self._judge(message.spec)
+        address = self.membership.scheduler_address()
+        answer = None
+        if address is not None:
+            answer = await self.context.call(address, message, PEER_TIMEOUT_S)
+        if isinstance(answer, Verdict):
+            return answer
+        detail = f"no scheduler of failure domain {self.context.domain} answered"
+        return Verdict(code=ResultCode.NO_SCHEDULER, detail=detail)
+
+    def _judge(self, spec: JobSpec) -> Verdict:
+        forecast = self.scheduler.core.predict(spec, self.context.now_s())
+        return Verdict(
+            code=forecast.code,
+            expected_late=forecast.expected_late,
+            expected_start_s=forecast.expected_start_s,
+            detail=forecast.detail,
+        )
+
+    # Queries and cancellation.
+
+    async def status(self, job_id: str, explain: bool) -> JobStatus | CallerError:
+        """Return the state of a job, from its scheduler or else from the log."""
+        known = self.fold.lookup(job_id)
+        if known is None and job_id not in self._provisional:
+            return CallerError(ResultCode.UNKNOWN_JOB, f"no job {job_id} is known")
+        if isinstance(known, FinishedJob):
+            done = f"{known.state.value}: {known.detail}" if known.detail else known.state.value
+            return JobStatus(
+                job_id=job_id, state=known.state, late=known.late, explanation=f"The job is {done}."
+            )
+        home = self.context.domain if known is None else known.home_domain
+        answer = await self._ask_home(home, JobQuery(job_id, explain))
+        if isinstance(answer, JobAnswer) and answer.code == ResultCode.OK:
+            return JobStatus(
+                job_id=job_id,
+                state=JobState(answer.state),
+                tasks_waiting_count=answer.tasks_waiting_count,
+                tasks_running_count=answer.tasks_running_count,
+                tasks_done_count=answer.tasks_done_count,
+                late=answer.late,
+                recorded=answer.recorded and known is not None,
+                explanation=answer.explanation,
+            )
+        state = JobState.PROVISIONAL if known is None else JobState.WAITING
+        detail = f"the scheduler of failure domain {home} did not answer; this is the record"
+        return JobStatus(
+            job_id=job_id,
+            state=state,
+            late=known is not None and known.late,
+            recorded=known is not None,
+            explanation=f"{ResultCode.NO_SCHEDULER.name}: {detail}.",
+        )
+
+    async def cancel(self, job_id: str) -> CancelledJob | CallerError:
+        """Record the cancellation and tell the scheduler."""
+        known = self.fold.lookup(job_id)
+        if known is None:
+            return CallerError(ResultCode.UNKNOWN_JOB, f"no job {job_id} is known")
+        if isinstance(known, FinishedJob):
+            return CancelledJob(job_id, known.state)
+        offset = await self.stream.append(JobCancelRequested(job_id), RECORD_TIMEOUT_S)
+        if not isinstance(offset, int):
+            return CallerError(offset.code, offset.detail)
+        await self._ask_home(known.home_domain, CancelJob(job_id))
+        return CancelledJob(job_id, JobState.CANCELLED)
+
+    async def _ask_home(self, home: str, message: JobQuery | CancelJob) -> Any:
+        if home == self.context.domain and self.scheduler.acting:
+            return self.answer_peer(message)
+        if home == self.context.domain:
+            address = self.membership.scheduler_address()
+        else:
+            remote = self.membership.remote.get(home)
+            address = None if remote is None else remote.digest.mesh_address
+        return (
+            None if address is None else await self.context.call(address, message, PEER_TIMEOUT_S)
+        )
+
+    def answer_peer(self, message: MESSAGES_OF_SCHEDULER) -> Any:
+        """Answer a message for the scheduler of the own domain."""
+        match message:
+            case SubmitToScheduler(recorded=True):
+                self.stream.kick()
+                return Acknowledged()
+            case SubmitToScheduler() if not self.scheduler.acting:
+                return Verdict(code=ResultCode.NO_SCHEDULER, detail="this VM is not the scheduler")
+            case SubmitToScheduler(spec=spec, provisional=True):
+                self._admit_provisional(spec)
+                return Verdict(code=ResultCode.PROVISIONAL)
+            case SubmitToScheduler(spec=spec):
+                return self._judge(spec)
+            case CancelJob():
+                self.stream.kick()
+                return Acknowledged()
+            case JobQuery(job_id, explain):
+                return self._answer_query(job_id, explain)
+
+    def _answer_query(self, job_id: str, explain: bool) -> JobAnswer:
+        core = self.scheduler.core
+        status = None if core is None else core.job_status(job_id)
+        if status is None:
+            return JobAnswer(job_id=job_id, code=ResultCode.NO_SCHEDULER)
+        return JobAnswer(
+            job_id=job_id,
+            code=ResultCode.OK,
+            state=status.state.value,
+            tasks_waiting_count=status.tasks_waiting_count,
+            tasks_running_count=status.tasks_running_count,
+            tasks_done_count=status.tasks_done_count,
+            late=status.late,
+            recorded=status.recorded,
+            explanation=core.explain(job_id, self.context.now_s()) if explain else "",
+        )
+
+    # Jobs of unreachable and lost domains.
+
+    def report_late_elsewhere(self) -> None:
+        """Record lateness for domains that are not heard of, if this domain is responsible."""
+        if not self.scheduler.acting or not self.stream.available:
+            return
+        reachable = {row.digest.domain for row in self.membership.live_remote()}
+        if any(domain < self.context.domain for domain in reachable):
+            return
+        now_utc_s = time.time()
+        for job_id, job in list(self.fold.live_.items()):
+            deadline_s = job.spec.deadline_s
+            elsewhere = job.home_domain not in reachable | {self.context.domain}
+            if not elsewhere or job.late or deadline_s is None:
+                continue
+            if now_utc_s > job.accepted_utc_s + deadline_s + LATE_GRACE_S:
+                self.stream.submit(JobLate(job_id))
+
+    def take_over_orphans(self, delay_s: float) -> None:
+        """Take over jobs of domains that an operator declared lost."""
+        if not self.scheduler.acting or not self.stream.available:
+            return
+        reachable = {row.digest.domain for row in self.membership.live_remote()}
+        if any(domain < self.context.domain for domain in reachable):
+            return
+        for job in self.fold.orphans(self.context.now_s(), delay_s):
+            self.stream.submit(self.fold.refreshed(job, self.context.domain))
+
+
+def _refuse(spec: JobSpec, contract: Contract) -> CallerError | None:
+    teams = [team.team for team in contract.teams]
+    if spec.team and spec.team not in teams:
+        detail = f"team {spec.team!r} is not in the contract of {spec.customer}"
+        return CallerError(ResultCode.INVALID_FIELD, detail)
+    quota = contract.quota
+    for name in attrs.fields_dict(type(quota)):
+        limit = getattr(quota, name)
+        if limit != "unlimited" and getattr(spec.size, name) > limit:
+            detail = f"one task needs {getattr(spec.size, name)} {name}; the quota is {limit}"
+            return CallerError(ResultCode.QUOTA_EXCEEDED, detail)
+    return None
+
+
+def _conflict(job_id: str) -> CallerError:
+    detail = f"the key of job {job_id} was used before with other content"
+    return CallerError(ResultCode.KEY_CONFLICT, detail)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -15,10 +15,11 @@
     StreamReader,
     Ticket,
 )
+from fireflywharf_core.platform import AppendAnswer, ReadAnswer
 from fireflywharf_core.records import RECORD_CODEC
 from fireflywharf_core.results import NotRun, OutcomeUnknown, ResultCode
 
-from ..platform import LogAppended, LogClient, LogFailed, LogRead, LogRefused
+from ..platform import LogClient, RefusedBeforeRun, Success
 from ._pools import IoPools
 from ._tasks import TaskGroup
 
@@ -172,16 +173,13 @@
                 )
         now_s = time.monotonic()
         match answer:
-            case LogAppended(first_offset=first_offset):
+            case Success(AppendAnswer(first_offset)):
                 self._settle(self.writer.on_appended(first_offset, now_s))
-            case LogRead(answer=read):
-                durable = self.writer.on_read_back(
-                    read.entries, read.next_offset, read.first_available, now_s
-                )
-                self._settle(durable)
-            case LogRefused():
+            case Success(ReadAnswer(entries, next_offset, first_available)):
+                self._settle(self.writer.on_read_back(entries, next_offset, first_available, now_s))
+            case RefusedBeforeRun():
                 self.writer.on_refused(now_s)
-            case LogFailed():
+            case _:
                 self.writer.on_uncertain(now_s)
 
     def _settle(self, durable: list[Durable]) -> None:
@@ -200,7 +198,7 @@
                 "log", self.client.read, self.name, self.reader.next_offset, READ_LIMIT_RECORDS
             )
             match answer:
-                case LogRead(answer=read):
+                case Success(read):
                     self.read_failures_count = 0
                     self._deliver(read)
                     if self.reader.at_end:
@@ -210,7 +208,7 @@
                     self.reader.at_end = False
             async with self._read_done:
                 self._read_done.notify_all()
-            if isinstance(answer, LogRead) and not self.reader.at_end:
+            if isinstance(answer, Success) and not self.reader.at_end:
                 continue
             try:
                 await asyncio.wait_for(self._read_wanted.wait(), self.poll_interval_s)
@@ -219,7 +217,7 @@
             if self.read_failures_count:
                 await asyncio.sleep(self.poll_interval_s)
 
-    def _deliver(self, read: Any) -> None:
+    def _deliver(self, read: ReadAnswer) -> None:
         records = self.reader.on_read(read)
         try:
             self.on_records(self.reader, records)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
@@ -54,7 +54,15 @@
 
 from ..http import ExecuteRequest, RequestResult
 from ..mesh import CallRefused, IncomingCall, Unreachable
-from ..platform import Failed, RefusedBeforeRun, RefusedReason, TargetAnswer
+from ..platform import (
+    Failed,
+    PlatformOutcome,
+    RefusalReason,
+    RefusedBeforeRun,
+    Success,
+    TargetAnswer,
+    TargetRequest,
+)
 from ._context import Context
 from ._log_stream import LogStream
 from ._membership import Membership
@@ -133,9 +141,7 @@
         """Execute a request of a peer; the answer is sent when its outcome is known."""
         request: ForwardRequest = call.message
         remaining_ms = int((call.deadline_s - time.monotonic()) * 1000)
-        request = attrs.evolve(
-            request, deadline_ms=max(1, min(request.deadline_ms, remaining_ms))
-        )
+        request = attrs.evolve(request, deadline_ms=max(1, min(request.deadline_ms, remaining_ms)))
         if request.request_id in self._accepted:
             call.fail()
             return
@@ -273,33 +279,32 @@
         )
         elapsed_s = self.context.now_s() - started_s
         match answer:
-            case TargetAnswer():
+            case Success(TargetAnswer(status, body, leaving)):
                 self.observe(
-                    SendSucceeded(
-                        action.send_id, answer.status, answer.body, action.send_id, True, elapsed_s
-                    )
+                    SendSucceeded(action.send_id, status, body, action.send_id, True, elapsed_s)
                 )
-                if answer.leaving:
+                if leaving:
                     self.observe(TargetLeaving(action.target))
-            case RefusedBeforeRun(reason=reason):
+            case RefusedBeforeRun(reason, leaving=leaving):
                 self.observe(SendRefused(action.send_id, _refused_by(reason)))
-            case Failed(bytes_sent=bytes_sent):
+                if leaving:
+                    self.observe(TargetLeaving(action.target))
+            case Failed(bytes_sent):
                 self.observe(SendFailed(action.send_id, bytes_sent))
 
     def _execute_at_target(
         self, action: SendToTarget, request: ForwardRequest, vm: VmInfo, started_s: float
-    ) -> "TargetAnswer | RefusedBeforeRun | Failed":
+    ) -> PlatformOutcome[TargetAnswer]:
         # The pool can delay the call; what is left of the deadline goes to the target.
-        waited_ms = int((time.monotonic() - started_s) * 1000)
+        budget_s = action.remaining_ms / 1000 - (time.monotonic() - started_s)
         return self.context.clients.target.execute(
             vm.address,
-            request_id=action.send_id,
-            epoch=action.epoch,
-            deadline_ms=max(1, action.remaining_ms - waited_ms),
-            kind=request.kind,
-            key=request.key,
-            body=request.body,
-            connections_count=vm.connections_count,
+            vm.connections_count,
+            action.epoch,
+            TargetRequest(
+                request_id=action.send_id, body=request.body, kind=request.kind, key=request.key
+            ),
+            budget_s,
         )
 
     async def _forward(
@@ -339,11 +344,11 @@
         self.observe(KeyClaimUnavailable(request_id))
 
 
-def _refused_by(reason: RefusedReason) -> RefusedBy:
+def _refused_by(reason: RefusalReason) -> RefusedBy:
     match reason:
-        case RefusedReason.STALE_EPOCH:
+        case RefusalReason.STALE_EPOCH:
             return RefusedBy.STALE_EPOCH
-        case RefusedReason.NOT_RUN:
+        case RefusalReason.NOT_RUN:
             return RefusedBy.NOT_RUN
         case _:
             return RefusedBy.CONNECT
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_status.py
@@ -0,0 +1,103 @@
+"""Status page of one daemon."""
+
+from typing import TYPE_CHECKING
+
+from ..http import CustomerStatus, DaemonStatus, DomainStatus, PeerStatus, TargetRow
+
+if TYPE_CHECKING:
+    from ._application import Application
+
+
+def describe_status(application: "Application") -> DaemonStatus:
+    """Return the state of the daemon as operators see it."""
+    context = application.context
+    vm = context.settings.vm
+    return DaemonStatus(
+        vm_name=vm.name,
+        incarnation=context.incarnation,
+        domain=vm.failure_domain,
+        region=vm.region,
+        scheduler=application.scheduler.acting,
+        ready=application.ready,
+        draining=context.draining,
+        log_available=application.log_available,
+        peers=_peers(application),
+        domains=_domains(application),
+        offsets={name: stream.reader.next_offset for name, stream in application.streams.items()},
+        customers=_customers(application),
+        targets=_targets(application),
+    )
+
+
+def _peers(application: "Application") -> list[PeerStatus]:
+    now_s = application.context.now_s()
+    peers = application.membership.peers
+    rows = [(row, True) for row in peers.peers(now_s)]
+    rows += [(row, False) for row in peers.suspected(now_s)]
+    return [
+        PeerStatus(
+            vm_name=row.vm_name,
+            incarnation=row.incarnation,
+            domain=row.domain,
+            address=row.mesh_address,
+            alive=alive,
+            silent_s=peers.silent_s(row.vm_name, now_s),
+        )
+        for row, alive in sorted(rows, key=lambda pair: pair[0].vm_name)
+    ]
+
+
+def _domains(application: "Application") -> list[DomainStatus]:
+    settings = application.context.settings
+    lost = application.jobs_fold.lost_domains_
+    live = {row.digest.domain: row.digest for row in application.membership.live_remote()}
+    regions = {peer.failure_domain: peer.region for peer in settings.mesh.peers}
+    rows = []
+    for domain, region in sorted(regions.items()):
+        digest = live.get(domain)
+        own = domain == application.context.domain
+        rows.append(
+            DomainStatus(
+                domain=domain,
+                region=region,
+                reachable=own or digest is not None,
+                lost=domain in lost,
+                scheduler="" if digest is None else digest.incarnation,
+                set_aside_workers_count=0 if digest is None else digest.set_aside_workers_count,
+                set_aside_targets_count=0 if digest is None else digest.set_aside_targets_count,
+            )
+        )
+    return rows
+
+
+def _customers(application: "Application") -> list[CustomerStatus]:
+    core = application.scheduler.core
+    rows = []
+    for customer in sorted(application.contracts.registry.current()):
+        jobs = [] if core is None else core.jobs(customer)
+        rows.append(
+            CustomerStatus(
+                customer=customer,
+                waiting_requests_count=application.requests.router.queued_count_of(customer),
+                waiting_tasks_count=sum(job.tasks_waiting_count for job in jobs),
+                running_tasks_count=sum(job.tasks_running_count for job in jobs),
+            )
+        )
+    return rows
+
+
+def _targets(application: "Application") -> list[TargetRow]:
+    aside = set(application.requests.router.set_aside_targets())
+    held = application.requests.targets.held()
+    return [
+        TargetRow(
+            name=name,
+            service=vm.service,
+            held=name in held,
+            free_slots_count=application.requests.router.free_slots_count(name),
+            slots_count=vm.slots_count,
+            set_aside=name in aside,
+            leaving=vm.state.value == "leaving",
+        )
+        for name, vm in sorted(application.requests.targets.vms.items())
+    ]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
@@ -17,7 +17,7 @@
     TargetStatusSeen,
 )
 
-from ..platform import TargetClaimed, TargetStatusRead
+from ..platform import Success
 from ._context import Context
 from ._membership import Membership
 from ._tasks import TaskGroup
@@ -78,9 +78,7 @@
         """Start the claims that are due and give up targets of better owners."""
         now_s = self.context.now_s()
         members = [p.incarnation for p in self.membership.live_peers() if not p.draining]
-        plan = self.assignment.decide(
-            list(self.vms), members, self.held(), now_s, draining=False
-        )
+        plan = self.assignment.decide(list(self.vms), members, self.held(), now_s, draining=False)
         self.leases.track(plan.claim + plan.keep, now_s)
         wanted = set(plan.claim) | set(plan.keep)
         stale = [name for name in self.leases.names() if name not in wanted]
@@ -129,7 +127,7 @@
         )
         now_s = self.context.now_s()
         match answer:
-            case TargetClaimed(answer=claim) if claim.granted:
+            case Success(claim) if claim.granted:
                 self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
                 if self.leases.may_act(name, now_s):
                     self.observe(
@@ -139,11 +137,11 @@
                             in_progress=claim.in_progress,
                             boot_id=claim.boot_id,
                             leaving=claim.leaving,
-                            lease_until_s=self.leases.lease_until_s(name, now_s),
+                            lease_until_s=now_s + self.leases.remaining_s(name, now_s),
                             asked_s=sent_s,
                         )
                     )
-            case TargetClaimed(answer=claim):
+            case Success(claim):
                 self.leases.on_refused(name, claim.epoch, now_s)
             case _:
                 self.leases.on_failed(name, now_s)
@@ -157,7 +155,7 @@
             "control", self.context.clients.target.status, vm.address
         )
         match answer:
-            case TargetStatusRead(status=status):
+            case Success(status):
                 self.observe(TargetStatusSeen(name, status, asked_s))
                 if status.leaving:
                     self.observe(TargetLeaving(name))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_tasks.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_tasks.py
@@ -43,6 +43,10 @@
         if not task.cancelled() and task.exception() is not None:
             _LOG.error("background task failed", exc_info=task.exception())
 
+    async def drain(self) -> None:
+        """Wait for the tasks that run now."""
+        await asyncio.gather(*list(self._tasks), return_exceptions=True)
+
     async def close(self) -> None:
         """Cancel all tasks and wait for them."""
         tasks = list(self._tasks)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
@@ -11,7 +11,7 @@
 from fireflywharf_core.leases import LeaseGained, LeaseTable, margin_s
 from fireflywharf_core.platform import ClaimAnswer, CommandAnswer, VmInfo, WorkerCommand
 
-from ..platform import CommandsDone, Failed, RefusedBeforeRun, WorkerClaimed, WorkerListed
+from ..platform import RefusalReason, RefusedBeforeRun, Success
 from ._context import Context
 from ._tasks import TaskGroup
 
@@ -168,7 +168,7 @@
             # A claim could prolong the tasks of a worker whose answers are lost, so a worker that
             # fell silent is first asked without effect.
             listed = await self.context.pools.run("workers", worker.list, row.vm.address)
-            if not isinstance(listed, WorkerListed):
+            if not isinstance(listed, Success):
                 self.leases.on_failed(name, self.context.now_s())
                 return
         sent_s = self.leases.begin(name, self.context.now_s()) if name in self.leases else 0.0
@@ -189,7 +189,7 @@
         if self._rows.get(name) is not row:
             return
         match answer:
-            case WorkerClaimed(answer=claim) if claim.granted:
+            case Success(claim) if claim.granted:
                 row.unreachable_since_s, row.ended_reported = None, False
                 self.holders[name] = self.context.incarnation
                 result = self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
@@ -198,7 +198,7 @@
                     _LOG.info("lease of worker %s gained", name, extra={"epoch": claim.epoch})
                 if self.leases.may_act(name, now_s):
                     self.on_report(name, claim, sent_s)
-            case WorkerClaimed(answer=claim):
+            case Success(claim):
                 row.unreachable_since_s, row.ended_reported = None, False
                 self.holders[name] = claim.holder
                 self.leases.on_refused(name, claim.epoch, now_s)
@@ -241,11 +241,11 @@
                 [command for command, _ in batch],
             )
             match answer:
-                case CommandsDone(answers=answers) if len(answers) == len(batch):
+                case Success(answers) if len(answers) == len(batch):
                     results = [CommandTaken(one) for one in answers]
-                case RefusedBeforeRun():
+                case RefusedBeforeRun(RefusalReason.STALE_EPOCH):
                     results = [CommandNotRun("stale_epoch")] * len(batch)
-                case Failed(bytes_sent=False):
+                case RefusedBeforeRun():
                     results = [CommandNotRun("unreachable")] * len(batch)
                 case _:
                     results = [CommandUncertain()] * len(batch)
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/main.py
@@ -0,0 +1,46 @@
+"""Command `fireflywharfd`: runs the daemon of one entry VM."""
+
+import asyncio
+import pathlib
+import sys
+
+import defopt
+
+from fireflywharf_core.results import ResultCode, describe_code
+
+from .application import Application
+from .logs import configure_logs
+from .settings import load_settings
+
+
+def run_daemon(settings: pathlib.Path, *, check_settings: bool = False) -> int:
+    """Run the daemon until SIGTERM or SIGINT.
+
+    Args:
+        settings: TOML file with the settings.
+        check_settings: only check the settings and print every error.
+
+    Returns:
+        Exit status.
+    """
+    loaded, problems = load_settings(settings)
+    if loaded is None:
+        code = ResultCode.INVALID_SETTINGS
+        for problem in problems:
+            print(f"{code.value} {code.name}: {problem}", file=sys.stderr)
+        return describe_code(code).exit_status
+    if check_settings:
+        print(f"{settings}: the settings are valid")
+        return 0
+    application = Application(loaded)
+    configure_logs(loaded.logs.level, loaded.vm.name, application.context.incarnation)
+    return asyncio.run(application.run())
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(defopt.run(run_daemon))
+
+
+if __name__ == "__main__":
+    main()
