--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
@@ -133,9 +133,7 @@
         """Execute a request of a peer; the answer is sent when its outcome is known."""
         request: ForwardRequest = call.message
         remaining_ms = int((call.deadline_s - time.monotonic()) * 1000)
-        request = attrs.evolve(
-            request, deadline_ms=max(1, min(request.deadline_ms, remaining_ms))
-        )
+        request = attrs.evolve(request, deadline_ms=max(1, min(request.deadline_ms, remaining_ms)))
         if request.request_id in self._accepted:
             call.fail()
             return
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
@@ -78,9 +78,7 @@
         """Start the claims that are due and give up targets of better owners."""
         now_s = self.context.now_s()
         members = [p.incarnation for p in self.membership.live_peers() if not p.draining]
-        plan = self.assignment.decide(
-            list(self.vms), members, self.held(), now_s, draining=False
-        )
+        plan = self.assignment.decide(list(self.vms), members, self.held(), now_s, draining=False)
         self.leases.track(plan.claim + plan.keep, now_s)
         wanted = set(plan.claim) | set(plan.keep)
         stale = [name for name in self.leases.names() if name not in wanted]
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/logs/_setup.py
@@ -0,0 +1,61 @@
+"""Set-up of logging with python-json-logger."""
+
+import logging
+import sys
+import time
+from typing import TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+_NAMES = {"asctime": "time", "levelname": "level", "name": "logger", "exc_info": "traceback"}
+
+
+def json_formatter(vm: str, incarnation: str) -> logging.Formatter:
+    """Return the formatter of the daemon's log lines.
+
+    Every line has `time`, `level`, `logger`, `message`, `vm` and `incarnation`. Values that a call
+    passes through `extra`, such as `request_id`, `job_id`, `attempt` and `epoch`, are added.
+
+    Args:
+        vm: name of the VM.
+        incarnation: lifetime of the daemon process.
+
+    Returns:
+        The formatter.
+    """
+    formatter = JsonFormatter(
+        ["asctime", "levelname", "name", "message"],
+        rename_fields=_NAMES,
+        static_fields={"vm": vm, "incarnation": incarnation},
+    )
+    formatter.converter = time.gmtime
+    formatter.default_time_format = "%Y-%m-%dT%H:%M:%S"
+    formatter.default_msec_format = "%s.%03dZ"
+    return formatter
+
+
+def configure_logging(
+    level: str, vm: str, incarnation: str, stream: TextIO | None = None
+) -> logging.Handler:
+    """Send all log records as JSON lines to standard error.
+
+    Args:
+        level: lowest level, such as `INFO`.
+        vm: name of the VM.
+        incarnation: lifetime of the daemon process.
+        stream: other stream to write to.
+
+    Returns:
+        The handler, which replaced all handlers of the root logger.
+
+    Example:
+        >>> handler = configure_logging("INFO", "entry-1", "entry-1#1")
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(json_formatter(vm, incarnation))
+    root = logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(handler)
+    root.setLevel(level)
+    return handler
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_workers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_workers.py
@@ -35,11 +35,22 @@
         self.connect_timeout_s = connect_timeout_s
         self._pools = PoolSet(CONNECTIONS_COUNT, connect_timeout_s)
 
-    def claim(self, address: str, holder: str, ttl_s: float) -> PlatformOutcome[ClaimAnswer]:
-        """Claim or renew the holder lease; `granted` tells whether it was granted."""
-        return self._call(
-            address, "POST", "/v1/claim", ClaimAnswer, {"holder": holder, "ttl_s": ttl_s}
-        )
+    def claim(
+        self, address: str, holder: str, ttl_s: float, renew_tasks: bool = False
+    ) -> PlatformOutcome[ClaimAnswer]:
+        """Claim or renew the holder lease.
+
+        Args:
+            address: `ip:port` of the worker.
+            holder: own incarnation.
+            ttl_s: duration of the lease.
+            renew_tasks: whether a renewal also renews the task leases.
+
+        Returns:
+            The answer, whose `granted` tells whether the lease was granted.
+        """
+        data = {"holder": holder, "ttl_s": ttl_s, "renew_tasks": renew_tasks}
+        return self._call(address, "POST", "/v1/claim", ClaimAnswer, data)
 
     def commands(
         self, address: str, epoch: int, commands: Sequence[WorkerCommand]
