Test the stand-ins with a feature of their own

A stand-in that is more forgiving than the platform would hide faults of the daemon, so it needs tests before others rely on it. Adds 14 scenarios for stale epochs, overfull starts, task leases, lost and cut answers, silence, slots, retention, rate, lag, killed VMs and the command; random commands run through hypothesis.

--- /dev/null
+++ b/features/stand_ins.feature
@@ -0,0 +1,85 @@
+Feature: Stand-ins for the platform
+  A stand-in that is more forgiving than the platform, or whose record of effects is wrong, would hide
+  faults of the daemon. These scenarios hold the stand-ins to section 2 of the design.
+
+  Scenario: a worker refuses the epoch of an earlier holder
+    Given a platform with 1 worker
+    When holder "a" claims the worker for 0.2 s
+    And holder "b" claims the worker for 5 s after 0.3 s
+    Then a start by holder "a" is refused as stale
+    And a start by holder "b" is accepted
+    And the effects show 1 attempt
+
+  Scenario: no sequence of commands overfills a worker or runs an attempt twice
+    Then random command sequences keep a worker within its capacity
+
+  Scenario: attempts end when the holder stops renewing, and stay listed until acknowledged
+    Given a worker on a manual clock with a task lease of 30 s
+    When an attempt that takes 100 s starts
+    And 31 s pass without a renewal
+    Then the attempt ended as lease_lapsed 30 s after its start
+    And it is listed until it is acknowledged
+
+  Scenario: a throttled attempt runs longer and a checkpointed one resumes
+    Given a worker on a manual clock with a task lease of 30 s
+    When an attempt that takes 10 s is throttled to half after 2 s
+    Then it ends 18 s after its start
+    When another attempt that takes 10 s is checkpointed after 4 s
+    Then its next attempt ends 6 s after its start
+
+  Scenario: an append whose answer was lost took effect, and its repeat gets the first offset
+    Given a platform with 1 worker
+    When the log loses the answer to an append
+    Then the caller saw a closed connection
+    And the repeat of the append is answered with offset 0
+    And the log holds the record once
+
+  Scenario: retention raises the first available offset
+    Given a log that keeps 3 records
+    When 5 records are appended
+    Then a read from offset 0 starts at offset 2
+
+  Scenario: the log refuses appends above its rate
+    Given a log on a manual clock that accepts 10 appends per second
+    Then 10 of 15 appends at one time are accepted
+    And 5 of 15 appends 0.5 s later are accepted
+
+  Scenario: connections that went silent stay silent while new ones work
+    Given a platform with 1 worker
+    When the log goes silent under an open connection
+    Then the open connection gets no answer and no effect
+    And a new connection to the log works
+
+  Scenario: a cut answer is shorter than its declared length
+    Given a platform with 1 worker
+    When the log cuts its answers
+    Then a read of the log ends early
+
+  Scenario: a target refuses before the start, and says so
+    Given a platform with 1 target of 2 slots
+    When 5 requests arrive at the target at once
+    Then 2 of them ran and 3 were refused as not run
+    And the target starts no request of a stale epoch
+
+  Scenario: a killed target cuts its requests and returns with another boot id
+    Given a platform with 1 target of 2 slots
+    When the target is killed while a request runs
+    Then the caller of the request gets no answer
+    And the effects show an execution that did not complete
+    And the restarted target has another boot id and the same epoch
+
+  Scenario: the VM list shows a change only after its lag
+    Given a VM list on a manual clock with a lag of 2 s
+    When a VM is marked as leaving
+    Then the list shows it as live 1.9 s later
+    And the list shows it as leaving 2.1 s later
+
+  Scenario: one process serves a topology until SIGTERM
+    When the stand-in command runs a topology with 2 workers
+    Then it prints the addresses and its log answers
+    And it exits with status 0 after SIGTERM
+    And its effects file holds the append
+
+  Scenario: every error of a topology is reported at once
+    When the stand-in command runs a topology with four errors
+    Then it exits with status 21 and names "domains[0].region, domains[0].workers[0].count, host, task_lease"
