Check log writer, reader, folds and contract registry with generated histories

Lost answers, delayed copies, truncation and restarts must not lose, double or revert records. The generated histories found one fault: a late repeat of a change that had won before a truncation was reported as lost. The backlog uses an ordered dict, because reaching the first item of a plain dict after many removals is slow.

--- /dev/null
+++ b/features/steps/state_log_steps.py
@@ -0,0 +1,359 @@
+"""Steps for the log writer, the stream reader and the folds."""
+
+import random
+from collections import Counter
+
+from behave import then, when
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from state_model import FATES, ModelLog, new_reader, step_writer
+
+from fireflywharf_core.jobs import AttemptEnd, AttemptId, JobKind, JobSpec, JobState, TaskId
+from fireflywharf_core.log import (
+    AppendNow,
+    DomainFold,
+    GroupWriter,
+    JobBecameLive,
+    JobConflict,
+    JobRehomed,
+    JobRepeated,
+    JobsFold,
+    ReadBack,
+    Ticket,
+)
+from fireflywharf_core.platform import LogEntry, ReadAnswer
+from fireflywharf_core.records import (
+    RECORD_CODEC,
+    DomainLost,
+    JobAccepted,
+    JobCancelRequested,
+    JobFinished,
+    JobLate,
+    StartIntent,
+    TaskEnded,
+    WorkerRemoved,
+)
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.results import NotRun, ResultCode
+
+
+def payload_of(number):
+    return RECORD_CODEC.encode(WorkerRemoved(f"record-{number}"))
+
+
+APPEND_STEP = st.tuples(
+    st.sampled_from(("submit", "submit", "write", "write", "late copy", "read", "truncate")),
+    st.integers(0, 1),
+    st.integers(0, 9),
+    st.sampled_from(FATES),
+)
+
+
+def run_appends(steps, ignores_repeats):
+    log = ModelLog(ignores_repeats)
+    writers = [GroupWriter(f"vm{i}#0", "s", max_batch_records=4) for i in range(2)]
+    submitted, durable, seen = {}, {}, []
+    reader = new_reader("s")
+    now_s = 0.0
+
+    def write(index, fate):
+        for item in step_writer(writers[index], log, now_s, fate):
+            assert (index, item.ticket) not in durable
+            durable[index, item.ticket] = item.offset
+
+    def read(limit):
+        seen.extend(r.record.name for r in reader.on_read(log.read(reader.next_offset, limit)))
+
+    for kind, index, number, fate in steps:
+        now_s += 0.2
+        match kind:
+            case "submit":
+                name = len(submitted)
+                submitted[index, writers[index].submit(payload_of(name), now_s)] = name
+            case "write":
+                write(index, fate)
+            case "late copy" if log.delayed:
+                log.append(*log.delayed[number % len(log.delayed)])
+            case "read":
+                read(1 + number)
+            case "truncate":
+                # Only read records are removed, so that the reader must see every record.
+                log.first_available = max(log.first_available, reader.next_offset * number // 9)
+    for _ in range(80):
+        now_s += 10.0
+        write(0, "done")
+        write(1, "done")
+    for call in log.delayed:
+        log.append(*call)
+    read(100)
+    while not reader.at_end:
+        read(100)
+    assert set(durable) == set(submitted), (submitted, durable)
+    for place, offset in durable.items():
+        assert log.entries[offset].payload == payload_of(submitted[place])
+    expected = Counter(f"record-{name}" for name in submitted.values())
+    assert Counter(seen) == expected, (seen, expected)
+    return len(submitted)
+
+
+@when("{count:d} generated histories of appends meet lost answers, delayed copies and truncation")
+def run_append_histories(context, count):
+    context.records_count = 0
+
+    @settings(
+        max_examples=count, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
+    )
+    @given(st.lists(APPEND_STEP, min_size=10, max_size=100), st.booleans())
+    def histories(steps, ignores_repeats):
+        context.records_count += run_appends(steps, ignores_repeats)
+
+    histories()
+
+
+@then("every ticket became durable and every reader saw each record once")
+def check_append_histories(context):
+    # The comparisons are made in each history; this guards against histories without records.
+    assert context.records_count > 300, context.records_count
+
+
+@when("{rate:d} records a second are submitted for two hours and the log is down in the first")
+def run_outage(context, rate):
+    log, writer = ModelLog(True), GroupWriter("vm#0", "s")
+    refused, durable, tickets, backlog_max = [], [], set(), 0
+    for step in range(2 * 3600 * rate):
+        now_s = step / rate
+        answer = writer.submit(b"record", now_s)
+        if isinstance(answer, Ticket):
+            tickets.add(answer)
+        else:
+            refused.append((now_s, answer))
+        durable += step_writer(writer, log, now_s, "lost before" if now_s < 3600 else "done")
+        backlog_max = max(backlog_max, writer.backlog_count)
+        if now_s == 3599:
+            context.outage = (writer.available, writer.outage_s(now_s))
+            context.attempts_in_outage_count = writer.appends_count_ + writer.read_backs_count_
+    for step in range(100):
+        durable += step_writer(writer, log, 7200 + step, "done")
+    context.log, context.refused, context.durable = log, refused, durable
+    context.tickets, context.backlog_max = tickets, backlog_max
+
+
+@then("the backlog stayed within its limit and later records were refused as not run")
+def check_backlog(context):
+    assert context.backlog_max == 10_000, context.backlog_max
+    assert context.refused
+    assert all(isinstance(answer, NotRun) for _, answer in context.refused)
+    assert context.refused[0][1].code is ResultCode.STORE_UNAVAILABLE
+    assert context.refused[0][0] > 400 and context.refused[-1][0] < 3610, context.refused[-1]
+    assert context.outage[0] is False and context.outage[1] > 3590
+    # With a longest delay of 5 s and jitter of one half, attempts are at least 2.5 s apart.
+    assert context.attempts_in_outage_count < 3600 / 2.5 + 20, context.attempts_in_outage_count
+
+
+@then("at most one append was made per interval and all accepted records are durable once")
+def check_drain(context):
+    times = context.log.append_times
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert min(gaps) >= 0.1 - 1e-9, min(gaps)
+    assert Counter(item.ticket for item in context.durable) == Counter(context.tickets)
+    assert len(context.log.entries) == len(context.tickets)
+
+
+@when("an append takes effect, its answer is lost and its record is truncated before the read-back")
+def truncate_before_read_back(context):
+    writer = GroupWriter("vm#0", "s")
+    writer.submit(b"record", 0.0)
+    context.first = writer.next_action(0.0)
+    writer.on_uncertain(1.0)
+    assert writer.next_action(10.0) == ReadBack(0)
+    assert writer.on_read_back([], 5, 5, 10.0) == []
+    context.second = writer.next_action(20.0)
+
+
+@then("the writer repeats the same sequence with the same records")
+def check_repeat(context):
+    assert context.first == context.second == AppendNow(0, (b"record",))
+
+
+@when("a record is withdrawn before and another one after its append was sent")
+def withdraw(context):
+    writer = GroupWriter("vm#0", "s", max_batch_records=1)
+    sent = writer.submit(b"sent", 0.0)
+    waiting = writer.submit(b"waiting", 0.0)
+    writer.next_action(0.0)
+    context.results = (writer.withdraw(waiting), writer.withdraw(sent))
+    writer.on_appended(0, 0.1)
+    context.next = writer.next_action(10.0)
+
+
+@then("only the first withdrawal succeeds and its record is never appended")
+def check_withdraw(context):
+    assert context.results == (True, False)
+    assert context.next is None
+
+
+@when("a reader meets an unknown record, a damaged record and a valid one")
+def read_bad_records(context):
+    context.reader = new_reader("s")
+    payloads = [RECORD_CODEC.encode(ResourceVector()), b"\xff\x00", payload_of(1)]
+    entries = [LogEntry(i, "vm#0", i, 0, payload) for i, payload in enumerate(payloads)]
+    context.records = context.reader.on_read(ReadAnswer(entries, 3, 0))
+
+
+@then("it returns the valid record and counts the other two")
+def check_bad_records(context):
+    assert [(r.offset, r.record) for r in context.records] == [(2, WorkerRemoved("record-1"))]
+    reader = context.reader
+    assert (reader.unknown_count_, reader.undecodable_count_, reader.next_offset) == (1, 1, 3)
+    assert not reader.at_end
+    assert reader.on_read(ReadAnswer([], 3, 0)) == [] and reader.at_end
+
+
+@when("the first append of a writer is repeated after {count:d} records of another writer")
+def repeat_late(context, count):
+    context.reader = new_reader("s")
+    entries = [LogEntry(0, "vm0#0", 0, 0, payload_of(0))]
+    entries += [LogEntry(1 + i, "vm1#0", i, 0, payload_of(i)) for i in range(count)]
+    entries.append(LogEntry(count + 1, "vm0#0", 0, 0, payload_of(0)))
+    context.count = count
+    context.records = context.reader.on_read(ReadAnswer(entries, count + 2, 0))
+
+
+@then("the reader drops the repeat")
+def check_late_repeat_dropped(context):
+    assert len(context.records) == context.count + 1
+    assert context.reader.duplicates_count_ == 1
+
+
+def spec_of(job_id):
+    return JobSpec(job_id=job_id, customer="austral", kind=JobKind.BATCH, size=ResourceVector(1, 1))
+
+
+def accepted(job_id, digest="", domain="centro"):
+    return JobAccepted(
+        spec=spec_of(job_id), home_domain=domain, accepted_utc_s=0.0, submission_digest=digest
+    )
+
+
+class RetentionRun:
+    """One stream with deletion by age and a home scheduler that refreshes with delay."""
+
+    def __init__(self, rng, retention_s=100.0):
+        self.rng = rng
+        self.retention_s = retention_s
+        self.records = []
+        self.home = JobsFold("centro", retention_s, 50.0)
+        self.in_backlog = []
+        self.jobs_count = 0
+
+    def append(self, record, now_s):
+        self.home.fold(len(self.records), record, now_s)
+        self.records.append((now_s, record))
+
+    def step(self, now_s):
+        rng = self.rng
+        live = list(self.home.live_)
+        if rng.random() < 0.3:
+            self.jobs_count += 1
+            self.append(accepted(f"j-{self.jobs_count}"), now_s)
+        if live and rng.random() < 0.3:
+            job_id = rng.choice(live)
+            kinds = (JobCancelRequested, JobLate, lambda j: JobFinished(j, JobState.DONE))
+            self.append(rng.choice(kinds)(job_id), now_s)
+        # Records wait in the backlog for a while, so that later facts overtake them.
+        for record in self.home.due_records(now_s):
+            self.in_backlog.append((now_s + rng.uniform(0, 4), record))
+        due = [item for item in self.in_backlog if item[0] <= now_s]
+        self.in_backlog = [item for item in self.in_backlog if item[0] > now_s]
+        for _, record in due:
+            self.append(record, now_s)
+
+    def late_reader(self, now_s):
+        fold = JobsFold("centro", self.retention_s, 50.0)
+        for offset, (time_s, record) in enumerate(self.records):
+            if now_s - time_s < self.retention_s:
+                fold.fold(offset, record, now_s, live=False)
+        return fold
+
+
+def job_facts(fold):
+    return {j: (job.cancel_requested, job.late) for j, job in fold.live_.items()}
+
+
+@when("jobs run for six retention times in {count:d} generated histories")
+def run_retention(context, count):
+    context.compared_jobs_count = 0
+    for seed in range(count):
+        run = RetentionRun(random.Random(seed))
+        for now_s in range(600):
+            run.step(float(now_s))
+            if now_s % 7 == 0:
+                late, home = job_facts(run.late_reader(float(now_s))), job_facts(run.home)
+                assert late == home, (seed, now_s, late, home)
+                context.compared_jobs_count += len(home)
+
+
+@then("a reader that starts at any time knows the same live jobs as one that read everything")
+def check_retention(context):
+    assert context.compared_jobs_count > 1000, context.compared_jobs_count
+
+
+@when("a job is accepted twice with equal digests and once with another")
+def accept_thrice(context):
+    fold = JobsFold("centro", 100.0)
+    context.events = [fold.fold(i, accepted("j-1", d), 0.0) for i, d in enumerate("aab")]
+
+
+@then("the folds tell one accepted job, one repeat and one conflict")
+def check_accept_thrice(context):
+    assert context.events == [JobBecameLive("j-1"), JobRepeated("j-1"), JobConflict("j-1")]
+
+
+@when('domain "{domain}" is declared lost and two domains take over its job')
+def lose_domain(context, domain):
+    context.fold = fold = JobsFold("centro", 100.0)
+    fold.fold(0, accepted("j-1", domain=domain), 0.0)
+    fold.fold(1, DomainLost(domain), 5.0)
+    job = fold.lookup("j-1")
+    stale = fold.refreshed(job)
+    context.orphans = (fold.orphans(36.0, 31.5), fold.orphans(36.5, 31.5))
+    records = (stale, fold.refreshed(job, "pacifico"), fold.refreshed(job, "oriente"), stale)
+    context.events = [fold.fold(2 + i, record, 40.0) for i, record in enumerate(records)]
+
+
+@then('only the first one has the job and a refresh by "{domain}" changes nothing')
+def check_lost_domain(context, domain):
+    assert context.orphans == ([], [context.fold.lookup("j-1")])
+    assert context.events == [None, JobRehomed("j-1", "pacifico"), None, None]
+    assert context.fold.live_jobs(domain) == []
+    assert [job.spec.job_id for job in context.fold.live_jobs("pacifico")] == ["j-1"]
+
+
+@when("a task has an intent, a failed end, a repeated intent and a successful end")
+def fold_task(context):
+    context.fold = fold = DomainFold(100.0)
+    task = TaskId("j-1", 0)
+    first, second = AttemptId(task, 1), AttemptId(task, 2)
+    records = (
+        StartIntent(first, "w1"),
+        TaskEnded(first, AttemptEnd.FAILED, "w1"),
+        StartIntent(first, "w1"),
+        StartIntent(second, "w2"),
+        TaskEnded(second, AttemptEnd.SUCCEEDED, "w2"),
+        TaskEnded(second, AttemptEnd.SUCCEEDED, "w2"),
+    )
+    context.events = [fold.fold(i, record, 0.0) for i, record in enumerate(records)]
+    context.facts = fold.facts(task)
+    context.next = fold.next_attempt(task)
+    context.done = fold.done_tasks("j-1")
+    fold.compact(lambda job_id: False)
+
+
+@then("its facts are right and nothing is left after its job was forgotten")
+def check_task(context):
+    facts = context.facts
+    assert sum(event is not None for event in context.events) == 2
+    assert (facts.done, facts.failures_count, facts.open_intent) == (True, 1, 0)
+    assert context.next.number == 3 and context.done == {0}
+    assert context.fold.tasks_of("j-1") == {}
+    assert context.fold.due_records(1000.0) == [] == context.fold.due_records(2000.0)
--- /dev/null
+++ b/features/steps/state_model.py
@@ -0,0 +1,80 @@
+"""Model of the platform log for state steps: no I/O, faults chosen by the caller."""
+
+from fireflywharf_core.log import AppendNow, StreamReader
+from fireflywharf_core.platform import LogEntry, ReadAnswer
+from fireflywharf_core.records import RECORD_CODEC
+
+FATES = ("done", "refused", "lost before", "lost after", "delayed")
+
+
+class ModelLog:
+    """One stream; `ignores_repeats` tells whether the service drops repeated sequences."""
+
+    def __init__(self, ignores_repeats):
+        self.ignores_repeats = ignores_repeats
+        self.entries = []
+        self.first_available = 0
+        self.first_offsets = {}
+        self.delayed = []
+        self.append_times = []
+
+    def append(self, writer, sequence, records):
+        """Append and return the first offset; a repeat that is ignored returns the original's."""
+        known = self.first_offsets.get((writer, sequence))
+        if known is not None and self.ignores_repeats:
+            return known
+        first = len(self.entries)
+        self.first_offsets.setdefault((writer, sequence), first)
+        for index, payload in enumerate(records):
+            self.entries.append(LogEntry(first + index, writer, sequence, index, payload))
+        return first
+
+    def read(self, offset, limit):
+        """Return the answer to a read."""
+        start = max(offset, self.first_available)
+        entries = self.entries[start : start + limit]
+        return ReadAnswer(entries, start + len(entries), self.first_available)
+
+    def first_occurrences(self):
+        """Return the entries without repeats; the reference that all readers must agree with."""
+        seen = set()
+        kept = []
+        for entry in self.entries:
+            place = (entry.writer, entry.sequence, entry.index)
+            if place not in seen:
+                seen.add(place)
+                kept.append(entry)
+        return kept
+
+
+def step_writer(writer, log, now_s, fate):
+    """Run one action of a group writer against the log and return the resolved tickets."""
+    action = writer.next_action(now_s)
+    if action is None:
+        return []
+    if not isinstance(action, AppendNow):
+        if fate != "done":
+            writer.on_uncertain(now_s)
+            return []
+        answer = log.read(action.from_offset, 3)
+        return writer.on_read_back(
+            answer.entries, answer.next_offset, answer.first_available, now_s
+        )
+    log.append_times.append(now_s)
+    call = (writer.writer, action.sequence, action.records)
+    if fate == "done":
+        return writer.on_appended(log.append(*call), now_s)
+    if fate == "refused":
+        writer.on_refused(now_s)
+        return []
+    if fate == "lost after":
+        log.append(*call)
+    if fate == "delayed":
+        log.delayed.append(call)
+    writer.on_uncertain(now_s)
+    return []
+
+
+def new_reader(stream, next_offset=0):
+    """Return a reader of log records."""
+    return StreamReader(stream, RECORD_CODEC, next_offset)
--- a/packages/fireflywharf-core/src/fireflywharf_core/contracts/_registry.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/contracts/_registry.py
@@ -57,6 +57,8 @@
         self._outcomes: OrderedDict[str, ChangeOutcome] = OrderedDict()
         # First offset that the next usable snapshot must lead up to; None without a gap.
         self._gap_end: int | None = None
+        # Versions when the last gap was closed; changes up to these were not read.
+        self._unread_versions: dict[str, int] = {}
         self._buffer: deque[tuple[int, ContractApplied]] = deque()
         self._buffer_end = -1
         self._snapshot_seen_s: float | None = None
@@ -84,7 +86,11 @@
         return list(self._history.get(customer, ()))
 
     def outcome(self, operation_id: str) -> ChangeOutcome | None:
-        """Return what became of a change; None until its record was folded."""
+        """Return what became of a change; None until its record was folded.
+
+        A caller refuses a change whose base is below the version in force without writing it. The
+        outcome of the others is then undetermined only if a truncation overtook the change.
+        """
         return self._outcomes.get(operation_id)
 
     def fold(
@@ -176,6 +182,9 @@
         return seen_s is None or now_s - seen_s >= self.retention_s / 4
 
     def _apply(self, offset: int, record: ContractApplied) -> None:
+        if record.operation_id in self._outcomes:
+            # The same operation was recorded again by another writer.
+            return
         customer = record.contract.customer
         current = self._log.contracts.get(customer)
         version = 0 if current is None else current.version
@@ -184,6 +193,9 @@
             changed = {customer: VersionedContract(record.contract, version + 1)}
             self._log = _State(offset, self._log.contracts | changed)
             self._note_outcome(record.operation_id, ChangeWon(version + 1))
+        elif record.base_version < self._unread_versions.get(customer, 0):
+            # The record may repeat a change that won before the truncation.
+            self._note_outcome(record.operation_id, ChangeUndetermined(offset))
         else:
             self._note_outcome(record.operation_id, ChangeLost(record.base_version, version))
         changes = self._history.setdefault(customer, deque(maxlen=self.history_max_count))
@@ -199,7 +211,6 @@
         )
 
     def _note_outcome(self, operation_id: str, outcome: ChangeOutcome) -> None:
-        # The first outcome stays: a repeated record of the same operation always loses.
         self._outcomes.setdefault(operation_id, outcome)
         while len(self._outcomes) > self.outcomes_max_count:
             self._outcomes.popitem(last=False)
@@ -218,6 +229,7 @@
             return
         self._gap_end = None
         self._log = _State(as_of_offset, {c.contract.customer: c for c in contracts})
+        self._unread_versions = {name: c.version for name, c in self._log.contracts.items()}
         self._settle_buffer(as_of_offset)
         buffered, self._buffer = self._buffer, deque()
         for offset, record in buffered:
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
@@ -1,6 +1,7 @@
 """Group writer of one stream: batches, uncertain answers, outages."""
 
 import random
+from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -99,7 +100,9 @@
         self.rng = rng or random.Random(f"{writer}/{stream}")
         self.appends_count_ = 0
         self.read_backs_count_ = 0
-        self._waiting: dict[int, bytes] = {}
+        # A plain dict scans over its removed items to reach the first one, which is slow after a
+        # large backlog.
+        self._waiting: OrderedDict[int, bytes] = OrderedDict()
         self._waiting_bytes = 0
         self._next_number = 0
         self._next_sequence = 0
