--- a/packages/fireflywharf-core/src/fireflywharf_core/membership/_peers.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/membership/_peers.py
@@ -96,6 +96,11 @@
             return None
         return peer.joined_s
 
+    def silent_s(self, vm_name: str, now_s: float) -> float:
+        """Return the time since a peer was last heard; infinite if it is not known."""
+        peer = self._peers.get(vm_name)
+        return float("inf") if peer is None else now_s - peer.heard_s
+
     def newest_contracts(self, now_s: float) -> Heartbeat | None:
         """Return the live peer with the highest contracts offset."""
         return max(self.peers(now_s), key=lambda peer: peer.contracts_offset, default=None)
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_router.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_router.py
@@ -112,6 +112,18 @@
         """Return the waiting requests."""
         return sum(queue.live_count for queue in self._state.queues.values())
 
+    def queued_count_of(self, customer: str) -> int:
+        """Return the waiting requests of one customer."""
+        return sum(queue.count(customer) for queue in self._state.queues.values())
+
+    def free_slots_count(self, target_name: str) -> int:
+        """Return the free slots of a held target; 0 for any other."""
+        for service in self._state.targets.services.values():
+            target = service.targets.get(target_name)
+            if target is not None and target.held:
+                return max(0, target.free_count)
+        return 0
+
     def observe(self, event: Event, now_s: float) -> None:
         """Take one fact.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -28,9 +28,9 @@
 
 from ..http import HttpServer, build_application
 from ..mesh import IncomingCall, Mesh, Sender
-from ..metrics import Metrics, MetricsServer
+from ..metrics import Metrics, build_metrics_application
 from ..platform import LogClient, Success, TargetClient, VmListClient, WorkerClient
-from ..settings import Settings
+from ..settings import Settings, link_of_peers
 from ._callers import Callers
 from ._context import Clients, Context, draw_incarnation
 from ._contracts import ContractService
@@ -45,6 +45,8 @@
 
 _LOG = logging.getLogger(__name__)
 POOL_SIZES = {"log": 8, "workers": 16, "targets": 128, "control": 16}
+RESERVED_HTTP_THREADS = 8
+METRICS_THREADS = 2
 TARGET_STEP_S = 0.1
 DIGEST_STEP_S = 0.1
 SNAPSHOT_STEP_S = 5.0
@@ -85,7 +87,7 @@
                 ),
             ),
             pools=IoPools(POOL_SIZES | {"workers": settings.scheduling.worker_calls_count}),
-            metrics=Metrics(settings),
+            metrics=Metrics(link_of_peers(settings)),
         )
         self.jobs_fold = JobsFold(self.context.domain, settings.platform.retention_s)
         self.contracts = ContractService(self.context, self._contract_changed)
@@ -93,11 +95,9 @@
             self.context,
             lambda sequence: make_heartbeat(self, sequence),
             lambda sequence: make_digest(self, sequence),
-            on_heartbeat=lambda heartbeat: self.requests.take_heartbeat(heartbeat),
-            on_digest=lambda digest: self.requests.take_digest(digest),
-            on_suspected=lambda incarnation: self.requests.peer_gone(incarnation),
         )
         self.requests = RequestService(self.context, self.membership)
+        self.membership.listener = self.requests
         self.scheduler = SchedulerService(self.context, self.jobs_fold, self.membership)
         self.jobs = JobService(
             self.context, self.membership, self.jobs_fold, self.scheduler, self.requests
@@ -107,13 +107,22 @@
         self._stop_wanted: asyncio.Event | None = None
         self._stop_signals_count = 0
         self._http = HttpServer(
-            build_application(Callers(self), settings.http),
+            build_application(
+                Callers(self),
+                settings.http.body_max_bytes,
+                max(1, settings.http.threads_count - RESERVED_HTTP_THREADS),
+                self.context.metrics,
+            ),
             settings.http.listen,
             settings.http.threads_count,
             settings.http.body_timeout_s,
             settings.http.waiting_connections_max,
         )
-        self._metrics_server = MetricsServer(self.context.metrics, settings.metrics.listen)
+        self._metrics_server = HttpServer(
+            build_metrics_application(self.context.metrics.registry),
+            settings.metrics.listen,
+            METRICS_THREADS,
+        )
 
     @property
     def address(self) -> str:
@@ -281,7 +290,7 @@
         for stream in self.streams.values():
             await stream.stop()
         await asyncio.to_thread(self.context.mesh.close)
-        await asyncio.to_thread(self._metrics_server.stop)
+        await asyncio.to_thread(self._metrics_server.stop, 1.0)
         clients = self.context.clients
         for client in (clients.log, clients.vm_list, clients.worker, clients.target):
             client.close()
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_callers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_callers.py
@@ -262,7 +262,6 @@
             outcome = NotRun(ResultCode.NOT_READY, "the entry VM reads the configuration", 1.0)
         else:
             return None
-        self.application.context.metrics.refused(outcome.code)
         return CallerError(outcome.code, outcome.detail, retry_after_s=outcome.retry_after_s)
 
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_membership.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_membership.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
@@ -22,6 +23,19 @@
     heard_s: float
 
 
+class PeerListener(Protocol):
+    """Is told of news about peers."""
+
+    def take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat that told something new."""
+
+    def take_digest(self, digest: DomainDigest) -> None:
+        """Take a digest that told something new."""
+
+    def peer_gone(self, incarnation: str) -> None:
+        """Note that a peer fell silent or was replaced."""
+
+
 class Membership:
     """Knows the other entry VMs by what they send.
 
@@ -29,9 +43,6 @@
         context: shared parts.
         make_heartbeat: returns the own heartbeat with the given sequence.
         make_digest: returns the own digest with the given sequence; None when not scheduler.
-        on_heartbeat: called with each heartbeat that told something new.
-        on_digest: called with each digest that told something new.
-        on_suspected: called with the incarnation of a peer that fell silent or was replaced.
     """
 
     def __init__(
@@ -39,16 +50,11 @@
         context: Context,
         make_heartbeat: Callable[[int], Heartbeat],
         make_digest: Callable[[int], DomainDigest | None],
-        on_heartbeat: Callable[[Heartbeat], None],
-        on_digest: Callable[[DomainDigest], None],
-        on_suspected: Callable[[str], None],
     ) -> None:
         self.context = context
         self.make_heartbeat = make_heartbeat
         self.make_digest = make_digest
-        self.on_heartbeat = on_heartbeat
-        self.on_digest = on_digest
-        self.on_suspected = on_suspected
+        self.listener: PeerListener | None = None
         settings = context.settings
         self.peers = PeerTable(context.incarnation, settings.scheduling.suspicion_s)
         self.planner = DigestPlanner(context.domain, settings.scheduling.digest_interval_s)
@@ -85,7 +91,7 @@
         silent = {row.incarnation for row in self.peers.suspected(self.context.now_s())}
         for incarnation in silent - self._suspected:
             _LOG.warning("no heartbeat from %s; it is suspected to have failed", incarnation)
-            self.on_suspected(incarnation)
+            self.listener.peer_gone(incarnation)
         self._suspected = silent
 
     def send_digests(self) -> None:
@@ -108,9 +114,9 @@
         if effect is HeartbeatEffect.IGNORED:
             return
         if effect is HeartbeatEffect.REPLACED and heartbeat.vm_name in known:
-            self.on_suspected(known[heartbeat.vm_name])
+            self.listener.peer_gone(known[heartbeat.vm_name])
         self._addresses[heartbeat.incarnation] = heartbeat.mesh_address
-        self.on_heartbeat(heartbeat)
+        self.listener.take_heartbeat(heartbeat)
 
     def take_digest(self, digest: DomainDigest) -> None:
         """Take a digest of another domain; an older one of the same sender is ignored."""
@@ -122,4 +128,4 @@
             return
         self.remote[digest.domain] = RemoteDomain(digest, self.context.now_s())
         self._addresses[digest.incarnation] = digest.mesh_address
-        self.on_digest(digest)
+        self.listener.take_digest(digest)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_reports.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_reports.py
@@ -54,18 +54,28 @@
 def update_gauges(application: "Application") -> None:
     """Copy the present state into the metrics."""
     metrics = application.context.metrics
-    metrics.set_log_available(application.log_available)
-    metrics.set_scheduler(application.scheduler.acting)
-    metrics.set_held(
+    router = application.requests.router
+    now_s = application.context.now_s()
+    metrics.set_log(
+        available=application.log_available,
+        backlog_count=sum(row.writer.backlog_count for row in application.streams.values()),
+    )
+    metrics.set_leases(
+        scheduler=application.scheduler.acting,
         workers_count=len(application.scheduler.gateway.held()),
         targets_count=len(application.requests.targets.held()),
     )
-    metrics.set_queued_requests(application.requests.router.queued_count)
-    metrics.set_routing_counters(application.requests.router.counters)
-    for name, stream in application.streams.items():
-        metrics.set_stream(
-            name,
-            appends_count=stream.writer.appends_count_,
-            backlog_count=stream.writer.backlog_count,
-            next_offset=stream.reader.next_offset,
-        )
+    metrics.set_state(
+        ready=application.ready, live_peers_count=len(application.membership.live_peers())
+    )
+    slots = router.service_slots(now_s)
+    metrics.set_slots(
+        {row.service: row.free_count for row in slots},
+        {row.service: row.total_count for row in slots},
+    )
+    customers = application.contracts.registry.current()
+    metrics.set_waiting(
+        {customer: router.queued_count_of(customer) for customer in customers},
+        application.scheduler.waiting_tasks(),
+    )
+    metrics.copy_routing_counters(router.counters)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import time
+from typing import Any
 
 from fireflywharf_core.contracts import Contract
 from fireflywharf_core.jobs import AttemptId, TaskId
@@ -98,6 +99,15 @@
         """Whether this process is the scheduler of its domain."""
         return self.core is not None
 
+    def waiting_tasks(self) -> dict[str, int]:
+        """Return the waiting tasks by customer."""
+        if self.core is None:
+            return {}
+        return {
+            customer: sum(job.tasks_waiting_count for job in self.core.jobs(customer))
+            for customer in self.contracts
+        }
+
     def known_workers(self) -> dict[str, VmInfo]:
         """Return the known workers of the domain."""
         return self.domain_fold.workers_ | self.extra_workers
@@ -161,6 +171,17 @@
         self.provisional[admitted.spec.job_id] = admitted
         self._observe(admitted)
 
+    def answer_peer(self, message: KnownWorkersQuery | WorkersKnown) -> Any:
+        """Answer a peer that learns or spreads known workers while the log is down."""
+        match message:
+            case WorkersKnown(workers):
+                for vm in workers:
+                    if vm.name not in self.domain_fold.workers_:
+                        self.extra_workers[vm.name] = vm
+                return Acknowledged()
+            case KnownWorkersQuery():
+                return WorkersKnown(list(self.known_workers().values()))
+
     def _observe(self, event: Event) -> None:
         if self.core is not None:
             self.core.observe(event, self.context.now_s())
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/main.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/main.py
@@ -9,7 +9,7 @@
 from fireflywharf_core.results import ResultCode, describe_code
 
 from .application import Application
-from .logs import configure_logs
+from .logs import configure_logging
 from .settings import load_settings
 
 
@@ -33,7 +33,7 @@
         print(f"{settings}: the settings are valid")
         return 0
     application = Application(loaded)
-    configure_logs(loaded.logs.level, loaded.vm.name, application.context.incarnation)
+    configure_logging(loaded.logs.level, loaded.vm.name, application.context.incarnation)
     return asyncio.run(application.run())
 
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/metrics/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/metrics/_metrics.py
@@ -18,6 +18,7 @@
     ResultCode,
     describe_code,
 )
+from fireflywharf_core.routing import RoutingCounters
 
 from ..settings import LinkKind
 
@@ -72,6 +73,7 @@
     def __init__(self, links: Mapping[str, LinkKind] | None = None) -> None:
         self.links = dict(links or {})
         self.registry = CollectorRegistry()
+        self._copied: dict[tuple[int, str], int] = {}
         ProcessCollector(registry=self.registry)
         self._make_counters()
         self._make_gauges()
@@ -87,6 +89,13 @@
         counter = self._counter
         self._refusals = counter("refusals", "Refused calls by result code", "code")
         self._retries = counter("retries", "Repeated sends by reason", "reason")
+        self._suppressed = counter(
+            "suppressed_retries", "Further sends that were not made, by reason", "reason"
+        )
+        self._cross_region = counter(
+            "cross_region_request_bytes", "Request bytes sent to other regions", "reason"
+        )
+        self._request_codes = counter("request_codes", "Requests by result code", "code")
         self._requests = counter("requests", "Requests by outcome", "service", "outcome")
         self._jobs = counter("jobs", "Jobs by outcome", "outcome")
         self._http = counter("http_answers", "HTTP answers by result code", "route", "code")
@@ -228,6 +237,22 @@
         self._log_available.set(available)
         self._backlog.set(backlog_count)
 
+    def copy_routing_counters(self, counters: RoutingCounters) -> None:
+        """Copy the counts of the router, which only rise."""
+        for reason, count in counters.retries.items():
+            self._raise_to(self._retries, reason.value, count)
+        for reason, count in counters.suppressed_retries.items():
+            self._raise_to(self._suppressed, reason.value, count)
+        for reason, count in counters.cross_region_bytes.items():
+            self._raise_to(self._cross_region, reason.value, count)
+        for code, count in counters.outcomes.items():
+            self._raise_to(self._request_codes, code.name, count)
+
+    def _raise_to(self, counter: Counter, label: str, count: int) -> None:
+        key = (id(counter), label)
+        counter.labels(label).inc(count - self._copied.get(key, 0))
+        self._copied[key] = count
+
     def _link(self, address: str) -> str:
         kind = self.links.get(address)
         return "unknown" if kind is None else kind.value
