Return leases granted after they were given up, and follow boot ids

Cause: a claim answered after a release left the worker or target leased to nobody until it lapsed. Change: such a lease is released; a new boot id of the granter voids the earlier lease; a stale epoch ends the lease at once.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 
-from fireflywharf_core.leases import LeaseTable
+from fireflywharf_core.leases import LeaseTable, LeaseUnwanted
 from fireflywharf_core.membership import TargetAssignment
 from fireflywharf_core.platform import VmInfo, VmRole, VmState
 from fireflywharf_core.routing import (
@@ -105,7 +105,6 @@
             self.observe(TargetLost(name))
             if name in self.vms:
                 self.tasks.spawn(self._send_release(name, epoch))
-        self.leases.forget(names)
 
     async def _send_release(self, name: str, epoch: int) -> None:
         vm = self.vms.get(name)
@@ -128,7 +127,11 @@
         now_s = self.context.now_s()
         match answer:
             case Success(claim) if claim.granted:
-                self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
+                result = self.leases.on_granted(
+                    name, claim.epoch, sent_s, now_s, claim.remaining_s, claim.boot_id
+                )
+                if isinstance(result, LeaseUnwanted):
+                    await self._send_release(name, claim.epoch)
                 if self.leases.may_act(name, now_s):
                     self.observe(
                         TargetHeld(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
@@ -133,7 +133,9 @@
             self.context.pools.run("workers", worker.release, self._rows[name].vm.address, epoch)
             for name, epoch in self.leases.release(names, self.context.now_s())
         ]
-        self._drop(names)
+        for name in names:
+            self._drop_commands(name)
+        self._rows.clear()
         await asyncio.gather(*calls, return_exceptions=True)
 
     def send(self, name: str, command: WorkerCommand, on_result: OnResult) -> None:
@@ -187,12 +189,15 @@
         now_s = self.context.now_s()
         row.last_claim_s = now_s
         if self._rows.get(name) is not row:
+            self._return_unwanted(name, row, answer, sent_s)
             return
         match answer:
             case Success(claim) if claim.granted:
                 row.unreachable_since_s, row.ended_reported = None, False
                 self.holders[name] = self.context.incarnation
-                result = self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
+                result = self.leases.on_granted(
+                    name, claim.epoch, sent_s, now_s, claim.remaining_s, claim.boot_id
+                )
                 if isinstance(result, LeaseGained):
                     self._drop_commands(name)
                     _LOG.info("lease of worker %s gained", name, extra={"epoch": claim.epoch})
@@ -207,6 +212,23 @@
                     row.unreachable_since_s = sent_s
                 self.leases.on_failed(name, now_s)
 
+    def _return_unwanted(self, name: str, row: _Row, answer: object, sent_s: float) -> None:
+        """Release a lease that was granted after this process gave the worker up."""
+        match answer:
+            case Success(claim) if claim.granted and name not in self._rows:
+                self.leases.on_granted(
+                    name,
+                    claim.epoch,
+                    sent_s,
+                    self.context.now_s(),
+                    claim.remaining_s,
+                    claim.boot_id,
+                )
+                release = self.context.clients.worker.release
+                self.tasks.spawn(
+                    self.context.pools.run("workers", release, row.vm.address, claim.epoch)
+                )
+
     def _report_ended(self, now_s: float) -> None:
         task_lease_s = self.context.settings.scheduling.task_lease_s
         wait_s = task_lease_s + margin_s(task_lease_s) + self.context.settings.platform.timeout_s
@@ -233,17 +255,19 @@
         if not (self.may_command() and self.leases.may_act(name, self.context.now_s())):
             results: list[CommandResult] = [CommandNotRun("stale_epoch")] * len(batch)
         else:
+            epoch = self.leases.epoch(name)
             answer = await self.context.pools.run(
                 "workers",
                 self.context.clients.worker.commands,
                 row.vm.address,
-                self.leases.epoch(name),
+                epoch,
                 [command for command, _ in batch],
             )
             match answer:
                 case Success(answers) if len(answers) == len(batch):
                     results = [CommandTaken(one) for one in answers]
                 case RefusedBeforeRun(RefusalReason.STALE_EPOCH):
+                    self.leases.on_stale(name, epoch, self.context.now_s())
                     results = [CommandNotRun("stale_epoch")] * len(batch)
                 case RefusedBeforeRun():
                     results = [CommandNotRun("unreachable")] * len(batch)
