--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_records.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_effects.py
@@ -1,14 +1,9 @@
-"""Typed records of a run.
+"""Records that stand-ins write about what took effect.
 
-Stand-ins write what took effect, callers write what they sent and were told, and daemons write what
-they adopted. `time_s` is the machine's monotonic clock, which all processes of a run share.
+`time_s` is the machine's monotonic clock, which all processes of a run share.
 """
 
-import json
-from typing import Any
-
 import attrs
-import msgspec
 
 from ..jobs import AttemptId
 from ..resources import ResourceVector
@@ -69,6 +64,26 @@
     end: str
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class StartRefused:
+    """A worker refused to start an attempt; `reason` is that of the `CommandAnswer`."""
+
+    time_s: float
+    worker: str
+    attempt: AttemptId
+    reason: str
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class RequestRefused:
+    """A target refused a request before its start, with an HTTP status."""
+
+    time_s: float
+    target: str
+    request_id: str
+    status: int
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class RequestStarted:
     """A target started to execute a request.
@@ -82,6 +97,7 @@
         kind: header `X-Kind`.
         operation: `echo` field of the body, by which the caller recognises its own request.
         epoch: header `X-Epoch`.
+        slots_count: executions that the target can run at once; zero when not known.
     """
 
     time_s: float
@@ -92,6 +108,7 @@
     kind: str = ""
     operation: str = ""
     epoch: int = 0
+    slots_count: int = 0
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -129,44 +146,9 @@
     vm: str
 
 
-HistoryRecord = (
-    AppendDone
-    | LeaseGranted
-    | AttemptStarted
-    | AttemptResized
-    | AttemptEnded
-    | RequestStarted
-    | RequestEnded
-    | VmAdded
-    | VmLeaving
-    | VmRemoved
-)
-
-_TYPES = {cls.__name__: cls for cls in HistoryRecord.__args__}
-
-
-def record_to_json(record: HistoryRecord) -> str:
-    """Return the record as one line of JSON with its class name in the field `type`."""
-    return json.dumps({"type": type(record).__name__, **msgspec.to_builtins(record)})
-
-
-def record_from_json(line: str) -> HistoryRecord:
-    """Return the record that `record_to_json` wrote.
-
-    Args:
-        line: one line of JSON.
-
-    Returns:
-        The record.
-
-    Raises:
-        ValueError: the line is not JSON, has an unknown type, or does not match its class.
+@attrs.frozen(slots=True, kw_only=True)
+class VmDied:
+    """A worker or target lost everything that it ran and knew."""
 
-    Example:
-        >>> record_from_json('{"type": "VmAdded", "time_s": 1.5, "vm": "w1"}')
-        VmAdded(time_s=1.5, vm='w1')
-    """
-    data: Any = json.loads(line)
-    if not isinstance(data, dict) or data.get("type") not in _TYPES:
-        raise ValueError(f"not a history record: {line[:80]}")
-    return msgspec.convert(data, _TYPES[data["type"]])
+    time_s: float
+    vm: str
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_violation.py
@@ -0,0 +1,34 @@
+"""Violation of a promise."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Promise(Enum):
+    """Promises of section 13 of the design."""
+
+    ROOM = "no VM is given more work than it can hold"
+    ONE_PLACE = "a task never runs in two places"
+    OWN_ANSWER = "every caller gets the whole answer to its own request"
+    NOT_RUN = "what is told not run was not run"
+    AT_MOST_ONCE = "a non-idempotent request runs at most once"
+    LEAVING = "a leaving target gets no new work"
+    SHUTDOWN = "a graceful shutdown cuts no request in progress"
+    CONFIGURATION = "an accepted configuration is in force in time and never reverts"
+    NOTHING_LOST = "accepted work finishes on time or is reported late"
+    FAIR_SHARE = "no customer is favoured beyond its contract"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken promise.
+
+    Args:
+        promise: which one.
+        detail: one sentence with the names involved.
+        time_s: time at which the history shows it.
+    """
+
+    promise: Promise
+    detail: str
+    time_s: float
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_platform.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_platform.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from fireflywharf_core.history import VmDied
 from fireflywharf_core.platform import VmInfo, VmRole
 
 from ._effects import EffectsRecorder
@@ -131,6 +132,7 @@
         stand_in = self.workers.get(name) or self.targets[name]
         self.servers[name].refuse()
         stand_in.die()
+        self.recorder.add(VmDied(time_s=time.monotonic(), vm=name))
         self.servers[name].set_faults(FaultSettings(down="refuse"))
 
     def restart_vm(self, name: str) -> None:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
@@ -13,7 +13,12 @@
 
 import attrs
 
-from fireflywharf_core.history import LeaseGranted, RequestEnded, RequestStarted
+from fireflywharf_core.history import (
+    LeaseGranted,
+    RequestEnded,
+    RequestRefused,
+    RequestStarted,
+)
 from fireflywharf_core.platform import ClaimAnswer, TargetStatus, VmInfo
 
 from ._effects import EffectsRecorder
@@ -175,6 +180,7 @@
                 kind=call.headers.get("x-kind", ""),
                 operation=str(fields.get("echo", "")),
                 epoch=epoch,
+                slots_count=self.vm.slots_count,
             )
         )
         return execution
@@ -210,6 +216,11 @@
         return Answer(500 if failed else 200, body, self._headers(request_id, body))
 
     def _refuse(self, request_id: str, status: int, detail: str) -> Answer:
+        self.recorder.add(
+            RequestRefused(
+                time_s=self.clock(), target=self.vm.name, request_id=request_id, status=status
+            )
+        )
         body = json.dumps({"detail": detail}).encode()
         return Answer(status, body, self._headers(request_id, body) | NOT_RUN)
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_topology.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_topology.py
@@ -130,8 +130,7 @@
 def _parse_domain(data: Any, path: str, problems: list[Problem]) -> Domain | None:
     checker = FieldChecker(data, _CODE, path)
     fields = {
-        name: checker.take(name, str, NAME_TEXT, check=is_name)
-        for name in ("name", "region")
+        name: checker.take(name, str, NAME_TEXT, check=is_name) for name in ("name", "region")
     }
     fields |= _numbers(checker, int, {"entry_vms_count": 1}, 0)
     fields["workers"] = [
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_worker.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_worker.py
@@ -16,6 +16,7 @@
     AttemptStarted,
     HistoryRecord,
     LeaseGranted,
+    StartRefused,
 )
 from fireflywharf_core.jobs import AttemptEnd, AttemptId
 from fireflywharf_core.platform import (
@@ -250,10 +251,21 @@
         return ACCEPTED
 
     def _start(self, command: StartAttempt, now_s: float, fail: bool) -> CommandAnswer:
+        refusal = None
         if command.attempt in self._seen:
-            return DUPLICATE
-        if not (self.used() + command.size).fits_in(self.vm.capacity):
-            return NO_ROOM
+            refusal = DUPLICATE
+        elif not (self.used() + command.size).fits_in(self.vm.capacity):
+            refusal = NO_ROOM
+        if refusal is not None:
+            self._record(
+                StartRefused(
+                    time_s=now_s,
+                    worker=self.vm.name,
+                    attempt=command.attempt,
+                    reason=refusal.reason,
+                )
+            )
+            return refusal
         settings = self.settings
         behaviour = read_behaviour(command.command, command.run_time_s, settings.default_run_s)
         behaviour = attrs.evolve(behaviour, run_s=behaviour.run_s * settings.time_scale)
