Add a recording caller and more faults to the stand-ins

Integrators need to write what callers saw in the form that the checks read, and the promise about late or crossed answers could not be tested, because no stand-in crossed or corrupted an answer.

--- a/packages/fireflywharf-core/src/fireflywharf_core/history/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/__init__.py
@@ -1,12 +1,7 @@
 """Records of a run and one checker per promise."""
 
-from ._check_all import (
-    CHECKS,
-    check_history,
-)
-from ._configuration_checks import (
-    check_configuration,
-)
+from ._check_all import CHECKS, check_history
+from ._configuration_checks import check_configuration
 from ._effects import (
     AppendDone,
     AttemptEnded,
@@ -22,15 +17,8 @@
     VmLeaving,
     VmRemoved,
 )
-from ._history import (
-    History,
-    HistoryRecord,
-    record_from_json,
-    record_to_json,
-)
-from ._job_checks import (
-    check_nothing_lost,
-)
+from ._history import History, HistoryRecord, record_from_json, record_to_json
+from ._job_checks import check_nothing_lost
 from ._observations import (
     ContractApplied,
     ContractSeen,
@@ -51,17 +39,9 @@
     check_own_answer,
     check_shutdown,
 )
-from ._share_checks import (
-    check_fair_share,
-)
-from ._violation import (
-    Promise,
-    Violation,
-)
-from ._work_checks import (
-    check_one_place,
-    check_room,
-)
+from ._share_checks import check_fair_share
+from ._violation import Promise, Violation
+from ._work_checks import check_one_place, check_room
 
 __all__ = [
     "CHECKS",
--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_configuration_checks.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_configuration_checks.py
@@ -81,10 +81,7 @@
 
 
 def _check_in_force(
-    applied: ContractApplied,
-    rows: list[ContractSeen],
-    reachability: _Reachability,
-    limit_s: float,
+    applied: ContractApplied, rows: list[ContractSeen], reachability: _Reachability, limit_s: float
 ) -> Violation | None:
     """Return a violation for the first lower version that is shown after the limit."""
     first = bisect.bisect_left(rows, applied.time_s, key=lambda row: row.time_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_share_checks.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_share_checks.py
@@ -8,13 +8,7 @@
 
 from ..jobs import JobState, TaskId
 from ..resources import ResourceVector
-from ._effects import (
-    AttemptEnded,
-    AttemptResized,
-    AttemptStarted,
-    RequestEnded,
-    RequestStarted,
-)
+from ._effects import AttemptEnded, AttemptResized, AttemptStarted, RequestEnded, RequestStarted
 from ._history import History
 from ._observations import JobAcceptedSeen, JobStateSeen, RequestAnswered, RequestSent
 from ._violation import Promise, Violation
--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_work_checks.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_work_checks.py
@@ -5,13 +5,7 @@
 
 from ..jobs import AttemptId, TaskId
 from ..resources import ResourceVector
-from ._effects import (
-    AttemptEnded,
-    AttemptResized,
-    AttemptStarted,
-    RequestEnded,
-    RequestStarted,
-)
+from ._effects import AttemptEnded, AttemptResized, AttemptStarted, RequestEnded, RequestStarted
 from ._history import History
 from ._violation import Promise, Violation
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for the platform interfaces of fireflywharf."""
 
+from ._caller import CallResult, RecordingCaller, RequestPlan
 from ._effects import EffectsRecorder
 from ._faults import NO_FAULTS, FaultSettings, parse_faults
 from ._lease import HolderLease
@@ -24,6 +25,7 @@
     "NO_FAULTS",
     "Answer",
     "Call",
+    "CallResult",
     "CheckpointStore",
     "Domain",
     "EffectsRecorder",
@@ -32,6 +34,8 @@
     "LogSettings",
     "LogStandIn",
     "Platform",
+    "RecordingCaller",
+    "RequestPlan",
     "StandInServer",
     "TargetGroup",
     "TargetSettings",
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_faults.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_faults.py
@@ -9,6 +9,7 @@
 from fireflywharf_core.checking import FieldChecker
 from fireflywharf_core.results import Problem, ResultCode
 
+_PROBABILITIES = ("lose_answer_p", "cut_answer_p", "cross_answer_p", "corrupt_answer_p", "fail_p")
 _Down = Literal["", "refuse", "error", "hang"]
 
 
@@ -22,6 +23,8 @@
             accepts calls and neither runs nor answers them.
         lose_answer_p: probability that the connection closes after the effect without an answer.
         cut_answer_p: probability that the connection closes in the middle of the answer.
+        cross_answer_p: probability that a call gets the whole answer to an earlier call.
+        corrupt_answer_p: probability that one byte of the answer's body is changed.
         fail_p: probability that a call fails: a log or VM list answers 500 without an effect, a
             worker fails the started attempt at once, a target runs the request and answers 500.
         silent: connections that exist now never carry an answer again; new ones work.
@@ -36,6 +39,8 @@
     down: _Down = ""
     lose_answer_p: float = 0.0
     cut_answer_p: float = 0.0
+    cross_answer_p: float = 0.0
+    corrupt_answer_p: float = 0.0
     fail_p: float = 0.0
     silent: bool = False
     lag_s: float = 0.0
@@ -70,10 +75,7 @@
         name: take(name, float, "a number of at least 0", 0.0, _is_duration)
         for name in ("slow_s", "lag_s", "duration_s")
     }
-    fields |= {
-        name: take(name, float, "0 to 1", 0.0, _is_probability)
-        for name in ("lose_answer_p", "cut_answer_p", "fail_p")
-    }
+    fields |= {name: take(name, float, "0 to 1", 0.0, _is_probability) for name in _PROBABILITIES}
     fields["down"] = take("down", _Down, 'refuse, error, hang or ""', "")
     fields["silent"] = take("silent", bool, "true or false", False)
     fields["only"] = take("only", list[str], "a list of path prefixes", [])
@@ -90,6 +92,8 @@
     error: bool = False
     lose_answer: bool = False
     cut_answer: bool = False
+    cross_answer: bool = False
+    corrupt_answer: bool = False
     fail: bool = False
 
 
@@ -105,11 +109,9 @@
         settings = self.settings
         if settings.only and not any(path.startswith(prefix) for prefix in settings.only):
             return CallFaults()
-        lose, cut, fail = (self._random.random() for _ in range(3))
+        drawn = {name: self._random.random() < getattr(settings, name) for name in _PROBABILITIES}
         return CallFaults(
             slow_s=settings.slow_s,
             error=settings.down == "error",
-            lose_answer=lose < settings.lose_answer_p,
-            cut_answer=cut < settings.cut_answer_p,
-            fail=fail < settings.fail_p,
+            **{name.removesuffix("_p"): value for name, value in drawn.items()},
         )
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_server.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_server.py
@@ -146,6 +146,7 @@
         self._plan = FaultPlan()
         self._silent_before_s = 0.0
         self._parked: list[_Connection] = []
+        self._last_answer: Answer | None = None
         self._refusing = threading.Event()
         self._server: _HttpServer | None = None
         self._thread: threading.Thread | None = None
@@ -242,11 +243,24 @@
             return
         if faults.lose_answer:
             request.close_connection = True
-        elif faults.cut_answer:
+            return
+        answer = self._spoil(answer, faults)
+        if faults.cut_answer:
             request.close_connection = True
-            self._write(request, answer, cut=True)
-        else:
-            self._write(request, answer)
+        self._write(request, answer, cut=faults.cut_answer)
+
+    def _spoil(self, answer: Answer, faults: CallFaults) -> Answer:
+        """Exchange an answer with an earlier one, or damage it."""
+        with self._lock:
+            earlier, self._last_answer = self._last_answer, answer
+        if faults.cross_answer and earlier is not None:
+            answer = earlier
+        if faults.corrupt_answer and answer.body:
+            middle = len(answer.body) // 2
+            changed = bytes([answer.body[middle] ^ 1])
+            body = answer.body[:middle] + changed + answer.body[middle + 1 :]
+            answer = attrs.evolve(answer, body=body)
+        return answer
 
     def _handle(self, call: Call) -> Answer:
         try:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
@@ -13,12 +13,7 @@
 
 import attrs
 
-from fireflywharf_core.history import (
-    LeaseGranted,
-    RequestEnded,
-    RequestRefused,
-    RequestStarted,
-)
+from fireflywharf_core.history import LeaseGranted, RequestEnded, RequestRefused, RequestStarted
 from fireflywharf_core.platform import ClaimAnswer, TargetStatus, VmInfo
 
 from ._effects import EffectsRecorder
@@ -111,10 +106,7 @@
         """Return the requests in progress."""
         with self._lock:
             return TargetStatus(
-                self._boot_id,
-                self._lease.epoch,
-                self.leaving,
-                list(self._in_progress.values()),
+                self._boot_id, self._lease.epoch, self.leaving, list(self._in_progress.values())
             )
 
     def die(self) -> None:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_vm_list.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_vm_list.py
@@ -24,10 +24,7 @@
     """
 
     def __init__(
-        self,
-        lag_s: float,
-        recorder: EffectsRecorder,
-        clock: Callable[[], float] = time.monotonic,
+        self, lag_s: float, recorder: EffectsRecorder, clock: Callable[[], float] = time.monotonic
     ) -> None:
         self.lag_s = lag_s
         self.recorder = recorder
