Close three gaps that changed checks showed in the features

A trial that switched off one rule of the stand-ins or checks at a time left 3 of 33 changes unnoticed: room on lifting a limit, a call told not run before its repeat, and calls that ended before SIGTERM. Adds a scenario or planted violation for each.

--- a/features/history.feature
+++ b/features/history.feature
@@ -13,31 +13,32 @@
     Then only "<promise>" is reported
 
     Examples:
-      | promise       | planted                                      |
-      | ROOM          | a start beyond the capacity                  |
-      | ROOM          | a resize beyond the capacity                 |
-      | ROOM          | a request beyond the slots                   |
-      | ONE_PLACE     | a second attempt while the first runs        |
-      | OWN_ANSWER    | an answer to another body                    |
-      | OWN_ANSWER    | two answers to one call                      |
-      | OWN_ANSWER    | a call without an answer                     |
-      | OWN_ANSWER    | a lost call without a kill                   |
-      | NOT_RUN       | an execution of a call told not run          |
-      | AT_MOST_ONCE  | a second execution of a non-idempotent call  |
-      | LEAVING       | a start 3.1 s after leaving                  |
-      | SHUTDOWN      | a call unknown after SIGTERM                 |
-      | SHUTDOWN      | an exit status of 51                         |
-      | CONFIGURATION | an old version after 10.5 s                  |
-      | CONFIGURATION | a version that falls                         |
-      | CONFIGURATION | a version that is never shown                |
-      | NOTHING_LOST  | a job that never ends                        |
-      | NOTHING_LOST  | a job done without its success               |
-      | NOTHING_LOST  | a job late without a report                  |
-      | NOTHING_LOST  | an end state that changes                    |
-      | NOTHING_LOST  | a start after success                        |
-      | NOTHING_LOST  | a second start of a task not restartable     |
-      | FAIR_SHARE    | equal service at weights of two to one       |
-      | FAIR_SHARE    | equal request service at two to one          |
+      | promise       | planted                                               |
+      | ROOM          | a start beyond the capacity                           |
+      | ROOM          | a resize beyond the capacity                          |
+      | ROOM          | a request beyond the slots                            |
+      | ONE_PLACE     | a second attempt while the first runs                 |
+      | OWN_ANSWER    | an answer to another body                             |
+      | OWN_ANSWER    | two answers to one call                               |
+      | OWN_ANSWER    | a call without an answer                              |
+      | OWN_ANSWER    | a lost call without a kill                            |
+      | NOT_RUN       | an execution of a call told not run                   |
+      | NOT_RUN       | an execution of a call told not run before its repeat |
+      | AT_MOST_ONCE  | a second execution of a non-idempotent call           |
+      | LEAVING       | a start 3.1 s after leaving                           |
+      | SHUTDOWN      | a call unknown after SIGTERM                          |
+      | SHUTDOWN      | an exit status of 51                                  |
+      | CONFIGURATION | an old version after 10.5 s                           |
+      | CONFIGURATION | a version that falls                                  |
+      | CONFIGURATION | a version that is never shown                         |
+      | NOTHING_LOST  | a job that never ends                                 |
+      | NOTHING_LOST  | a job done without its success                        |
+      | NOTHING_LOST  | a job late without a report                           |
+      | NOTHING_LOST  | an end state that changes                             |
+      | NOTHING_LOST  | a start after success                                 |
+      | NOTHING_LOST  | a second start of a task not restartable              |
+      | FAIR_SHARE    | equal service at weights of two to one                |
+      | FAIR_SHARE    | equal request service at two to one                   |
 
   Scenario: records survive their JSON lines
     Then every record of a clean history equals its decoded JSON line
--- a/features/stand_ins.feature
+++ b/features/stand_ins.feature
@@ -36,6 +36,11 @@
     When another attempt that takes 10 s is checkpointed after 4 s
     Then its next attempt ends 6 s after its start
 
+  Scenario: a throttled attempt cannot take back room that another attempt got
+    Given a worker on a manual clock with a task lease of 30 s
+    When an attempt with all processors is throttled and another takes the room
+    Then lifting the limit of the first attempt is refused for lack of room
+
   Scenario: an append whose answer was lost took effect, and its repeat gets the first offset
     Given a stand-in platform with 1 worker
     When the log loses the answer to an append
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -143,8 +143,8 @@
         *execution(3, "c3", 2.0, 2.8),
         *call("c4", 4.0, 5.0, "unknown"),
         *execution(4, "c4", 4.1, 6.0),
-        *call("c5", 7.0, 7.5, "not_run", operation="o5"),
-        *call("c6", 8.0, 9.0, operation="o5"),
+        *call("c5", 7.0, 7.5, "not_run", operation="o5", idempotent=True),
+        *call("c6", 8.0, 9.0, operation="o5", idempotent=True),
         *execution(5, "o5", 8.1, 8.9),
         VmLeaving(time_s=10.0, vm="t2"),
         *call("c7", 12.0, 13.5),
@@ -153,6 +153,7 @@
         EntryVmDown(time_s=20.5, entry_vm="e3", killed=True),
         *call("c9", 24.0, 26.0, vm="e2"),
         *execution(6, "c9", 24.1, 25.9),
+        *call("c12", 22.0, 23.0, "unknown", vm="e2"),
         ShutdownRequested(time_s=25.0, entry_vm="e2"),
         *call("c10", 25.5, 25.6, "lost", vm="e2"),
         ShutdownFinished(time_s=26.5, entry_vm="e2", exit_status=0),
@@ -258,6 +259,8 @@
     "a call without an answer": lambda r: without(r, call="c4", outcome="unknown"),
     "a lost call without a kill": lambda r: replace_outcome(r, "c4", outcome="lost"),
     "an execution of a call told not run": lambda r: r + execution(8, "c2", 1.95, 1.99),
+    "an execution of a call told not run before its repeat": lambda r: r
+    + execution(8, "o5", 7.2, 7.4),
     "a second execution of a non-idempotent call": lambda r: r + execution(9, "c4", 8.0, 8.5),
     "a start 3.1 s after leaving": lambda r: r
     + call("c11", 13.0, 13.5)
--- a/features/steps/stand_in_worker_steps.py
+++ b/features/steps/stand_in_worker_steps.py
@@ -233,3 +233,20 @@
     assert isinstance(answer, urllib3.exceptions.NewConnectionError), answer
     assert post(context, "control", "/v1/vms/centro-worker-1/restart", {}).status == 200
     assert post(context, "centro-worker-1", "/v1/claim", claim).status == 200
+
+
+@when("an attempt with all processors is throttled and another takes the room")
+def throttle_and_fill(context):
+    room = [
+        StartAttempt(attempt_id(0), ResourceVector(1000, 10)),
+        ThrottleAttempt(attempt_id(0), 400),
+    ]
+    room.append(StartAttempt(attempt_id(1), ResourceVector(600, 10)))
+    assert all(answer.accepted for answer in context.worker.commands(context.epoch, room))
+
+
+@then("lifting the limit of the first attempt is refused for lack of room")
+def check_limit_kept(context):
+    answers = context.worker.commands(context.epoch, [ThrottleAttempt(attempt_id(0), 401)])
+    assert [answer.reason for answer in answers] == ["no_room"], answers
+    check_effects_within_capacity(context.worker.recorder.all())
