Answer HTTP calls later without a thread, drain the mesh

Cause: waiting requests held HTTP threads, so that one customer could use up the entry VM before its contract's queue bound was reached; a shutdown had no way to finish calls of peers. Change: a method of CallerService may return a future, and the connection is parked until it is done; open connections are bounded; Mesh.drain refuses new calls and waits for replies.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_connection.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_connection.py
@@ -1,5 +1,6 @@
 """Cheroot classes with time limits for whole requests and JSON for protocol errors."""
 
+import concurrent.futures
 import contextlib
 import logging
 import queue
@@ -16,6 +17,7 @@
 
 from ..sockets import DeadlineSocket
 from ._answers import HttpAnswer, error_answer
+from ._deferred import DeferringGateway
 from ._service import CallerError
 
 _logger = logging.getLogger(__name__)
@@ -82,6 +84,11 @@
         self.conn.start_write()
         super().send_headers()
 
+    def ensure_headers_sent(self) -> None:
+        """Send the headers unless the answer is deferred."""
+        if self.conn.parked is None:
+            super().ensure_headers_sent()
+
 
 class TimedConnection(HTTPConnection):
     """Connection that gives each request one time limit for arrival and one for the answer."""
@@ -92,6 +99,9 @@
         super().__init__(server, DeadlineSocket.adopt(sock), makefile)
         self.is_new = True
         self.has_unread_input = False
+        self.parked: DeferringGateway | None = None
+        self._counted = True
+        server.count_connection(1)
 
     def start_write(self) -> None:
         """Start the time limit for writing an answer."""
@@ -106,14 +116,24 @@
         self.socket.read_deadline_s = time.monotonic() + self.server.body_timeout_s
         self.start_write()
         try:
-            return bool(super().communicate()) and not self.server.closing
+            keep = bool(super().communicate()) and not self.server.closing
+            # A parked connection goes to `WsgiServer.put_conn`, even if it ends after its answer.
+            return keep or self.parked is not None
         finally:
-            self.server.end_request()
+            if self.parked is None:
+                self.server.end_request()
 
     def close(self) -> None:
         """Close the connection after the caller had time to read the answer."""
         if self.has_unread_input:
             self._discard_input()
+        self.drop()
+
+    def drop(self) -> None:
+        """Close the connection at once."""
+        if self._counted:
+            self._counted = False
+            self.server.count_connection(-1)
         super().close()
 
     def _discard_input(self) -> None:
@@ -134,7 +154,12 @@
     expiration_interval = 0.25
 
     def __init__(
-        self, bind_addr: tuple[str, int], application: Any, threads_count: int, waiting_max: int
+        self,
+        bind_addr: tuple[str, int],
+        application: Any,
+        threads_count: int,
+        waiting_max: int,
+        connections_max: int,
     ) -> None:
         super().__init__(
             bind_addr,
@@ -147,19 +172,32 @@
             accepted_queue_size=waiting_max,
             accepted_queue_timeout=0,
         )
-        self.keep_alive_conn_limit = waiting_max + threads_count
+        self.gateway = DeferringGateway
+        self.keep_alive_conn_limit = connections_max
+        self.connections_max = connections_max
         self.body_timeout_s = 10.0
         self.closing = False
         self._requests_count = 0
+        self._connections_count = 0
+        self._parked: set[TimedConnection] = set()
+        self._answers = concurrent.futures.ThreadPoolExecutor(threads_count, "http-answer")
         self._changed = threading.Condition()
         self._refused: queue.Queue[TimedConnection | None] = queue.Queue(REFUSALS_MAX_WAITING)
         self._refuser = threading.Thread(target=self._refuse, name="http-refuser", daemon=True)
 
+    def count_connection(self, change: int) -> None:
+        """Count open connections."""
+        with self._changed:
+            self._connections_count += change
+
     def process_conn(self, conn: TimedConnection) -> None:
         """Give a connection with input to a thread; a new one first waits for input."""
         if conn.is_new:
             conn.is_new = False
-            self.put_conn(conn)
+            if self._connections_count > self.connections_max:
+                self._refuse_later(conn)
+            else:
+                self.put_conn(conn)
             return
         with self._changed:
             self._requests_count += 1
@@ -167,10 +205,46 @@
             self.requests.put(conn)
         except queue.Full:
             self.end_request()
-            try:
-                self._refused.put_nowait(conn)
-            except queue.Full:
-                HTTPConnection.close(conn)
+            self._refuse_later(conn)
+
+    def put_conn(self, conn: TimedConnection) -> None:
+        """Take back a connection that waits for its next request or for a deferred answer."""
+        if conn.parked is None:
+            super().put_conn(conn)
+            return
+        with self._changed:
+            self._parked.add(conn)
+        conn.parked.deferred.future.add_done_callback(lambda _: self._submit_answer(conn))
+
+    def _submit_answer(self, conn: TimedConnection) -> None:
+        # A done callback must not raise; after the stop there is no one to answer.
+        with contextlib.suppress(RuntimeError):
+            self._answers.submit(self._finish_answer, conn)
+
+    def _finish_answer(self, conn: TimedConnection) -> None:
+        with self._changed:
+            if conn not in self._parked:
+                return
+            self._parked.remove(conn)
+        keep = False
+        try:
+            keep = conn.parked.finish() and not self.closing
+        except OSError as error:
+            _logger.info("caller left before its answer: %s", error)
+        except Exception:
+            _logger.exception("deferred answer could not be written")
+        finally:
+            self.end_request()
+            if keep:
+                self.put_conn(conn)
+            else:
+                conn.close()
+
+    def _refuse_later(self, conn: TimedConnection) -> None:
+        try:
+            self._refused.put_nowait(conn)
+        except queue.Full:
+            conn.drop()
 
     def end_request(self) -> None:
         """Note that a request was answered or dropped."""
@@ -193,13 +267,17 @@
             )
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; connections that are already open stay."""
+        """Take the connections that wait for acceptance and close the listening socket."""
         self.closing = True
-        listener, self.socket = self.socket, None
-        if listener is not None:
-            # Cheroot has no public way to stop accepting without cutting requests in progress.
-            self._connections._selector.unregister(listener.fileno())
-            listener.close()
+        # Cheroot has no public way to stop accepting without cutting requests in progress.
+        self._connections._selector.unregister(self.socket.fileno())
+        self.socket.settimeout(0)
+        for _ in range(self.request_queue_size):
+            conn = self._connections._from_server_socket(self.socket)
+            if conn is None:
+                break
+            self.process_conn(conn)
+        self.socket.close()
 
     def prepare(self) -> None:
         """Bind the socket and start the threads."""
@@ -210,6 +288,11 @@
         """Stop all threads and close all connections."""
         self.closing = True
         super().stop()
+        with self._changed:
+            parked, self._parked = self._parked, set()
+        for conn in parked:
+            conn.drop()
+        self._answers.shutdown(wait=True, cancel_futures=True)
         if self._refuser.is_alive():
             self._refused.put(None)
             self._refuser.join()
@@ -224,7 +307,7 @@
                 conn.start_write()
                 conn.has_unread_input = True
                 conn.wfile.write(content)
-                conn.close()
+            conn.close()
 
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Write a message of cheroot to the log.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_router.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_router.py
@@ -8,6 +8,7 @@
 import urllib.parse
 import uuid
 from collections.abc import Callable, Iterable
+from concurrent.futures import CancelledError, Future
 from typing import Any, Protocol
 
 import attrs
@@ -16,6 +17,7 @@
 
 from ._answers import HttpAnswer, answer_of, error_answer, json_answer
 from ._body import decode_json, read_body
+from ._deferred import DeferredAnswer
 from ._parse import (
     parse_contract_change,
     parse_key_count,
@@ -27,6 +29,9 @@
 
 _logger = logging.getLogger(__name__)
 
+# Calls that only queue work free their slot within milliseconds; longer waits mean overload.
+SLOT_WAIT_S = 0.1
+
 
 class HttpObserver(Protocol):
     """Receives one call per answered HTTP request; called from many threads at once."""
@@ -190,6 +195,18 @@
     return values
 
 
+def _settle(path: str, ask: Callable[[], Any]) -> "HttpAnswer | Future[Any]":
+    """Return the HTTP answer of a call, or the future that will have it."""
+    try:
+        result = ask()
+        return result if isinstance(result, HttpAnswer | Future) else answer_of(result)
+    except (Exception, CancelledError):
+        error_id = uuid.uuid4().hex[:12]
+        _logger.exception("call of %s failed", path, extra={"error_id": error_id})
+        detail = f"unexpected error {error_id}; see the log of the daemon"
+        return error_answer(CallerError(ResultCode.INTERNAL_ERROR, detail))
+
+
 class _Application:
     """WSGI application; see `build_application`."""
 
@@ -211,29 +228,34 @@
         started_s = time.monotonic()
         found = _find_route(environ["REQUEST_METHOD"], environ.get("PATH_INFO", ""))
         if isinstance(found, CallerError):
-            route_path, answer, body_read = "unknown", error_answer(found), False
+            path, answer, body_read = "unknown", error_answer(found), False
         else:
             route, parts = found
-            route_path = route.path
+            path = route.path
             answer, body_read = self._guard(route, parts, environ)
-        headers = list(answer.headers)
-        if not body_read and (
+        # The rest of an unread body would be taken for the next request.
+        ends = not body_read and (
             environ.get("CONTENT_LENGTH", "0") != "0" or environ.get("wsgi.input_terminated")
-        ):
-            # The rest of the body would be taken for the next request.
-            headers.append(("Connection", "close"))
-        if self.observer is not None:
-            self.observer.http_answered(route_path, answer.code, time.monotonic() - started_s)
-        start_response(answer.status_line, headers)
-        return [] if environ["REQUEST_METHOD"] == "HEAD" else [answer.body]
+        )
+
+        def finish(result: HttpAnswer) -> bytes:
+            headers = [*result.headers, ("Connection", "close")] if ends else result.headers
+            if self.observer is not None:
+                self.observer.http_answered(path, result.code, time.monotonic() - started_s)
+            start_response(result.status_line, headers)
+            return b"" if environ["REQUEST_METHOD"] == "HEAD" else result.body
+
+        if isinstance(answer, Future):
+            return DeferredAnswer(answer, lambda future: finish(_settle(path, future.result)))
+        return [finish(answer)]
 
     def _guard(
         self, route: _Route, parts: tuple[str, ...], environ: dict[str, Any]
-    ) -> tuple[HttpAnswer, bool]:
+    ) -> "tuple[HttpAnswer | Future[Any], bool]":
         """Answer within a request slot; reserved routes need none."""
         if route.reserved:
             return self._answer(route, parts, environ)
-        if not self._slots.acquire(blocking=False):
+        if not self._slots.acquire(timeout=SLOT_WAIT_S):
             detail = f"{self.requests_max} calls are in progress at this entry VM"
             error = CallerError(ResultCode.QUEUE_FULL, detail, retry_after_s=1.0)
             return error_answer(error), False
@@ -244,7 +266,7 @@
 
     def _answer(
         self, route: _Route, parts: tuple[str, ...], environ: dict[str, Any]
-    ) -> tuple[HttpAnswer, bool]:
+    ) -> "tuple[HttpAnswer | Future[Any], bool]":
         query = _parse_query(environ.get("QUERY_STRING", ""), route)
         if isinstance(query, CallerError):
             return error_answer(query), False
@@ -256,16 +278,8 @@
             data, error = decode_json(body)
             if error is not None:
                 return error_answer(error), True
-        try:
-            result = route.handle(_Call(self.service, parts, query, data))
-            return (result if isinstance(result, HttpAnswer) else answer_of(result)), True
-        except Exception:
-            error_id = uuid.uuid4().hex[:12]
-            _logger.exception(
-                "%s %s failed", route.method, route.path, extra={"error_id": error_id}
-            )
-            detail = f"unexpected error {error_id}; see the log of the daemon"
-            return error_answer(CallerError(ResultCode.INTERNAL_ERROR, detail)), True
+        call = _Call(self.service, parts, query, data)
+        return _settle(route.path, lambda: route.handle(call)), True
 
 
 def build_application(
@@ -279,9 +293,9 @@
     Args:
         service: application that answers the calls.
         body_max_bytes: largest accepted body.
-        requests_max: calls in progress at once before `QUEUE_FULL`. It has to be lower than the
-            number of HTTP threads, so that `/healthz`, `/readyz`, `/v1/status` and refusals are
-            answered while all calls wait.
+        requests_max: calls that hold a thread at once before `QUEUE_FULL`; deferred answers hold
+            none. It has to be lower than the number of HTTP threads, so that `/healthz`,
+            `/readyz`, `/v1/status` and refusals are answered while all calls wait.
         observer: is told of every answer.
 
     Returns:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_server.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_server.py
@@ -13,6 +13,7 @@
 
 # Time to send and close after the last request; part of the deadline of a graceful stop.
 CLOSE_TIME_S = 1.0
+ARRIVAL_TIME_S = 0.1
 
 
 class HttpServer:
@@ -25,6 +26,8 @@
         body_timeout_s: time in which a request must arrive, and in which its answer must be taken.
         waiting_connections_max: connections with input that wait for a thread; further ones are
             refused with `QUEUE_FULL`.
+        connections_max: open connections, those of deferred answers included; further ones are
+            refused with `QUEUE_FULL`.
 
     Example:
         >>> server = HttpServer(lambda environ, start: [], "127.0.0.1:0", threads_count=1)
@@ -40,12 +43,14 @@
         threads_count: int = 64,
         body_timeout_s: float = 10.0,
         waiting_connections_max: int = 1024,
+        connections_max: int = 4096,
     ) -> None:
         self.application = application
         self.listen = listen
         self.threads_count = threads_count
         self.body_timeout_s = body_timeout_s
         self.waiting_connections_max = waiting_connections_max
+        self.connections_max = connections_max
         self._server: WsgiServer | None = None
         self._thread: threading.Thread | None = None
 
@@ -68,6 +73,7 @@
             self.application,
             self.threads_count,
             self.waiting_connections_max,
+            self.connections_max,
         )
         server.body_timeout_s = self.body_timeout_s
         server.prepare()
@@ -89,6 +95,8 @@
             return True
         end_s = time.monotonic() + deadline_s
         server.stop_accepting()
+        # Requests that have just arrived on open connections are still taken.
+        time.sleep(min(ARRIVAL_TIME_S, deadline_s))
         complete = server.wait_idle(end_s)
         if not complete:
             _logger.warning("HTTP requests were cut at the shutdown deadline")
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_service.py
@@ -2,6 +2,9 @@
 
 A method answers an error value instead of raising. An exception means a fault of the daemon; the
 caller gets `INTERNAL_ERROR`.
+
+A method may also return a `concurrent.futures.Future` of its answer, such as that of
+`asyncio.run_coroutine_threadsafe`. The call then holds no thread while it waits.
 """
 
 from dataclasses import dataclass
@@ -323,7 +326,10 @@
 
 
 class CallerService(Protocol):
-    """Calls that the HTTP interface passes on; called from many threads at once."""
+    """Calls that the HTTP interface passes on; called from many threads at once.
+
+    Each method but `healthy` and `ready` may return a future of its answer.
+    """
 
     def submit_job(self, job: SubmitJob) -> SubmittedJob | CallerError:
         """Submit a job."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_incoming.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_incoming.py
@@ -15,6 +15,8 @@
 
 _logger = logging.getLogger(__name__)
 
+PURGE_EVERY = 256
+
 
 class CallHandler:
     """Runs the handler of incoming calls and sends its answers.
@@ -41,6 +43,9 @@
         self.threads_count = threads_count
         self.waiting_max = waiting_max
         self._room = threading.BoundedSemaphore(threads_count + waiting_max)
+        self._changed = threading.Condition()
+        self._open_calls: set[IncomingCall] = set()
+        self._refusing = False
         self._pool = concurrent.futures.ThreadPoolExecutor(threads_count, "mesh-call")
 
     def accept(self, sender: Sender, envelope: Envelope) -> None:
@@ -64,21 +69,57 @@
             kind = FrameKind.FAILED if answer is None else FrameKind.ANSWER
             payload = b"" if answer is None else MESSAGE_CODEC.encode(answer)
             self._reply(sender, envelope, kind, payload, type(answer).__name__)
+            self._forget(call)
 
         call = IncomingCall(sender, message, deadline_s, send_reply)
+        with self._changed:
+            refusing = self._refusing
+            if not refusing:
+                self._open_calls.add(call)
+                if len(self._open_calls) % PURGE_EVERY == 0:
+                    # A handler that never replies must not fill the memory.
+                    now_s = time.monotonic()
+                    self._open_calls = {c for c in self._open_calls if c.deadline_s > now_s}
         try:
-            self._pool.submit(self._handle, call, envelope)
+            if not refusing:
+                self._pool.submit(self._handle, call, envelope)
+                return
         except RuntimeError:
-            self._room.release()
-            self._refuse(sender, envelope, "the daemon is shutting down")
+            self._forget(call)
+        self._room.release()
+        self._refuse(sender, envelope, "the daemon is shutting down")
+
+    def drain(self, deadline_s: float) -> bool:
+        """Refuse new calls and wait for the replies to those that were accepted.
+
+        Args:
+            deadline_s: time of the monotonic clock.
+
+        Returns:
+            Whether no call is left whose caller still waits.
+        """
+        with self._changed:
+            self._refusing = True
+            while True:
+                now_s = time.monotonic()
+                waiting = [call.deadline_s for call in self._open_calls if call.deadline_s > now_s]
+                if not waiting or now_s >= deadline_s:
+                    return not waiting
+                self._changed.wait(min(max(waiting), deadline_s) - now_s)
 
     def close(self) -> None:
         """Stop the pool without waiting for handlers that run."""
         self._pool.shutdown(wait=False, cancel_futures=True)
 
+    def _forget(self, call: IncomingCall) -> None:
+        with self._changed:
+            self._open_calls.discard(call)
+            self._changed.notify_all()
+
     def _handle(self, call: IncomingCall, envelope: Envelope) -> None:
         try:
             if time.monotonic() >= call.deadline_s:
+                self._forget(call)
                 self._refuse(call.sender, envelope, "the time budget passed before handling")
                 return
             answer = self.on_call(call)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
@@ -184,6 +184,17 @@
             detail = f"the queue for {address} is full or the message is too large"
             self._calls.finish(call_id, Unreachable(detail))
 
+    def drain(self, deadline_s: float) -> bool:
+        """Refuse new calls of peers and wait for the replies to those that were accepted.
+
+        Args:
+            deadline_s: seconds to wait.
+
+        Returns:
+            Whether every accepted call whose caller still waits got its reply.
+        """
+        return self._handler.drain(time.monotonic() + deadline_s)
+
     def close(self) -> None:
         """Send what is queued for live connections, fail pending calls and free everything."""
         with self._changed:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/settings/_load.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/settings/_load.py
@@ -78,6 +78,7 @@
         "body_timeout_s": _between(0.1, 600.0),
         "threads_count": _between(1, 512),
         "waiting_connections_max": _between(1, 100_000),
+        "connections_max": _between(1, 1_000_000),
     },
     MeshPeer: {"address": _PEER, "failure_domain": _NAME, "region": _NAME},
     MeshSettings: {
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/settings/_settings.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/settings/_settings.py
@@ -30,6 +30,7 @@
         body_timeout_s: time in which a request must arrive and its answer must be taken.
         threads_count: requests handled at once.
         waiting_connections_max: connections that wait for a thread before new ones get 503.
+        connections_max: open connections before new ones get 503.
     """
 
     listen: str
@@ -37,6 +38,7 @@
     body_timeout_s: float = 10.0
     threads_count: int = 64
     waiting_connections_max: int = 1024
+    connections_max: int = 4096
 
 
 @attrs.frozen(slots=True, kw_only=True)
