--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_server.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_server.py
@@ -1,5 +1,6 @@
 """Life cycle of the HTTP server."""
 
+import concurrent.futures
 import logging
 import threading
 import time
@@ -76,7 +77,7 @@
             self.connections_max,
         )
         server.body_timeout_s = self.body_timeout_s
-        server.prepare()
+        _run_in_daemon_thread(server.prepare)
         self._server = server
         self._thread = threading.Thread(target=server.serve, name="http-accept", daemon=True)
         self._thread.start()
@@ -101,7 +102,26 @@
         if not complete:
             _logger.warning("HTTP requests were cut at the shutdown deadline")
         server.shutdown_timeout = CLOSE_TIME_S if complete else 0.1
-        server.stop()
-        if self._thread is not None:
-            self._thread.join(CLOSE_TIME_S)
+        closer = threading.Thread(target=server.stop, name="http-close", daemon=True)
+        closer.start()
+        # Cheroot waits without limit for a handler that does not return.
+        closer.join(2 * CLOSE_TIME_S if complete else CLOSE_TIME_S)
         return complete
+
+
+def _run_in_daemon_thread(function: Callable[[], None]) -> None:
+    """Run a function that starts threads, so that these end with the process.
+
+    Cheroot starts plain threads, which inherit this property from the thread that starts them. A
+    handler that never returns would otherwise keep the process from exiting.
+    """
+    outcome: concurrent.futures.Future[None] = concurrent.futures.Future()
+
+    def run() -> None:
+        try:
+            outcome.set_result(function())
+        except Exception as error:
+            outcome.set_exception(error)
+
+    threading.Thread(target=run, name="http-start", daemon=True).start()
+    outcome.result()
