--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_server.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_server.py
@@ -1,5 +1,6 @@
 """Life cycle of the HTTP server."""
 
+import concurrent.futures
 import logging
 import threading
 import time
@@ -13,6 +14,7 @@
 
 # Time to send and close after the last request; part of the deadline of a graceful stop.
 CLOSE_TIME_S = 1.0
+ARRIVAL_TIME_S = 0.1
 
 
 class HttpServer:
@@ -25,6 +27,8 @@
         body_timeout_s: time in which a request must arrive, and in which its answer must be taken.
         waiting_connections_max: connections with input that wait for a thread; further ones are
             refused with `QUEUE_FULL`.
+        connections_max: open connections, those of deferred answers included; further ones are
+            refused with `QUEUE_FULL`.
 
     Example:
         >>> server = HttpServer(lambda environ, start: [], "127.0.0.1:0", threads_count=1)
@@ -40,12 +44,14 @@
         threads_count: int = 64,
         body_timeout_s: float = 10.0,
         waiting_connections_max: int = 1024,
+        connections_max: int = 4096,
     ) -> None:
         self.application = application
         self.listen = listen
         self.threads_count = threads_count
         self.body_timeout_s = body_timeout_s
         self.waiting_connections_max = waiting_connections_max
+        self.connections_max = connections_max
         self._server: WsgiServer | None = None
         self._thread: threading.Thread | None = None
 
@@ -68,9 +74,10 @@
             self.application,
             self.threads_count,
             self.waiting_connections_max,
+            self.connections_max,
         )
         server.body_timeout_s = self.body_timeout_s
-        server.prepare()
+        _run_in_daemon_thread(server.prepare)
         self._server = server
         self._thread = threading.Thread(target=server.serve, name="http-accept", daemon=True)
         self._thread.start()
@@ -89,11 +96,32 @@
             return True
         end_s = time.monotonic() + deadline_s
         server.stop_accepting()
+        # Requests that have just arrived on open connections are still taken.
+        time.sleep(min(ARRIVAL_TIME_S, deadline_s))
         complete = server.wait_idle(end_s)
         if not complete:
             _logger.warning("HTTP requests were cut at the shutdown deadline")
         server.shutdown_timeout = CLOSE_TIME_S if complete else 0.1
-        server.stop()
-        if self._thread is not None:
-            self._thread.join(CLOSE_TIME_S)
+        closer = threading.Thread(target=server.stop, name="http-close", daemon=True)
+        closer.start()
+        # Cheroot waits without limit for a handler that does not return.
+        closer.join(2 * CLOSE_TIME_S if complete else CLOSE_TIME_S)
         return complete
+
+
+def _run_in_daemon_thread(function: Callable[[], None]) -> None:
+    """Run a function that starts threads, so that these end with the process.
+
+    Cheroot starts plain threads, which inherit this property from the thread that starts them. A
+    handler that never returns would otherwise keep the process from exiting.
+    """
+    outcome: concurrent.futures.Future[None] = concurrent.futures.Future()
+
+    def run() -> None:
+        try:
+            outcome.set_result(function())
+        except Exception as error:
+            outcome.set_exception(error)
+
+    threading.Thread(target=run, name="http-start", daemon=True).start()
+    outcome.result()
