--- a/features/cli.feature
+++ b/features/cli.feature
@@ -3,7 +3,7 @@
   answers every mistake with the field, the value and what is accepted.
 
   Background:
-    Given a fake daemon with the contract "austral"
+    Given a daemon in memory with the contract "austral"
 
   # Guards against a silent overwrite of another operator's change.
   Scenario: of two operators who race, one is refused with both versions
@@ -41,7 +41,7 @@
     And its errors contain "share_weight: -1 is not valid; accepted: a number above 0"
     And its errors contain "priority: 11 is not valid; accepted: 0 to 9"
     And its errors contain "requests_per_second: inf is not valid; accepted: a finite number"
-    And the fake daemon has received 0 calls
+    And the daemon has received 0 calls
 
   # Guards against commands that fail on valid input, and against a wrong exit status.
   Scenario Outline: commands exit with the status of the result code
@@ -66,7 +66,7 @@
       | vm list                                                                 | 0      | entry-1/00ff                  |
       | vm list --role worker                                                   | 0      | leaving                       |
       | status                                                                  | 0      | 0.618                         |
-      | top --count 2 --interval-s 0.1                                          | 0      | waiting_tasks_count           |
+      | top --count 2 --interval-s 0.1                                          | 0      | running_tasks_count           |
       | domain lost caribe --yes                                                | 0      | declared lost                 |
       | request send dispatch --customer austral --kind check --body a --key k1 | 0      | A                             |
       | keys issue austral --count 2                                            | 0      | k1.1                          |
@@ -108,7 +108,7 @@
     When the CLI runs "<command>"
     Then the CLI exits with <status>
     And its errors contain "<text>"
-    And the fake daemon has received 0 calls
+    And the daemon has received 0 calls
 
     Examples:
       | command                                             | status | text                                                 |
@@ -132,13 +132,13 @@
 
   # Guards against a request that is sent twice because the first server took it and failed.
   Scenario: the next server is tried only when the connection was refused
-    When the CLI runs "job submit job.toml --server 127.0.0.1:1,FAKE"
+    When the CLI runs "job submit job.toml --server 127.0.0.1:1,DAEMON"
     Then the CLI exits with 0
-    Given the fake daemon has the fault "close"
-    And a second fake daemon
-    When the CLI runs "job submit job.toml --server FAKE,SECOND"
+    And the daemon has received 1 calls
+    Given the daemon is replaced by a server with the fault "close"
+    When the CLI runs "job submit job.toml --server FAULTY,DAEMON"
     Then the CLI exits with 40
-    And the second fake daemon has received 0 calls
+    And the daemon has received 1 calls
 
   # Guards against "no daemon answered" told in a way that does not exclude an effect.
   Scenario: an unreachable server is named and nothing was sent
@@ -149,18 +149,18 @@
 
   # Guards against a claim of failure, or a repeat, after the request was sent.
   Scenario Outline: a lost answer to a request with an effect is an unknown outcome
-    Given the fake daemon has the fault "<fault>"
+    Given the daemon is replaced by a server with the fault "<fault>"
     When the CLI runs "<command> --timeout-s 0.3"
     Then the CLI exits with 40
     And its errors contain "OUTCOME_UNKNOWN (300, outcome unknown)"
     And its errors contain "<advice>"
-    And the fake daemon has received 1 call
+    And the faulty server has received 1 call
 
     Examples:
       | fault         | command                                          | advice                            |
       | close         | job submit job.toml                              | the same key 'plan-1'             |
       | truncate      | job submit job.toml                              | fireflywharf job status j-        |
-      | silent        | job submit job.toml                              | did not answer in 0.3 s           |
+      | silence       | job submit job.toml                              | did not answer in 0.3 s           |
       | gateway error | job submit job.toml                              | HTTP status 502                   |
       | close         | contract apply austral-v2.toml --base-version 1  | contract history austral          |
       | truncate      | job cancel j-1                                   | fireflywharf job status j-1       |
@@ -170,7 +170,7 @@
 
   # Guards against the alarm of an unknown outcome for a call that only reads.
   Scenario: a lost answer to a call that reads is not an unknown outcome
-    Given the fake daemon has the fault "truncate"
+    Given the daemon is replaced by a server with the fault "truncate"
     When the CLI runs "job status j-1"
     Then the CLI exits with 50
     And its errors contain "only reads"
@@ -180,9 +180,15 @@
     Then any contract file gives a documented exit status without a traceback
     And any answer of a daemon gives a documented exit status without a traceback
 
+  # Guards against an error of the target that a script takes for a success.
+  Scenario: an error of the target has an exit status of its own
+    When the CLI runs "request send dispatch --customer austral --kind check --body fail --key k1"
+    Then the CLI exits with 12
+    And its output contains "status 500"
+
   # Guards against terminal control by names that a caller chose.
   Scenario: control characters in answers do not reach the terminal
-    Given the fake daemon answers with a job state that contains an escape character
+    Given the daemon is replaced by a server whose job state contains an escape character
     When the CLI runs "job status j-1"
     Then the CLI exits with 0
     And its output contains "?[2J"
--- a/features/documentation.feature
+++ b/features/documentation.feature
@@ -9,6 +9,7 @@
   Scenario: every example contract and job is valid
     Then every file in examples/contracts is a valid contract
     And every file in examples/jobs is a valid job of an example customer
+    And every file in examples/settings is a valid settings file
 
   # Guards against links to pages that were renamed or never written.
   Scenario: links between pages lead to files
@@ -16,5 +17,5 @@
 
   # Guards against pasted requests that the daemon refuses as malformed.
   Scenario: the requests of the page for callers have valid bodies
-    Given a fake daemon with the contract "austral"
-    Then the fake daemon accepts every curl request in docs/callers.md
+    Given a daemon in memory with the contract "austral"
+    Then the daemon accepts every curl request in docs/callers.md
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -11,15 +11,18 @@
 import threading
 from unittest import mock
 
+import attrs
 import tomli_w
 from behave import given, then, when
-from cli_fake_daemon import FakeDaemon
+from cli_servers import FaultyServer, MemoryDaemon, http_answer
 from hypothesis import example, settings, strategies
 from hypothesis import given as given_values
 
 from fireflywharf_cli.main import main
-from fireflywharf_core.jobs import job_id_of
+from fireflywharf_core.contracts import parse_contract
+from fireflywharf_core.jobs import JobState, job_id_of
 from fireflywharf_core.results import ResultCode, describe_code
+from fireflywharf_daemon.http import ApplyContract
 
 CONTRACT = {
     "customer": "austral",
@@ -55,7 +58,7 @@
 def run_cli(context, arguments):
     """Run the command line in this process in the folder of the scenario."""
     output, errors = io.StringIO(), io.StringIO()
-    environment = {"FIREFLYWHARF_SERVER": context.fake.address, "USER": "operator"}
+    environment = {"FIREFLYWHARF_SERVER": context.server.address, "USER": "operator"}
     with (
         mock.patch.object(sys, "argv", ["fireflywharf", *arguments]),
         mock.patch.dict(os.environ, environment),
@@ -70,16 +73,23 @@
     context.output, context.errors = output.getvalue(), errors.getvalue()
 
 
-def start_fake(context):
-    """Start a fake daemon that ends with the scenario."""
-    fake = FakeDaemon()
-    context.add_cleanup(fake.server_close)
-    context.add_cleanup(fake.shutdown)
-    return fake
+def start_server(context, server):
+    """Use a server that ends with the scenario as the default of the command line."""
+    context.add_cleanup(server.stop)
+    context.server = server
+    return server
 
 
-@given('a fake daemon with the contract "{name}"')
-def start_fake_with_contract(context, name):
+FAULTS = {
+    "close": FaultyServer,
+    "truncate": lambda: FaultyServer(http_answer(b'{"code": 0, "na', length=1000)),
+    "gateway error": lambda: FaultyServer(http_answer(b"<html>bad gateway</html>", status=502)),
+    "silence": lambda: FaultyServer(delay_s=2.0),
+}
+
+
+@given('a daemon in memory with the contract "{name}"')
+def start_daemon_with_contract(context, name):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = pathlib.Path(folder.name)
@@ -97,25 +107,21 @@
     }
     for file_name, text in files.items():
         (context.folder / file_name).write_text(text)
-    context.fake = start_fake(context)
-    change = {"customer": name, "version": 1, "contract": CONTRACT, "author": "ana", "won": True}
-    context.fake.contracts[name] = [change]
-
-
-@given("a second fake daemon")
-def start_second_fake(context):
-    context.second = start_fake(context)
+    context.daemon = start_server(context, MemoryDaemon())
+    contract, _ = parse_contract(CONTRACT | {"customer": name})
+    change = ApplyContract(base_version=0, contract=contract, author="ana")
+    context.daemon.service.apply_contract(change)
 
 
-@given('the fake daemon has the fault "{fault}"')
-def set_fault(context, fault):
-    context.fake.fault = fault
+@given('the daemon is replaced by a server with the fault "{fault}"')
+def start_faulty_server(context, fault):
+    start_server(context, FAULTS[fault]())
 
 
-@given("the fake daemon answers with a job state that contains an escape character")
+@given("the daemon is replaced by a server whose job state contains an escape character")
 def answer_with_escape(context):
-    context.fake.fault = "raw"
-    context.fake.raw_answer = json.dumps({"code": 0, "job_id": "j-1", "state": "\x1b[2J"}).encode()
+    document = {"code": 0, "job_id": "j-1", "state": "\x1b[2J"}
+    start_server(context, FaultyServer(http_answer(json.dumps(document).encode())))
 
 
 @given('the job of "{file}" was submitted')
@@ -127,15 +133,16 @@
 @given('the job of "{file}" was submitted and is {state}')
 def submit_ended_job(context, file, state):
     submit_job(context, file)
-    for job in context.fake.jobs.values():
-        job["row"]["state"] = state
+    jobs = context.daemon.service.jobs
+    for job_id, job in jobs.items():
+        jobs[job_id] = attrs.evolve(job, state=JobState(state))
 
 
 @when('the CLI runs "{command}"')
 def run_command(context, command):
     replacements = {
-        "FAKE": context.fake.address,
-        "SECOND": context.second.address if "second" in context else "",
+        "DAEMON": context.daemon.address,
+        "FAULTY": context.server.address,
         "JOB": job_id_of(JOB["customer"], JOB["key"]),
     }
     for name, value in replacements.items():
@@ -151,8 +158,8 @@
 @when('two operators apply different changes of "{name}" at the same time')
 def apply_racing_changes(context, name):
     # Both read the current version before either writes.
-    context.fake.read_barrier = threading.Barrier(2)
-    environment = os.environ | {"FIREFLYWHARF_SERVER": context.fake.address}
+    context.daemon.service.read_barrier = threading.Barrier(2)
+    environment = os.environ | {"FIREFLYWHARF_SERVER": context.daemon.address}
     command = [sys.executable, "-m", "fireflywharf_cli.main", "--output", "json", "contract"]
     racers = [
         subprocess.Popen(
@@ -165,7 +172,7 @@
         for version in ("v2", "v3")
     ]
     context.racers = [(racer.communicate(timeout=30)[0], racer.returncode) for racer in racers]
-    context.fake.read_barrier = None
+    context.daemon.service.read_barrier = None
 
 
 @then("one apply exits with {first:d} and the other with {second:d}")
@@ -182,7 +189,8 @@
 
 @then('the history of "{name}" has {count:d} versions')
 def check_history(context, name, count):
-    assert len(context.fake.contracts[name]) == count
+    changes = context.daemon.service.changes[name]
+    assert [change.version for change in changes if change.won] == [*range(1, count + 1)]
 
 
 @then("the CLI exits with {status:d}")
@@ -211,15 +219,14 @@
     assert context.errors == "", context.errors
 
 
-@then("the fake daemon has received {count:d} call")
-@then("the fake daemon has received {count:d} calls")
+@then("the daemon has received {count:d} calls")
 def check_received(context, count):
-    assert len(context.fake.received) == count, context.fake.received
+    assert context.daemon.calls_count == count, context.daemon.calls_count
 
 
-@then("the second fake daemon has received {count:d} calls")
-def check_second_received(context, count):
-    assert len(context.second.received) == count, context.second.received
+@then("the faulty server has received {count:d} call")
+def check_faulty_received(context, count):
+    assert context.server.calls_count == count, context.server.calls_count
 
 
 def check_documented(context, arguments):
@@ -250,6 +257,7 @@
 
 @then("any answer of a daemon gives a documented exit status without a traceback")
 def check_any_answer(context):
+    server = start_server(context, FaultyServer())
     codes = strategies.sampled_from([int(code) for code in ResultCode] + [999])
     names = ("job_id", "state", "jobs", "vms", "problems", "detail", "retry_after_s")
     documents = strategies.fixed_dictionaries(
@@ -262,7 +270,7 @@
     @example(b"[]")
     @example(b'{"code": 0, "job_id": "j-1", "state": "waiting", "explanation": ["x"]}')
     def check_answer(data):
-        context.fake.fault, context.fake.raw_answer = "raw", data
+        server.answer = http_answer(data)
         for command in (["job", "status", "j-1"], ["job", "list"], ["vm", "list"]):
             check_documented(context, command)
 
--- a/features/steps/documentation_steps.py
+++ b/features/steps/documentation_steps.py
@@ -12,6 +12,7 @@
 
 from fireflywharf_core.contracts import parse_contract
 from fireflywharf_core.jobs import parse_job
+from fireflywharf_daemon.settings import parse_settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CURL_BLOCK = re.compile(r"^```sh\n(.*?)^```", re.S | re.M)
@@ -52,6 +53,13 @@
         assert data.get("team", "") in ["", *teams], path
 
 
+@then("every file in examples/settings is a valid settings file")
+def check_settings(context):
+    for path, data in load_objects("settings").items():
+        _, problems = parse_settings(data)
+        assert not problems, (path, list(map(str, problems)))
+
+
 @then("every relative link in README.md and docs leads to a file")
 def check_links(context):
     pages = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
@@ -75,13 +83,13 @@
         yield method, url, body
 
 
-@then("the fake daemon accepts every curl request in docs/callers.md")
+@then("the daemon accepts every curl request in docs/callers.md")
 def check_curl_requests(context):
     job_id = ""
     requests = list(curl_requests(ROOT / "docs" / "callers.md"))
     assert requests
     for method, template, body in requests:
-        url = template.replace("$SERVER", context.fake.address).replace("$JOB", job_id)
+        url = template.replace("$SERVER", context.daemon.address).replace("$JOB", job_id)
         headers = {"Content-Type": "application/json"}
         answer = urllib3.request(method, url, body=body, headers=headers, retries=False)
         document = json.loads(answer.data)
