--- a/features/documentation.feature
+++ b/features/documentation.feature
@@ -19,3 +19,7 @@
   Scenario: the requests of the page for callers have valid bodies
     Given a daemon in memory with the contract "austral"
     Then the daemon accepts every curl request in docs/callers.md
+
+  # Guards against alarms on metrics that do not exist, and against metrics that no page explains.
+  Scenario: the page for operators lists the metrics of the daemon
+    Then docs/operations.md names every metric of the daemon and no other
--- a/features/steps/documentation_steps.py
+++ b/features/steps/documentation_steps.py
@@ -12,6 +12,7 @@
 
 from fireflywharf_core.contracts import parse_contract
 from fireflywharf_core.jobs import parse_job
+from fireflywharf_daemon.metrics import Metrics
 from fireflywharf_daemon.settings import parse_settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -95,3 +96,16 @@
         document = json.loads(answer.data)
         assert document["class"] in ("completed", "pending"), (url, document)
         job_id = document.get("job_id", job_id)
+
+
+@then("docs/operations.md names every metric of the daemon and no other")
+def check_metrics(context):
+    page = (ROOT / "docs" / "operations.md").read_text()
+    named = set(re.findall(r"\bfireflywharf_[a-z_]+", page))
+    families = Metrics().registry.collect()
+    exported = {
+        family.name + ("_total" if family.type == "counter" else "")
+        for family in families
+        if family.name.startswith("fireflywharf_")
+    }
+    assert named == exported, named ^ exported
