--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_workers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_workers.py
@@ -38,16 +38,16 @@
     def claim(
         self, address: str, holder: str, ttl_s: float, renew_tasks: bool = False
     ) -> PlatformOutcome[ClaimAnswer]:
-        """Claim or renew the holder lease; `granted` tells whether it was granted.
+        """Claim or renew the holder lease.
 
         Args:
             address: `ip:port` of the worker.
             holder: own incarnation.
-            ttl_s: length of the lease.
+            ttl_s: duration of the lease.
             renew_tasks: whether a renewal also renews the task leases.
 
         Returns:
-            The answer of the worker, or the refusal or failure.
+            The answer, whose `granted` tells whether the lease was granted.
         """
         data = {"holder": holder, "ttl_s": ttl_s, "renew_tasks": renew_tasks}
         return self._call(address, "POST", "/v1/claim", ClaimAnswer, data)
