Report an internal error of the daemon after a write as an unknown outcome

The daemon answers INTERNAL_ERROR when a call exceeds its time, although the effect may take place; the command line exited with 52 as if nothing had happened. It also failed on the list of a finished job, whose kind the daemon answers as null.

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -162,6 +162,7 @@
       | truncate      | job submit job.toml                              | fireflywharf job status j-        |
       | silence       | job submit job.toml                              | did not answer in 0.3 s           |
       | gateway error | job submit job.toml                              | HTTP status 502                   |
+      | internal error | job submit job.toml                              | answered INTERNAL_ERROR           |
       | close         | contract apply austral-v2.toml --base-version 1  | contract history austral          |
       | truncate      | job cancel j-1                                   | fireflywharf job status j-1       |
       | close         | request send s --customer a --kind b --key k9    | the same key 'k9'                 |
@@ -186,6 +187,14 @@
     Then the CLI exits with 12
     And its output contains "status 500"
 
+  # Guards against a list that fails because the daemon no longer knows the kind of a finished job.
+  Scenario: a finished job of unknown kind is listed
+    Given the job of "job.toml" was submitted and is done
+    And the daemon has forgotten the kind of each job
+    When the CLI runs "job list"
+    Then the CLI exits with 0
+    And its output contains "austral - done centro-a no"
+
   # Guards against terminal control by names that a caller chose.
   Scenario: control characters in answers do not reach the terminal
     Given the daemon is replaced by a server whose job state contains an escape character
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_answers.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_answers.py
@@ -69,14 +69,14 @@
 
 @attrs.frozen(kw_only=True)
 class JobRow:
-    """One job of `GET /v1/jobs`."""
+    """One job of `GET /v1/jobs`; the kind of a finished job may be unknown."""
 
     job_id: str
     customer: str
-    kind: str
     state: str
-    home_domain: str = ""
-    late: bool = False
+    kind: str | None = None
+    home_domain: str | None = None
+    late: bool | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_calls.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_calls.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from fireflywharf_core.results import CodeClass, Problem, ResultCode, describe_code
 
 from ._answers import convert_answer
@@ -15,6 +17,27 @@
 SUCCESS_CLASSES = (CodeClass.COMPLETED, CodeClass.PENDING)
 
 
+@attrs.frozen(kw_only=True)
+class _FaultCodes:
+    """Result codes of a call that was sent and whose answer cannot be used.
+
+    Args:
+        answer_lost: no valid answer arrived.
+        answer_unusable: the daemon failed or answered in an undocumented form.
+    """
+
+    answer_lost: ResultCode
+    answer_unusable: ResultCode
+
+
+_READ_CODES = _FaultCodes(
+    answer_lost=ResultCode.DAEMON_UNREACHABLE, answer_unusable=ResultCode.INTERNAL_ERROR
+)
+_WRITE_CODES = _FaultCodes(
+    answer_lost=ResultCode.OUTCOME_UNKNOWN, answer_unusable=ResultCode.OUTCOME_UNKNOWN
+)
+
+
 def finish_read(outcome: CallOutcome, kind: type, render: Callable[[Any], str]) -> CommandOutcome:
     """Turn the outcome of a call that only reads into that of its command.
 
@@ -26,7 +49,7 @@
     Returns:
         The report or the failure of the command.
     """
-    return _finish(outcome, kind, render, ResultCode.DAEMON_UNREACHABLE, READ_ADVICE)
+    return _finish(outcome, kind, render, _READ_CODES, READ_ADVICE)
 
 
 def finish_write(
@@ -43,30 +66,37 @@
     Returns:
         The report or the failure of the command.
     """
-    return _finish(outcome, kind, render, ResultCode.OUTCOME_UNKNOWN, how_to_ask)
+    return _finish(outcome, kind, render, _WRITE_CODES, how_to_ask)
 
 
 def _finish(
     outcome: CallOutcome,
     kind: type,
     render: Callable[[Any], str],
-    lost_code: ResultCode,
-    lost_advice: str,
+    codes: _FaultCodes,
+    advice: str,
 ) -> CommandOutcome:
     match outcome:
         case NotSent(detail):
             return Failure(ResultCode.DAEMON_UNREACHABLE, detail, advice=UNREACHABLE_ADVICE)
         case AnswerLost(detail):
-            return Failure(lost_code, detail, advice=lost_advice)
-        case Answered(code, document) if describe_code(code).code_class in SUCCESS_CLASSES:
+            return Failure(codes.answer_lost, detail, advice=advice)
+        case Answered(ResultCode.INTERNAL_ERROR, document, server):
+            detail = f"{server} answered INTERNAL_ERROR: {document.get('detail')}"
+            return Failure(codes.answer_unusable, detail, advice=advice)
+        case Answered(code, document, server) if _code_class(code) in SUCCESS_CLASSES:
             answer = convert_answer(document, kind)
             if isinstance(answer, str):
-                detail = f"{outcome.server} answered in an undocumented form: {answer}"
-                return Failure(lost_code, detail, advice=lost_advice)
+                detail = f"{server} answered in an undocumented form: {answer}"
+                return Failure(codes.answer_unusable, detail, advice=advice)
             return Report(code, document, render(answer))
         case Answered(code, document):
-            advice = lost_advice if describe_code(code).code_class is CodeClass.UNKNOWN else ""
-            return failure_from_answer(code, document, advice)
+            is_unknown = _code_class(code) is CodeClass.UNKNOWN
+            return failure_from_answer(code, document, advice if is_unknown else "")
+
+
+def _code_class(code: ResultCode) -> CodeClass:
+    return describe_code(code).code_class
 
 
 def failure_from_answer(code: ResultCode, document: dict[str, Any], advice: str = "") -> Failure:
