Filter VMs in JSON output too; let operators interrupt calls that only read

The filters of vm list held for the table only, and an interrupt during a refresh of top was taken for a lost answer, so top went on.

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -181,6 +181,29 @@
     Then any contract file gives a documented exit status without a traceback
     And any answer of a daemon gives a documented exit status without a traceback
 
+  # Guards against an interrupted submission that looks as if it had not been sent, and against a
+  # refreshing command that cannot be interrupted.
+  Scenario Outline: an interrupted call
+    When the operator interrupts "<command>" while it waits for an answer
+    Then the CLI exits with <status>
+
+    Examples:
+      | command             | status |
+      | job submit job.toml | 40     |
+      | top                 | 130    |
+
+  # Guards against filters that apply to one form of output only.
+  Scenario Outline: the filter of VMs holds for both forms of output
+    When the CLI runs "vm list --domain centro-a --role worker --output <form>"
+    Then the CLI exits with 0
+    And its output contains "worker-1"
+    And its output does not contain "live"
+
+    Examples:
+      | form  |
+      | table |
+      | json  |
+
   # Guards against an error of the target that a script takes for a success.
   Scenario: an error of the target has an exit status of its own
     When the CLI runs "request send dispatch --customer austral --kind check --body fail --key k1"
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -13,6 +13,7 @@
 
 import attrs
 import tomli_w
+import urllib3
 from behave import given, then, when
 from cli_servers import FaultyServer, MemoryDaemon, http_answer
 from hypothesis import example, settings, strategies
@@ -158,6 +159,14 @@
     run_cli(context, command.split())
 
 
+@when('the operator interrupts "{command}" while it waits for an answer')
+def interrupt_command(context, command):
+    with mock.patch.object(
+        urllib3.HTTPConnectionPool, "urlopen", side_effect=KeyboardInterrupt, autospec=True
+    ):
+        run_command(context, command)
+
+
 @when('its output is written to "{file}"')
 def write_output(context, file):
     (context.folder / file).write_text(context.output)
@@ -214,6 +223,11 @@
     assert "\x1b" not in context.output
 
 
+@then('its output does not contain "{text}"')
+def check_output_lacks(context, text):
+    assert text not in context.output, context.output
+
+
 @then('its errors contain "{text}"')
 def check_errors(context, text):
     assert text in context.errors, context.errors
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_client.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_client.py
@@ -83,7 +83,17 @@
         self.timeout_s = timeout_s
 
     def read(self, path: str) -> CallOutcome:
-        """Send a GET request; it changes nothing."""
+        """Send a GET request; it changes nothing.
+
+        Args:
+            path: path with quoted parts.
+
+        Returns:
+            The answer, or why there is none.
+
+        Raises:
+            KeyboardInterrupt: the operator interrupted the call.
+        """
         return self._call("GET", path, None, self.timeout_s)
 
     def write(
@@ -132,6 +142,8 @@
         except urllib3.exceptions.HTTPError as error:
             return AnswerLost(f"{server} broke the connection ({describe_cause(error)})")
         except KeyboardInterrupt:
+            if data is None:
+                raise
             return AnswerLost(f"interrupted while waiting for {server}")
         finally:
             pool.close()
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_cluster_commands.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_cluster_commands.py
@@ -8,7 +8,7 @@
 from ._console import Console
 from ._contract_commands import default_author
 from ._files import read_text
-from ._outcomes import CommandOutcome, Failure, usage_failure
+from ._outcomes import CommandOutcome, Failure, Report, usage_failure
 from ._tables import format_fields, format_objects, format_section
 
 MAX_KEYS_COUNT = 1000
@@ -61,15 +61,16 @@
         if role not in ("", "entry", "worker", "target"):
             return usage_failure("--role", role, "entry, worker or target")
 
-        def render(answer: VmsAnswer) -> str:
-            rows = [
-                vm
-                for vm in answer.vms
-                if role in ("", vm.get("role")) and domain in ("", vm.get("failure_domain"))
-            ]
-            return format_objects(rows, VM_COLUMNS)
-
-        return finish_read(self.client.read(build_path("vms")), VmsAnswer, render)
+        outcome = finish_read(self.client.read(build_path("vms")), VmsAnswer, lambda _: "")
+        if isinstance(outcome, Failure):
+            return outcome
+        rows = [
+            vm
+            for vm in outcome.document["vms"]
+            if role in ("", vm.get("role")) and domain in ("", vm.get("failure_domain"))
+        ]
+        document = outcome.document | {"vms": rows}
+        return Report(outcome.code, document, format_objects(rows, VM_COLUMNS))
 
     def status(self) -> CommandOutcome:
         """Show the entry VM that answers, its peers, queues, shares and targets.
--- a/tools/write_result_codes.py
+++ b/tools/write_result_codes.py
@@ -27,8 +27,8 @@
 """
 CODES_INTRODUCTION = """\
 "Exit" is the exit status of `fireflywharf`. "Repeat" tells whether sending the same input again can
-help. Exit status 130 means that the command line was interrupted outside a call; an interrupted
-call exits with 40 if it may have had an effect, else with 50.
+help. Exit status 130 means that the command line was interrupted; if the interrupted call may have
+had an effect, the status is 40 instead.
 """
 
 
