Check the election and leases in virtual time with faults

Two candidates must never act with a majority at one time, and a death must be taken over in 10 s. A model of candidates, workers, clocks, network and domain stream checks this after every event in 100 generated runs. Renewals clustered at 211 in a tenth of a second for 1000 leases; each lease now keeps its own phase of the interval and the scenario with its limit of 200 passes.

--- /dev/null
+++ b/features/steps/state_election_steps.py
@@ -0,0 +1,223 @@
+"""Steps for the election of the scheduler and for leases."""
+
+from collections import Counter
+
+from behave import then, when
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from state_world import DomainWorld, ModelWorker, worker_vm
+
+from fireflywharf_core.leases import AnswerStale, GranterLease, HolderLease, LeaseTable
+from fireflywharf_core.membership import ElectionView, SchedulerElection
+
+FAULT = st.tuples(
+    st.sampled_from(("pause", "restart", "worker dies", "worker returns", "new worker", "cut log")),
+    st.integers(0, 9),
+    st.floats(0.1, 12.0),
+)
+
+
+def apply_fault(world, kind, number, length_s):
+    candidate = world.candidates[number % len(world.candidates)]
+    acting = world.acting()
+    if acting and number % 2 == 0:
+        candidate = acting[0]
+    names = sorted(world.workers)
+    match kind:
+        case "pause":
+            candidate.paused_until_s = world.now_s + length_s
+        case "restart":
+            world.restart(world.candidates.index(candidate))
+        case "worker dies":
+            world.workers[names[number % len(names)]].alive = False
+        case "worker returns":
+            world.workers[names[number % len(names)]].alive = True
+        case "new worker":
+            name = f"w{len(names)}"
+            world.workers[name] = ModelWorker(1.0)
+            world.listed[name] = worker_vm(name)
+        case "cut log":
+            candidate.cut_from_log = not candidate.cut_from_log
+
+
+@when(
+    "candidates pause, restart and lose workers, messages and the log in {count:d} generated runs"
+)
+def run_faults(context, count):
+    context.ended = []
+
+    @settings(
+        max_examples=count, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
+    )
+    @given(st.integers(0, 2**32), st.lists(FAULT, min_size=3, max_size=8))
+    def runs(seed, faults):
+        world = DomainWorld(seed)
+        world.run(6.0)
+        for kind, number, length_s in faults:
+            apply_fault(world, kind, number, length_s)
+            world.run(min(length_s, 6.0))
+        for candidate in world.candidates:
+            candidate.cut_from_log = False
+            candidate.paused_until_s = 0.0
+        for worker in world.workers.values():
+            worker.alive = True
+        world.loss = world.slow = 0.0
+        world.run(25.0)
+        context.ended.append(len(world.acting()))
+
+    runs()
+
+
+@then("never two candidates may act at one time and each run ends with one scheduler")
+def check_faults(context):
+    # The world checks the first half after every event.
+    assert set(context.ended) == {1}, Counter(context.ended)
+
+
+@when("the scheduler of {candidates:d} candidates dies {deaths:d} times in {runs:d} runs")
+def kill_schedulers(context, candidates, deaths, runs):
+    context.times_s = []
+    for seed in range(runs):
+        world = DomainWorld(seed, candidates_count=candidates)
+        world.run(12.0 + seed * 0.07)
+        for _ in range(deaths):
+            world.candidates.remove(world.acting()[0])
+            died_s = world.now_s
+            while not world.acting() and world.now_s < died_s + 30:
+                world.run(0.1)
+            context.times_s.append(world.now_s - died_s)
+            world.run(5.0)
+
+
+@then("another candidate acts within {limit_s:d} seconds each time")
+def check_takeover(context, limit_s):
+    assert max(context.times_s) <= limit_s, sorted(context.times_s)
+
+
+@when("{count:d} of {total:d} workers die under a scheduler")
+def kill_half(context, count, total):
+    world = DomainWorld(1, workers_count=total)
+    world.run(12.0)
+    assert len(world.acting()) == 1
+    for worker in list(world.workers.values())[:count]:
+        worker.alive = False
+    world.run(6.0)
+    context.acting = []
+    for _ in range(30):
+        world.run(1.0)
+        context.acting += world.acting()
+    for worker in world.workers.values():
+        worker.alive = True
+    world.run(25.0)
+    context.after_return = world.acting()
+
+
+@then("no candidate may act until the workers are back")
+def check_half(context):
+    assert context.acting == []
+    assert len(context.after_return) == 1
+
+
+@when("the scheduler adds {count:d} workers one at a time and then pauses")
+def add_workers(context, count):
+    context.world = world = DomainWorld(2)
+    world.run(12.0)
+    first = world.acting()[0]
+    for number in range(5, 5 + count):
+        world.workers[f"w{number}"] = ModelWorker(1.0)
+        world.listed[f"w{number}"] = worker_vm(f"w{number}")
+    world.run(12.0)
+    context.known_count = len(first.fold.workers_)
+    first.paused_until_s = world.now_s + 20
+    world.run(15.0)
+    context.first = first
+
+
+@then("its successor knows all {count:d} workers and holds more than half of them")
+def check_added(context, count):
+    (successor,) = context.world.acting()
+    assert successor is not context.first
+    assert context.known_count == count == len(successor.fold.workers_)
+    assert 2 * successor.table.held_count(successor.now_s()) > count
+
+
+@when("a scheduler begins its tenure with one of three workers unreachable")
+def begin_tenure(context):
+    election = SchedulerElection("d", "vm#1")
+    known = ("w0", "w1", "w2")
+    context.before = election.recovery_blockers(known, 2.0)
+    view = ElectionView(known_workers=known, held_workers=("w0", "w1"), knowledge_s=10.0)
+    election.decide(view, 0.0)
+    election.on_report("w0")
+    election.decide(view, 10.0)
+    context.at_start = election.recovery_blockers(known, 10.0)
+    election.on_report("w1")
+    context.later = [election.recovery_blockers(known, s) for s in (41.4, 41.6)]
+
+
+@then("this worker blocks for the task lease plus margin and the others only until they report")
+def check_tenure(context):
+    assert context.before == {"w0", "w1", "w2"}
+    assert context.at_start == {"w1", "w2"}
+    assert context.later == [{"w2"}, set()]
+
+
+@when("a lease is released and wanted again at once")
+def release_and_want(context):
+    table, granter = LeaseTable(5.0), GranterLease()
+    table.track(["w0"], 0.0)
+    assert table.due(1.0) == ["w0"]
+    grant = granter.claim("vm#1", 5.0, 1.0)
+    table.on_granted("w0", grant.epoch, table.begin("w0", 1.0), 1.1)
+    context.released = table.release(["w0"], 2.0)
+    table.track(["w0"], 2.0)
+    context.due = [table.due(now_s) for now_s in (2.5, 6.9, 7.0)]
+    again = granter.claim("vm#1", 5.0, 7.0)
+    table.on_granted("w0", again.epoch, table.begin("w0", 7.0), 7.1)
+    context.late_release = granter.release(grant.epoch, 7.2)
+    context.held = table.held(7.2)
+
+
+@then("it is claimed again only after its length has passed")
+def check_reclaim(context):
+    assert context.released == [("w0", 1)]
+    assert context.due == [[], [], ["w0"]]
+    assert context.late_release is False and context.held == {"w0"}
+
+
+@when("a table renews the leases of {count:d} workers for {duration_s:d} seconds")
+def renew_many(context, count, duration_s):
+    table = LeaseTable(5.0)
+    granters = {f"w{index}": GranterLease() for index in range(count)}
+    table.track(granters, 0.0)
+    context.counts, context.held_counts = [], []
+    for tick in range(duration_s * 10):
+        now_s = tick / 10
+        due = table.due(now_s)
+        for name in due:
+            grant = granters[name].claim("vm#1", 5.0, now_s)
+            table.on_granted(name, grant.epoch, table.begin(name, now_s), now_s + 0.01)
+        context.counts.append(len(due))
+        context.held_counts.append(table.held_count(now_s + 0.01))
+    context.count = count
+
+
+@then("every lease stays held and no tenth of a second has more than {limit:d} renewals")
+def check_renewals(context, limit):
+    assert set(context.held_counts[6:]) == {context.count}, Counter(context.held_counts)
+    assert max(context.counts[6:]) <= limit, max(context.counts[6:])
+
+
+@when("a renewal takes 3 seconds of a lease of 5 seconds")
+def slow_renewal(context):
+    context.lease = lease = HolderLease(5.0)
+    lease.on_granted(1, 10.0, 13.0)
+    context.remaining_s = lease.remaining_s(13.0)
+    context.older = lease.on_granted(1, 9.0, 13.0)
+
+
+@then("the holder may act for {remaining_s:f} seconds more and an older answer changes nothing")
+def check_slow_renewal(context, remaining_s):
+    assert abs(context.remaining_s - remaining_s) < 1e-9, context.remaining_s
+    assert context.older == AnswerStale()
+    assert context.lease.may_act(14.74) and not context.lease.may_act(14.76)
--- /dev/null
+++ b/features/steps/state_world.py
@@ -0,0 +1,230 @@
+"""Virtual-time model of the candidates, workers and domain stream of one failure domain."""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from fireflywharf_core.leases import GranterLease, LeaseGained, LeaseTable, LeaseUnwanted
+from fireflywharf_core.log import DomainFold
+from fireflywharf_core.membership import (
+    ActAsScheduler,
+    ClaimWorkers,
+    ElectionView,
+    PeerTable,
+    SchedulerElection,
+    plan_worker_changes,
+)
+from fireflywharf_core.messages import Heartbeat
+from fireflywharf_core.platform import VmInfo, VmRole
+from fireflywharf_core.records import WorkerAdded
+
+TICK_S = 0.1
+LEASE_S = 5.0
+
+
+def worker_vm(name):
+    return VmInfo(name=name, role=VmRole.WORKER, address=name, region="r", failure_domain="d")
+
+
+@attrs.define
+class ModelWorker:
+    """A worker with its own clock rate."""
+
+    rate: float
+    lease: GranterLease = attrs.field(factory=GranterLease)
+    alive: bool = True
+
+
+class Candidate:
+    """One entry VM: the pure objects, wired as the daemon wires them."""
+
+    def __init__(self, world, vm_name, rate):
+        self.world = world
+        self.vm_name = vm_name
+        self.rate = rate
+        self.incarnation = f"{vm_name}#{next(world.numbers)}"
+        self.paused_until_s = 0.0
+        self.cut_from_log = False
+        self.table = LeaseTable(LEASE_S, rng=random.Random(self.incarnation))
+        self.peers = PeerTable(self.incarnation)
+        self.election = SchedulerElection("d", self.incarnation)
+        self.fold = DomainFold(100_000.0)
+        self.sequence = 0
+        self.read_count = 0
+        self.knowledge_s = None
+        self.pending = False
+        self.answered_s = {}
+        self.decision = None
+        self.next_heartbeat_s = 0.0
+
+    def now_s(self):
+        return self.world.now_s * self.rate
+
+    def may_command(self):
+        known = self.fold.workers_
+        held = self.table.held(self.now_s()) & known.keys()
+        return self.election.may_command(len(held), len(known))
+
+    def tick(self):
+        now_s = self.now_s()
+        self.read_log(now_s)
+        known = self.fold.workers_
+        for name in self.table.lapsed(now_s):
+            self.election.on_lost(name)
+        view = ElectionView(
+            known_workers=known,
+            held_workers=self.table.held(now_s),
+            knowledge_s=self.knowledge_s,
+            peers=self.peers.peers(now_s),
+        )
+        self.decision = self.election.decide(view, now_s)
+        if isinstance(self.decision, ActAsScheduler | ClaimWorkers):
+            self.table.track(known, now_s)
+            self.table.forget(set(self.table.names()) - known.keys())
+            for name in self.table.due(now_s):
+                self.world.send_claim(self, name, self.table.begin(name, now_s))
+        else:
+            for name, epoch in self.table.release(self.table.names(), now_s):
+                self.world.send_release(name, epoch)
+        if isinstance(self.decision, ActAsScheduler):
+            self.change_workers(now_s)
+        if now_s >= self.next_heartbeat_s:
+            self.next_heartbeat_s = now_s + 0.5
+            self.world.broadcast(self, self.heartbeat())
+
+    def read_log(self, now_s):
+        if self.cut_from_log:
+            return
+        for record in self.world.log[self.read_count :]:
+            self.fold.fold(self.read_count, record, now_s)
+            self.read_count += 1
+            self.pending = False
+        self.knowledge_s = now_s
+
+    def change_workers(self, now_s):
+        silent = {n: s for n, s in self.answered_s.items() if now_s - s > 3}
+        changes = plan_worker_changes(
+            self.fold.workers_, self.world.listed, silent, self.pending, now_s
+        )
+        for record in changes:
+            self.pending = True
+            self.world.send(lambda r=record: self.world.log.append(r))
+
+    def heartbeat(self):
+        self.sequence += 1
+        return Heartbeat(
+            incarnation=self.incarnation,
+            vm_name=self.vm_name,
+            domain="d",
+            sequence=self.sequence,
+            scheduler=self.election.acting,
+            held_workers_count=self.table.held_count(self.now_s()),
+        )
+
+    def on_claim_answer(self, name, grant, sent_s):
+        now_s = self.now_s()
+        self.answered_s[name] = now_s
+        if not grant.granted:
+            self.table.on_refused(name, grant.epoch, now_s)
+            return
+        match self.table.on_granted(name, grant.epoch, sent_s, now_s, grant.remaining_s):
+            case LeaseUnwanted(epoch):
+                self.world.send_release(name, epoch)
+            case LeaseGained():
+                self.election.on_report(name)
+
+
+class DomainWorld:
+    """Candidates, workers, the domain stream and a network that delays, reorders and loses."""
+
+    def __init__(self, seed, candidates_count=3, workers_count=5):
+        self.rng = random.Random(seed)
+        self.numbers = itertools.count()
+        self.now_s = 0.0
+        self.loss = 0.02
+        self.slow = 0.02
+        self.queue = []
+        names = [f"w{index}" for index in range(workers_count)]
+        self.workers = {name: ModelWorker(self.rng.uniform(0.99, 1.01)) for name in names}
+        self.listed = {name: worker_vm(name) for name in names}
+        self.log = [WorkerAdded(vm) for vm in self.listed.values()]
+        self.candidates = []
+        for index in range(candidates_count):
+            self.add_candidate(f"vm{index}")
+
+    def add_candidate(self, vm_name):
+        self.candidates.append(Candidate(self, vm_name, self.rng.uniform(0.99, 1.01)))
+
+    def restart(self, index):
+        old = self.candidates.pop(index)
+        self.add_candidate(old.vm_name)
+
+    def send(self, action, can_be_lost=False):
+        if can_be_lost and self.rng.random() < self.loss:
+            return
+        delay_s = self.rng.uniform(0.001, 0.05)
+        if self.rng.random() < self.slow:
+            delay_s = self.rng.uniform(0.05, 4.0)
+        heapq.heappush(self.queue, (self.now_s + delay_s, next(self.numbers), action))
+
+    def deliver(self, candidate, action):
+        """Run `action` at a candidate, after its pause if it is paused."""
+        if candidate not in self.candidates:
+            return
+        if self.now_s < candidate.paused_until_s:
+            item = (candidate.paused_until_s, next(self.numbers))
+            heapq.heappush(self.queue, (*item, lambda: self.deliver(candidate, action)))
+            return
+        action()
+
+    def send_claim(self, candidate, name, sent_s):
+        def receive():
+            worker = self.workers[name]
+            if not worker.alive:
+                return
+            grant = worker.lease.claim(candidate.incarnation, LEASE_S, self.now_s * worker.rate)
+            answer = lambda: candidate.on_claim_answer(name, grant, sent_s)  # noqa: E731
+            self.send(lambda: self.deliver(candidate, answer), can_be_lost=True)
+
+        self.send(receive, can_be_lost=True)
+
+    def send_release(self, name, epoch):
+        worker = self.workers[name]
+        self.send(
+            lambda: worker.alive and worker.lease.release(epoch, self.now_s * worker.rate),
+            can_be_lost=True,
+        )
+
+    def broadcast(self, sender, heartbeat):
+        for peer in self.candidates:
+            if peer is not sender:
+                receive = lambda p=peer: p.peers.on_heartbeat(heartbeat, p.now_s())  # noqa: E731
+                self.send(lambda p=peer, r=receive: self.deliver(p, r), can_be_lost=True)
+
+    def acting(self):
+        return [candidate for candidate in self.candidates if candidate.may_command()]
+
+    def run(self, duration_s):
+        """Advance the time and check after every event that at most one candidate may act."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            tick_s = self.now_s + TICK_S
+            while self.queue and self.queue[0][0] <= tick_s:
+                self.now_s, _, action = heapq.heappop(self.queue)
+                action()
+                self.check()
+            self.now_s = tick_s
+            for candidate in list(self.candidates):
+                if self.now_s >= candidate.paused_until_s:
+                    candidate.tick()
+                self.check()
+
+    def check(self):
+        acting = self.acting()
+        assert len(acting) <= 1, (self.now_s, [c.incarnation for c in acting])
+        for candidate in self.candidates:
+            # Decisions without a majority must never allow commands.
+            allowed = isinstance(candidate.decision, ActAsScheduler)
+            assert allowed or not candidate.may_command(), candidate.decision
--- a/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import heapq
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -256,11 +257,16 @@
         self._held.discard(name)
 
     def _answered(self, name: str, row: _Row, now_s: float) -> None:
-        interval_s = self.renewal_interval_s if row.held else self.claim_interval_s
-        if not row.held:
-            interval_s *= min(MAX_UNHELD_INTERVALS, 2 ** min(row.failures_count, 8))
-        interval_s *= 1 + self.rng.uniform(-JITTER_FRACTION, JITTER_FRACTION)
-        self._schedule(name, row, now_s + interval_s)
+        if row.held:
+            # Each lease keeps its own phase of the interval, which spreads the renewals evenly.
+            interval_s = self.renewal_interval_s
+            place = math.ceil(now_s / interval_s + 0.5 - row.phase) + row.phase
+            delay_s = place * interval_s - now_s
+        else:
+            delay_s = self.claim_interval_s
+            delay_s *= min(MAX_UNHELD_INTERVALS, 2 ** min(row.failures_count, 8))
+        delay_s *= 1 + self.rng.uniform(-JITTER_FRACTION, JITTER_FRACTION)
+        self._schedule(name, row, now_s + delay_s)
 
     def _answer_timeout_s(self) -> float:
         return self.lease_s * ANSWER_TIMEOUT_FRACTION
