--- a/features/state_election.feature
+++ b/features/state_election.feature
@@ -22,6 +22,18 @@
     When the scheduler adds 8 workers one at a time and then pauses
     Then its successor knows all 13 workers and holds more than half of them
 
+  Scenario: knowledge from before the majority, guarding against workers that are not known
+    When a candidate has a majority but read the known workers before it had one
+    Then it acts only after it has read them again
+
+  Scenario: changes of the worker set, guarding against majorities without a common worker
+    When five new workers are listed, a known one is gone and a change is pending or not
+    Then at most one change is planned and a gone worker is removed after the task lease
+
+  Scenario: a claim granted after a release, guarding against a lease that nobody uses
+    When a lease is granted that was released while the claim was on its way
+    Then the table asks to release it and does not count it as held
+
   Scenario: recovery of knowledge, guarding against a second run of an unreported attempt
     When a scheduler begins its tenure with one of three workers unreachable
     Then this worker blocks for the task lease plus margin and the others only until they report
--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -30,6 +30,10 @@
     When jobs run for six retention times in 40 generated histories
     Then a reader that starts at any time knows the same live jobs as one that read everything
 
+  Scenario: facts before the specification, guarding against a cancellation that is forgotten
+    When a late reader meets a cancellation and a lateness before the refreshed job
+    Then the job is cancelled and late
+
   Scenario: a conflicting submission of a job is known as a conflict
     When a job is accepted twice with equal digests and once with another
     Then the folds tell one accepted job, one repeat and one conflict
--- a/features/steps/state_election_steps.py
+++ b/features/steps/state_election_steps.py
@@ -7,8 +7,22 @@
 from hypothesis import strategies as st
 from state_world import DomainWorld, ModelWorker, worker_vm
 
-from fireflywharf_core.leases import AnswerStale, GranterLease, HolderLease, LeaseTable
-from fireflywharf_core.membership import ElectionView, SchedulerElection
+from fireflywharf_core.leases import (
+    AnswerStale,
+    GranterLease,
+    HolderLease,
+    LeaseTable,
+    LeaseUnwanted,
+)
+from fireflywharf_core.membership import (
+    ActAsScheduler,
+    ClaimWorkers,
+    ElectionView,
+    SchedulerElection,
+    StayStandby,
+    plan_worker_changes,
+)
+from fireflywharf_core.records import WorkerAdded, WorkerRemoved
 
 FAULT = st.tuples(
     st.sampled_from(("pause", "restart", "worker dies", "worker returns", "new worker", "cut log")),
@@ -141,6 +155,51 @@
     assert 2 * successor.table.held_count(successor.now_s()) > count
 
 
+@when("a candidate has a majority but read the known workers before it had one")
+def read_before_majority(context):
+    election = SchedulerElection("d", "vm#1")
+    context.decisions = []
+    for held, knowledge_s, now_s in (("", 0, 0), ("ab", 2.9, 3), ("ab", 3.5, 4), ("ab", 3.5, 5)):
+        view = ElectionView(known_workers="abc", held_workers=held, knowledge_s=knowledge_s)
+        context.decisions.append(election.decide(view, now_s))
+
+
+@then("it acts only after it has read them again")
+def check_read_again(context):
+    types = [type(decision) for decision in context.decisions]
+    assert types == [StayStandby, ClaimWorkers, ActAsScheduler, ActAsScheduler], types
+
+
+@when("five new workers are listed, a known one is gone and a change is pending or not")
+def plan_changes(context):
+    known = {name: worker_vm(name) for name in ("a", "b")}
+    listed = {name: worker_vm(name) for name in "acdefg"}
+    context.plans = [
+        plan_worker_changes(known, listed, silent, pending, 100.0)
+        for silent, pending in (({}, True), ({"b": 70.0}, False), ({"b": 68.0}, False))
+    ]
+
+
+@then("at most one change is planned and a gone worker is removed after the task lease")
+def check_plans(context):
+    assert context.plans == [[], [WorkerAdded(worker_vm("c"))], [WorkerRemoved("b")]]
+
+
+@when("a lease is granted that was released while the claim was on its way")
+def grant_after_release(context):
+    context.lease_table = table = LeaseTable(5.0)
+    table.track(["w0"], 0.0)
+    sent_s = table.begin("w0", 1.0)
+    table.release(["w0"], 1.1)
+    context.result = table.on_granted("w0", 1, sent_s, 1.2)
+
+
+@then("the table asks to release it and does not count it as held")
+def check_unwanted(context):
+    assert context.result == LeaseUnwanted(1)
+    assert context.lease_table.held(1.2) == frozenset()
+
+
 @when("a scheduler begins its tenure with one of three workers unreachable")
 def begin_tenure(context):
     election = SchedulerElection("d", "vm#1")
--- a/features/steps/state_log_steps.py
+++ b/features/steps/state_log_steps.py
@@ -298,6 +298,22 @@
     assert context.compared_jobs_count > 1000, context.compared_jobs_count
 
 
+@when("a late reader meets a cancellation and a lateness before the refreshed job")
+def read_facts_first(context):
+    source, context.fold = JobsFold("centro", 100.0), JobsFold("centro", 100.0)
+    source.fold(0, accepted("j-1"), 0.0)
+    refreshed = source.refreshed(source.lookup("j-1"))
+    records = (JobCancelRequested("j-1"), JobLate("j-1"), refreshed)
+    for offset, record in enumerate(records, start=7):
+        context.fold.fold(offset, record, 0.0, live=False)
+
+
+@then("the job is cancelled and late")
+def check_facts_first(context):
+    job = context.fold.lookup("j-1")
+    assert job.cancel_requested and job.late
+
+
 @when("a job is accepted twice with equal digests and once with another")
 def accept_thrice(context):
     fold = JobsFold("centro", 100.0)
--- a/features/steps/state_world.py
+++ b/features/steps/state_world.py
@@ -89,6 +89,7 @@
             for name, epoch in self.table.release(self.table.names(), now_s):
                 self.world.send_release(name, epoch)
         if isinstance(self.decision, ActAsScheduler):
+            assert 2 * len(view.held_workers & known.keys()) > len(known), self.decision
             self.change_workers(now_s)
         if now_s >= self.next_heartbeat_s:
             self.next_heartbeat_s = now_s + 0.5
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
@@ -224,12 +224,9 @@
             self._by_domain.setdefault(job.home_domain, {})[job_id] = job
             event = JobRehomed(job_id, job.home_domain)
         job.last_offset = offset
-        omitted = (job.cancel_requested and not record.cancel_requested) or (
-            job.late and not record.late
-        )
         job.cancel_requested |= record.cancel_requested
         job.late |= record.late
-        self._schedule(job, now_s, live and not omitted)
+        self._schedule(job, now_s, live)
         return event
 
     def _cancel(self, offset: int, job_id: str) -> JobEvent | None:
