--- a/packages/fireflywharf-core/src/fireflywharf_core/messages/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/messages/__init__.py
@@ -13,10 +13,12 @@
     Heartbeat,
     JobAnswer,
     JobQuery,
+    KnownWorkersQuery,
     RequestAnswer,
     ServiceSlots,
     SubmitToScheduler,
     Verdict,
+    WorkersKnown,
 )
 
 __all__ = [
@@ -32,8 +34,10 @@
     "Heartbeat",
     "JobAnswer",
     "JobQuery",
+    "KnownWorkersQuery",
     "RequestAnswer",
     "ServiceSlots",
     "SubmitToScheduler",
     "Verdict",
+    "WorkersKnown",
 ]
