Add features for routing and ignore late answers of earlier boots

Change: answers of a superseded boot are ignored by the time they were asked; a forwarded request carries the send id as its request id; learned times within a factor of 1.25 count as equal.

--- /dev/null
+++ b/features/steps/routing_contract_steps.py
@@ -0,0 +1,235 @@
+"""Steps for contracts, keys, outliers and forwarding of routing."""
+
+import random
+
+from behave import given, then, when
+from routing_fakes import SERVICE, make_contract
+from routing_helpers import hold, make_router, outcomes, request, sends, succeed
+
+from fireflywharf_core.messages import ServiceSlots
+from fireflywharf_core.records import KeyClaimed
+from fireflywharf_core.results import NotRun
+from fireflywharf_core.routing import (
+    ContractChanged,
+    CrossRegionReason,
+    ForwardToPeer,
+    InvalidKey,
+    IssuedKeys,
+    KeyClaimSeen,
+    OtherKey,
+    OwnKey,
+    PeerSlots,
+    RoutingPolicy,
+    SendRefused,
+)
+from fireflywharf_core.routing._claims import KeyClaims
+from fireflywharf_core.routing._remembered import KeptAnswers
+
+
+@when("requests exceed the rate, the queue bound and the deadline of their contracts")
+def exceed_bounds(context):
+    router = make_router()
+    hold(router, "target-1", 1)
+    for name, changes in {
+        "slow": {"requests_per_second": 1.0},
+        "short": {"queue_max_requests": 1},
+        "busy": {"refusable_kinds": ["request"]},
+    }.items():
+        router.observe(ContractChanged(name, make_contract(name, **changes)), 0.0)
+    for number, customer in enumerate(("slow", "slow", "short", "short")):
+        router.observe(request(number, customer=customer), 0.0)
+        context.actions = getattr(context, "actions", []) + router.decide(0.0)
+    for number in range(10, 20):
+        router.observe(request(number, customer="busy"), 0.0)
+    router.observe(request(20, customer="busy", deadline_s=0.2), 0.0)
+    router.observe(request(21, customer="slow", deadline_s=-1.0), 0.0)
+    router.observe(request(22, customer="nobody"), 0.0)
+    context.actions += router.decide(0.0)
+
+
+@then('the codes are "{names}"')
+def check_codes(context, names):
+    told = outcomes(context.actions)
+    codes = [told[name].code.name for name in ("r1", "r3", "r20", "r21", "r22")]
+    assert ", ".join(codes) == names, codes
+    assert all(isinstance(outcome, NotRun) for outcome in told.values())
+
+
+@given("two customers with weights 3 and 1 and full queues")
+def two_customers(context):
+    context.router = make_router(RoutingPolicy(hedging=False))
+    hold(context.router, "target-1", 1)
+    for name, weight in (("three", 3.0), ("one", 1.0)):
+        contract = make_contract(name, share_weight=weight, queue_max_requests=1000)
+        context.router.observe(ContractChanged(name, contract), 0.0)
+        for number in range(400):
+            arriving = request(f"{name}-{number}", customer=name, deadline_s=300.0)
+            context.router.observe(arriving, 0.0)
+
+
+@when("400 requests are served one after the other")
+def serve_400(context):
+    context.served = {"three": 0, "one": 0}
+    for step in range(400):
+        [send] = sends(context.router.decide(step * 0.1))
+        context.served[send.request_id[1:].split("-")[0]] += 1
+        context.router.observe(succeed(send.send_id), step * 0.1 + 0.1)
+
+
+@then("the customers got between {low:d} and {high:d}, and between {low2:d} and {high2:d}")
+def check_shares(context, low, high, low2, high2):
+    served = context.served
+    assert low <= served["three"] <= high and low2 <= served["one"] <= high2, served
+
+
+@given("an issuer of keys")
+def make_issuer(context):
+    context.issuer = IssuedKeys("entry-1.a1", random.Random(1), 60.0)
+    context.other = IssuedKeys("entry-2.b2", random.Random(2), 60.0)
+
+
+@then("its keys, keys of others, forged, expired and malformed ones are told apart")
+def check_key_origins(context):
+    issuer = context.issuer
+    first, second = issuer.issue("austral", 2, 0.0)
+    assert first != second
+    assert issuer.check(first, "austral", 1.0) == OwnKey(60.0)
+    assert context.other.check(first, "austral", 1.0) == OtherKey("entry-1.a1")
+    twin = IssuedKeys("entry-1.a1", random.Random(3), 60.0)
+    for key, now_s in ((first, 60.0), (first[:-1], 1.0), ("k1.", 1.0), ("k1.a.b.c.d.e", 1.0)):
+        assert isinstance(issuer.check(key, "austral", now_s), InvalidKey), key
+    forged = twin.issue("austral", 1, 0.0)[0]
+    assert isinstance(issuer.check(forged, "austral", 1.0), InvalidKey)
+
+
+@then("a key of another customer is not accepted")
+def check_key_of_other_customer(context):
+    [key] = context.issuer.issue("austral", 1, 0.0)
+    assert isinstance(context.issuer.check(key, "boreal", 1.0), InvalidKey)
+
+
+@when("a key is used again with other content")
+def reuse_key(context):
+    router = context.router
+    [key] = router.issued_keys.issue("austral", 1, 0.0)
+    router.observe(request(1, idempotent=False, key=key), 0.0)
+    router.observe(request(2, idempotent=False, key=key, body_digest="changed"), 0.0)
+    context.told = outcomes(router.decide(0.0))
+
+
+@then('the code is "{name}"')
+def check_code(context, name):
+    assert context.told["r2"].code.name == name, context.told
+
+
+@when("the log holds a claim of its earlier incarnation and the key is repeated")
+def repeat_after_restart(context):
+    claim = KeyClaimed("austral", "own", "entry-1.99", "content", 0.0)
+    context.router.observe(KeyClaimSeen(claim), 0.0)
+    context.router.observe(request(2, idempotent=False, key="own"), 1.0)
+    context.told = outcomes(context.router.decide(1.0))
+
+
+@when("two readers fold a claim, a claim within the lifetime and a claim after it")
+def fold_claims(context):
+    readers = [KeyClaims(100.0, 10, KeptAnswers(10, 10)) for _ in range(2)]
+    records = [
+        KeyClaimed("austral", "own", name, "content", utc_s)
+        for name, utc_s in (("a.1", 0.0), ("b.2", 99.0), ("c.3", 101.0))
+    ]
+    # The second reader reads all at once, long after the first.
+    context.winners = [
+        [
+            reader.fold_claim(record, now_s).incarnation
+            for record, now_s in zip(records, at, strict=True)
+        ]
+        for reader, at in zip(readers, ((0.0, 99.0, 101.0), (500.0, 500.0, 500.0)), strict=True)
+    ]
+
+
+@then("both name the first, the first and the third as the winner")
+def check_winners(context):
+    assert context.winners == [["a.1", "a.1", "c.3"]] * 2, context.winners
+
+
+@given("a router that holds 4 targets of which one fails everything")
+def hold_four(context):
+    context.router = make_router()
+    for number in range(4):
+        hold(context.router, f"target-{number}", 2)
+
+
+def run_requests(context, count, start_s, broken):
+    """Run requests of 0.1 s one by one; return the sends to target-0."""
+    router, found = context.router, 0
+    for number in range(count):
+        now_s = start_s + number * 0.1
+        router.observe(request(f"{start_s}-{number}"), now_s)
+        while pending := sends(router.decide(now_s)):
+            for send in pending:
+                found += send.target == "target-0"
+                failed = broken and send.target == "target-0"
+                event = SendRefused(send.send_id) if failed else succeed(send.send_id)
+                router.observe(event, now_s)
+    return found
+
+
+@when("400 idempotent requests run")
+def run_400(context):
+    context.faulty_count = run_requests(context, 400, 0.0, True)
+
+
+@then("the faulty target got at most {count:d} sends, which is 5 failures and a probe each second")
+def check_faulty(context, count):
+    assert 5 <= context.faulty_count <= count, context.faulty_count
+
+
+@then("it is used again when it works")
+def check_used_again(context):
+    assert context.router.set_aside_targets() == ["target-0"]
+    found = run_requests(context, 100, 100.0, False)
+    assert found > 10, found
+    assert context.router.set_aside_targets() == []
+
+
+@given("a router without targets and a peer in another region")
+def far_peer(context):
+    context.router = make_router()
+    contract = make_contract("austral", cross_region_bytes_per_second=10_000)
+    context.router.observe(ContractChanged("austral", contract), 0.0)
+    slots = (ServiceSlots(SERVICE, 1000, 1000),)
+    context.router.observe(PeerSlots("far-1.c3", "caribe-1", "caribe", slots), 0.0)
+
+
+@when("100 requests of 1000 bytes arrive within a second under a bound of 10000 bytes a second")
+def arrive_far(context):
+    context.actions = []
+    for number in range(100):
+        context.router.observe(request(number), number * 0.01)
+        context.actions += context.router.decide(number * 0.01)
+
+
+@then("at most {count:d} bytes went to the other region, counted by reason")
+def check_far_bytes(context, count):
+    forwards = [action for action in context.actions if isinstance(action, ForwardToPeer)]
+    counted = context.router.counters.cross_region_bytes
+    assert counted == {CrossRegionReason.NO_TARGET_IN_REGION: 1000 * len(forwards)}
+    assert 10_000 <= 1000 * len(forwards) <= count
+
+
+@given("two entry VMs of which one holds all targets and reports no free slot")
+def full_peer(context):
+    context.front = make_router()
+    slots = (ServiceSlots(SERVICE, 0, 32),)
+    context.front.observe(PeerSlots("entry-2.b2", "centro-1", "centro", slots), 0.0)
+
+
+@when("a request arrives at the other")
+def arrive_at_front(context):
+    context.front.observe(request(1), 0.0)
+    context.actions = context.front.decide(0.0)
+
+
+@then("it is forwarded to the holder")
+def check_forwarded(context):
+    assert [type(action) for action in context.actions] == [ForwardToPeer]
--- /dev/null
+++ b/features/steps/routing_fakes.py
@@ -0,0 +1,102 @@
+"""Targets in memory and the keeper of one router."""
+
+import random
+
+from fireflywharf_core.contracts import Contract, Quota
+from fireflywharf_core.platform import VmInfo, VmRole
+from fireflywharf_core.routing import (
+    ContractChanged,
+    RequestRouter,
+    TargetSeen,
+)
+
+SERVICE = "dispatch"
+LEASE_S = 5.0
+# Bytes of a connection that was cut reach the target within this time or never.
+IN_FLIGHT_AFTER_CUT_S = 0.4
+UNBOUNDED = Quota(
+    processors_millicores="unlimited", memory_mb="unlimited", accelerators_count="unlimited"
+)
+
+
+def base_id(request_id):
+    """Return the id that the first entry VM gave to a request, without the hops."""
+    return request_id.split(".")[0]
+
+
+def make_contract(customer, **changes):
+    """Return a contract without bounds, with changes."""
+    fields = {"share_weight": 1.0, "requests_per_second": "unlimited", "queue_max_tasks": 10}
+    return Contract(customer=customer, quota=UNBOUNDED, **(fields | changes))
+
+
+def make_target_vm(name, slots_count=2):
+    """Return a row of the VM list for a target."""
+    return VmInfo(
+        name=name,
+        role=VmRole.TARGET,
+        address="127.0.0.1:1",
+        region="centro",
+        failure_domain="centro-1",
+        service=SERVICE,
+        slots_count=slots_count,
+        connections_count=64,
+    )
+
+
+class FakeTarget:
+    """Target with a lease, an epoch and slots; it records every start and every overload."""
+
+    def __init__(self, name, slots_count):
+        self.name, self.slots_count = name, slots_count
+        self.boot, self.epoch, self.holder, self.until_s = 1, 0, "", 0.0
+        self.leaving, self.running, self.overloads = False, {}, []
+
+    def claim(self, holder, now_s):
+        """Grant the lease or return False."""
+        if self.holder not in ("", holder) and now_s < self.until_s:
+            return False
+        if self.holder != holder or now_s >= self.until_s:
+            self.epoch += 1
+        self.holder, self.until_s = holder, now_s + LEASE_S
+        return True
+
+    def accepts(self, epoch, now_s):
+        """Return whether a request with this epoch is started."""
+        return epoch == self.epoch and now_s < self.until_s
+
+    def start(self, send_id, content):
+        """Run a request; one above the slots is an overload."""
+        self.running[send_id] = content
+        if len(self.running) > self.slots_count:
+            self.overloads.append(sorted(self.running))
+
+    def reboot(self):
+        """Lose all running requests and the lease."""
+        self.boot += 1
+        self.epoch, self.holder, self.until_s = self.epoch + 1, "", 0.0
+        self.running, self.leaving = {}, False
+
+
+class EntryVm:
+    """One router with what its daemon would keep."""
+
+    def __init__(self, world, name, number):
+        self.world, self.name, self.number = world, name, number
+        self.incarnation, self.alive = f"{name}.{number:x}", True
+        self.live, self.log_read_count, self.keys = {}, 0, []
+        self.router = RequestRouter(
+            incarnation=self.incarnation,
+            domain="centro-1",
+            region="centro",
+            rng=random.Random(number),
+            policy=world.policy,
+        )
+        self.see(ContractChanged("austral", make_contract("austral")))
+        for target in world.targets:
+            self.see(TargetSeen(make_target_vm(target.name, target.slots_count)))
+
+    def see(self, event):
+        """Give an event to the router, unless the VM has died."""
+        if self.alive:
+            self.router.observe(event, self.world.now_s)
--- /dev/null
+++ b/features/steps/routing_helpers.py
@@ -0,0 +1,65 @@
+"""Router, requests and filters that the steps for routing share."""
+
+import random
+
+from routing_fakes import SERVICE, make_contract, make_target_vm
+
+from fireflywharf_core.platform import TargetStatus
+from fireflywharf_core.routing import (
+    Answer,
+    ContractChanged,
+    RequestArrived,
+    RequestRouter,
+    RoutingPolicy,
+    SendSucceeded,
+    SendToTarget,
+    TargetHeld,
+    TargetSeen,
+)
+
+
+def make_router(policy=None, incarnation="entry-1.a1"):
+    """Return a router with the contract of customer austral."""
+    router = RequestRouter(
+        incarnation=incarnation,
+        domain="centro-1",
+        region="centro",
+        rng=random.Random(7),
+        policy=policy or RoutingPolicy(),
+    )
+    router.observe(ContractChanged("austral", make_contract("austral")), 0.0)
+    return router
+
+
+def hold(router, name, slots_count, now_s=0.0, **changes):
+    """Let a router see and hold a target."""
+    router.observe(TargetSeen(make_target_vm(name, slots_count)), now_s)
+    fields = {"epoch": 1, "boot_id": "boot-1", "lease_until_s": now_s + 1000.0, "asked_s": now_s}
+    router.observe(TargetHeld(name=name, **(fields | changes)), now_s)
+
+
+def request(number, **changes):
+    """Return an arriving idempotent request."""
+    fields = {"customer": "austral", "service": SERVICE, "kind": "short", "idempotent": True}
+    fields |= {"body_digest": "content", "body_bytes": 1000, "deadline_s": 10.0}
+    return RequestArrived(request_id=f"r{number}", **(fields | changes))
+
+
+def sends(actions):
+    """Return the sends among actions."""
+    return [action for action in actions if isinstance(action, SendToTarget)]
+
+
+def outcomes(actions):
+    """Return the outcomes by request among actions."""
+    return {a.request_id: a.outcome for a in actions if isinstance(a, Answer)}
+
+
+def status(*in_progress):
+    """Return a status of the first boot."""
+    return TargetStatus("boot-1", 1, False, list(in_progress))
+
+
+def succeed(send_id, body=b"done", elapsed_s=0.1):
+    """Return a complete answer."""
+    return SendSucceeded(send_id, 200, body, send_id, True, elapsed_s)
--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,364 @@
+"""Steps for slots, sends and answers of routing."""
+
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import given as given_values
+from hypothesis import strategies as st
+from routing_fakes import SERVICE, make_target_vm
+from routing_helpers import hold, make_router, outcomes, request, sends, status, succeed
+from routing_world import RoutingWorld
+
+from fireflywharf_core.messages import ServiceSlots
+from fireflywharf_core.platform import TargetStatus, VmInfo, VmState
+from fireflywharf_core.results import Completed, NotRun, OutcomeUnknown, ResultCode
+from fireflywharf_core.routing import (
+    Answer,
+    DrainStarted,
+    ForwardAnswered,
+    ForwardToPeer,
+    PeerSlots,
+    PollTarget,
+    RefusedBy,
+    SendFailed,
+    SendRefused,
+    SendSucceeded,
+    TargetHeld,
+    TargetLeaving,
+    TargetSeen,
+    TargetStatusSeen,
+)
+
+OPERATIONS = {
+    "arrive": 6,
+    "deliver": 8,
+    "finish": 4,
+    "cut": 2,
+    "pass_time": 3,
+    "claim": 5,
+    "lose": 1,
+    "reboot": 1,
+    "leave": 1,
+    "heartbeat": 2,
+    "read_log": 3,
+    "switch_log": 1,
+    "replace": 1,
+    "abandon": 1,
+    "drain": 1,
+}
+NAMES = [name for name, weight in OPERATIONS.items() for _ in range(weight)]
+
+
+@when("random sequences of 15 kinds of events run against in-memory targets")
+def run_sequences(context):
+    context.starts_count = 0
+    step = st.tuples(st.sampled_from(NAMES), st.integers(0, 1_000_000))
+
+    @settings(
+        max_examples=400,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=(Phase.generate,),
+        suppress_health_check=list(HealthCheck),
+    )
+    @given_values(st.lists(step, min_size=40, max_size=150))
+    def check(steps):
+        world = RoutingWorld()
+        world.run([("claim", 4), ("claim", 7), *steps])
+        context.starts_count += sum(map(len, world.starts.values()))
+
+    check()
+
+
+@then("every sequence kept the promises")
+def check_sequences_did_work(context):
+    assert context.starts_count > 500, f"only {context.starts_count} requests ran"
+
+
+@given("a router that holds a target with {count:d} slot")
+@given("a router that holds a target with {count:d} slots")
+def hold_one_target(context, count):
+    context.router = make_router()
+    hold(context.router, "target-1", count)
+
+
+@when("a request is sent, the entry VM pauses beyond its lease and another VM claims the target")
+def pause_beyond_lease(context):
+    world = RoutingWorld()
+    world.claim(4)
+    world.arrive(8)
+    world.settle()
+    assert len(world.net) == 1
+    world.now_s += 6.0
+    assert world.targets[0].claim("entry-2.2", world.now_s)
+    context.world = world
+
+
+@then("the target refuses the stale epoch and the request is answered as not run")
+def check_stale_epoch(context):
+    world = context.world
+    world.end()
+    assert not world.starts
+    [outcome] = world.answers["entry-1.1", "r0"]
+    assert isinstance(outcome, NotRun), outcome
+
+
+@when("its running request fails after bytes left and another request arrives")
+def fail_running(context):
+    router = context.router
+    router.observe(request(1), 1.0)
+    [send] = sends(router.decide(1.0))
+    router.observe(SendFailed(send.send_id, bytes_left=True), 2.0)
+    router.observe(request(2), 2.0)
+    assert not sends(router.decide(2.0))
+    context.send_id = send.send_id
+
+
+@then("the slot is free only after a status that was asked after the failure")
+def check_slot_freed(context):
+    router = context.router
+    assert PollTarget("target-1") in router.decide(2.3)
+    router.observe(TargetStatusSeen("target-1", status(context.send_id), 2.6), 2.7)
+    assert not sends(router.decide(2.7))
+    router.observe(TargetStatusSeen("target-1", status(), 2.9), 3.0)
+    assert [send.request_id for send in sends(router.decide(3.0))] == ["r2"]
+
+
+@when("a status asked before the send arrives after its failure")
+def late_status(context):
+    router = context.router
+    router.observe(request(1), 1.0)
+    [send] = sends(router.decide(1.0))
+    router.observe(SendFailed(send.send_id, bytes_left=True), 1.1)
+    router.observe(TargetStatusSeen("target-1", status(), 0.9), 5.0)
+    router.observe(request(2), 5.0)
+
+
+@then("the slot is still taken")
+def check_still_taken(context):
+    assert not sends(context.router.decide(5.0))
+
+
+@given("a router that claimed a target whose 2 slots still run requests of another holder")
+def claim_with_running(context):
+    context.router = make_router()
+    hold(context.router, "target-1", 2, in_progress=["old-1", "old-2"])
+
+
+@then("it sends nothing until a status no longer lists them")
+def check_inherited(context):
+    router = context.router
+    router.observe(request(1), 1.0)
+    router.observe(request(2), 1.0)
+    assert not sends(router.decide(1.0))
+    router.observe(TargetStatusSeen("target-1", status("old-2"), 1.5), 1.6)
+    assert len(sends(router.decide(1.6))) == 1
+
+
+@when("its running request fails and the target is claimed again after a restart")
+def restart_target(context):
+    router = context.router
+    router.observe(request(1), 1.0)
+    [send] = sends(router.decide(1.0))
+    router.observe(SendFailed(send.send_id, bytes_left=True), 2.0)
+    router.observe(request(2), 2.0)
+    assert not sends(router.decide(2.0))
+    hold(router, "target-1", 1, now_s=2.1, epoch=1, boot_id="boot-2")
+
+
+@then("the next request is sent")
+def check_next_sent(context):
+    assert [send.request_id for send in sends(context.router.decide(2.1))] == ["r2"]
+
+
+@when("answers of the boot before arrive while its slot is taken")
+def late_boot(context):
+    router = context.router
+    late = TargetStatus("boot-0", 1, False, [])
+    router.observe(TargetStatusSeen("target-1", status(), 0.5), 0.5)
+    router.observe(request(1), 1.0)
+    assert len(sends(router.decide(1.0))) == 1
+    router.observe(TargetStatusSeen("target-1", late, 0.5), 1.1)
+    hold(router, "target-1", 1, now_s=0.4, boot_id="boot-0", epoch=9)
+
+
+@then("the slot is still taken after the present boot is confirmed")
+def check_late_boot(context):
+    hold(context.router, "target-1", 1, now_s=0.6)
+    context.router.observe(request(2), 1.2)
+    assert not sends(context.router.decide(1.2))
+
+
+@given("an entry VM with a target and a holder of a key without targets")
+def holder_without_targets(context):
+    context.front, context.back = make_router(), make_router(incarnation="entry-2.b2")
+    hold(context.front, "target-1", 2)
+    slots = context.front.service_slots(0.0)
+    context.back.observe(PeerSlots("entry-1.a1", "centro-1", "centro", slots), 0.0)
+
+
+@when("the request with that key arrives at the entry VM with the target")
+def arrive_beside_target(context):
+    [key] = context.back.issued_keys.issue("austral", 1, 0.0)
+    keyed = {"idempotent": False, "key": key}
+    context.front.observe(request(1, **keyed), 0.0)
+    [ask] = context.front.decide(0.0)
+    arriving = request(ask.send_id[1:], **keyed, forwarded=True, decides_key=True)
+    context.back.observe(arriving, 0.1)
+    [forward] = context.back.decide(0.1)
+    context.front.observe(request(forward.send_id[1:], **keyed, forwarded=True), 0.2)
+    context.ask, context.forward, context.actions = ask, forward, context.front.decide(0.2)
+
+
+@then("it is executed there once and answered in full")
+def check_executed_once(context):
+    [send] = context.actions
+    context.front.observe(succeed(send.send_id), 0.3)
+    told = outcomes(context.front.decide(0.3))[context.forward.send_id]
+    context.back.observe(ForwardAnswered(context.forward.send_id, told), 0.4)
+    told = outcomes(context.back.decide(0.4))[context.ask.send_id]
+    context.front.observe(ForwardAnswered(context.ask.send_id, told), 0.5)
+    assert outcomes(context.front.decide(0.5)) == {"r1": Completed(b"done")}
+
+
+@when('the answer of a running request arrives after its caller was told "outcome unknown"')
+def late_answer(context):
+    router = context.router
+    router.observe(request(1, deadline_s=1.0), 0.0)
+    [send] = sends(router.decide(0.0))
+    context.answers = [a for a in router.decide(1.5) if isinstance(a, Answer)]
+    router.observe(request(2), 1.6)
+    assert not sends(router.decide(1.6))
+    router.observe(succeed(send.send_id), 2.0)
+    context.actions = router.decide(2.0)
+
+
+@then("there is one answer, and the slot is free")
+def check_one_answer(context):
+    assert [a.outcome.code for a in context.answers] == [ResultCode.OUTCOME_UNKNOWN]
+    assert not outcomes(context.actions)
+    assert [send.request_id for send in sends(context.actions)] == ["r2"]
+    assert context.router.counters.late_answers_count == 1
+
+
+@when("a request with an issued key is reset after bytes left")
+def reset_keyed(context):
+    router = context.router
+    [key] = router.issued_keys.issue("austral", 1, 0.0)
+    router.observe(request(1, idempotent=False, key=key), 0.0)
+    [send] = sends(router.decide(0.0))
+    router.observe(SendFailed(send.send_id, bytes_left=True), 1.0)
+    first = router.decide(1.0)
+    router.observe(request(2, idempotent=False, key=key), 2.0)
+    context.actions = first + router.decide(2.0)
+
+
+@then('the caller and a repeat hear "outcome unknown" and nothing is sent again')
+def check_unknown_twice(context):
+    told = outcomes(context.actions)
+    assert [told[name].code for name in ("r1", "r2")] == [ResultCode.OUTCOME_UNKNOWN] * 2
+    assert not sends(context.actions)
+
+
+@given("two entry VMs of which one holds all targets")
+def two_entry_vms(context):
+    context.front, context.back = make_router(), make_router(incarnation="entry-2.b2")
+    for number in range(4):
+        hold(context.back, f"target-{number}", 8)
+
+
+@when("1000 idempotent requests arrive at the other and every send fails")
+def fail_everything(context):
+    context.sends_count = 0
+    for number in range(1000):
+        now_s = number * 0.01
+        slots = (ServiceSlots(SERVICE, 8, 32),)
+        context.front.observe(PeerSlots("entry-2.b2", "centro-1", "centro", slots), now_s)
+        context.front.observe(request(number), now_s)
+        fail_once(context, now_s)
+    assert context.front.unfinished_count == 0
+
+
+def fail_once(context, now_s):
+    """Run one request and its retries over both layers; each send is refused."""
+    while True:
+        forwards = [a for a in context.front.decide(now_s) if isinstance(a, ForwardToPeer)]
+        if not forwards:
+            return
+        for forward in forwards:
+            name = forward.send_id
+            context.back.observe(request(name[1:], forwarded=True), now_s)
+            [send] = sends(context.back.decide(now_s))
+            context.sends_count += 1
+            context.back.observe(SendRefused(send.send_id, RefusedBy.NOT_RUN), now_s)
+            told = outcomes(context.back.decide(now_s))[name]
+            context.front.observe(ForwardAnswered(forward.send_id, told), now_s)
+
+
+@then("the targets got at most {count:d} sends")
+def check_amplification(context, count):
+    assert 1000 < context.sends_count <= count, context.sends_count
+
+
+@when("three requests wait and the drain starts")
+def drain_with_queue(context):
+    router = context.router
+    for number in range(4):
+        router.observe(request(number), 0.0)
+    [send] = sends(router.decide(0.0))
+    router.observe(DrainStarted(), 0.1)
+    router.observe(request(4), 0.1)
+    context.told = outcomes(router.decide(0.1))
+    running = [send]
+    for step in range(4):
+        router.observe(succeed(running.pop().send_id), 1.0 + step)
+        actions = router.decide(1.0 + step)
+        context.told |= outcomes(actions)
+        running += sends(actions)
+
+
+@then("a new request is refused as draining, and the three are answered in full")
+def check_drained(context):
+    assert context.told["r4"].code is ResultCode.DRAINING
+    assert all(isinstance(context.told[f"r{number}"], Completed) for number in range(4))
+    assert context.router.unfinished_count == 0
+
+
+@when("the target says that it is leaving and a request arrives")
+def target_leaves(context):
+    context.router.observe(TargetLeaving("target-1"), 1.0)
+    context.router.observe(request(1), 1.0)
+
+
+@then("nothing is sent to it, also after the list shows it as live")
+def check_nothing_sent(context):
+    router = context.router
+    assert not sends(router.decide(1.0))
+    router.observe(TargetSeen(make_target_vm("target-1")), 2.0)
+    hold(router, "target-1", 2, now_s=2.0)
+    assert not sends(router.decide(2.0))
+    leaving = make_target_vm("target-2")
+    fields = {name: getattr(leaving, name) for name in VmInfo.__slots__ if name[0] != "_"}
+    router.observe(TargetSeen(VmInfo(**(fields | {"state": VmState.LEAVING}))), 3.0)
+    router.observe(TargetHeld(name="target-2", epoch=1, lease_until_s=99.0, asked_s=3.0), 3.0)
+    assert not sends(router.decide(3.0))
+
+
+@when("the answer of a send names another request")
+def crossed_answer(context):
+    router = context.router
+    router.observe(request(1), 0.0)
+    router.observe(request(2), 0.0)
+    first, second = sends(router.decide(0.0))
+    router.observe(SendSucceeded(first.send_id, 200, b"2", second.send_id, True, 0.1), 1.0)
+    context.actions = router.decide(1.0)
+
+
+@then("the caller is not given that answer, and the slot waits for a status")
+def check_crossed(context):
+    router = context.router
+    assert isinstance(outcomes(context.actions)["r1"], OutcomeUnknown)
+    router.observe(request(3), 1.1)
+    assert not sends(router.decide(1.1))
+    router.observe(TargetStatusSeen("target-1", status(), 2.0), 2.1)
+    assert len(sends(router.decide(2.1))) == 1
--- /dev/null
+++ b/features/steps/routing_world.py
@@ -0,0 +1,365 @@
+"""Entry VMs, targets and key log whose messages are delivered in any order."""
+
+from routing_fakes import (
+    IN_FLIGHT_AFTER_CUT_S,
+    LEASE_S,
+    SERVICE,
+    EntryVm,
+    FakeTarget,
+    base_id,
+    make_target_vm,
+)
+
+from fireflywharf_core.platform import TargetStatus
+from fireflywharf_core.records import KeyClaimed, KeyOutcome
+from fireflywharf_core.results import Completed, NotRun
+from fireflywharf_core.routing import (
+    Answer,
+    AskKeyHolder,
+    CallerGone,
+    ClaimKey,
+    DrainStarted,
+    ForwardAnswered,
+    ForwardToPeer,
+    KeyClaimSeen,
+    KeyClaimUnavailable,
+    KeyOutcomeSeen,
+    PeerGone,
+    PeerSlots,
+    PollTarget,
+    RecordKeyOutcome,
+    RefusedBy,
+    RequestArrived,
+    RoutingPolicy,
+    SendFailed,
+    SendRefused,
+    SendSucceeded,
+    SendToTarget,
+    TargetGone,
+    TargetHeld,
+    TargetLeaving,
+    TargetLost,
+    TargetSeen,
+    TargetStatusSeen,
+)
+
+
+class RoutingWorld:
+    """Two entry VMs, two targets and a key log; `net` holds the messages on their way."""
+
+    def __init__(self, policy=None):
+        self.policy = policy or RoutingPolicy(hedge_min_observations=3)
+        self.now_s, self.net, self.log, self.log_up = 0.0, [], [], True
+        self.targets = [FakeTarget("target-1", 2), FakeTarget("target-2", 1)]
+        self.origins, self.requests, self.answers = {}, {}, {}
+        self.starts, self.gone, self.numbers = {}, set(), 0
+        self.vms = [self._boot("entry-1"), self._boot("entry-2")]
+
+    def _boot(self, name):
+        self.numbers += 1
+        return EntryVm(self, name, self.numbers)
+
+    def run(self, steps):
+        """Run a list of (operation, number), then let everything end, and check."""
+        for operation, number in steps:
+            getattr(self, operation)(number)
+            self.settle()
+        self.end()
+
+    def settle(self):
+        """Carry out the commands of all routers."""
+        for vm in self.vms:
+            for action in vm.router.decide(self.now_s):
+                self._act(vm, action)
+
+    def _act(self, vm, action):
+        match action:
+            case Answer(request_id, outcome):
+                self.answers.setdefault((vm.incarnation, request_id), []).append(outcome)
+                self._answer_forward(vm, request_id, outcome)
+            case SendToTarget(send_id, request_id, target, epoch, _):
+                vm.live[send_id] = request_id
+                self.net.append(lambda: self._reach(vm, send_id, target, epoch))
+            case ForwardToPeer(send_id, request_id, incarnation, remaining_ms):
+                vm.live[send_id] = request_id
+                self._forward(vm, send_id, request_id, incarnation, remaining_ms, False)
+            case AskKeyHolder(send_id, request_id, incarnation, remaining_ms):
+                vm.live[send_id] = request_id
+                self._forward(vm, send_id, request_id, incarnation, remaining_ms, True)
+            case ClaimKey(request_id, customer, key, digest):
+                record = KeyClaimed(customer, key, vm.incarnation, digest, self.now_s)
+                self.net.append(lambda: self._append(vm, record, request_id))
+            case RecordKeyOutcome(customer, key, code, status, body):
+                self.net.append(
+                    lambda: self._append(vm, KeyOutcome(customer, key, code, status, body))
+                )
+            case PollTarget(name):
+                self.net.append(lambda: self._poll(vm, name))
+
+    def _target(self, name):
+        return next(target for target in self.targets if target.name == name)
+
+    def _reach(self, vm, send_id, name, epoch):
+        """Bring a request to its target."""
+        cut_s = vm.live.get(("cut", send_id))
+        if send_id not in vm.live and (cut_s is None or self.now_s > cut_s + IN_FLIGHT_AFTER_CUT_S):
+            return
+        target = self._target(name)
+        if not target.accepts(epoch, self.now_s):
+            self.net.append(lambda: self._end(vm, SendRefused(send_id, RefusedBy.STALE_EPOCH)))
+            return
+        request_id = base_id(send_id)
+        self.starts.setdefault(request_id, []).append(send_id)
+        target.start(send_id, (vm, request_id))
+
+    def _end(self, vm, event):
+        if vm.live.pop(event.send_id, None) is not None:
+            vm.see(event)
+
+    def _append(self, vm, record, request_id=None):
+        if self.log_up:
+            self.log.append(record)
+        elif request_id is not None:
+            # The answer of the log is lost; the record may have been kept.
+            if len(self.log) % 2:
+                self.log.append(record)
+            vm.see(KeyClaimUnavailable(request_id))
+
+    def _poll(self, vm, name):
+        target, asked_s = self._target(name), self.now_s
+        status = TargetStatus(
+            f"boot-{target.boot}", target.epoch, target.leaving, sorted(target.running)
+        )
+        self.net.append(lambda: vm.see(TargetStatusSeen(name, status, asked_s)))
+
+    def _forward(self, vm, send_id, request_id, incarnation, remaining_ms, decides_key):
+        def reach():
+            peer = next((p for p in self.vms if p.incarnation == incarnation), None)
+            if peer is None or not peer.alive:
+                self._end(vm, SendRefused(send_id))
+                return
+            peer.live["from", send_id] = vm, send_id
+            arrived = self.requests[base_id(request_id)]
+            peer.see(
+                RequestArrived(
+                    request_id=send_id,
+                    customer="austral",
+                    service=SERVICE,
+                    kind=arrived.kind,
+                    idempotent=arrived.idempotent,
+                    key=arrived.key,
+                    deadline_s=remaining_ms / 1000,
+                    body_digest=arrived.body_digest,
+                    forwarded=True,
+                    decides_key=decides_key,
+                )
+            )
+
+        self.net.append(reach)
+
+    def _answer_forward(self, vm, request_id, outcome):
+        origin, send_id = vm.live.pop(("from", request_id), (None, ""))
+        if origin is not None:
+            self.net.append(lambda: self._end(origin, ForwardAnswered(send_id, outcome)))
+
+    # Operations; `number` selects what they apply to.
+
+    def arrive(self, number):
+        """Let a request arrive: idempotent, with an issued key or with the caller's own key."""
+        vm = self.vms[number % 2]
+        request_id, form = f"r{len(self.requests)}", number // 2 % 4
+        key = ""
+        if form == 1:
+            owner = self.vms[number // 8 % 2]
+            if number // 16 % 2 or not owner.keys:
+                owner.keys += owner.router.issued_keys.issue("austral", 1, self.now_s)
+            key = owner.keys[number // 32 % len(owner.keys)]
+        elif form > 1:
+            key = f"own-{number // 8 % 3}"
+        event = RequestArrived(
+            request_id=request_id,
+            customer="austral",
+            service=SERVICE,
+            kind="short" if number % 3 else "long",
+            idempotent=form == 0,
+            key=key,
+            deadline_s=(0.2, 3.0, 30.0)[number % 3],
+            body_digest=f"{key}-content" if number % 7 else "other-content",
+            body_bytes=100,
+        )
+        self.requests[request_id] = event
+        self.origins[request_id] = vm
+        vm.see(event)
+
+    def deliver(self, number):
+        """Deliver one message, in any order."""
+        if self.net:
+            self.net.pop(number % len(self.net))()
+
+    def finish(self, number):
+        """Let a target finish a request; its answer may be crossed or damaged."""
+        running = [(t, send_id) for t in self.targets for send_id in t.running]
+        if not running:
+            return
+        target, send_id = running[number % len(running)]
+        vm, request_id = target.running.pop(send_id)
+        echoed = running[0][1] if number % 11 == 10 else send_id
+        body = f"answer to {request_id}".encode()
+        event = SendSucceeded(send_id, 200, body, echoed, number % 13 != 12, 0.1)
+        self.net.append(lambda: self._end(vm, event))
+
+    def cut(self, number):
+        """Cut a connection after bytes left; the bytes may still arrive."""
+        vm = self.vms[number % 2]
+        sends = [send_id for send_id in vm.live if isinstance(send_id, str)]
+        if sends:
+            send_id = sends[number // 2 % len(sends)]
+            vm.live["cut", send_id] = self.now_s
+            self._end(vm, SendFailed(send_id, bytes_left=True))
+
+    def pass_time(self, number):
+        """Let time pass, with the timers of the routers."""
+        end_s = self.now_s + (0.01, 0.3, 1.0, 6.0)[number % 4]
+        while True:
+            due = [vm.router.next_wakeup_s() for vm in self.vms]
+            due = [at_s for at_s in due if at_s is not None and at_s <= end_s]
+            self.now_s = max(self.now_s, min(due, default=end_s))
+            self.settle()
+            if not due:
+                self.now_s = end_s
+                return
+
+    def claim(self, number):
+        """Let an entry VM claim or renew a target; the answer takes its time."""
+        vm, target = self.vms[number % 2], self.targets[number // 2 % 2]
+        asked_s = self.now_s
+        if not target.claim(vm.incarnation, self.now_s):
+            return
+        event = TargetHeld(
+            name=target.name,
+            epoch=target.epoch,
+            in_progress=sorted(target.running),
+            boot_id=f"boot-{target.boot}",
+            leaving=target.leaving,
+            lease_until_s=asked_s + LEASE_S - 0.25,
+            asked_s=asked_s,
+        )
+        if number % 3:
+            vm.see(event)
+        else:
+            self.net.append(lambda: vm.see(event))
+
+    def lose(self, number):
+        """Tell an entry VM that it lost a target."""
+        self.vms[number % 2].see(TargetLost(self.targets[number // 2 % 2].name))
+
+    def reboot(self, number):
+        """Restart a target; live connections to it break."""
+        target = self.targets[number % 2]
+        for send_id, (vm, _) in list(target.running.items()):
+            self.net.append(lambda v=vm, s=send_id: self._end(v, SendFailed(s, True)))
+        target.reboot()
+
+    def leave(self, number):
+        """Announce that a target is leaving, or that the list lost it."""
+        target = self.targets[number % 2]
+        target.leaving = True
+        for vm in self.vms:
+            vm.see(TargetLeaving(target.name) if number % 4 < 2 else TargetGone(target.name))
+            vm.see(TargetSeen(make_target_vm(target.name, target.slots_count)))
+
+    def heartbeat(self, number):
+        """Send the free slots of one entry VM to the other."""
+        sender, receiver = self.vms[number % 2], self.vms[(number + 1) % 2]
+        slots = sender.router.service_slots(self.now_s)
+        receiver.see(PeerSlots(sender.incarnation, "centro-1", "centro", slots))
+
+    def read_log(self, number):
+        """Let an entry VM read the key log to its end."""
+        vm = self.vms[number % 2]
+        for record in self.log[vm.log_read_count :]:
+            claimed = isinstance(record, KeyClaimed)
+            vm.see(KeyClaimSeen(record) if claimed else KeyOutcomeSeen(record))
+        vm.log_read_count = len(self.log)
+
+    def switch_log(self, number):
+        """Start or end an outage of the log."""
+        self.log_up = bool(number % 2)
+
+    def replace(self, number):
+        """Kill an entry VM and start another incarnation at its place."""
+        if number % 3:
+            return
+        old = self.vms[number % 2]
+        old.alive = False
+        for other in self.vms:
+            for key, origin in list(old.live.items()):
+                if isinstance(key, tuple) and key[0] == "from" and origin[0] is other:
+                    send_id = origin[1]
+                    self.net.append(lambda v=other, s=send_id: self._end(v, SendFailed(s, True)))
+        self.vms[number % 2] = self._boot(old.name)
+        self.vms[(number + 1) % 2].see(PeerGone(old.incarnation))
+
+    def abandon(self, number):
+        """Let the caller of a request go away."""
+        if self.requests:
+            request_id = list(self.requests)[number % len(self.requests)]
+            self.gone.add(request_id)
+            for vm in self.vms:
+                vm.see(CallerGone(request_id))
+
+    def drain(self, number):
+        """Start the shutdown of an entry VM."""
+        if not number % 5:
+            self.vms[number % 2].see(DrainStarted())
+
+    def end(self):
+        """Deliver everything, let all deadlines pass, and check the promises."""
+        self.log_up = True
+        for _ in range(40):
+            while self.net:
+                self.deliver(0)
+                self.settle()
+            self.finish(0)
+            self.pass_time(2)
+            for vm in (0, 1):
+                self.read_log(vm)
+        for vm in self.vms:
+            for send_id in [s for s in vm.live if isinstance(s, str)]:
+                self._end(vm, SendFailed(send_id, True))
+        self.settle()
+        self.check()
+
+    def check(self):
+        """Check the promises of section 13 over the whole run."""
+        for target in self.targets:
+            assert not target.overloads, f"{target.name} overfull: {target.overloads}"
+        runs_by_key = {}
+        for request_id, sends in self.starts.items():
+            event = self.requests[request_id]
+            if not event.idempotent:
+                runs_by_key.setdefault(event.key, []).extend(sends)
+        for key, sends in runs_by_key.items():
+            assert len(sends) <= 1, f"key {key} ran as {sends}"
+        for (incarnation, request_id), outcomes in self.answers.items():
+            assert len(outcomes) == 1, f"{request_id} at {incarnation}: {outcomes}"
+            self._check_outcome(request_id, outcomes[0])
+        for request_id, vm in self.origins.items():
+            if vm.alive and request_id not in self.gone:
+                assert (vm.incarnation, request_id) in self.answers, f"no answer to {request_id}"
+        for vm in self.vms:
+            assert vm.router.unfinished_count == 0, "a request never ended"
+            budget = vm.router.counters.first_sends_count * 0.1
+            assert sum(vm.router.counters.retries.values()) <= budget + 1e-6
+
+    def _check_outcome(self, request_id, outcome):
+        event = self.requests[base_id(request_id)]
+        if isinstance(outcome, NotRun):
+            sends = self.starts.get(base_id(request_id), [])
+            assert not any(send_id.startswith(f"{request_id}.") for send_id in sends)
+        if isinstance(outcome, Completed):
+            told = outcome.body.decode().removeprefix("answer to ")
+            same = told == base_id(request_id) or (
+                event.key and self.requests[told].key == event.key
+            )
+            assert same, f"{request_id} got the answer of {told}"
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_actions.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_actions.py
@@ -23,7 +23,11 @@
 
 @attrs.frozen(slots=True)
 class ForwardToPeer:
-    """Let a peer execute the request at one of its targets, without retry by the peer."""
+    """Let a peer execute the request at one of its targets, without retry by the peer.
+
+    `ForwardRequest.request_id` carries `send_id`, because the peer may be the entry VM that
+    accepted the request: the holder of its key may have no target and forward it back.
+    """
 
     send_id: str
     request_id: str
@@ -35,7 +39,7 @@
 class AskKeyHolder:
     """Forward the request to the incarnation that decides for its key.
 
-    The `ForwardRequest` has `execute_issued_key` set.
+    The `ForwardRequest` has `execute_issued_key` set, and its `request_id` carries `send_id`.
     """
 
     send_id: str
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_events.py
@@ -67,7 +67,7 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class TargetHeld:
-    """A claim or renewal was granted.
+    """A claim or renewal of a target was granted that `TargetSeen` has named before.
 
     Args:
         name: name of the target.
@@ -76,7 +76,7 @@
         boot_id: boot of the target.
         leaving: whether the target is leaving.
         lease_until_s: end of the lease as the holder counts it, with its margin.
-        asked_s: time just before the claim was sent; without it no slot is freed by this event.
+        asked_s: time just before the claim was sent.
     """
 
     name: str
@@ -85,7 +85,7 @@
     boot_id: str = ""
     leaving: bool = False
     lease_until_s: float
-    asked_s: float = float("-inf")
+    asked_s: float
 
 
 @attrs.frozen(slots=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_targets.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_targets.py
@@ -10,6 +10,8 @@
 # Connections of a target left for claims and status polls.
 _SPARE_CONNECTIONS_COUNT = 2
 _NOT_INDEXED = -1
+# Learned times within this factor count as equal; otherwise noise would steer all requests.
+_ALIKE_FACTOR = 1.25
 
 
 @attrs.define(slots=True, eq=False)
@@ -99,7 +101,7 @@
         return self._top > 0
 
     def pick(self, avoided: str, rng: random.Random) -> Target | None:
-        """Return a target with most free slots, the faster of two candidates.
+        """Return a target with most free slots, the clearly faster of two candidates.
 
         Args:
             avoided: target that is used only when there is no other.
@@ -117,7 +119,8 @@
                 continue
             first = row[int(rng.random() * len(row))]
             second = row[int(rng.random() * len(row))]
-            chosen = first if first.slowness_ <= second.slowness_ else second
+            alike = first.slowness_ <= second.slowness_ * _ALIKE_FACTOR
+            chosen = first if alike else second
             if chosen.vm.name != avoided:
                 return chosen
             last_resort = last_resort or chosen
@@ -190,14 +193,14 @@
         if target is None:
             return
         known_epoch = target.epoch if event.boot_id == target.boot_id else -1
-        if event.epoch < known_epoch or (known_epoch < 0 and event.asked_s < target.boot_asked_s):
+        if event.epoch < known_epoch or self._is_stale(target, event.boot_id, event.asked_s):
             return
         self._see_boot(target, event.boot_id, event.asked_s, event.leaving)
         if not target.held:
             target.held = True
             self._count_held(target, 1)
         target.epoch = event.epoch
-        target.lease_until_s = event.lease_until_s
+        target.lease_until_s = max(target.lease_until_s, event.lease_until_s)
         target.leaving = target.leaving or event.leaving
         listed = set(event.in_progress)
         self._settle(target, listed, event.asked_s)
@@ -225,7 +228,7 @@
     def see_status(self, name: str, status: TargetStatus, asked_s: float) -> bool:
         """Take a status and return whether it freed a slot."""
         target = self._targets.get(name)
-        if target is None or asked_s < target.boot_asked_s:
+        if target is None or self._is_stale(target, status.boot_id, asked_s):
             return False
         before_count = len(target.occupants)
         if target.boot_id and status.boot_id != target.boot_id:
@@ -278,11 +281,15 @@
             if asked_s > occupant.ended_s + margin_s:
                 del target.occupants[request_id]
 
+    def _is_stale(self, target: Target, boot_id: str, asked_s: float) -> bool:
+        """Return whether an answer is of a boot that a later answer has superseded."""
+        return boot_id != target.boot_id and asked_s <= target.boot_asked_s
+
     def _see_boot(self, target: Target, boot_id: str, asked_s: float, leaving: bool) -> None:
+        target.boot_asked_s = max(target.boot_asked_s, asked_s)
         if boot_id == target.boot_id:
             return
         target.boot_id = boot_id
-        target.boot_asked_s = asked_s
         target.leaving = leaving
         target.failures_count_ = 0
         target.occupants.clear()
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -6,8 +6,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from fireflywharf_core.log import AppendNow, Durable, GroupWriter, ReadBack, ReadRecord
-from fireflywharf_core.log import StreamReader, Ticket
+from fireflywharf_core.log import (
+    AppendNow,
+    Durable,
+    GroupWriter,
+    ReadBack,
+    ReadRecord,
+    StreamReader,
+    Ticket,
+)
 from fireflywharf_core.records import RECORD_CODEC
 from fireflywharf_core.results import NotRun, OutcomeUnknown, ResultCode
 
