Take digests of requests as bytes and forget silent peers

Cause: the daemon passes the digest of a request as bytes, so the hexadecimal digest of a claim read from the log never matched and each repeat was a conflict. Reports of peers in other domains never ended, because only peers of the own domain are reported as gone. Change: body_digest and ClaimKey.digest are bytes; a claim is compared by its hexadecimal form. A peer that has not reported for 5 s gets no forwards and is forgotten.

--- a/benchmarks/_routing_cost.py
+++ b/benchmarks/_routing_cost.py
@@ -112,7 +112,10 @@
         for number in range(count):
             [key] = router.issued_keys.issue("austral", 1, 0.0)
             event = attrs.evolve(
-                make_request(number), idempotent=False, key=key, body_digest=f"{number:064x}"
+                make_request(number),
+                idempotent=False,
+                key=key,
+                body_digest=number.to_bytes(32, "big"),
             )
             router.observe(event, 0.0)
             [send] = router.decide(0.0)
--- a/benchmarks/_routing_driver.py
+++ b/benchmarks/_routing_driver.py
@@ -61,7 +61,7 @@
         kind="short",
         idempotent=True,
         deadline_s=5.0,
-        body_digest="",
+        body_digest=b"",
         body_bytes=1000,
     )
 
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -132,6 +132,13 @@
     When 100 requests of 1000 bytes arrive within a second under a bound of 10000 bytes a second
     Then at most 20000 bytes went to the other region, counted by reason
 
+  Scenario: a peer that is silent gets no forwards
+    Guards against requests sent to an entry VM that has died in another domain, and against a
+    table of peers that grows with every restart.
+    Given a router without targets and a peer in another region
+    When a request arrives 6 seconds after the last report of the peer
+    Then it is not forwarded
+
   Scenario: an entry VM without targets is served while the holders are full
     Guards against starvation of callers at an entry VM that holds nothing.
     Given two entry VMs of which one holds all targets and reports no free slot
--- a/features/steps/routing_contract_steps.py
+++ b/features/steps/routing_contract_steps.py
@@ -113,7 +113,7 @@
     router = context.router
     [key] = router.issued_keys.issue("austral", 1, 0.0)
     router.observe(request(1, idempotent=False, key=key), 0.0)
-    router.observe(request(2, idempotent=False, key=key, body_digest="changed"), 0.0)
+    router.observe(request(2, idempotent=False, key=key, body_digest=b"changed"), 0.0)
     context.told = outcomes(router.decide(0.0))
 
 
@@ -124,7 +124,7 @@
 
 @when("the log holds a claim of its earlier incarnation and the key is repeated")
 def repeat_after_restart(context):
-    claim = KeyClaimed("austral", "own", "entry-1.99", "content", 0.0)
+    claim = KeyClaimed("austral", "own", "entry-1.99", b"content".hex(), 0.0)
     context.router.observe(KeyClaimSeen(claim), 0.0)
     context.router.observe(request(2, idempotent=False, key="own"), 1.0)
     context.told = outcomes(context.router.decide(1.0))
@@ -217,6 +217,17 @@
     assert 10_000 <= 1000 * len(forwards) <= count
 
 
+@when("a request arrives {silence_s:d} seconds after the last report of the peer")
+def arrive_after_silence(context, silence_s):
+    context.router.observe(request(1), silence_s)
+    context.actions = context.router.decide(silence_s)
+
+
+@then("it is not forwarded")
+def check_not_forwarded(context):
+    assert not context.actions
+
+
 @given("two entry VMs of which one holds all targets and reports no free slot")
 def full_peer(context):
     context.front = make_router()
--- a/features/steps/routing_helpers.py
+++ b/features/steps/routing_helpers.py
@@ -41,7 +41,7 @@
 def request(number, **changes):
     """Return an arriving idempotent request."""
     fields = {"customer": "austral", "service": SERVICE, "kind": "short", "idempotent": True}
-    fields |= {"body_digest": "content", "body_bytes": 1000, "deadline_s": 10.0}
+    fields |= {"body_digest": b"content", "body_bytes": 1000, "deadline_s": 10.0}
     return RequestArrived(request_id=f"r{number}", **(fields | changes))
 
 
--- a/features/steps/routing_world.py
+++ b/features/steps/routing_world.py
@@ -87,7 +87,7 @@
                 vm.live[send_id] = request_id
                 self._forward(vm, send_id, request_id, incarnation, remaining_ms, True)
             case ClaimKey(request_id, customer, key, digest):
-                record = KeyClaimed(customer, key, vm.incarnation, digest, self.now_s)
+                record = KeyClaimed(customer, key, vm.incarnation, digest.hex(), self.now_s)
                 self.net.append(lambda: self._append(vm, record, request_id))
             case RecordKeyOutcome(customer, key, code, status, body):
                 self.net.append(
@@ -184,7 +184,7 @@
             idempotent=form == 0,
             key=key,
             deadline_s=(0.2, 3.0, 30.0)[number % 3],
-            body_digest=f"{key}-content" if number % 7 else "other-content",
+            body_digest=f"{key}-content".encode() if number % 7 else b"other-content",
             body_bytes=100,
         )
         self.requests[request_id] = event
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_actions.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_actions.py
@@ -50,12 +50,12 @@
 
 @attrs.frozen(slots=True)
 class ClaimKey:
-    """Append a `KeyClaimed` to stream `keys` and read it back."""
+    """Append a `KeyClaimed`, whose `request_digest` is `digest.hex()`, and read it back."""
 
     request_id: str
     customer: str
     key: str
-    digest: str
+    digest: bytes
 
 
 @attrs.frozen(slots=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_admission.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_admission.py
@@ -167,8 +167,8 @@
         state.add_claimer(request)
         state.actions.append(ClaimKey(event.request_id, *name, event.body_digest))
 
-    def _outcome_of_claim(self, claim: Claim, digest: str) -> Outcome | None:
-        if claim.request_digest and claim.request_digest != digest:
+    def _outcome_of_claim(self, claim: Claim, digest: bytes) -> Outcome | None:
+        if claim.request_digest and claim.request_digest != digest.hex():
             return _conflict()
         if claim.outcome is not None:
             return claim.outcome
@@ -294,7 +294,7 @@
     return max(1, int((remaining_s - min(0.05, 0.1 * remaining_s)) * 1000))
 
 
-def _repeat(first_digest: str, digest: str, outcome: Outcome | None) -> Outcome:
+def _repeat(first_digest: bytes, digest: bytes, outcome: Outcome | None) -> Outcome:
     if first_digest != digest:
         return _conflict()
     return _in_progress() if outcome is None else outcome
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_events.py
@@ -31,7 +31,7 @@
         idempotent: whether it may run more than once.
         key: issued key or caller's own key; empty if none.
         deadline_s: remaining time; 0 stands for the default of the contract.
-        body_digest: SHA-256 (hexadecimal) of service, kind and body, for repeats of a key.
+        body_digest: SHA-256 of service, kind and body, for repeats of a key.
         body_bytes: length of the body.
         forwarded: whether a peer accepted it; such a request is never retried here.
         decides_key: whether the peer forwarded it because this VM decides for its key
@@ -45,7 +45,7 @@
     idempotent: bool
     key: str = ""
     deadline_s: float = 0.0
-    body_digest: str = ""
+    body_digest: bytes = b""
     body_bytes: int = 0
     forwarded: bool = False
     decides_key: bool = False
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_peers.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_peers.py
@@ -1,11 +1,15 @@
 """Free slots at other entry VMs."""
 
+from collections import OrderedDict
+
 import attrs
 
 from ..messages import ServiceSlots
 from ._events import PeerSlots
 
 _GONE_MAX_COUNT = 1000
+# Ten heartbeats or five digests; a peer that is silent for longer gets no forwards.
+_REPORT_MAX_AGE_S = 5.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -15,6 +19,7 @@
     incarnation: str
     domain: str
     region: str
+    reported_s: float = 0.0
     draining: bool = False
     slots: dict[str, ServiceSlots] = attrs.field(factory=dict)
     since_report: dict[str, int] = attrs.field(factory=dict)
@@ -44,20 +49,30 @@
     def __init__(self, domain: str, region: str) -> None:
         self.domain = domain
         self.region = region
-        self._peers: dict[str, Peer] = {}
+        self._peers: OrderedDict[str, Peer] = OrderedDict()
         self._gone: dict[str, None] = {}
 
-    def observe(self, event: PeerSlots) -> None:
+    def observe(self, event: PeerSlots, now_s: float) -> None:
         """Take a report of a peer."""
         peer = self._peers.get(event.incarnation)
         if peer is None:
             peer = Peer(event.incarnation, event.domain, event.region)
             self._peers[event.incarnation] = peer
+        self._peers.move_to_end(event.incarnation)
+        peer.reported_s = now_s
         peer.draining = event.draining
         peer.slots = {slots.service: slots for slots in event.slots}
         peer.since_report.clear()
         self._gone.pop(event.incarnation, None)
 
+    def expire(self, now_s: float) -> None:
+        """Forget the slots of peers that have not reported for long."""
+        while self._peers:
+            peer = next(iter(self._peers.values()))
+            if peer.reported_s + _REPORT_MAX_AGE_S > now_s:
+                return
+            del self._peers[peer.incarnation]
+
     def remove(self, incarnation: str) -> None:
         """Forget a peer that is gone and remember its incarnation as gone."""
         self._peers.pop(incarnation, None)
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_remembered.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_remembered.py
@@ -61,7 +61,7 @@
 class RememberedKey:
     """Use of one key; `outcome` is None while the request is being executed."""
 
-    digest: str
+    digest: bytes
     expires_s: float
     outcome: Outcome | None = None
 
@@ -89,7 +89,7 @@
         """Return the use of a key, or None when it was not used."""
         return self._keys.get(key)
 
-    def begin(self, key: str, digest: str, expires_s: float, now_s: float) -> bool:
+    def begin(self, key: str, digest: bytes, expires_s: float, now_s: float) -> bool:
         """Remember that a key is being executed.
 
         Args:
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
@@ -33,7 +33,7 @@
     time_key: tuple[str, str, str]
     idempotent: bool
     key: str
-    digest: str
+    digest: bytes
     body_bytes: int
     forwarded: bool
     arrived_s: float
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_router.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_router.py
@@ -135,7 +135,7 @@
                 if request is not None:
                     self._settlement.leave_caller(request)
             case PeerSlots():
-                self._state.peers.observe(event)
+                self._state.peers.observe(event, now_s)
             case PeerGone(incarnation):
                 self._state.peers.remove(incarnation)
             case ContractChanged(customer, contract):
@@ -161,6 +161,7 @@
             Commands; each is returned once.
         """
         state = self._state
+        state.peers.expire(now_s)
         while state.timers and state.timers[0][0] <= now_s:
             self._fire(heappop(state.timers)[2], now_s)
         self._dispatcher.run(now_s)
@@ -268,7 +269,7 @@
         if claim is None:
             own = winner == state.incarnation
             record = KeyClaimed(
-                request.customer, request.key, winner, request.digest if own else "", 0.0
+                request.customer, request.key, winner, request.digest.hex() if own else "", 0.0
             )
             claim = Claim(winner, record.request_digest, 0.0, now_s)
             if own:
