--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_events.py
@@ -31,7 +31,7 @@
         idempotent: whether it may run more than once.
         key: issued key or caller's own key; empty if none.
         deadline_s: remaining time; 0 stands for the default of the contract.
-        body_digest: SHA-256 (hexadecimal) of service, kind and body, for repeats of a key.
+        body_digest: SHA-256 of service, kind and body, for repeats of a key.
         body_bytes: length of the body.
         forwarded: whether a peer accepted it; such a request is never retried here.
         decides_key: whether the peer forwarded it because this VM decides for its key
@@ -45,7 +45,7 @@
     idempotent: bool
     key: str = ""
     deadline_s: float = 0.0
-    body_digest: str = ""
+    body_digest: bytes = b""
     body_bytes: int = 0
     forwarded: bool = False
     decides_key: bool = False
@@ -67,7 +67,7 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class TargetHeld:
-    """A claim or renewal was granted.
+    """A claim or renewal of a target was granted that `TargetSeen` has named before.
 
     Args:
         name: name of the target.
@@ -76,7 +76,7 @@
         boot_id: boot of the target.
         leaving: whether the target is leaving.
         lease_until_s: end of the lease as the holder counts it, with its margin.
-        asked_s: time just before the claim was sent; without it no slot is freed by this event.
+        asked_s: time just before the claim was sent.
     """
 
     name: str
@@ -85,7 +85,7 @@
     boot_id: str = ""
     leaving: bool = False
     lease_until_s: float
-    asked_s: float = float("-inf")
+    asked_s: float
 
 
 @attrs.frozen(slots=True)
