--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
@@ -40,6 +40,7 @@
 
 # Waiting work is tried again after this time even if no room grew, because bounds change with time.
 RETRY_ALL_S = 0.25
+SIZE_REFRESH_S = 1.0
 
 
 class FairShareEngine:
@@ -151,6 +152,7 @@
         if job.queued:
             return
         spec, short = job.spec, self.guard.is_short(job)
+        job.short, job.blocked_s = short, None
         if not job.live and not job.done_count:
             self.guard.observe(job, short, now_s)
         order_key = job.deadline_s
@@ -224,26 +226,43 @@
 
     def place(self, job: Job, account: Account, now_s: float) -> bool:
         """Start the next task of a job, or a whole gang; return whether anything started."""
-        spec, size = job.spec, self.size_of(job.spec)
+        if job.waiting_count == 0 or job.stopping:
+            # Attempts that reports revealed took its tasks after it was queued.
+            self.queue.remove(job)
+            return False
+        size = self.size_of_job(job, now_s)
+        gang = job.is_gang and job.spec.tasks_count > 1
+        if not gang and self.gangs.holder is None and self.rooms.known_blocked(size):
+            self._note_no_room(job, size, now_s)
+            return False
         if not self._within_bounds(job, account, size, now_s):
             return False
-        estimate_s = self.times_.predict(spec)
-        if job.is_gang and spec.tasks_count > 1:
+        estimate_s = self.times_.predict(job.spec)
+        if gang:
             started = self.gangs.try_start(job, size, estimate_s, now_s)
         else:
             worker = self._find(job, size, now_s)
             started = worker is not None
             if started:
                 self.attempts.launch(job, worker, size, now_s, estimate_s)
-                job.blocked_s = None
-            else:
-                self.gangs.blocked(job, size, now_s)
         if started:
+            job.blocked_s = None
             self.dequeue_if_done(job)
         else:
-            job.wait_code, job.wait_detail = ResultCode.ACCEPTED, "no worker has room for it now"
+            self._note_no_room(job, size, now_s)
         return started
 
+    def _note_no_room(self, job: Job, size: ResourceVector, now_s: float) -> None:
+        if job.blocked_s is None:
+            self.gangs.blocked(job, size, now_s)
+            job.wait_code, job.wait_detail = ResultCode.ACCEPTED, "no worker has room for it now"
+
+    def size_of_job(self, job: Job, now_s: float) -> ResourceVector:
+        """Return the size to reserve for a task of a job, computed again once a second."""
+        if job.size is None or now_s >= job.size_due_s:
+            job.size, job.size_due_s = self.size_of(job.spec), now_s + SIZE_REFRESH_S
+        return job.size
+
     def dequeue_if_done(self, job: Job) -> None:
         """Take a job without waiting tasks out of the queue."""
         if job.waiting_count == 0:
@@ -268,7 +287,7 @@
         count = job.waiting_count if job.is_gang else 1
         if not self.allowed_by_quota(job, account, size, count):
             return False
-        if not job.is_gang and not self.guard.is_short(job) and not self.guard.decide(size, now_s):
+        if not job.is_gang and not job.short and not self.guard.decide(size, now_s):
             job.wait_code = ResultCode.ACCEPTED
             job.wait_detail = "the last free room is kept for short work"
             return False
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_gangs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_gangs.py
@@ -50,11 +50,9 @@
         placed = self._place_all(job, size, now_s)
         if placed is None:
             job.retry_s = now_s + RETRY_S
-            self.blocked(job, size, now_s)
             return False
         for worker in placed:
             self.attempts.launch(job, worker, size, now_s, estimate_s)
-        job.blocked_s = None
         if self.holder is job:
             self.end_reservation()
         return True
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
@@ -66,17 +66,17 @@
             count = sum(len(engine.reclaimer.promises[job_id]) for job_id in promised)
             if count >= MAX_PROMISES_PER_CUSTOMER:
                 return
-            job = self._next_job(account)
+            job = self._next_job(account, now_s)
             victim = self._victim(donors)
             if job is None or victim is None:
                 return
-            size = engine.size_of(job.spec)
+            size = engine.size_of_job(job, now_s)
             wait_s = engine.policy.reclaim_escalation_s
             if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
                 return
             promised.add(job.spec.job_id)
 
-    def _next_job(self, account: Account) -> Job | None:
+    def _next_job(self, account: Account, now_s: float) -> Job | None:
         engine = self.engine
         for queue in sorted(
             engine.queue.customers.get(account.name, {}).values(), key=lambda q: q.head_key
@@ -85,7 +85,7 @@
                 promised = len(engine.reclaimer.promises.get(job.spec.job_id, ()))
                 if job.is_gang or promised >= job.waiting_count:
                     continue
-                size = engine.size_of(job.spec)
+                size = engine.size_of_job(job, now_s)
                 if engine.allowed_by_quota(job, account, size, promised + 1):
                     return job
         return None
@@ -106,7 +106,7 @@
             if job is None or not job.queued:
                 continue
             account = engine.ledger.accounts_.get(job.spec.customer)
-            size = engine.size_of(job.spec)
+            size = engine.size_of_job(job, now_s)
             worker = engine.reclaimer.promised_room(job, size)
             while worker is not None and job.waiting_count:
                 if not engine.allowed_by_quota(job, account, size, 1):
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_model.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_model.py
@@ -146,6 +146,9 @@
     order_key: float = 0.0
     blocked_s: float | None = None
     retry_s: float = 0.0
+    short: bool = False
+    size: ResourceVector | None = None
+    size_due_s: float = 0.0
     wait_code: ResultCode = ResultCode.ACCEPTED
     wait_detail: str = "it waits for its turn"
     racks: dict[str, int] = attrs.field(factory=dict)
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_rooms.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_rooms.py
@@ -66,7 +66,14 @@
 
     def known_blocked(self, size: ResourceVector) -> bool:
         """Return whether this or a smaller size found no general room since any room grew."""
-        return any(blocked.fits_in(size) for blocked in self._blocked)
+        for blocked in self._blocked:
+            if (
+                blocked.processors_millicores <= size.processors_millicores
+                and blocked.memory_mb <= size.memory_mb
+                and blocked.accelerators_count <= size.accelerators_count
+            ):
+                return True
+        return False
 
     def find(
         self,
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_urgent.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_urgent.py
@@ -39,7 +39,7 @@
                 job.wait_code = ResultCode.UNKNOWN_CUSTOMER
                 job.wait_detail = "no contract of its customer is in force"
                 continue
-            size = engine.size_of(job.spec)
+            size = engine.size_of_job(job, now_s)
             while starts and job.waiting_count and self._start(job, account, size, now_s):
                 starts -= 1
             engine.dequeue_if_done(job)
