--- /dev/null
+++ b/benchmarks/_table.py
@@ -0,0 +1,65 @@
+"""Rows of the benchmark table and their rendering."""
+
+import math
+
+import attrs
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Row:
+    """One measured subject.
+
+    Args:
+        subject: what was measured.
+        target: the stated target as text.
+        baseline: figure of the baseline policy; None where it has none.
+        present: figure of the present version.
+        unit: unit of both figures.
+        met: whether the present figure meets the target; None without a target.
+    """
+
+    subject: str
+    target: str
+    baseline: float | None
+    present: float
+    unit: str
+    met: bool | None
+
+    def cells(self) -> list[str]:
+        """Return the row as text."""
+        ratio = "-"
+        if self.baseline is not None and self.baseline > 0:
+            ratio = f"{self.present / self.baseline:.3g}"
+        verdict = {True: "met", False: "missed", None: "-"}[self.met]
+        baseline = "-" if self.baseline is None else show(self.baseline, self.unit)
+        return [self.subject, self.target, baseline, show(self.present, self.unit), ratio, verdict]
+
+
+HEADINGS = ["subject", "target", "baseline", "present", "ratio", "verdict"]
+
+
+def show(value: float, unit: str) -> str:
+    """Return a figure with its unit."""
+    if math.isinf(value):
+        return "never"
+    return f"{value:.3g} {unit}".strip() if abs(value) < 1000 else f"{value:.0f} {unit}".strip()
+
+
+def render(rows: list[Row]) -> str:
+    """Return a Markdown table."""
+    cells = [HEADINGS, ["---"] * len(HEADINGS), *(row.cells() for row in rows)]
+    widths = [max(len(line[column]) for line in cells) for column in range(len(HEADINGS))]
+    return "\n".join(
+        "| "
+        + " | ".join(text.ljust(width) for text, width in zip(line, widths, strict=True))
+        + " |"
+        for line in cells
+    )
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Return the value below which `part` of the values lie; zero without values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
--- /dev/null
+++ b/benchmarks/scheduling_speed.py
@@ -0,0 +1,205 @@
+"""Decision time, placements per second, cancellations and memory."""
+
+import random
+import time
+import tracemalloc
+
+from fireflywharf_core.scheduling import FairShare, FirstComeFirstServed, JobCancelled
+
+from ._domain import Arrival, FakeDomain, contract, worker_rows
+from ._input import arrival, task_size
+from ._table import Row, percentile
+
+PAGE = "scheduling"
+CUSTOMERS = [f"c{number}" for number in range(10)]
+WORKERS = (275, 550, 1100)
+TASKS_COUNT = 17_000
+DECISION_TARGET_S = 0.005
+PLACEMENTS_TARGET = 2000
+CANCELLED_COUNT = 10_000
+URGENT_TARGET_S = 5.9
+
+
+def filling(rng: random.Random, tasks_count: int) -> list[Arrival]:
+    """Return jobs with this many small tasks that run for long."""
+    jobs, left = [], tasks_count
+    while left > 0:
+        count = min(left, rng.choice([1, 5, 20, 50]))
+        left -= count
+        usage = task_size(rng, cores_most=0.35)
+        jobs.append(arrival(len(jobs), 0.0, rng.choice(CUSTOMERS), usage, [1e6] * count))
+    return jobs
+
+
+def filled(policy, seed: int, workers_count: int, tasks_count: int) -> FakeDomain:
+    """Return a domain that runs the filling."""
+    rows = worker_rows(workers_count)
+    domain = FakeDomain(policy, seed, rows, [contract(name) for name in CUSTOMERS], False)
+    for job in filling(random.Random(seed), tasks_count):
+        domain.submit(job)
+        domain.decide()
+    return domain
+
+
+def decisions(policy, seed: int, workers_count: int, tasks_count: int, events: int) -> list[float]:
+    """Return the time of each decision while single tasks come and go."""
+    domain, rng = filled(policy, seed, workers_count, tasks_count), random.Random(seed)
+    domain.measures.decide_s.clear()
+    for number in range(events):
+        usage = task_size(rng, cores_most=0.35)
+        job = arrival(f"n{number}", domain.now_s, rng.choice(CUSTOMERS), usage, [1.0])
+        domain.run([job], domain.now_s + 0.02)
+    return domain.measures.decide_s
+
+
+def measure_decisions(seed: int, quick: bool) -> list[Row]:
+    """Measure decision time over workers and tasks."""
+    rows, middle, events = [], {}, 300 if quick else 2000
+    for part in (0.25, 1.0):
+        for workers_count in WORKERS:
+            figures = []
+            for policy in (FirstComeFirstServed(), FairShare()):
+                times = decisions(policy, seed, workers_count, int(TASKS_COUNT * part), events)
+                figures.append((percentile(times, 0.5), percentile(times, 0.99)))
+            middle[(part, workers_count)] = figures[1][0]
+            where = f"{workers_count} workers, {int(TASKS_COUNT * part)} tasks"
+            for name, index in (("p50", 0), ("p99", 1)):
+                present = figures[1][index]
+                rows.append(
+                    Row(
+                        subject=f"decision {name}, {where}",
+                        target="under 5 ms" if index else "",
+                        baseline=figures[0][index] * 1e3,
+                        present=present * 1e3,
+                        unit="ms",
+                        met=present < DECISION_TARGET_S if index else None,
+                    )
+                )
+    growth = middle[(1.0, WORKERS[-1])] / middle[(1.0, WORKERS[0])]
+    rows.append(
+        Row(
+            subject="growth of decision p50 from 275 to 1,100 workers",
+            target="below linear (4)",
+            baseline=None,
+            present=growth,
+            unit="",
+            met=growth < WORKERS[-1] / WORKERS[0],
+        )
+    )
+    return rows
+
+
+def measure_placements(seed: int, quick: bool) -> list[Row]:
+    """Measure starts per second of scheduler time, answers to starts included."""
+    figures = []
+    for policy in (FirstComeFirstServed(), FairShare()):
+        measures = filled(policy, seed, 1100, 4000 if quick else TASKS_COUNT).measures
+        figures.append(measures.starts_count / measures.busy_s)
+    return [
+        Row(
+            subject="placements per second on one core, 1,100 workers",
+            target="2,000 or more",
+            baseline=figures[0],
+            present=figures[1],
+            unit="/s",
+            met=figures[1] >= PLACEMENTS_TARGET,
+        )
+    ]
+
+
+def cancellation_wave(policy, seed: int, count: int) -> tuple[float, float]:
+    """Return the time of one cancellation, and of the start of a job behind the wave."""
+    domain = FakeDomain(policy, seed, worker_rows(24), [contract(name) for name in CUSTOMERS])
+    rng = random.Random(seed)
+    for number in range(count):
+        usage = task_size(rng)
+        domain.submit(arrival(number, 0.0, CUSTOMERS[number % 10], usage, [1e6]))
+    domain.decide()
+    begin_s = time.perf_counter()
+    for number in range(count):
+        domain.scheduler.observe(JobCancelled(f"j{number}"), domain.now_s)
+    each_s = (time.perf_counter() - begin_s) / count
+    domain.now_s = 1.0
+    job = arrival("after", 1.0, "c0", task_size(rng), [1.0])
+    begin_s = time.perf_counter()
+    domain.submit(job)
+    starts_before = domain.measures.starts_count
+    while domain.measures.starts_count == starts_before:
+        domain.run([], domain.now_s + 0.02)
+    return each_s, time.perf_counter() - begin_s
+
+
+def measure_cancellations(seed: int, quick: bool) -> list[Row]:
+    """Measure a wave of cancellations and a tenth of it."""
+    del quick
+    baseline = cancellation_wave(FirstComeFirstServed(), seed, CANCELLED_COUNT)
+    small = cancellation_wave(FairShare(), seed, CANCELLED_COUNT // 10)
+    present = cancellation_wave(FairShare(), seed, CANCELLED_COUNT)
+    return [
+        Row(
+            subject="one of 10,000 cancellations, relative to one of 1,000",
+            target="constant (under 2)",
+            baseline=None,
+            present=present[0] / small[0],
+            unit="",
+            met=present[0] / small[0] < 2,
+        ),
+        Row(
+            subject="one of 10,000 cancellations",
+            target="",
+            baseline=baseline[0] * 1e6,
+            present=present[0] * 1e6,
+            unit="us",
+            met=None,
+        ),
+        Row(
+            subject="time of the start behind 10,000 cancellations",
+            target="under 5.9 s",
+            baseline=baseline[1],
+            present=present[1],
+            unit="s",
+            met=present[1] < URGENT_TARGET_S,
+        ),
+    ]
+
+
+def measure_memory(seed: int, quick: bool) -> list[Row]:
+    """Measure memory per worker, waiting job and running task."""
+    count = 500 if quick else 2000
+    figures = []
+    for policy in (FirstComeFirstServed(), FairShare()):
+        rng = random.Random(seed)
+        tracemalloc.start()
+        domain = FakeDomain(policy, seed, worker_rows(1), [contract("c0")], False)
+        marks = [tracemalloc.get_traced_memory()[0]]
+        from fireflywharf_core.scheduling import WorkerJoined, WorkerReport
+
+        rows = worker_rows(count)[1:]
+        marks[0] = tracemalloc.get_traced_memory()[0]
+        for row in rows:
+            domain.scheduler.observe(WorkerJoined(row), 0.0)
+            domain.scheduler.observe(WorkerReport(row.name, [], [], 0.0), 0.0)
+        marks.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        del domain, rng
+        figures.append((marks[1] - marks[0]) / len(rows))
+    return [
+        Row(
+            subject="memory per worker",
+            target="",
+            baseline=figures[0] / 1024,
+            present=figures[1] / 1024,
+            unit="KiB",
+            met=None,
+        )
+    ]
+
+
+def measure(seed: int, quick: bool) -> list[Row]:
+    """Measure speed and memory."""
+    return [
+        *measure_decisions(seed, quick),
+        *measure_placements(seed, quick),
+        *measure_cancellations(seed, quick),
+        *measure_memory(seed, quick),
+    ]
