--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -35,7 +35,7 @@
 from ._context import Clients, Context, draw_incarnation
 from ._contracts import ContractService
 from ._jobs import JobService
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._pools import IoPools
 from ._reports import make_digest, make_heartbeat, update_gauges
@@ -196,17 +196,17 @@
     def _create_streams(self) -> None:
         domain_stream = f"domain-{self.context.domain}"
         self.streams = {
-            "contracts": self._create_stream("contracts", self.contracts.on_records),
-            "jobs": self._create_stream("jobs", self.jobs.on_records),
-            "keys": self._create_stream("keys", self.requests.on_records),
-            domain_stream: self._create_stream(domain_stream, self.scheduler.on_records),
+            "contracts": self._create_stream("contracts", self.contracts),
+            "jobs": self._create_stream("jobs", self.jobs),
+            "keys": self._create_stream("keys", self.requests),
+            domain_stream: self._create_stream(domain_stream, self.scheduler),
         }
         self.contracts.stream = self.streams["contracts"]
         self.jobs.stream = self.scheduler.jobs_stream = self.streams["jobs"]
         self.requests.stream = self.streams["keys"]
         self.scheduler.stream = self.streams[domain_stream]
 
-    def _create_stream(self, name: str, on_records: Callable[..., None]) -> LogStream:
+    def _create_stream(self, name: str, listener: StreamListener) -> LogStream:
         scheduling = self.settings.scheduling
         writer = GroupWriter(
             self.context.incarnation,
@@ -219,7 +219,7 @@
             self.context.pools,
             writer,
             StreamReader(name, RECORD_CODEC),
-            on_records,
+            listener,
             scheduling.log_poll_interval_s,
         )
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_contracts.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_contracts.py
@@ -19,14 +19,14 @@
 
 from ..http import AppliedContract, ApplyContract, CallerError, VersionConflict
 from ._context import Context
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 
 _LOG = logging.getLogger(__name__)
 APPLY_TIMEOUT_S = 8.0
 CATCH_UP_TIMEOUT_S = 1.0
 
 
-class ContractService:
+class ContractService(StreamListener):
     """Applies contract changes and tells listeners of contracts that came into force.
 
     Args:
@@ -41,13 +41,18 @@
         self.stream: LogStream | None = None
         self._versions: dict[str, int] = {}
 
-    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of stream `contracts`."""
-        now_s = self.context.now_s()
+    def before_records(self, reader: StreamReader) -> None:
+        """Take a truncation of stream `contracts`."""
         if reader.truncation is not None:
             self.registry.on_truncated(reader.truncation.first_available)
-        for row in records:
-            self.registry.fold(row.offset, row.record, now_s, live=self.stream.end_read_s > 0)
+
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of stream `contracts`."""
+        live = self.stream.end_read_s > float("-inf")
+        self.registry.fold(row.offset, row.record, self.context.now_s(), live=live)
+
+    def after_records(self, reader: StreamReader) -> None:
+        """Bring the contracts into force that were read."""
         self.registry.on_read_to(reader.next_offset)
         self._announce()
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -34,7 +34,7 @@
 
 from ..http import CallerError, CancelledJob, JobStatus, SubmitJob, SubmittedJob
 from ._context import Context
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._requests import RequestService
 from ._scheduling import SchedulerService
@@ -47,7 +47,7 @@
 MESSAGES_OF_SCHEDULER = SubmitToScheduler | JobQuery | CancelJob
 
 
-class JobService:
+class JobService(StreamListener):
     """Accepts jobs of callers and answers questions about them.
 
     Args:
@@ -74,19 +74,20 @@
         self.stream: LogStream | None = None
         self._provisional: dict[str, JobAccepted] = {}
 
-    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of stream `jobs` and tell the scheduler."""
-        now_s = self.context.now_s()
+    def before_records(self, reader: StreamReader) -> None:
+        """Take a truncation of stream `jobs`."""
         if reader.truncation is not None:
             self.fold.drop_below(reader.truncation.first_available)
-        for row in records:
-            live = self.stream.end_read_s > 0
-            match self.fold.fold(row.offset, row.record, now_s, live=live):
-                case JobBecameLive(job_id) | JobRehomed(job_id):
-                    self._provisional.pop(job_id, None)
-                    self.scheduler.job_became_live(job_id)
-                case JobCancelled(job_id):
-                    self.scheduler.job_cancelled(job_id)
+
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of stream `jobs` and tell the scheduler."""
+        live = self.stream.end_read_s > float("-inf")
+        match self.fold.fold(row.offset, row.record, self.context.now_s(), live=live):
+            case JobBecameLive(job_id) | JobRehomed(job_id):
+                self._provisional.pop(job_id, None)
+                self.scheduler.job_became_live(job_id)
+            case JobCancelled(job_id):
+                self.scheduler.job_cancelled(job_id)
 
     # Submission.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -28,6 +28,19 @@
 IDLE_WAIT_S = 0.5
 
 
+class StreamListener:
+    """Folds the records of one stream; a component overrides what it needs."""
+
+    def before_records(self, reader: StreamReader) -> None:
+        """Prepare for the records of one read."""
+
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record."""
+
+    def after_records(self, reader: StreamReader) -> None:
+        """Note that all records below `reader.next_offset` were folded."""
+
+
 class LogStream:
     """Connects the writer and the reader of one stream with the log service.
 
@@ -36,7 +49,7 @@
         pools: thread pools.
         writer: group writer of this process.
         reader: reader of the stream.
-        on_records: called with the reader and the new records after each read.
+        listener: folds the records.
         poll_interval_s: time between reads while nothing is waiting.
     """
 
@@ -46,16 +59,17 @@
         pools: IoPools,
         writer: GroupWriter,
         reader: StreamReader,
-        on_records: Callable[[StreamReader, list[ReadRecord]], None],
+        listener: StreamListener,
         poll_interval_s: float,
     ) -> None:
         self.client = client
         self.pools = pools
         self.writer = writer
         self.reader = reader
-        self.on_records = on_records
+        self.listener = listener
         self.poll_interval_s = poll_interval_s
         self.read_failures_count = 0
+        self.apply_failures_count = 0
         self.end_read_s = float("-inf")
         self._waiting: dict[int, asyncio.Future[int]] = {}
         self._write_wanted = asyncio.Event()
@@ -219,9 +233,13 @@
 
     def _deliver(self, read: ReadAnswer) -> None:
         records = self.reader.on_read(read)
-        try:
-            self.on_records(self.reader, records)
-        except Exception:
-            # A record that this version cannot apply must not stop the reading of later ones.
-            _LOG.exception("records of stream %s could not be applied", self.name)
+        self.listener.before_records(self.reader)
+        for row in records:
+            try:
+                self.listener.fold_record(row)
+            except Exception:
+                # One record that cannot be applied must not hide the later ones.
+                self.apply_failures_count += 1
+                _LOG.exception("record %d of stream %s not applied", row.offset, self.name)
+        self.listener.after_records(self.reader)
         self.writer.note_end(self.reader.next_offset)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
@@ -11,7 +11,7 @@
 import attrs
 
 from fireflywharf_core.contracts import Contract
-from fireflywharf_core.log import ReadRecord, StreamReader
+from fireflywharf_core.log import ReadRecord
 from fireflywharf_core.messages import DomainDigest, ForwardRequest, Heartbeat, RequestAnswer
 from fireflywharf_core.platform import VmInfo
 from fireflywharf_core.records import KeyClaimed, KeyOutcome
@@ -64,7 +64,7 @@
     TargetRequest,
 )
 from ._context import Context
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._targets import TargetService
 from ._tasks import TaskGroup
@@ -82,7 +82,7 @@
     arrived_s: float
 
 
-class RequestService:
+class RequestService(StreamListener):
     """Runs the router core of this entry VM.
 
     Args:
@@ -170,7 +170,7 @@
                 idempotent=request.idempotent,
                 key=request.key,
                 deadline_s=request.deadline_ms / 1000,
-                body_digest=hashlib.sha256(identity + request.body).hexdigest(),
+                body_digest=hashlib.sha256(identity + request.body).digest(),
                 body_bytes=len(request.body),
                 forwarded=forwarded,
                 decides_key=decides_key,
@@ -218,14 +218,13 @@
         """Admit nothing more."""
         self.observe(DrainStarted())
 
-    def on_records(self, _: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of stream `keys`."""
-        for row in records:
-            match row.record:
-                case KeyClaimed():
-                    self.observe(KeyClaimSeen(row.record))
-                case KeyOutcome():
-                    self.observe(KeyOutcomeSeen(row.record))
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of stream `keys`."""
+        match row.record:
+            case KeyClaimed():
+                self.observe(KeyClaimSeen(row.record))
+            case KeyOutcome():
+                self.observe(KeyOutcomeSeen(row.record))
 
     # Execution of actions.
 
@@ -335,8 +334,8 @@
                 outcome = OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, detail)
         self.observe(ForwardAnswered(send_id, outcome))
 
-    async def _claim_key(self, request_id: str, customer: str, key: str, digest: str) -> None:
-        record = KeyClaimed(customer, key, self.context.incarnation, digest, time.time())
+    async def _claim_key(self, request_id: str, customer: str, key: str, digest: bytes) -> None:
+        record = KeyClaimed(customer, key, self.context.incarnation, digest.hex(), time.time())
         offset = await self.stream.append(record, KEY_CLAIM_TIMEOUT_S)
         if isinstance(offset, int):
             await self.stream.read_past(offset, KEY_CLAIM_TIMEOUT_S)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -7,7 +7,7 @@
 
 from fireflywharf_core.contracts import Contract
 from fireflywharf_core.jobs import AttemptId, TaskId
-from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord, StreamReader
+from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord
 from fireflywharf_core.membership import (
     ActAsScheduler,
     ClaimWorkers,
@@ -41,7 +41,7 @@
 
 from ._context import Context
 from ._execution import DecisionExecutor
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._tasks import TaskGroup
 from ._worker_gateway import WorkerGateway
@@ -51,7 +51,7 @@
 REPLAY_TIMEOUT_S = 5.0
 
 
-class SchedulerService:
+class SchedulerService(StreamListener):
     """Takes part in the election and, during a tenure, runs the decisions of the scheduler core.
 
     Args:
@@ -125,14 +125,13 @@
 
     # Input.
 
-    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of the stream of the domain."""
-        now_s = self.context.now_s()
-        for row in records:
-            self.domain_fold.fold(row.offset, row.record, now_s, live=self.stream.end_read_s > 0)
-            if isinstance(row.record, WorkerAdded | WorkerRemoved):
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of the stream of the domain."""
+        live = self.stream.end_read_s > float("-inf")
+        self.domain_fold.fold(row.offset, row.record, self.context.now_s(), live=live)
+        match row.record:
+            case WorkerAdded(VmInfo(name=name)) | WorkerRemoved(name):
                 self._change_pending = False
-                name = getattr(row.record, "name", "") or row.record.vm.name
                 self.extra_workers.pop(name, None)
 
     def set_contract(self, contract: Contract) -> None:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
@@ -6,6 +6,7 @@
 from ._lease import HolderLease
 from ._log import LogSettings, LogStandIn
 from ._platform import Platform, wait_until
+from ._ports import free_port
 from ._server import Answer, Call, StandInServer, json_answer
 from ._target import TargetSettings, TargetStandIn
 from ._task import CheckpointStore, TaskBehaviour, read_behaviour
@@ -20,6 +21,7 @@
 )
 from ._vm_list import VmListStandIn
 from ._worker import WorkerSettings, WorkerStandIn
+from ._workload import Submitted, Workload, WorkloadPlan, outcome_table, waiting_times_s
 
 __all__ = [
     "NO_FAULTS",
@@ -37,6 +39,7 @@
     "RecordingCaller",
     "RequestPlan",
     "StandInServer",
+    "Submitted",
     "TargetGroup",
     "TargetSettings",
     "TargetStandIn",
@@ -47,10 +50,15 @@
     "WorkerGroup",
     "WorkerSettings",
     "WorkerStandIn",
+    "Workload",
+    "WorkloadPlan",
+    "free_port",
     "json_answer",
     "load_topology",
+    "outcome_table",
     "parse_faults",
     "parse_topology",
     "read_behaviour",
     "wait_until",
+    "waiting_times_s",
 ]
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_workload.py
@@ -0,0 +1,244 @@
+"""A mixed load of jobs and requests, and a table of its outcomes."""
+
+import random
+import threading
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+import attrs
+from tabulate import tabulate
+
+from fireflywharf_core.history import AttemptStarted, HistoryRecord, RequestStarted
+
+from ._caller import CallResult, RecordingCaller, RequestPlan
+
+JOB_KINDS = ("batch", "gang", "urgent", "service")
+FINAL_STATES = ("done", "failed", "cancelled", "unknown")
+POLL_INTERVAL_S = 0.1
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class WorkloadPlan:
+    """What to submit.
+
+    Args:
+        jobs_count: jobs in total, spread over the customers.
+        requests_count: requests in total, spread over the customers.
+        service: service that the requests call.
+        concurrency: calls in progress at once.
+        seed: seed of sizes, kinds and times.
+        run_s: mean run time of a task.
+        service_ms: time of a short request; one in ten takes ten times as long.
+        timeout_s: time until unfinished work counts as missing.
+    """
+
+    jobs_count: int = 40
+    requests_count: int = 400
+    service: str = "dispatch"
+    concurrency: int = 16
+    seed: int = 1
+    run_s: float = 0.3
+    service_ms: float = 10.0
+    timeout_s: float = 60.0
+
+
+@attrs.define(slots=True, kw_only=True)
+class Submitted:
+    """One submitted job or request and what became of it.
+
+    Args:
+        customer: name of the contract.
+        kind: kind of job, or `request` or `keyed request`.
+        name: job id, or operation of a request.
+        sent_s: time of the submission.
+        outcome: `on time`, `late`, `running` for a service, a refusal, or `missing`.
+    """
+
+    customer: str
+    kind: str
+    name: str
+    sent_s: float
+    outcome: str = "missing"
+
+
+class Workload:
+    """Submits a plan through the interface for callers.
+
+    Args:
+        callers: one caller per customer; all know the same entry VMs.
+        plan: what to submit.
+        progress: receives a line of text now and then.
+    """
+
+    def __init__(
+        self,
+        callers: Mapping[str, RecordingCaller],
+        plan: WorkloadPlan,
+        progress: Callable[[str], None] = print,
+    ) -> None:
+        self.callers = callers
+        self.plan = plan
+        self.progress = progress
+        self.submitted: list[Submitted] = []
+        self._lock = threading.Lock()
+        self._rng = random.Random(plan.seed)
+
+    def run(self) -> list[Submitted]:
+        """Submit everything, wait for the outcomes, and stop the services."""
+        plan = self.plan
+        customers = sorted(self.callers)
+        steps: list[Callable[[], None]] = []
+        for number in range(plan.jobs_count):
+            job = self._make_job(number)
+            steps.append(self._bind(self._submit_job, customers[number % len(customers)], job))
+        for number in range(plan.requests_count):
+            request = self._make_request(number)
+            customer = customers[number % len(customers)]
+            steps.append(self._bind(self._send_request, customer, request))
+        self._rng.shuffle(steps)
+        with ThreadPoolExecutor(plan.concurrency) as pool:
+            for future in [pool.submit(step) for step in steps]:
+                future.result()
+        self.progress(f"submitted {plan.jobs_count} jobs and {plan.requests_count} requests")
+        self._await_jobs()
+        return self.submitted
+
+    def missing(self) -> list[Submitted]:
+        """Return what has no outcome."""
+        return [row for row in self.submitted if row.outcome == "missing"]
+
+    def _bind(self, step: Callable[..., None], customer: str, content: object) -> Callable:
+        vm = self._rng.choice(sorted(self.callers[customer].entry_vms))
+        return lambda: step(customer, vm, content)
+
+    def _make_job(self, number: int) -> dict[str, object]:
+        kind = JOB_KINDS[number % 4] if number % 16 < 4 else "batch"
+        size = {"processors_millicores": self._rng.choice([500, 1000, 2000]), "memory_mb": 512}
+        run_s = round(self._rng.uniform(0.5, 1.5) * self.plan.run_s, 3)
+        job: dict[str, object] = {
+            "key": f"job-{self.plan.seed}-{number}",
+            "kind": kind,
+            "workload": kind,
+            "size": size,
+            "tasks_count": {"gang": 3, "service": 2}.get(kind, self._rng.randint(1, 4)),
+            "run_time_s": run_s,
+            "command": f'{{"run_s": {run_s}}}',
+        }
+        if kind == "service":
+            return job | {"run_time_s": 0.0, "command": '{"run_s": null}'}
+        return job | {"deadline_s": self.plan.timeout_s}
+
+    def _make_request(self, number: int) -> RequestPlan:
+        keyed = number % 5 == 0
+        long = number % 10 == 9
+        return RequestPlan(
+            service=self.plan.service,
+            kind="long" if long else "short",
+            idempotent=not keyed,
+            key=f"key-{self.plan.seed}-{number}" if keyed else "",
+            service_ms=self.plan.service_ms * (10 if long else 1),
+            operation=f"op-{self.plan.seed}-{number}",
+        )
+
+    def _submit_job(self, customer: str, vm: str, job: dict[str, object]) -> None:
+        sent_s = time.monotonic()
+        result = self.callers[customer].submit_job(vm, job)
+        name = str(result.answer.get("job_id", job["key"]))
+        row = Submitted(customer=customer, kind=str(job["kind"]), name=name, sent_s=sent_s)
+        if result.answer.get("class") != "pending":
+            row.outcome = _refusal(result)
+        self._add(row)
+
+    def _send_request(self, customer: str, vm: str, plan: RequestPlan) -> None:
+        sent_s = time.monotonic()
+        result = self.callers[customer].send_request(vm, plan)
+        kind = "keyed request" if plan.key else f"{plan.kind} request"
+        row = Submitted(customer=customer, kind=kind, name=plan.operation, sent_s=sent_s)
+        row.outcome = "on time" if result.outcome == "completed" else _refusal(result)
+        self._add(row)
+
+    def _add(self, row: Submitted) -> None:
+        with self._lock:
+            self.submitted.append(row)
+
+    def _await_jobs(self) -> None:
+        end_s = time.monotonic() + self.plan.timeout_s
+        waiting = [row for row in self.submitted if row.outcome == "missing"]
+        while waiting and time.monotonic() < end_s:
+            for row in waiting:
+                self._poll(row)
+            waiting = [row for row in waiting if row.outcome == "missing"]
+            time.sleep(POLL_INTERVAL_S)
+        self.progress(f"{len(waiting)} jobs without an outcome")
+
+    def _poll(self, row: Submitted) -> None:
+        caller = self.callers[row.customer]
+        vm = self._rng.choice(sorted(caller.entry_vms))
+        answer = caller.poll_job(vm, row.name).answer
+        state = answer.get("state")
+        if row.kind == "service" and answer.get("tasks_running_count") == 2:
+            caller.exchange(vm, "POST", f"/v1/jobs/{row.name}/cancel", {})
+        elif row.kind == "service" and state == "cancelled":
+            row.outcome = "on time"
+        elif state in FINAL_STATES:
+            on_time = state == "done" and not answer.get("late")
+            row.outcome = "on time" if on_time else ("late" if state == "done" else str(state))
+
+
+def _refusal(result: CallResult) -> str:
+    return result.code.name.lower() if result.code is not None else result.outcome
+
+
+def waiting_times_s(
+    submitted: Iterable[Submitted], records: Iterable[HistoryRecord]
+) -> dict[str, float]:
+    """Return the time from submission to the first start, by job id or operation."""
+    started_s: dict[str, float] = {}
+    for record in records:
+        match record:
+            case AttemptStarted():
+                name = record.attempt.task.job_id
+            case RequestStarted():
+                name = record.operation
+            case _:
+                continue
+        started_s[name] = min(record.time_s, started_s.get(name, record.time_s))
+    return {
+        row.name: max(0.0, started_s[row.name] - row.sent_s)
+        for row in submitted
+        if row.name in started_s
+    }
+
+
+def outcome_table(submitted: Iterable[Submitted], records: Iterable[HistoryRecord]) -> str:
+    """Return a table with one row per customer and kind."""
+    submitted = list(submitted)
+    waits_s = waiting_times_s(submitted, records)
+    groups: dict[tuple[str, str], list[Submitted]] = defaultdict(list)
+    for row in submitted:
+        groups[row.customer, row.kind].append(row)
+    lines = []
+    for (customer, kind), rows in sorted(groups.items()):
+        outcomes = Counter(row.outcome for row in rows)
+        other = {name: n for name, n in outcomes.items() if name not in ("on time", "late")}
+        waits_ms = sorted(1000 * waits_s[row.name] for row in rows if row.name in waits_s)
+        lines.append(
+            [
+                customer,
+                kind,
+                len(rows),
+                outcomes["on time"],
+                outcomes["late"],
+                ", ".join(f"{name} {n}" for name, n in sorted(other.items())) or "-",
+                _quantile(waits_ms, 0.5),
+                _quantile(waits_ms, 0.99),
+            ]
+        )
+    headers = ["customer", "kind", "submitted", "on time", "late", "other", "p50 ms", "p99 ms"]
+    return tabulate(lines, headers=headers, floatfmt=".1f")
+
+
+def _quantile(values: list[float], fraction: float) -> float | str:
+    return values[min(len(values) - 1, int(fraction * len(values)))] if values else "-"
