Keep a tenth of the slots from long kinds while short ones arrive

Change: kinds whose learned median is five times the shortest of the service hold at most 0.9 of the held slots; the bound lifts 10 s after the last short request. Two new scenarios pass.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -144,3 +144,15 @@
     Given two entry VMs of which one holds all targets and reports no free slot
     When a request arrives at the other
     Then it is forwarded to the holder
+
+  Scenario: a burst of short requests finds slots beside long ones
+    Guards against short work that waits behind long work which took every slot.
+    Given a router with 20 slots that has learned a short and a long kind
+    When 40 long requests arrive and then 2 short ones
+    Then 18 long requests and the 2 short ones run
+
+  Scenario: long requests take all slots when no short ones arrive
+    Guards against slots kept free for nobody.
+    Given a router with 20 slots that has learned a short and a long kind
+    When 40 long requests arrive 11 seconds after the last short one
+    Then 20 long requests run
--- a/features/steps/routing_contract_steps.py
+++ b/features/steps/routing_contract_steps.py
@@ -244,3 +244,44 @@
 @then("it is forwarded to the holder")
 def check_forwarded(context):
     assert [type(action) for action in context.actions] == [ForwardToPeer]
+
+
+@given("a router with 20 slots that has learned a short and a long kind")
+def learn_kinds(context):
+    context.router = make_router()
+    for number in range(5):
+        hold(context.router, f"target-{number}", 4)
+    for kind, elapsed_s in (("short", 0.02), ("long", 2.0)):
+        context.router.observe(request(kind, kind=kind), 0.0)
+        [send] = sends(context.router.decide(0.0))
+        context.router.observe(succeed(send.send_id, elapsed_s=elapsed_s), 0.0)
+
+
+def arrive_by_kind(context, kind, count, now_s):
+    """Let requests of a kind arrive and add their sends to those of the context."""
+    for number in range(count):
+        context.router.observe(request(f"{kind}-{number}", kind=kind, deadline_s=99.0), now_s)
+    found = sends(context.router.decide(now_s))
+    context.running = getattr(context, "running", []) + [send.request_id for send in found]
+
+
+@when("40 long requests arrive and then 2 short ones")
+def arrive_long_then_short(context):
+    arrive_by_kind(context, "long", 40, 1.0)
+    arrive_by_kind(context, "short", 2, 1.1)
+
+
+@when("40 long requests arrive {quiet_s:d} seconds after the last short one")
+def arrive_long_alone(context, quiet_s):
+    arrive_by_kind(context, "long", 40, quiet_s)
+
+
+@then("{long_count:d} long requests and the {short_count:d} short ones run")
+def check_running_kinds(context, long_count, short_count):
+    assert sum("long" in name for name in context.running) == long_count, context.running
+    assert sum("short" in name for name in context.running) == short_count, context.running
+
+
+@then("{long_count:d} long requests run")
+def check_running_long(context, long_count):
+    assert len(context.running) == long_count, context.running
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_dispatch.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_dispatch.py
@@ -63,7 +63,9 @@
                 self._probe(targets, queue, now_s)
             target = None if targets is None else self._pick_target(targets, "", now_s)
             if target is not None:
-                request = self._next(queue, skipped, now_s)
+                request = self._next(
+                    queue, skipped, now_s, self._is_long_full(targets, queue, now_s)
+                )
                 if request is None:
                     return
                 if request.last_target == target.vm.name:
@@ -73,10 +75,20 @@
             if not self._forward_one(service, queue, skipped, now_s):
                 return
 
-    def _next(self, queue: ServiceQueue, skipped: set[str], now_s: float) -> Request | None:
+    def _is_long_full(self, targets: ServiceTargets, queue: ServiceQueue, now_s: float) -> bool:
+        """Return whether long kinds hold as many slots as they may while short ones arrive."""
+        policy = self.state.policy
+        if not policy.fair_queue or now_s > queue.short_seen_s + policy.short_seen_s:
+            return False
+        allowed_count = max(1, int(policy.long_slots_ratio * targets.held_slots_count))
+        return targets.long_count >= allowed_count
+
+    def _next(
+        self, queue: ServiceQueue, skipped: set[str], now_s: float, short_only: bool = False
+    ) -> Request | None:
         """Pop a request that can still meet its deadline."""
         state = self.state
-        while (request := queue.pop(now_s, skipped)) is not None:
+        while (request := queue.pop(now_s, skipped, short_only)) is not None:
             remaining_s = request.deadline_at_s - now_s
             if remaining_s <= 0:
                 self.settlement.pass_deadline(request)
@@ -185,6 +197,9 @@
         state = self.state
         send = self._start(request, Route.TARGET, target.vm.name, target.epoch, now_s)
         state.targets.occupy(target, send.send_id)
+        if state.queue(request.service).is_long(request):
+            send.long = True
+            state.targets.services[request.service].long_count += 1
         remaining_ms = max(1, int((request.deadline_at_s - now_s) * 1000))
         state.actions.append(
             SendToTarget(
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_policy.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_policy.py
@@ -26,13 +26,14 @@
         forward_queue_ratio: part of a peer's slots that may be queued there beyond its free slots.
         cross_region_min_wait_s: time in the queue before a request leaves the region, when its own
             region has targets; below this the network delay is not repaid.
-        long_slots_ratio: part of the slots that long kinds may hold while the service has short
-            kinds.
+        long_slots_ratio: part of the held slots that long kinds may take while short kinds arrive,
+            so that a burst of short requests does not wait for a long one to end.
         long_kind_factor: a kind is long when its median is this many times the shortest one.
         key_lifetime_s: lifetime of keys.
         remembered_keys_max_count: keys that are remembered.
         remembered_body_max_bytes: longest answer that is kept for repeats.
         remembered_bodies_max_bytes: bound on all kept answers.
+        short_seen_s: time without a short request after which long kinds may take all slots.
         kinds_max_count: learned kinds; further ones share one estimate.
     """
 
@@ -52,8 +53,9 @@
     set_aside_max_ratio: float = 0.5
     forward_queue_ratio: float = 0.25
     cross_region_min_wait_s: float = 0.05
-    long_slots_ratio: float = 1.0
+    long_slots_ratio: float = 0.9
     long_kind_factor: float = 5.0
+    short_seen_s: float = 10.0
     key_lifetime_s: float = 3600.0
     remembered_keys_max_count: int = 50_000
     remembered_body_max_bytes: int = 16_384
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_queue.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_queue.py
@@ -36,11 +36,14 @@
     Args:
         times: learned service times.
         fair: whether the order is weighted; otherwise first come first served.
+        long_kind_factor: see `RoutingPolicy`.
     """
 
-    def __init__(self, times: ServiceTimes, fair: bool) -> None:
+    def __init__(self, times: ServiceTimes, fair: bool, long_kind_factor: float) -> None:
         self.times = times
         self.fair = fair
+        self.long_kind_factor = long_kind_factor
+        self.short_seen_s = float("-inf")
         self.live_count = 0
         self._customers: dict[str, CustomerQueue] = {}
         self._order: list[tuple[int, int, float, int, CustomerQueue]] = []
@@ -97,6 +100,8 @@
             waiting = queue.kinds.get(request.kind)
             if waiting is None:
                 waiting = queue.kinds[request.kind] = deque()
+            if request.arrived_s > self.short_seen_s and not self.is_long(request):
+                self.short_seen_s = request.arrived_s
             if not queue.listed:
                 queue.used_s_ = max(queue.used_s_, self._served_s_)
                 self._list(queue)
@@ -105,6 +110,10 @@
         else:
             waiting.append(request)
 
+    def is_long(self, request: Request) -> bool:
+        """Return whether the request is of a long kind."""
+        return self.times.is_long(request.time_key, self.long_kind_factor)
+
     def put_back(self, request: Request) -> None:
         """Undo a pop."""
         queue = self._customers[request.customer]
@@ -119,12 +128,13 @@
         if queue.dead_count > _COMPACT_COUNT + queue.live_count:
             self._compact(queue)
 
-    def pop(self, now_s: float, skipped: set[str]) -> Request | None:
+    def pop(self, now_s: float, skipped: set[str], short_only: bool = False) -> Request | None:
         """Remove and return the next request.
 
         Args:
             now_s: present time.
             skipped: customers that cannot be served now.
+            short_only: whether long kinds have to wait.
 
         Returns:
             The request, or None when no other customer has one.
@@ -143,7 +153,7 @@
             elif queue.customer in skipped:
                 put_back.append(queue)
             else:
-                found = self._pop_kind(queue, now_s)
+                found = self._pop_kind(queue, now_s, short_only)
                 put_back.append(queue)
         for queue in put_back:
             if queue.live_count:
@@ -173,7 +183,7 @@
         queue.work_s_ = queue.work_s_ - request.charged_s if queue.live_count else 0.0
         self.live_count -= 1
 
-    def _pop_kind(self, queue: CustomerQueue, now_s: float) -> Request:
+    def _pop_kind(self, queue: CustomerQueue, now_s: float, short_only: bool) -> Request | None:
         best, best_ratio = None, -1.0
         for kind in list(queue.kinds):
             waiting = queue.kinds[kind]
@@ -184,11 +194,15 @@
                 del queue.kinds[kind]
                 continue
             head = waiting[0]
+            if short_only and self.is_long(head):
+                continue
             # Highest response ratio next: short kinds first, and every wait ends.
             expected_s = self.times.predict(head.time_key).mean_s
             ratio = (now_s - head.arrived_s + expected_s) / expected_s
             if ratio > best_ratio:
                 best, best_ratio = waiting, ratio
+        if best is None:
+            return None
         request = best.popleft()
         self._take(queue, request)
         self._served_s_ = max(self._served_s_, queue.used_s_)
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
@@ -68,3 +68,4 @@
     epoch: int
     sent_s: float
     probe: bool = False
+    long: bool = False
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_settlement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_settlement.py
@@ -169,6 +169,8 @@
             return
         target = self.state.targets.get(send.destination)
         if target is not None:
+            if send.long:
+                self.state.targets.services[target.vm.service].long_count -= 1
             self.state.targets.end(target, send.send_id, free, now_s)
             if not free:
                 self.plan_poll(send.destination, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_state.py
@@ -104,7 +104,9 @@
         """Return the queue of a service."""
         queue = self.queues.get(service)
         if queue is None:
-            queue = self.queues[service] = ServiceQueue(self.times, self.policy.fair_queue)
+            queue = self.queues[service] = ServiceQueue(
+                self.times, self.policy.fair_queue, self.policy.long_kind_factor
+            )
             for contract in self.contracts.values():
                 queue.set_share(contract.customer, contract.share_weight, contract.priority)
         return queue
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_targets.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_targets.py
@@ -37,7 +37,6 @@
     gone: bool = False
     occupants: dict[str, Occupant] = attrs.field(factory=dict)
     connections_count: int = 0
-    long_count: int = 0
     poll_planned: bool = False
     set_aside: bool = False
     probe_at_s: float = 0.0
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_times.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_times.py
@@ -85,6 +85,12 @@
             learned = self._learned_.get(_OTHER)
         return self._unknown if learned is None else learned.cached
 
+    def is_long(self, kind: tuple[str, str, str], factor: float) -> bool:
+        """Return whether a kind takes `factor` times the shortest kind of its service."""
+        shortest_s = self.shortest_s(kind[0])
+        learned = self._learned_.get(kind)
+        return bool(shortest_s and learned and learned.cached.p50_s >= factor * shortest_s)
+
     def shortest_s(self, service: str) -> float:
         """Return the median of the shortest kind of a service; 0 before it is learned."""
         kind = self._shortest_.get(service)
