--- a/features/routing.feature
+++ b/features/routing.feature
@@ -108,6 +108,19 @@
     When a key is used again with other content
     Then the code is "KEY_CONFLICT"
 
+  Scenario: the memory of keys is bounded and never lets a key run again
+    Guards against memory that grows with use, and against a second execution once it is full.
+    Given a router that remembers 3 keys and 100 bytes of answers
+    When 4 keys are used one after the other for answers of 60 bytes and all are repeated
+    Then the fourth is refused, one repeat hears its answer and two hear that it was not kept
+    And after the keys have expired new keys are accepted
+
+  Scenario: a key whose request did not run may be used again
+    Guards against a key that is lost by a refusal, and against memory that grows with repeats.
+    Given a router that remembers 3 keys and 100 bytes of answers
+    When a key is used 50 times while no slot is free, and then once more
+    Then the last use runs
+
   Scenario: a claim of an earlier incarnation without outcome is unknown
     Guards against a second execution after the restart of an entry VM.
     Given a router that holds a target with 2 slots
--- a/features/steps/routing_contract_steps.py
+++ b/features/steps/routing_contract_steps.py
@@ -8,7 +8,7 @@
 
 from fireflywharf_core.messages import ServiceSlots
 from fireflywharf_core.records import KeyClaimed
-from fireflywharf_core.results import NotRun
+from fireflywharf_core.results import Completed, NotRun, OutcomeUnknown, ResultCode
 from fireflywharf_core.routing import (
     ContractChanged,
     CrossRegionReason,
@@ -93,7 +93,7 @@
     issuer = context.issuer
     first, second = issuer.issue("austral", 2, 0.0)
     assert first != second
-    assert issuer.check(first, "austral", 1.0) == OwnKey(60.0)
+    assert issuer.check(first, "austral", 1.0) == OwnKey(60.0, 1)
     assert context.other.check(first, "austral", 1.0) == OtherKey("entry-1.a1")
     twin = IssuedKeys("entry-1.a1", random.Random(3), 60.0)
     for key, now_s in ((first, 60.0), (first[:-1], 1.0), ("k1.", 1.0), ("k1.a.b.c.d.e", 1.0)):
@@ -285,3 +285,63 @@
 @then("{long_count:d} long requests run")
 def check_running_long(context, long_count):
     assert len(context.running) == long_count, context.running
+
+
+@given("a router that remembers 3 keys and 100 bytes of answers")
+def small_memory(context):
+    policy = RoutingPolicy(
+        key_lifetime_s=60.0,
+        remembered_keys_max_count=3,
+        remembered_body_max_bytes=80,
+        remembered_bodies_max_bytes=100,
+    )
+    context.router = make_router(policy)
+    hold(context.router, "target-1", 1)
+
+
+def use_key(context, number, key, now_s):
+    """Use a key and let its request run at once; return the outcome."""
+    context.router.observe(request(number, idempotent=False, key=key), now_s)
+    actions = context.router.decide(now_s)
+    for send in sends(actions):
+        context.router.observe(succeed(send.send_id, b"x" * 60), now_s)
+        actions += context.router.decide(now_s)
+    return outcomes(actions)[f"r{number}"]
+
+
+@when("4 keys are used one after the other for answers of 60 bytes and all are repeated")
+def use_four_keys(context):
+    keys = context.router.issued_keys.issue("austral", 4, 0.0)
+    context.first = [use_key(context, number, key, 1.0) for number, key in enumerate(keys)]
+    context.again = [use_key(context, 10 + number, key, 2.0) for number, key in enumerate(keys[:3])]
+
+
+@then("the fourth is refused, one repeat hears its answer and two hear that it was not kept")
+def check_memory(context):
+    assert [type(outcome) for outcome in context.first] == [Completed] * 3 + [NotRun]
+    assert [type(outcome) for outcome in context.again] == [OutcomeUnknown] * 2 + [Completed]
+
+
+@then("after the keys have expired new keys are accepted")
+def check_memory_expires(context):
+    [key] = context.router.issued_keys.issue("austral", 1, 61.0)
+    assert isinstance(use_key(context, 20, key, 61.0), Completed)
+
+
+@when("a key is used 50 times while no slot is free, and then once more")
+def repeat_refused_key(context):
+    router = context.router
+    router.observe(request(0, deadline_s=50.0), 0.0)
+    [running] = sends(router.decide(0.0))
+    [key] = router.issued_keys.issue("austral", 1, 0.0)
+    for number in range(1, 51):
+        router.observe(request(number, idempotent=False, key=key, deadline_s=0.1), number)
+        told = outcomes(router.decide(number + 0.5))
+        assert told[f"r{number}"].code is ResultCode.DEADLINE_PASSED, told
+    router.observe(succeed(running.send_id), 51.0)
+    context.told = use_key(context, 51, key, 51.0)
+
+
+@then("the last use runs")
+def check_last_use(context):
+    assert isinstance(context.told, Completed), context.told
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_admission.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_admission.py
@@ -106,19 +106,19 @@
                 state.refuse(event.request_id, ResultCode.INVALID_KEY, f"key: {reason}")
             case OtherKey(incarnation):
                 self._arrive_elsewhere(event, incarnation, now_s)
-            case OwnKey(expires_s):
-                self._arrive_own(event, expires_s, now_s)
+            case OwnKey() as own:
+                self._arrive_own(event, own, now_s)
 
-    def _arrive_own(self, event: RequestArrived, expires_s: float, now_s: float) -> None:
+    def _arrive_own(self, event: RequestArrived, own: OwnKey, now_s: float) -> None:
         state = self.state
-        known = state.remembered.get(event.key)
+        known = state.remembered.get(own.number)
         if known is not None:
             outcome = _repeat(known.digest, event.body_digest, known.outcome)
             state.answer_directly(event.request_id, outcome)
             return
         refusal = self._admit(event, now_s)
         begun = refusal is None and state.remembered.begin(
-            event.key, event.body_digest, expires_s, now_s
+            own.number, event.body_digest, own.expires_s, now_s
         )
         if not begun:
             refusal = refusal or NotRun(ResultCode.QUEUE_FULL, "the memory of used keys is full")
@@ -126,6 +126,7 @@
             return
         request = self._create(event, now_s)
         request.key_use = KeyUse.ISSUED
+        request.key_number = own.number
         state.queue(event.service).push(request)
 
     def _arrive_elsewhere(self, event: RequestArrived, incarnation: str, now_s: float) -> None:
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_keys.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_keys.py
@@ -18,6 +18,7 @@
     """This incarnation issued the key, and it has not expired."""
 
     expires_s: float
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +52,7 @@
     Example:
         >>> keys = IssuedKeys("entry-1.9f", random.Random(1), 60.0)
         >>> keys.check(keys.issue("austral", 1, now_s=5.0)[0], "austral", now_s=6.0)
-        OwnKey(expires_s=65.0)
+        OwnKey(expires_s=65.0, number=1)
     """
 
     def __init__(self, incarnation: str, rng: random.Random, lifetime_s: float) -> None:
@@ -101,7 +102,7 @@
         match = _KEY.fullmatch(key)
         if match is None:
             return InvalidKey("the key is not of the form k1.VM.INCARNATION.EXPIRY.NUMBER.TAG")
-        vm, suffix, expiry_ms, _, tag = match.groups()
+        vm, suffix, expiry_ms, number, tag = match.groups()
         if (vm, suffix) != (self._vm, self.suffix):
             return OtherKey(f"{vm}{self._separator}{suffix}")
         start = key[: -len(tag) - 1]
@@ -110,7 +111,7 @@
         expires_s = int(expiry_ms) / 1000
         if now_s >= expires_s:
             return InvalidKey("the key has expired")
-        return OwnKey(expires_s)
+        return OwnKey(expires_s, int(number))
 
     def is_earlier_self(self, incarnation: str) -> bool:
         """Return whether an incarnation is an earlier one of this VM."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
@@ -41,6 +41,7 @@
     may_forward: bool = True
     phase: Phase = Phase.QUEUED
     key_use: KeyUse = KeyUse.NONE
+    key_number: int = 0
     sends_count: int = 0
     live_count: int = 0
     maybe_ran: bool = False
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_settlement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_settlement.py
@@ -216,9 +216,9 @@
         state = self.state
         if request.key_use is KeyUse.ISSUED:
             if isinstance(outcome, NotRun):
-                state.remembered.cancel(request.key)
+                state.remembered.cancel(request.key_number)
             else:
-                state.remembered.finish(request.key, outcome)
+                state.remembered.finish(request.key_number, outcome)
         elif request.key_use is KeyUse.CALLER:
             claim = state.claims.get(request.customer, request.key)
             if claim is None or claim.incarnation != state.incarnation:
