Keep released leases at rest after forget, and pace the appends of a process

The daemon releases and then forgets leases, which lost the rest before the next claim; a release on its way could then end a new lease unnoticed. The rest counts from the last claim now, survives forget, and release() needs no time. AppendPacer lets the four writers of a process share one append per interval, since 72 processes with a pace per stream could make 1152 appends a second.

--- a/features/state_election.feature
+++ b/features/state_election.feature
@@ -39,8 +39,12 @@
     Then this worker blocks for the task lease plus margin and the others only until they report
 
   Scenario: a released lease, guarding against a release that ends the next lease unnoticed
-    When a lease is released and wanted again at once
-    Then it is claimed again only after its length has passed
+    When a lease is released, forgotten or not, and wanted again at once
+    Then it is claimed again only after the last claim has lapsed
+
+  Scenario: a delayed claim renews a released lease, guarding against renewing it for ever
+    When a released lease was renewed by a claim that was delayed
+    Then the holder does not act and lets it lapse before it claims again
 
   Scenario: renewals are spread over the interval
     When a table renews the leases of 1000 workers for 20 seconds
--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -10,6 +10,10 @@
     Then the backlog stayed within its limit and later records were refused as not run
     And at most one append was made per interval and all accepted records are durable once
 
+  Scenario: several streams of one process, guarding against more appends than the log accepts
+    When 4 writers of one process share a pace of 0.25 seconds for 60 seconds
+    Then they make at most 4 appends a second together and all streams get turns
+
   Scenario: an append that a truncation overtook, guarding against the conclusion "not appended"
     When an append takes effect, its answer is lost and its record is truncated before the read-back
     Then the writer repeats the same sequence with the same records
--- a/features/steps/state_log_steps.py
+++ b/features/steps/state_log_steps.py
@@ -11,6 +11,7 @@
 from fireflywharf_core.jobs import AttemptEnd, AttemptId, JobKind, JobSpec, JobState, TaskId
 from fireflywharf_core.log import (
     AppendNow,
+    AppendPacer,
     DomainFold,
     GroupWriter,
     JobBecameLive,
@@ -159,6 +160,35 @@
     assert len(context.log.entries) == len(context.tickets)
 
 
+@when("{count:d} writers of one process share a pace of {interval_s:f} seconds for 60 seconds")
+def share_pace(context, count, interval_s):
+    pacer = AppendPacer(interval_s)
+    # The last stream has few records, and the first ones would leave it no turn.
+    writers = [
+        GroupWriter("vm#0", f"s{i}", append_interval_s=interval_s, pacer=pacer)
+        for i in range(count)
+    ]
+    context.append_times, context.served = [], Counter()
+    for step in range(60 * 50):
+        now_s = step / 50
+        for index, writer in enumerate(writers):
+            if index < count - 1 or step % 100 == 0:
+                writer.submit(b"record", now_s)
+            if writer.next_action(now_s) is not None:
+                writer.on_appended(0, now_s)
+                context.append_times.append(now_s)
+                context.served[index] += 1
+
+
+@then("they make at most {limit:d} appends a second together and all streams get turns")
+def check_pace(context, limit):
+    times = context.append_times
+    assert all(later - times[i] >= 0.99 for i, later in enumerate(times[limit:])), times
+    assert len(times) > 0.9 * 60 * limit, len(times)
+    # The last stream has a record every 2 seconds.
+    assert context.served[3] >= 29 and min(context.served.values()) >= 29, context.served
+
+
 @when("an append takes effect, its answer is lost and its record is truncated before the read-back")
 def truncate_before_read_back(context):
     writer = GroupWriter("vm#0", "s")
--- a/features/steps/state_world.py
+++ b/features/steps/state_world.py
@@ -47,6 +47,7 @@
         self.incarnation = f"{vm_name}#{next(world.numbers)}"
         self.paused_until_s = 0.0
         self.cut_from_log = False
+        self.forgets_released = world.rng.random() < 0.5
         self.table = LeaseTable(LEASE_S, rng=random.Random(self.incarnation))
         self.peers = PeerTable(self.incarnation)
         self.election = SchedulerElection("d", self.incarnation)
@@ -86,8 +87,10 @@
             for name in self.table.due(now_s):
                 self.world.send_claim(self, name, self.table.begin(name, now_s))
         else:
-            for name, epoch in self.table.release(self.table.names(), now_s):
+            for name, epoch in self.table.release(self.table.names()):
                 self.world.send_release(name, epoch)
+            if self.forgets_released:
+                self.table.forget(self.table.names())
         if isinstance(self.decision, ActAsScheduler):
             assert 2 * len(view.held_workers & known.keys()) > len(known), self.decision
             self.change_workers(now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/leases/_holder.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_holder.py
@@ -39,6 +39,9 @@
     The lease is counted from before the claim was sent, because the granter counts it from the
     later time of receipt.
 
+    `held` is false before the first grant and after a release or a higher epoch; it does not tell
+    whether the lease has lapsed, which `may_act` does.
+
     Args:
         lease_s: length of the lease that is asked for.
     """
@@ -47,7 +50,7 @@
         self.lease_s = lease_s
         self.epoch = 0
         self._until_s = float("-inf")
-        self._held = False
+        self.held = False
 
     def on_granted(
         self, epoch: int, sent_s: float, now_s: float, granted_s: float | None = None
@@ -65,13 +68,13 @@
         """
         length_s = self.lease_s if granted_s is None else min(self.lease_s, granted_s)
         until_s = sent_s + length_s - margin_s(self.lease_s)
-        if epoch < self.epoch or (epoch == self.epoch and not self._held):
+        if epoch < self.epoch or (epoch == self.epoch and not self.held):
             # Answers that arrive after a release or after a newer epoch give no right to act.
             return AnswerStale()
         if epoch > self.epoch:
             self.epoch = epoch
             self._until_s = until_s
-            self._held = True
+            self.held = True
             return LeaseGained(epoch)
         if until_s <= self._until_s:
             return AnswerStale()
@@ -82,19 +85,19 @@
         """Take a refusal that names the present epoch of another holder."""
         if epoch > self.epoch:
             self.epoch = epoch
-            self._held = False
+            self.held = False
 
     def on_released(self) -> None:
         """Note that the lease is being released; call it before the release is sent."""
-        self._held = False
+        self.held = False
 
     def may_act(self, now_s: float) -> bool:
         """Return whether an effect under this lease may be started now."""
-        return self._held and now_s < self._until_s
+        return self.held and now_s < self._until_s
 
     def remaining_s(self, now_s: float) -> float:
         """Return how long the holder may still act."""
-        return max(0.0, self._until_s - now_s) if self._held else 0.0
+        return max(0.0, self._until_s - now_s) if self.held else 0.0
 
 
 class PauseDetector:
--- a/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ._holder import AnswerStale, HolderLease, LeaseGained, LeaseRenewed, RenewalResult
+from ._holder import AnswerStale, HolderLease, LeaseGained, LeaseRenewed, RenewalResult, margin_s
 
 JITTER_FRACTION = 0.05
 ANSWER_TIMEOUT_FRACTION = 0.5
@@ -31,7 +31,7 @@
     failures_count: int = 0
     held: bool = False
     wanted: bool = True
-    reclaim_s: float = float("-inf")
+    sent_s: float = float("-inf")
     boot_id: str = ""
     past_boot_ids: tuple[str, ...] = ()
 
@@ -65,6 +65,8 @@
         self._held: set[str] = set()
         self._expiries: list[tuple[float, str]] = []
         self._lapsed: set[str] = set()
+        # Times before which forgotten leases are not claimed again.
+        self._resting: dict[str, float] = {}
 
     def __contains__(self, name: str) -> bool:
         return name in self._rows
@@ -76,9 +78,10 @@
     def track(self, names: Iterable[str], now_s: float) -> None:
         """Begin to claim and renew the leases of `names`; wanted ones are left as they are.
 
-        A lease that was released is claimed again only after its length has passed. Otherwise a
-        release that is still on its way could end the new lease unnoticed.
+        A lease that was released or forgotten is claimed again only when the last claim of it has
+        lapsed. Otherwise a release that is still on its way could end the new lease unnoticed.
         """
+        self._resting = {name: s for name, s in self._resting.items() if s > now_s}
         for name in names:
             row = self._rows.get(name)
             if row is None:
@@ -89,12 +92,15 @@
                 continue
             row.wanted = True
             first_s = now_s + row.phase * self.claim_interval_s
-            self._schedule(name, row, max(first_s, row.reclaim_s))
+            rested_s = max(self._resting.pop(name, first_s), self._lapse_s(row))
+            self._schedule(name, row, max(first_s, rested_s))
 
     def forget(self, names: Iterable[str]) -> None:
         """Stop claiming and renewing `names`; later answers for them are ignored."""
         for name in names:
-            self._rows.pop(name, None)
+            row = self._rows.pop(name, None)
+            if row is not None and row.sent_s > float("-inf"):
+                self._resting[name] = self._lapse_s(row)
             self._held.discard(name)
             self._lapsed.discard(name)
 
@@ -112,6 +118,7 @@
     def begin(self, name: str, now_s: float) -> float:
         """Note that a claim is about to be sent, and return the time to report with its answer."""
         row = self._rows[name]
+        row.sent_s = now_s
         self._schedule(name, row, now_s + self._answer_timeout_s())
         return now_s
 
@@ -151,6 +158,9 @@
             expiry_s = now_s + row.lease.remaining_s(now_s)
             heapq.heappush(self._expiries, (expiry_s, name))
         self._answered(name, row, now_s)
+        if epoch == row.lease.epoch and not row.lease.held:
+            # The granter renewed a lease that was given up; it must lapse before the next claim.
+            self._schedule(name, row, now_s + self.lease_s + margin_s(self.lease_s))
         return result
 
     def on_refused(self, name: str, epoch: int, now_s: float) -> None:
@@ -179,14 +189,13 @@
             row.failures_count += 1
             self._answered(name, row, now_s)
 
-    def release(self, names: Iterable[str], now_s: float) -> list[tuple[str, int]]:
+    def release(self, names: Iterable[str]) -> list[tuple[str, int]]:
         """Give up leases and stop claiming them until `track` is called again.
 
         It must be called before the releases are sent.
 
         Args:
             names: workers or targets.
-            now_s: present time.
 
         Returns:
             Each held name with the epoch to release.
@@ -197,7 +206,6 @@
             if row is None or not row.wanted:
                 continue
             row.wanted = False
-            row.reclaim_s = now_s + self.lease_s
             if row.held:
                 given_up.append((name, row.lease.epoch))
             row.lease.on_released()
@@ -273,6 +281,9 @@
         delay_s *= 1 + self.rng.uniform(-JITTER_FRACTION, JITTER_FRACTION)
         self._schedule(name, row, now_s + delay_s)
 
+    def _lapse_s(self, row: _Row) -> float:
+        return row.sent_s + self.lease_s + margin_s(self.lease_s)
+
     def _answer_timeout_s(self) -> float:
         return self.lease_s * ANSWER_TIMEOUT_FRACTION
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/__init__.py
@@ -15,12 +15,14 @@
     LiveJob,
 )
 from ._jobs_fold import JobsFold
+from ._pacer import AppendPacer
 from ._reader import ReadRecord, StreamReader, Truncation
 from ._refresh import RefreshSchedule
 from ._writer import AppendNow, Durable, GroupWriter, ReadBack, Ticket
 
 __all__ = [
     "AppendNow",
+    "AppendPacer",
     "AttemptEnded",
     "DomainDeclaredLost",
     "DomainFold",
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
@@ -10,6 +10,7 @@
 from ..platform import LogEntry
 from ..results import NotRun, ResultCode
 from ._backoff import backoff_s
+from ._pacer import AppendPacer
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,8 @@
         max_batch_bytes: bytes of one append.
         retry_max_s: longest delay between two attempts.
         unavailable_after_failures: consecutive failures after which `available` is false.
+        pacer: pace shared with the other writers of the process; without one only this writer's
+            interval counts.
         rng: source of jitter; by default seeded from the names.
     """
 
@@ -86,6 +89,7 @@
         max_batch_bytes: int = 256 * 1024,
         retry_max_s: float = 5.0,
         unavailable_after_failures: int = 2,
+        pacer: AppendPacer | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.writer = writer
@@ -97,6 +101,7 @@
         self.max_batch_bytes = max_batch_bytes
         self.retry_max_s = retry_max_s
         self.unavailable_after_failures = unavailable_after_failures
+        self.pacer = pacer
         self.rng = rng or random.Random(f"{writer}/{stream}")
         self.appends_count_ = 0
         self.read_backs_count_ = 0
@@ -187,10 +192,12 @@
             return self._in_flight
         if now_s < self._last_append_s + self.append_interval_s:
             return None
+        if self._batch is None and not self._waiting:
+            return None
+        if self.pacer is not None and not self.pacer.take_turn(self.stream, now_s):
+            return None
         if self._batch is None:
             self._batch = self._form_batch()
-        if self._batch is None:
-            return None
         self._in_flight = AppendNow(self._batch.sequence, self._batch.records)
         self._last_append_s = now_s
         self.appends_count_ += 1
@@ -257,7 +264,7 @@
             self._batch.read_from = max(self._read_from, next_offset, first_available)
         return []
 
-    def _form_batch(self) -> _Batch | None:
+    def _form_batch(self) -> _Batch:
         numbers: list[int] = []
         size_bytes = 0
         for number, record in self._waiting.items():
@@ -265,8 +272,6 @@
             if len(numbers) >= self.max_batch_records or size_bytes > self.max_batch_bytes:
                 break
             numbers.append(number)
-        if not numbers:
-            return None
         records = tuple(self._waiting.pop(number) for number in numbers)
         size_bytes = sum(map(len, records))
         self._waiting_bytes -= size_bytes
