--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_router.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_router.py
@@ -112,6 +112,18 @@
         """Return the waiting requests."""
         return sum(queue.live_count for queue in self._state.queues.values())
 
+    def queued_count_of(self, customer: str) -> int:
+        """Return the waiting requests of one customer."""
+        return sum(queue.count(customer) for queue in self._state.queues.values())
+
+    def free_slots_count(self, target_name: str) -> int:
+        """Return the free slots of a held target; 0 for any other."""
+        for service in self._state.targets.services.values():
+            target = service.targets.get(target_name)
+            if target is not None and target.held:
+                return max(0, target.free_count)
+        return 0
+
     def observe(self, event: Event, now_s: float) -> None:
         """Take one fact.
 
@@ -135,7 +147,7 @@
                 if request is not None:
                     self._settlement.leave_caller(request)
             case PeerSlots():
-                self._state.peers.observe(event)
+                self._state.peers.observe(event, now_s)
             case PeerGone(incarnation):
                 self._state.peers.remove(incarnation)
             case ContractChanged(customer, contract):
@@ -161,6 +173,7 @@
             Commands; each is returned once.
         """
         state = self._state
+        state.peers.expire(now_s)
         while state.timers and state.timers[0][0] <= now_s:
             self._fire(heappop(state.timers)[2], now_s)
         self._dispatcher.run(now_s)
@@ -268,7 +281,7 @@
         if claim is None:
             own = winner == state.incarnation
             record = KeyClaimed(
-                request.customer, request.key, winner, request.digest if own else "", 0.0
+                request.customer, request.key, winner, request.digest.hex() if own else "", 0.0
             )
             claim = Claim(winner, record.request_digest, 0.0, now_s)
             if own:
