--- a/features/state_membership.feature
+++ b/features/state_membership.feature
@@ -32,3 +32,7 @@
   Scenario: digests, guarding against traffic that grows with the number of VMs
     When digests go to 23 domains of 3 VMs for 60 seconds with a pause of 10 seconds
     Then no second has more than 46 digests, two to a domain, and every VM was reached
+
+  Scenario: short messages of several versions, guarding against daemons that cannot talk
+    When a heartbeat and a digest are encoded by this version, an older and a newer one
+    Then all forms are decoded, damaged ones are refused and a digest has at most 400 bytes
--- a/features/steps/state_membership_steps.py
+++ b/features/steps/state_membership_steps.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import attrs
+import msgspec
 from behave import then, when
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -14,7 +16,9 @@
     TargetPlan,
     assign_owner,
 )
-from fireflywharf_core.messages import Heartbeat
+from fireflywharf_core.messages import MESSAGE_CODEC, DomainDigest, Heartbeat, ServiceSlots
+from fireflywharf_core.records import UndecodableError
+from fireflywharf_core.resources import ResourceVector
 
 
 def beat(vm_name, boot, sequence, draining=False):
@@ -174,3 +178,51 @@
     assert {name for _, name in context.sent} == expected
     # Two digests a second to each domain in the 50 seconds without the pause.
     assert len(context.sent) >= 0.95 * limit * 50, len(context.sent)
+
+
+@when("a heartbeat and a digest are encoded by this version, an older and a newer one")
+def encode_versions(context):
+    slots = [ServiceSlots(f"service-{number}", 100, 128) for number in range(8)]
+    digest = DomainDigest(
+        incarnation="entry-centro-1-a#0123456789abcdef",
+        vm_name="entry-centro-1-a",
+        domain="centro-1",
+        region="centro",
+        sequence=1_000_000,
+        free=ResourceVector(736_000, 3_000_000, 50),
+        largest_free=ResourceVector(16_000, 65_536, 4),
+        slots=slots,
+        mesh_address="tcp://10.10.10.10:7400",
+    )
+    heartbeat = beat("vm1", 0, 1)
+    context.digest_bytes = len(MESSAGE_CODEC.encode(digest))
+    context.decoded = []
+    for message in (heartbeat, digest):
+        tag = type(message).__name__
+        named = msgspec.msgpack.encode((tag, message))
+        present = MESSAGE_CODEC.encode(message)
+        _, values = msgspec.msgpack.decode(present)
+        newer = msgspec.msgpack.encode((tag, [*values, "a field of a newer version"]))
+        # The last field, which has a default, did not exist in the older version.
+        older = msgspec.msgpack.encode((tag, values[:-1]))
+        expected = attrs.evolve(message, mesh_address="")
+        context.decoded += [(data, message) for data in (named, present, newer)]
+        context.decoded.append((older, expected))
+    context.damaged = [
+        msgspec.msgpack.encode(("DomainDigest", values[:3])),
+        msgspec.msgpack.encode(("DomainDigest", [*values[:5], 7, *values[6:]])),
+        msgspec.msgpack.encode(("DomainDigest", [*values[:7], 7, *values[8:]])),
+    ]
+
+
+@then("all forms are decoded, damaged ones are refused and a digest has at most {limit:d} bytes")
+def check_versions(context, limit):
+    for data, expected in context.decoded:
+        assert MESSAGE_CODEC.decode(data) == expected, data
+    for data in context.damaged:
+        try:
+            MESSAGE_CODEC.decode(data)
+        except UndecodableError:
+            continue
+        raise AssertionError(data)
+    assert context.digest_bytes <= limit, context.digest_bytes
--- a/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
@@ -213,5 +213,6 @@
         KnownWorkersQuery,
         WorkersKnown,
         Acknowledged,
-    ]
+    ],
+    positional=[Envelope, Heartbeat, DomainDigest],
 )
--- a/packages/fireflywharf-core/src/fireflywharf_core/records/_codec.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/records/_codec.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ._positional import PositionalForm
+
 
 class UnknownTypeError(ValueError):
     """The tag names a type that this version does not know; the data is to be skipped."""
@@ -19,6 +21,8 @@
 
     Args:
         types: attrs classes; their names are the tags and must stay stable.
+        positional: those of the classes that are encoded without field names, which makes small
+            messages about half as long. Both forms are decoded.
 
     Example:
         >>> from fireflywharf_core.resources import ResourceVector
@@ -27,14 +31,17 @@
         ResourceVector(processors_millicores=1, memory_mb=2, accelerators_count=3)
     """
 
-    def __init__(self, types: Sequence[type]) -> None:
+    def __init__(self, types: Sequence[type], positional: Sequence[type] = ()) -> None:
         self._encoder = msgspec.msgpack.Encoder()
         self._envelope = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
         self._decoders = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in types}
+        self._positional = {cls.__name__: PositionalForm(cls) for cls in positional}
 
     def encode(self, value: Any) -> bytes:
         """Return the encoded bytes of `value`."""
-        return self._encoder.encode((type(value).__name__, value))
+        tag = type(value).__name__
+        form = self._positional.get(tag)
+        return self._encoder.encode((tag, value if form is None else form.to_list(value)))
 
     def decode(self, data: bytes) -> Any:
         """Return the object that `data` encodes.
@@ -56,7 +63,16 @@
         decoder = self._decoders.get(tag)
         if decoder is None:
             raise UnknownTypeError(tag)
+        form = self._positional.get(tag)
         try:
+            if form is not None and _is_array(raw):
+                return msgspec.convert(form.to_mapping(msgspec.msgpack.decode(raw)), form.cls)
             return decoder.decode(raw)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, TypeError) as error:
             raise UndecodableError(f"{tag}: {error}") from error
+
+
+def _is_array(raw: msgspec.Raw) -> bool:
+    """Return whether encoded data begins with one of the array formats of MessagePack."""
+    first = bytes(raw)[:1]
+    return bool(first) and (0x90 <= first[0] <= 0x9F or first[0] in (0xDC, 0xDD))
