Run the command line against a daemon process; order columns and contract fields

The features used the HTTP interface without a daemon behind it. One scenario now applies contracts, races two operators, runs a job, repeats a request with its key and stops the daemon.

--- /dev/null
+++ b/features/cli_daemon.feature
@@ -0,0 +1,21 @@
+Feature: Operators' command line against a daemon
+  The command line, the daemon and the stand-ins of the platform work together as separate processes.
+
+  # Guards against an interface on which command line and daemon differ, and against a change that
+  # is reported as applied although another one won.
+  Scenario: an operator's day
+    Given stand-ins and a daemon that is ready
+    When the CLI applies the example contracts of "consortium"
+    And two operators apply changes of "austral" on version 1 at the same time
+    Then one apply exits with 0 and the other with 23
+    And the refused apply names base version 1 and current version 2
+    When the CLI submits the example job "consortium/manifest" and waits for its end
+    Then the CLI exits with 0
+    And its output is one JSON object with code 0
+    When the CLI sends the same request twice with one key
+    Then both answers name the same execution
+    When the daemon gets SIGTERM
+    Then the daemon exits with 0
+    When the CLI asks the daemon for its status
+    Then the CLI exits with 50
+    And its errors contain "refused the connection"
--- /dev/null
+++ b/features/cli_runner.py
@@ -0,0 +1,45 @@
+"""Runs the command line for the features."""
+
+import contextlib
+import io
+import os
+import subprocess
+import sys
+from unittest import mock
+
+from fireflywharf_cli.main import main
+
+
+def run_cli(context, arguments):
+    """Run the command line in this process in the folder of the scenario."""
+    output, errors = io.StringIO(), io.StringIO()
+    environment = {"FIREFLYWHARF_SERVER": context.server.address, "USER": "operator"}
+    with (
+        mock.patch.object(sys, "argv", ["fireflywharf", *arguments]),
+        mock.patch.dict(os.environ, environment),
+        contextlib.chdir(context.folder),
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(errors),
+    ):
+        try:
+            context.status = main()
+        except SystemExit as stop:
+            context.status = stop.code
+    context.output, context.errors = output.getvalue(), errors.getvalue()
+
+
+def race_applies(context, arguments_of_racers):
+    """Run `contract apply` in two processes at once and keep their output and exit status."""
+    environment = os.environ | {"FIREFLYWHARF_SERVER": context.server.address}
+    command = [sys.executable, "-m", "fireflywharf_cli.main", "--output", "json"]
+    racers = [
+        subprocess.Popen(
+            [*command, "contract", "apply", *arguments],
+            cwd=context.folder,
+            env=environment,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for arguments in arguments_of_racers
+    ]
+    context.racers = [(racer.communicate(timeout=30)[0], racer.returncode) for racer in racers]
--- /dev/null
+++ b/features/steps/cli_daemon_steps.py
@@ -0,0 +1,85 @@
+"""Steps that run the command line against a daemon process."""
+
+import json
+import pathlib
+import tempfile
+import time
+
+from behave import given, then, when
+from cli_daemon_process import DaemonProcess
+from cli_runner import race_applies, run_cli
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
+JOB_TIMEOUT_S = 30.0
+
+
+@given("stand-ins and a daemon that is ready")
+def start_daemon(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = pathlib.Path(folder.name)
+    context.server = DaemonProcess(context.folder)
+    context.add_cleanup(context.server.stop)
+    context.server.start()
+
+
+@when('the CLI applies the example contracts of "{name}"')
+def apply_examples(context, name):
+    for path in sorted((EXAMPLES / "contracts" / name).glob("*.toml")):
+        run_cli(context, ["contract", "apply", str(path)])
+        assert context.status == 0, context.errors
+
+
+@when('two operators apply changes of "{name}" on version {version:d} at the same time')
+def apply_racing_versions(context, name, version):
+    run_cli(context, ["contract", "get", name])
+    for weight in ("2.0", "3.0"):
+        text = context.output.replace("share_weight = 1.0", f"share_weight = {weight}")
+        (context.folder / f"{name}-{weight}.toml").write_text(text)
+    base = ["--base-version", str(version)]
+    race_applies(context, [[f"{name}-{weight}.toml", *base] for weight in ("2.0", "3.0")])
+
+
+@when('the CLI submits the example job "{name}" and waits for its end')
+def submit_and_wait(context, name):
+    run_cli(context, ["job", "submit", str(EXAMPLES / "jobs" / f"{name}.toml"), "--output", "json"])
+    assert context.status == 0, context.output
+    job_id = json.loads(context.output)["job_id"]
+    deadline_s = time.monotonic() + JOB_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        run_cli(context, ["job", "status", job_id, "--output", "json"])
+        if json.loads(context.output).get("state") == "done":
+            return
+        time.sleep(0.2)
+    raise AssertionError(context.output)
+
+
+@when("the CLI sends the same request twice with one key")
+def send_twice(context):
+    context.answers = []
+    for _ in range(2):
+        arguments = ["--customer", "austral", "--kind", "book", "--key", "b1", "--body", "x"]
+        run_cli(context, ["request", "send", "dispatch", *arguments, "--output", "json"])
+        assert context.status == 0, context.output
+        context.answers.append(json.loads(json.loads(context.output)["body"]))
+
+
+@then("both answers name the same execution")
+def check_same_execution(context):
+    first, second = context.answers
+    assert first["request_id"] == second["request_id"], context.answers
+
+
+@when("the daemon gets SIGTERM")
+def terminate_daemon(context):
+    context.daemon_status = context.server.terminate()
+
+
+@then("the daemon exits with {status:d}")
+def check_daemon_status(context, status):
+    assert context.daemon_status == status, (context.folder / "daemon.log").read_text()[-2000:]
+
+
+@when("the CLI asks the daemon for its status")
+def ask_status(context):
+    run_cli(context, ["status"])
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -1,12 +1,7 @@
 """Steps for the operators' command line, run against a fake of the daemon's HTTP interface."""
 
-import contextlib
-import io
 import json
-import os
 import pathlib
-import subprocess
-import sys
 import tempfile
 import threading
 from unittest import mock
@@ -15,11 +10,11 @@
 import tomli_w
 import urllib3
 from behave import given, then, when
+from cli_runner import race_applies, run_cli
 from cli_servers import FaultyServer, MemoryDaemon, http_answer
 from hypothesis import example, settings, strategies
 from hypothesis import given as given_values
 
-from fireflywharf_cli.main import main
 from fireflywharf_core.contracts import parse_contract
 from fireflywharf_core.jobs import JobState, job_id_of
 from fireflywharf_core.results import ResultCode, describe_code
@@ -56,24 +51,6 @@
 )
 
 
-def run_cli(context, arguments):
-    """Run the command line in this process in the folder of the scenario."""
-    output, errors = io.StringIO(), io.StringIO()
-    environment = {"FIREFLYWHARF_SERVER": context.server.address, "USER": "operator"}
-    with (
-        mock.patch.object(sys, "argv", ["fireflywharf", *arguments]),
-        mock.patch.dict(os.environ, environment),
-        contextlib.chdir(context.folder),
-        contextlib.redirect_stdout(output),
-        contextlib.redirect_stderr(errors),
-    ):
-        try:
-            context.status = main()
-        except SystemExit as stop:
-            context.status = stop.code
-    context.output, context.errors = output.getvalue(), errors.getvalue()
-
-
 def start_server(context, server):
     """Use a server that ends with the scenario as the default of the command line."""
     context.add_cleanup(server.stop)
@@ -176,19 +153,7 @@
 def apply_racing_changes(context, name):
     # Both read the current version before either writes.
     context.daemon.service.read_barrier = threading.Barrier(2)
-    environment = os.environ | {"FIREFLYWHARF_SERVER": context.daemon.address}
-    command = [sys.executable, "-m", "fireflywharf_cli.main", "--output", "json", "contract"]
-    racers = [
-        subprocess.Popen(
-            [*command, "apply", f"{name}-{version}.toml"],
-            cwd=context.folder,
-            env=environment,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        for version in ("v2", "v3")
-    ]
-    context.racers = [(racer.communicate(timeout=30)[0], racer.returncode) for racer in racers]
+    race_applies(context, [[f"{name}-v2.toml"], [f"{name}-v3.toml"]])
     context.daemon.service.read_barrier = None
 
 
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_contract_commands.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_contract_commands.py
@@ -48,7 +48,10 @@
 
 
 def with_defaults(contract: dict[str, Any]) -> dict[str, Any]:
-    """Fill in the defaults of a contract that the daemon sent, if this version can parse it."""
+    """Return a contract of the daemon with all fields in their usual order.
+
+    A contract that only a newer version can parse is returned as it is.
+    """
     parsed, _ = parse_contract(contract)
     return contract if parsed is None else msgspec.to_builtins(parsed)
 
@@ -155,7 +158,7 @@
         return finish_read(
             self.client.read(build_path("contracts", name)),
             ContractAnswer,
-            lambda answer: format_contract(answer.contract, answer.version),
+            lambda answer: format_contract(with_defaults(answer.contract), answer.version),
         )
 
     def list_all(self) -> CommandOutcome:
@@ -234,7 +237,7 @@
             return
         rows = compare_contracts(current.contract, new)
         self.console.show(f"current contract of {current.customer}:")
-        self.console.show(format_contract(current.contract, current.version))
+        self.console.show(format_contract(with_defaults(current.contract), current.version))
         self.console.show(f"\nchanges against version {current.version}:")
         self.console.show(format_differences(rows) + "\n")
 
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_tables.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_tables.py
@@ -6,6 +6,8 @@
 import tomli_w
 from tabulate import tabulate
 
+IDENTIFYING_COLUMNS = ("name", "vm_name", "customer", "domain", "service")
+
 
 def printable(value: Any) -> str:
     """Return a value as text without control characters, which could drive a terminal."""
@@ -37,12 +39,16 @@
 
     Args:
         objects: one object a row.
-        columns: fields in order; all fields that occur if empty.
+        columns: fields in order; if empty, all fields that occur, the identifying ones first.
 
     Returns:
         The table.
     """
-    names = list(columns) or list(dict.fromkeys(name for item in objects for name in item))
+    names = list(columns)
+    if not names:
+        found = dict.fromkeys(name for item in objects for name in item)
+        names = [name for name in IDENTIFYING_COLUMNS if name in found]
+        names += [name for name in found if name not in names]
     return format_table([[item.get(name) for name in names] for item in objects], names)
 
 
