--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
@@ -36,9 +36,9 @@
 ROUND_MIN_S = 0.0001
 # Longest delay between a new connection and the first frame on it.
 CONNECT_POLL_S = 0.01
-RECEIVE_TIMEOUT_MS = 1000
 # The sender thread ends calls at their deadline; this covers its delay under load.
 CALL_MARGIN_S = 2.0
+STOP_MAX_S = 2.0
 # A failed connection attempt costs about 1.6 ms of processor time in nng, so that 70 lost peers
 # tried once a second would take a tenth of a core. Peers of other domains are tried less often.
 RECONNECT_MAX_S = 8.0
@@ -90,8 +90,7 @@
         self.queue_max_messages = queue_max_messages
         self.observer = observer
         self._sender = Sender(incarnation, listen)
-        self._calls = CallTable()
-        self._links: dict[str, Link] = {}
+        self._calls, self._links = CallTable(), dict[str, Link]()
         self._changed = threading.Condition()
         self._stopping = False
         self._receiver_socket: pynng.Pull0 | None = None
@@ -106,7 +105,7 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        receiver = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS, recv_max_size=MESSAGE_MAX_BYTES)
+        receiver = pynng.Pull0(recv_max_size=MESSAGE_MAX_BYTES)
         try:
             receiver.listen(f"tcp://{self.listen}")
         except pynng.NNGException as error:
@@ -203,14 +202,32 @@
             self._stopping = True
             self._changed.notify_all()
         self._handler.close()
-        if self._receiver_socket is not None:
-            self._receiver_socket.close()
+        self._end_receiver()
         for thread in self._threads:
-            thread.join()
+            thread.join(STOP_MAX_S)
         self._calls.fail_all("the daemon is shutting down")
         for link in self._links.values():
             link.close()
 
+    def _end_receiver(self) -> None:
+        """End the receiver thread with a frame to itself, then close its socket.
+
+        nng 1.11 aborts or hangs when a socket is closed, or a receive times out, while another
+        thread receives from it.
+        """
+        receiver, thread = self._receiver_socket, self._threads[-1] if self._threads else None
+        if receiver is None or thread is None:
+            return
+        with pynng.Push0(send_timeout=int(STOP_MAX_S * 1000)) as waker:
+            try:
+                waker.dial(f"tcp://{self.listen}", block=True)
+                waker.send(encode_frame(FrameKind.PONG, self._sender))
+            except pynng.NNGException as error:
+                _logger.warning("mesh receiver could not be woken: %s", error)
+            thread.join(STOP_MAX_S)
+        if not thread.is_alive():
+            receiver.close()
+
     def _link(self, address: str) -> Link | None:
         with self._changed:
             link = self._links.get(address)
@@ -290,9 +307,10 @@
                     detail = f"the connection to {link.address} was lost"
                     self._calls.finish(call_id, NoAnswer(detail))
         if link.unreachable:
+            detail = f"no connection to {link.address}"
             for call_id, _ in self._calls.to_peer(link.address):
                 if link.withdraw(call_id):
-                    self._calls.finish(call_id, Unreachable(f"no connection to {link.address}"))
+                    self._calls.finish(call_id, Unreachable(detail))
         if link.needs_ping(now_s):
             self._put_control(link.address, FrameKind.PING, b"")
         if link.reset_if_silent(now_s):
@@ -324,13 +342,14 @@
         while not self._stopping and receiver is not None:
             try:
                 data = receiver.recv()
-            except pynng.Timeout:
-                continue
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
                 _logger.warning("mesh receiver: %s", error)
                 continue
+            except RuntimeError:
+                # pynng 0.9 cannot unpack a message without bytes.
+                data = b""
             try:
                 self._receive(data)
             except Exception:
