Add Cluster, which runs daemons against the stand-ins, and a load for fault scenarios

Cluster starts a Platform and one daemon per entry VM (as processes, or embedded so that mesh traffic can be cut).

--- /dev/null
+++ b/features/steps/daemon_steps.py
@@ -0,0 +1,86 @@
+"""Steps of the features about daemons under faults."""
+
+import time
+
+from behave import given, then, when
+from daemon_world import SHARED, Load, eventually, running_vms, start_cluster
+
+from fireflywharf_core.history import AttemptStarted
+
+
+def begin_load(context, shape, start):
+    context.cluster = SHARED.take(context, shape, start)
+    context.load = Load(context.cluster, f"load{SHARED.loads_count}").start()
+    eventually(lambda: context.load.counts()["completed"] >= 10, "10 completed requests")
+
+
+def vm_of_role(cluster, role, domain):
+    """Return the scheduler of a domain, or its first other entry VM."""
+    scheduler = cluster.scheduler(domain)
+    assert scheduler, f"{domain} has no scheduler"
+    if role == "scheduler":
+        return scheduler
+    return next(vm for vm in cluster.vms_of(domain) if vm != scheduler)
+
+
+@given("daemons in {count:d} failure domains under load")
+def step_load(context, count):
+    begin_load(context, (count,), lambda: start_cluster(count))
+
+
+@given('daemons in {count:d} failure domains under load, with "{domains}" embedded')
+def step_load_embedded(context, count, domains):
+    embedded = tuple(domains.split(","))
+    begin_load(context, (count, embedded), lambda: start_cluster(count, embedded))
+
+
+@when('the {role} of "{domain}" is killed')
+def step_kill(context, role, domain):
+    context.vm = vm_of_role(context.cluster, role, domain)
+    context.cluster.kill(context.vm)
+    context.fault_s = time.monotonic()
+
+
+@when('the {role} of "{domain}" is paused for {pause_s:g} s')
+def step_pause(context, role, domain, pause_s):
+    context.vm = vm_of_role(context.cluster, role, domain)
+    context.cluster.pause(context.vm)
+    context.fault_s = time.monotonic()
+    time.sleep(pause_s)
+
+
+@when("the paused entry VM is resumed")
+def step_resume(context):
+    context.cluster.resume(context.vm)
+
+
+@then('"{domain}" has another scheduler within {limit_s:g} s')
+def step_take_over(context, domain, limit_s):
+    def other():
+        scheduler = context.cluster.scheduler(domain)
+        return scheduler is not None and scheduler != context.vm
+
+    rest_s = limit_s - (time.monotonic() - context.fault_s)
+    eventually(other, f"another scheduler of {domain}", rest_s)
+
+
+@then('a task starts in "{domain}" after that')
+def step_task_starts(context, domain):
+    since_s = time.monotonic()
+
+    def started():
+        rows = context.cluster.recorder.of(AttemptStarted)
+        return any(row.time_s > since_s and row.worker.startswith(domain) for row in rows)
+
+    eventually(started, f"a start in {domain}")
+
+
+@then("the load ends with every promise kept")
+def step_promises(context):
+    context.load.finish()
+    assert len(context.load.jobs) >= 5, "too few jobs to prove anything"
+    assert context.load.counts()["completed"] >= 30, context.load.counts()
+    violations = SHARED.new_violations()
+    assert not violations, "\n".join(violations)
+    assert running_vms(context.cluster)
+    SHARED.healthy = True
--- /dev/null
+++ b/features/steps/daemon_world.py
@@ -0,0 +1,292 @@
+"""Cluster and load of the steps for daemons under faults."""
+
+import collections
+import random
+import threading
+import time
+
+import attrs
+
+from fireflywharf_core.history import JobAcceptedSeen, RequestAnswered, RequestSent
+from fireflywharf_core.history._job_checks import END_STATES
+from fireflywharf_core.jobs import JobKind, job_id_of
+from fireflywharf_testing import (
+    NO_FAULTS,
+    Cluster,
+    Domain,
+    RequestPlan,
+    TargetGroup,
+    Topology,
+    WorkerGroup,
+    wait_until,
+)
+
+SEED = 7
+TASK_LEASE_S = 10.0
+JOBS_END_LIMIT_S = 60.0
+NO_LIMIT = {
+    "processors_millicores": "unlimited",
+    "memory_mb": "unlimited",
+    "accelerators_count": "unlimited",
+}
+CONTRACT = {
+    "customer": "austral",
+    "share_weight": 1,
+    "quota": NO_LIMIT,
+    "requests_per_second": "unlimited",
+    "queue_max_tasks": "unlimited",
+    "provisional_admission": True,
+}
+SERVICE = "dispatch"
+UNCERTAIN = ("unknown", "lost", "not_connected")
+
+
+def topology(domains_count, **parts):
+    names = ("centro", "pacifico", "caribe")[:domains_count]
+    return Topology(
+        domains=[
+            Domain(
+                name=name,
+                region=name,
+                entry_vms_count=3 if name == "centro" else 2,
+                workers=[WorkerGroup(count=4)],
+                targets=[TargetGroup(service=SERVICE, count=2)],
+            )
+            for name in names
+        ],
+        task_lease_s=TASK_LEASE_S,
+        **parts,
+    )
+
+
+def start_cluster(domains_count, embedded=(), **parts):
+    cluster = Cluster(topology(domains_count, **parts), embedded=embedded)
+    cluster.start()
+    result = cluster.caller("austral").apply_contract("centro-entry-1", CONTRACT, 0)
+    assert result.answer.get("name") == "OK", result
+    wait_for_version(cluster, "austral", 1)
+    return cluster
+
+
+def running_vms(cluster):
+    return [name for name, node in cluster.nodes.items() if node.running]
+
+
+def wait_for_version(cluster, customer, version, timeout_s=30.0):
+    """Poll every running entry VM until it shows a version; each answer is recorded."""
+    caller = cluster.caller(customer)
+    behind = running_vms(cluster)
+    end_s = time.monotonic() + timeout_s
+    while behind and time.monotonic() < end_s:
+        behind = [vm for vm in behind if not shows_version(caller, vm, customer, version)]
+        time.sleep(0.05)
+    assert not behind, f"{behind} do not show version {version} of {customer}"
+
+
+def shows_version(caller, vm, customer, version):
+    answer = caller.poll_contract(vm, customer).answer
+    return answer.get("version", 0) >= version
+
+
+def restore(cluster):
+    """End all faults, so that the next scenario can use the cluster."""
+    for name in cluster.platform.servers:
+        if name != "control" and cluster.platform.servers[name].faults != NO_FAULTS:
+            cluster.platform.set_faults(name)
+    for name, node in cluster.nodes.items():
+        if not node.running:
+            cluster.restart(name)
+    cluster.wait_schedulers()
+
+
+class Load:
+    """Callers that send requests and jobs of every kind from threads until stopped.
+
+    Every operation that must not run twice carries a key. Operations whose outcome is uncertain
+    are repeated with their key at another entry VM, and some are sent to two at once.
+    """
+
+    REQUEST_THREADS_COUNT = 4
+    PAUSE_S = 0.02
+    JOB_PAUSE_S = 0.25
+
+    def __init__(self, cluster, name):
+        self.cluster = cluster
+        self.name = name
+        self.caller = cluster.caller("austral")
+        self.vms = list(cluster.nodes)
+        self.jobs = {}
+        self.errors = []
+        self.start_s = time.monotonic()
+        self._stopping = threading.Event()
+        self._threads = []
+
+    def start(self):
+        loops = [lambda n=n: self._send_requests(n) for n in range(self.REQUEST_THREADS_COUNT)]
+        for loop in [*loops, self._submit_jobs, self._poll]:
+            thread = threading.Thread(target=self._guard, args=[loop], daemon=True)
+            self._threads.append(thread)
+            thread.start()
+        return self
+
+    def stop(self):
+        """Stop sending and wait for the calls in progress."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(60)
+            assert not thread.is_alive(), "a caller did not end"
+        assert not self.errors, self.errors
+
+    def finish(self):
+        """Stop, cancel the services, and wait until every accepted job has ended."""
+        self.stop()
+        vms = running_vms(self.cluster)
+        for job_id, kind in self.jobs.items():
+            if kind == "service":
+                self._cancel(vms, job_id)
+        accepted = {row.job_id for row in self.cluster.recorder.of(JobAcceptedSeen)}
+        open_jobs = [job_id for job_id in self.jobs if job_id in accepted]
+        end_s = time.monotonic() + JOBS_END_LIMIT_S
+        while open_jobs and time.monotonic() < end_s:
+            results = {job: self.caller.poll_job(vms[0], job) for job in open_jobs}
+            open_jobs = [j for j in open_jobs if results[j].answer.get("state") not in END_STATES]
+            time.sleep(0.1)
+        versions = {}
+        for row in self.caller.exchange(vms[0], "GET", "/v1/contracts").answer["contracts"]:
+            versions[row["customer"]] = row["version"]
+        for customer, version in versions.items():
+            wait_for_version(self.cluster, customer, version)
+
+    def counts(self):
+        """Return how many calls of this load had each outcome."""
+        sent = {
+            row.call for row in self.cluster.recorder.of(RequestSent) if row.time_s >= self.start_s
+        }
+        answers = self.cluster.recorder.of(RequestAnswered)
+        return collections.Counter(row.outcome for row in answers if row.call in sent)
+
+    def _guard(self, loop):
+        try:
+            loop()
+        except Exception as error:
+            self.errors.append(repr(error))
+
+    def _send_requests(self, number):
+        rng = random.Random(f"{SEED}:{self.name}:{number}")
+        count = 0
+        while not self._stopping.wait(self.PAUSE_S):
+            count += 1
+            self._send_one(rng, f"{self.name}-{number}-{count}")
+
+    def _send_one(self, rng, operation):
+        first, second = rng.sample(self.vms, 2)
+        kind = rng.choice(("idempotent", "own_key", "issued_key"))
+        key = f"key-{operation}" if kind == "own_key" else ""
+        if kind == "issued_key":
+            answer = self.caller.exchange(
+                first, "POST", "/v1/keys", {"customer": "austral", "count": 1}
+            )
+            if not answer.answer.get("keys"):
+                return
+            key = answer.answer["keys"][0]
+        plan = RequestPlan(
+            service=SERVICE,
+            idempotent=kind == "idempotent",
+            key=key,
+            operation=operation,
+            service_ms=rng.choice((5, 20, 100)),
+        )
+        twin = None
+        if rng.random() < 0.15:
+            twin = threading.Thread(target=self.caller.send_request, args=[second, plan])
+            twin.start()
+        result = self.caller.send_request(first, plan)
+        if result.outcome in UNCERTAIN or rng.random() < 0.1:
+            self.caller.send_request(second, plan)
+        if twin is not None:
+            twin.join(60)
+
+    def _submit_jobs(self):
+        rng = random.Random(f"{SEED}:{self.name}:jobs")
+        kinds = ("batch", "gang", "urgent", "once", "service")
+        count = 0
+        while not self._stopping.wait(self.JOB_PAUSE_S):
+            kind = kinds[count % len(kinds)]
+            count += 1
+            job = job_document(kind, f"{self.name}-{kind}-{count}")
+            self.jobs[job_id_of("austral", job["key"])] = kind
+            for vm in rng.sample(self.vms, 2):
+                if self.caller.submit_job(vm, job).outcome not in UNCERTAIN:
+                    break
+
+    def _poll(self):
+        rng = random.Random(f"{SEED}:{self.name}:poll")
+        while not self._stopping.wait(0.1):
+            vm = rng.choice(self.vms)
+            if vm not in running_vms(self.cluster):
+                continue
+            self.caller.poll_contract(vm, "austral")
+            accepted = [row.job_id for row in self.cluster.recorder.of(JobAcceptedSeen)]
+            if accepted:
+                self.caller.poll_job(vm, rng.choice(accepted[-20:]))
+
+    def _cancel(self, vms, job_id):
+        for vm in vms:
+            result = self.caller.exchange(vm, "POST", f"/v1/jobs/{job_id}/cancel")
+            if result.outcome not in UNCERTAIN:
+                return
+
+
+def job_document(kind, key):
+    return {
+        "key": key,
+        "kind": JobKind.BATCH.value if kind == "once" else kind,
+        "tasks_count": {"batch": 3, "gang": 2}.get(kind, 1),
+        "size": {"processors_millicores": 1000, "memory_mb": 500},
+        "run_time_s": 0.3,
+        "restartable": kind != "once",
+        "max_attempts": 10,
+        "command": '{"run_s": null}' if kind == "service" else '{"run_s": 0.3}',
+    }
+
+
+@attrs.define
+class Shared:
+    """The cluster that scenarios of one feature share, and the violations reported so far."""
+
+    cluster: Cluster | None = None
+    shape: tuple = ()
+    known: set = attrs.field(factory=set)
+    healthy: bool = False
+    loads_count: int = 0
+
+    def take(self, context, shape, start):
+        """Return the shared cluster, or start one of another shape."""
+        if self.cluster is None or self.shape != shape or not self.healthy:
+            self.close()
+            self.cluster, self.shape = start(), shape
+            self.known = set()
+            context.add_cleanup(self.close, layer="feature")
+        else:
+            restore(self.cluster)
+        self.healthy = False
+        self.loads_count += 1
+        return self.cluster
+
+    def new_violations(self):
+        found = {f"{row.promise.value}: {row.detail}" for row in self.cluster.violations()}
+        new = sorted(found - self.known)
+        self.known |= found
+        return new
+
+    def close(self):
+        if self.cluster is not None:
+            self.cluster.stop()
+            self.cluster = None
+
+
+SHARED = Shared()
+
+
+def eventually(condition, what, timeout_s=30.0):
+    assert wait_until(condition, timeout_s, 0.05), f"not within {timeout_s} s: {what}"
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform interfaces of fireflywharf."""
 
 from ._caller import CallResult, RecordingCaller, RequestPlan
+from ._cluster import Cluster, Shutdown
 from ._effects import EffectsRecorder
 from ._faults import NO_FAULTS, FaultSettings, parse_faults
 from ._lease import HolderLease
@@ -27,6 +28,7 @@
     "Call",
     "CallResult",
     "CheckpointStore",
+    "Cluster",
     "Domain",
     "EffectsRecorder",
     "FaultSettings",
@@ -36,6 +38,7 @@
     "Platform",
     "RecordingCaller",
     "RequestPlan",
+    "Shutdown",
     "StandInServer",
     "TargetGroup",
     "TargetSettings",
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_cluster.py
@@ -0,0 +1,322 @@
+"""A platform of stand-ins with one daemon per entry VM."""
+
+import http.client
+import logging
+import pathlib
+import shutil
+import tempfile
+import threading
+import time
+from collections.abc import Collection, Iterator, Mapping
+from typing import Any
+
+import attrs
+import tomli_w
+
+from fireflywharf_core.history import (
+    EntryVmDown,
+    EntryVmUp,
+    History,
+    ShutdownFinished,
+    ShutdownRequested,
+    Violation,
+    check_history,
+)
+from fireflywharf_core.platform import VmInfo
+
+from ._caller import RecordingCaller
+from ._nodes import EmbeddedNode, MeshCut, ProcessNode
+from ._platform import Platform, wait_until
+from ._ports import free_port
+from ._topology import Topology
+
+READY_TIMEOUT_S = 30.0
+SHUTDOWN_TIMEOUT_S = 45.0
+CALL_TIMEOUT_S = 5.0
+
+
+@attrs.frozen(slots=True)
+class Shutdown:
+    """Result of a graceful shutdown."""
+
+    exit_status: int
+    elapsed_s: float
+
+
+class Cluster:
+    """Starts a platform and the daemons of its entry VMs, and does faults to them.
+
+    Daemons run as processes. Those of the domains in `embedded` run in threads of this process:
+    they cannot be killed or paused, and mesh traffic between two domains can be cut when one of
+    them is embedded.
+
+    Args:
+        topology: stand-ins and entry VMs to start.
+        embedded: failure domains whose daemons run in this process.
+        settings: values for all daemons by section, over the defaults.
+        folder: folder for settings and log lines; None takes a temporary one, removed at the end.
+
+    Example:
+        >>> from fireflywharf_testing import Cluster, Domain, Topology, WorkerGroup
+        >>> domain = Domain(name="centro", region="centro", workers=[WorkerGroup()])
+        >>> with Cluster(Topology(domains=[domain])) as cluster:
+        ...     cluster.status("centro-entry-1")["ready"]
+        True
+    """
+
+    def __init__(
+        self,
+        topology: Topology,
+        embedded: Collection[str] = (),
+        settings: Mapping[str, Mapping[str, Any]] | None = None,
+        folder: pathlib.Path | None = None,
+    ) -> None:
+        self.topology = topology
+        self.embedded = embedded
+        self.settings = settings
+        self.folder = folder
+        self.platform = Platform(topology)
+        self.recorder = self.platform.recorder
+        self.nodes: dict[str, ProcessNode | EmbeddedNode] = {}
+        self._metrics: dict[str, str] = {}
+        self._cut = MeshCut({})
+        self._lock = threading.Lock()
+        self._callers: dict[str, RecordingCaller] = {}
+
+    def __enter__(self) -> "Cluster":
+        return self.start()
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    @property
+    def entry_vms(self) -> dict[str, str]:
+        """Return `ip:port` of the HTTP interface of each entry VM."""
+        return {name: vm.address for name, vm in self.platform.entry_vms.items()}
+
+    def vms_of(self, domain: str) -> list[str]:
+        """Return the names of the entry VMs of a failure domain."""
+        vms = self.platform.entry_vms.values()
+        return [vm.name for vm in vms if vm.failure_domain == domain]
+
+    # Start and stop.
+
+    def start(self) -> "Cluster":
+        """Start everything and wait until each daemon is ready and each domain has a scheduler.
+
+        Raises:
+            TimeoutError: a daemon or a scheduler is missing after the time limit.
+        """
+        self._folder = self.folder or pathlib.Path(tempfile.mkdtemp(prefix="fireflywharf-"))
+        try:
+            self.platform.start()
+            self._create_nodes()
+            for node in self.nodes.values():
+                node.start()
+            self._wait_ready(list(self.nodes))
+            self.wait_schedulers()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def stop(self) -> None:
+        """End every daemon and the platform; processes are killed, by their own id."""
+        for node in self.nodes.values():
+            if isinstance(node, ProcessNode):
+                node.kill()
+            elif node.running:
+                node.request_stop()
+        for node in self.nodes.values():
+            if isinstance(node, EmbeddedNode) and node.running:
+                node.wait(SHUTDOWN_TIMEOUT_S)
+        self.platform.stop()
+        if self.folder is None:
+            shutil.rmtree(self._folder, ignore_errors=True)
+
+    def wait_schedulers(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until each failure domain with workers has a scheduler.
+
+        Raises:
+            TimeoutError: a domain has none after the time limit.
+        """
+        names = [domain.name for domain in self.topology.domains if domain.workers]
+        for name in names:
+            if not wait_until(lambda n=name: self.scheduler(n) is not None, timeout_s):
+                raise TimeoutError(f"{name} has no scheduler after {timeout_s} s")
+
+    # Faults.
+
+    def kill(self, vm: str) -> None:
+        """Kill the daemon of an entry VM."""
+        self._record_down(vm, killed=True)
+        self.nodes[vm].kill()
+        # A call that arrived while the process died is excused as well.
+        self._record_down(vm, killed=True)
+
+    def pause(self, vm: str) -> None:
+        """Stop the process of an entry VM from running."""
+        self._record_down(vm)
+        self.nodes[vm].pause()
+
+    def resume(self, vm: str) -> None:
+        """Let a paused process run again."""
+        self.nodes[vm].resume()
+        self._wait_ready([vm])
+
+    def restart(self, vm: str) -> None:
+        """Start a new process at the same addresses; one that still runs is killed before."""
+        if self.nodes[vm].running:
+            self.kill(vm)
+        self.nodes[vm].start()
+        self._wait_ready([vm])
+
+    def terminate(self, vm: str) -> Shutdown:
+        """Shut an entry VM down and wait for its end.
+
+        Raises:
+            TimeoutError: it still runs after `SHUTDOWN_TIMEOUT_S`.
+        """
+        start_s = time.monotonic()
+        self.recorder.add(ShutdownRequested(time_s=start_s, entry_vm=vm))
+        self.nodes[vm].request_stop()
+        status = self.nodes[vm].wait(SHUTDOWN_TIMEOUT_S)
+        end_s = time.monotonic()
+        self._record_down(vm)
+        self.recorder.add(ShutdownFinished(time_s=end_s, entry_vm=vm, exit_status=status))
+        return Shutdown(status, end_s - start_s)
+
+    def cut(self, domain: str, log: bool = False) -> None:
+        """Cut a failure domain off from all others.
+
+        Args:
+            domain: failure domain; it or each other one must be embedded.
+            log: whether the domain loses the log as well.
+
+        Raises:
+            ValueError: traffic between two domains that run as processes cannot be cut.
+        """
+        others = [row.name for row in self.topology.domains if row.name != domain]
+        if domain not in self.embedded and not all(name in self.embedded for name in others):
+            raise ValueError(f"{domain} and a domain to cut it off from both run as processes")
+        if log:
+            for vm in self.vms_of(domain):
+                self._record_down(vm)
+            self.platform.cut_log(domain)
+        for name in others:
+            self._cut.cut(domain, name)
+
+    def heal(self) -> None:
+        """End all cuts between domains and give every domain the log back."""
+        self._cut.heal()
+        self.platform.cut_log(down="")
+        self._wait_ready([name for name, node in self.nodes.items() if node.running])
+
+    # Questions.
+
+    def caller(self, customer: str) -> RecordingCaller:
+        """Return the recording caller of a customer for all entry VMs."""
+        with self._lock:
+            if customer not in self._callers:
+                caller = RecordingCaller(self.recorder, self.entry_vms, customer)
+                self._callers[customer] = caller
+            return self._callers[customer]
+
+    def status(self, vm: str) -> dict[str, Any]:
+        """Return the answer of `GET /v1/status`; empty when the entry VM does not answer."""
+        return self._ask(vm, "/v1/status")
+
+    def scheduler(self, domain: str) -> str | None:
+        """Return the entry VM that says it is the scheduler of a domain."""
+        for vm in self.vms_of(domain):
+            if self.status(vm).get("scheduler"):
+                return vm
+        return None
+
+    def metrics(self, vm: str) -> str:
+        """Return the metrics of an entry VM in Prometheus text format.
+
+        Raises:
+            OSError: the entry VM does not answer.
+        """
+        host, port = self._metrics[vm].rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
+    def log_lines(self, vm: str) -> str:
+        """Return what the daemon of an entry VM wrote to its standard error."""
+        return (self._folder / f"{vm}.log").read_text(encoding="utf-8", errors="replace")
+
+    def violations(self) -> list[Violation]:
+        """Return the violations of every promise in what was recorded until now."""
+        return check_history(History(self.recorder.all()))
+
+    # Parts.
+
+    def _create_nodes(self) -> None:
+        host = self.topology.host
+        vms = list(self.platform.entry_vms.values())
+        mesh = {vm.name: f"{host}:{free_port(host)}" for vm in vms}
+        self._metrics = {vm.name: f"{host}:{free_port(host)}" for vm in vms}
+        self._cut = MeshCut({mesh[vm.name]: vm.failure_domain for vm in vms})
+        for vm in vms:
+            path = self._folder / f"{vm.name}.toml"
+            path.write_text(tomli_w.dumps(self._document(vm, mesh)), encoding="utf-8")
+            stderr_path = self._folder / f"{vm.name}.log"
+            stderr_path.touch()
+            if vm.failure_domain in self.embedded:
+                self.nodes[vm.name] = EmbeddedNode(vm.name, path, self._cut)
+            else:
+                self.nodes[vm.name] = ProcessNode(vm.name, path, stderr_path)
+        if self.embedded:
+            # Without a handler, warnings of embedded daemons would go to this process's terminal.
+            logging.getLogger("fireflywharf_daemon").addHandler(logging.NullHandler())
+
+    def _document(self, vm: VmInfo, mesh: Mapping[str, str]) -> dict[str, Any]:
+        addresses: Any = self.platform.addresses()
+        document: dict[str, Any] = {
+            "vm": {
+                "name": vm.name,
+                "region": vm.region,
+                "failure_domain": vm.failure_domain,
+            },
+            "http": {"listen": vm.address},
+            "mesh": {"listen": mesh[vm.name], "peers": list(self._peers(vm, mesh))},
+            "metrics": {"listen": self._metrics[vm.name]},
+            "platform": {
+                "log_url": f"http://{addresses['log'][vm.failure_domain]}",
+                "vm_list_url": f"http://{addresses['vm_list'][vm.failure_domain]}",
+            },
+            "scheduling": {"task_lease_s": self.topology.task_lease_s},
+        }
+        for section, values in (self.settings or {}).items():
+            document.setdefault(section, {}).update(values)
+        return document
+
+    def _peers(self, vm: VmInfo, mesh: Mapping[str, str]) -> Iterator[dict[str, str]]:
+        for other in self.platform.entry_vms.values():
+            if other.name != vm.name:
+                yield {
+                    "address": mesh[other.name],
+                    "failure_domain": other.failure_domain,
+                    "region": other.region,
+                }
+
+    def _wait_ready(self, vms: list[str]) -> None:
+        for vm in vms:
+            if not wait_until(
+                lambda v=vm: self._ask(v, "/readyz").get("code") == 0, READY_TIMEOUT_S
+            ):
+                raise TimeoutError(f"{vm} is not ready after {READY_TIMEOUT_S} s")
+            self.recorder.add(EntryVmUp(time_s=time.monotonic(), entry_vm=vm))
+
+    def _record_down(self, vm: str, killed: bool = False) -> None:
+        self.recorder.add(EntryVmDown(time_s=time.monotonic(), entry_vm=vm, killed=killed))
+
+    def _ask(self, vm: str, path: str) -> dict[str, Any]:
+        caller = RecordingCaller(self.recorder, self.entry_vms, "", CALL_TIMEOUT_S)
+        return caller.exchange(vm, "GET", path).answer
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_nodes.py
@@ -0,0 +1,178 @@
+"""One daemon of a cluster: a process of its own, or threads of this process."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+from typing import Any
+
+STOP_TIMEOUT_S = 10.0
+START_TIMEOUT_S = 20.0
+
+
+class ProcessNode:
+    """A daemon that runs as a process of its own.
+
+    Args:
+        name: name of the entry VM.
+        settings_path: TOML file of its settings.
+        stderr_path: file that receives its log lines.
+    """
+
+    def __init__(self, name: str, settings_path: pathlib.Path, stderr_path: pathlib.Path) -> None:
+        self.name = name
+        self.settings_path = settings_path
+        self.stderr_path = stderr_path
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether the process exists."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        command = [sys.executable, "-m", "fireflywharf_daemon.main", str(self.settings_path)]
+        with self.stderr_path.open("ab") as stderr:
+            self._process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stderr=stderr)
+
+    def kill(self) -> None:
+        """End the process at once, also when it is paused."""
+        if self.running:
+            self._process.kill()
+            self._process.wait(STOP_TIMEOUT_S)
+
+    def pause(self) -> None:
+        """Stop the process from running until `resume`."""
+        os.kill(self._process.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process run again."""
+        os.kill(self._process.pid, signal.SIGCONT)
+
+    def request_stop(self) -> None:
+        """Ask for a graceful shutdown."""
+        self._process.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float) -> int:
+        """Return the exit status.
+
+        Args:
+            timeout_s: time limit.
+
+        Returns:
+            The exit status; negative when a signal ended the process.
+
+        Raises:
+            TimeoutError: the process still runs after the time limit.
+        """
+        try:
+            return self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired as error:
+            raise TimeoutError(f"{self.name} still runs after {timeout_s} s") from error
+
+
+class EmbeddedNode:
+    """A daemon that runs in threads of this process, so that its mesh can be cut.
+
+    It cannot be killed or paused.
+
+    Args:
+        name: name of the entry VM.
+        settings_path: TOML file of its settings.
+        cut: decides which mesh traffic is lost; see `MeshCut`.
+    """
+
+    def __init__(self, name: str, settings_path: pathlib.Path, cut: "MeshCut") -> None:
+        self.name = name
+        self.settings_path = settings_path
+        self.cut = cut
+        self._thread: threading.Thread | None = None
+        self._application: Any = None
+        self._status: int | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether the daemon's thread exists."""
+        return self._thread is not None and self._thread.is_alive()
+
+    def start(self) -> None:
+        """Start the daemon and wrap its mesh.
+
+        Raises:
+            RuntimeError: the settings are refused, or the daemon did not start in time.
+        """
+        # Only embedded nodes need the daemon's package; the stand-ins work without it.
+        from fireflywharf_daemon.application import Application
+        from fireflywharf_daemon.settings import load_settings
+
+        settings, problems = load_settings(self.settings_path)
+        if settings is None:
+            raise RuntimeError("; ".join(str(problem) for problem in problems))
+        self._application = Application(settings)
+        self._thread = threading.Thread(target=self._run, name=self.name, daemon=True)
+        self._thread.start()
+        if not self._application.started.wait(START_TIMEOUT_S):
+            raise RuntimeError(f"{self.name} did not start within {START_TIMEOUT_S} s")
+        self.cut.wrap(self._application.context.mesh, settings.vm.failure_domain)
+
+    def request_stop(self) -> None:
+        """Ask for a graceful shutdown."""
+        self._application.request_stop()
+
+    def wait(self, timeout_s: float) -> int:
+        """Return the exit status; raises `TimeoutError` when the daemon still runs."""
+        self._thread.join(timeout_s)
+        if self._thread.is_alive() or self._status is None:
+            raise TimeoutError(f"{self.name} still runs after {timeout_s} s")
+        return self._status
+
+    def _run(self) -> None:
+        self._status = asyncio.run(self._application.run(handle_signals=False))
+
+
+class MeshCut:
+    """Loses mesh traffic between failure domains, in both directions, as a partition does.
+
+    Args:
+        domain_by_address: failure domain of each mesh address.
+    """
+
+    def __init__(self, domain_by_address: dict[str, str]) -> None:
+        self.domain_by_address = domain_by_address
+        self._pairs: set[frozenset[str]] = set()
+
+    def cut(self, first: str, second: str) -> None:
+        """Lose all frames between two domains from now on."""
+        self._pairs = self._pairs | {frozenset((first, second))}
+
+    def heal(self) -> None:
+        """Let all frames pass again."""
+        self._pairs = set()
+
+    def wrap(self, mesh: Any, domain: str) -> None:
+        """Put the cut in front of what a mesh queues and receives.
+
+        Calls, answers, messages and pings all pass through these two methods, so that an answer to
+        a call from before the cut is lost as well.
+        """
+        from fireflywharf_daemon.mesh._frames import decode_frame
+
+        put, receive = mesh._put, mesh._receive
+
+        def put_unless_cut(address: str, item: Any, size_bytes: int) -> bool:
+            return True if self._loses(domain, address) else put(address, item, size_bytes)
+
+        def receive_unless_cut(data: bytes) -> None:
+            frame = decode_frame(data)
+            if frame is None or not self._loses(domain, frame.sender.address):
+                receive(data)
+
+        mesh._put = put_unless_cut
+        mesh._receive = receive_unless_cut
+
+    def _loses(self, domain: str, address: str) -> bool:
+        return frozenset((domain, self.domain_by_address.get(address, domain))) in self._pairs
