Give the router digests of requests as bytes

Cause: the router core takes and returns digests as bytes, but the daemon passed hexadecimal text. KeyClaimSeen then raised in the fold, so every request with a caller's own key waited in the queue. Before: each such request ended as DEADLINE_PASSED after 10 s, and a repeat as INTERNAL_ERROR.

--- a/features/steps/daemon_world.py
+++ b/features/steps/daemon_world.py
@@ -10,6 +10,7 @@
 from fireflywharf_core.history import JobAcceptedSeen, RequestAnswered, RequestSent
 from fireflywharf_core.history._job_checks import END_STATES
 from fireflywharf_core.jobs import JobKind, job_id_of
+from fireflywharf_core.results import ResultCode
 from fireflywharf_testing import (
     NO_FAULTS,
     Cluster,
@@ -38,6 +39,7 @@
     "provisional_admission": True,
 }
 SERVICE = "dispatch"
+ACCEPTED = (ResultCode.ACCEPTED, ResultCode.ACCEPTED_LATE)
 UNCERTAIN = ("unknown", "lost", "not_connected")
 
 
@@ -216,7 +218,7 @@
             job = job_document(kind, f"{self.name}-{kind}-{count}")
             self.jobs[job_id_of("austral", job["key"])] = kind
             for vm in rng.sample(self.vms, 2):
-                if self.caller.submit_job(vm, job).outcome not in UNCERTAIN:
+                if self.caller.submit_job(vm, job).code in ACCEPTED:
                     break
 
     def _poll(self):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
@@ -170,7 +170,7 @@
                 idempotent=request.idempotent,
                 key=request.key,
                 deadline_s=request.deadline_ms / 1000,
-                body_digest=hashlib.sha256(identity + request.body).hexdigest(),
+                body_digest=hashlib.sha256(identity + request.body).digest(),
                 body_bytes=len(request.body),
                 forwarded=forwarded,
                 decides_key=decides_key,
@@ -335,8 +335,8 @@
                 outcome = OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, detail)
         self.observe(ForwardAnswered(send_id, outcome))
 
-    async def _claim_key(self, request_id: str, customer: str, key: str, digest: str) -> None:
-        record = KeyClaimed(customer, key, self.context.incarnation, digest, time.time())
+    async def _claim_key(self, request_id: str, customer: str, key: str, digest: bytes) -> None:
+        record = KeyClaimed(customer, key, self.context.incarnation, digest.hex(), time.time())
         offset = await self.stream.append(record, KEY_CLAIM_TIMEOUT_S)
         if isinstance(offset, int):
             await self.stream.read_past(offset, KEY_CLAIM_TIMEOUT_S)
