Recall long work by checkpoint for blocked short work

Long work held room that short work of the same customer needed at a peak. After one second a blocked short job recalls the newest long attempts of its customer where the contract allows checkpoints; the reserve keeps peaks.

--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
+from ..contracts import ReclaimStep
 from ._model import Attempt, Job
 from ._share import Account
 
@@ -14,6 +16,9 @@
 TOLERANCE = 0.02
 MAX_RECLAIMS_PER_DECISION = 4
 MAX_PROMISES_PER_CUSTOMER = 16
+# Short work waits this long for room to become free before long work of its customer is recalled.
+SHORT_WAIT_S = 1.0
+LONG_ATTEMPTS_EXAMINED = 64
 
 
 class Lending:
@@ -41,6 +46,7 @@
 
     def decide(self, now_s: float) -> None:
         """Take room back for customers that waited long enough below their share."""
+        self._help_short_work(now_s)
         engine, shares = self.engine, self.predict()
         accounts = engine.ledger.accounts_
         above = sorted(
@@ -58,13 +64,53 @@
             if now_s - since_s >= engine.policy.reclaim_delay_s and above:
                 self._take_back(account, [donor for _, donor in reversed(above)], now_s)
 
+    def _help_short_work(self, now_s: float) -> None:
+        """Recall long work by checkpoint where short work of the same customer waits."""
+        engine = self.engine
+        for name in list(engine.queue.customers):
+            account = engine.ledger.accounts_.get(name)
+            if account is None or ReclaimStep.CHECKPOINT not in account.contract.reclaim_steps:
+                continue
+            for _ in range(MAX_RECLAIMS_PER_DECISION):
+                victim, job = self._newest_long(name), self._blocked_short(account, now_s)
+                if victim is None or job is None or self._promises_used(account):
+                    break
+                size = engine.size_of_job(job, now_s)
+                wait_s = engine.policy.reclaim_escalation_s
+                if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
+                    break
+                self._promised[name].add(job.spec.job_id)
+
+    def _newest_long(self, name: str) -> Attempt | None:
+        attempts = self.engine.reclaimer.by_customer.get(name, {}).values()
+        for attempt in islice(reversed(attempts), LONG_ATTEMPTS_EXAMINED):
+            if attempt.long and not attempt.job.short:
+                return attempt
+        return None
+
+    def _blocked_short(self, account: Account, now_s: float) -> Job | None:
+        engine = self.engine
+        for queue in engine.queue.customers.get(account.name, {}).values():
+            if not queue.size_class.short:
+                continue
+            for job in queue.first(engine.policy.lookahead_count):
+                promised = len(engine.reclaimer.promises.get(job.spec.job_id, ()))
+                waited = job.blocked_s is not None and now_s - job.blocked_s >= SHORT_WAIT_S
+                if waited and promised < job.waiting_count:
+                    return job
+        return None
+
+    def _promises_used(self, account: Account) -> bool:
+        promises = self.engine.reclaimer.promises
+        promised = self._promised.setdefault(account.name, set())
+        promised &= promises.keys()
+        count = sum(len(promises[job_id]) for job_id in promised)
+        return count >= MAX_PROMISES_PER_CUSTOMER
+
     def _take_back(self, account: Account, donors: list[str], now_s: float) -> None:
         engine = self.engine
         for _ in range(MAX_RECLAIMS_PER_DECISION):
-            promised = self._promised.setdefault(account.name, set())
-            promised &= engine.reclaimer.promises.keys()
-            count = sum(len(engine.reclaimer.promises[job_id]) for job_id in promised)
-            if count >= MAX_PROMISES_PER_CUSTOMER:
+            if self._promises_used(account):
                 return
             job = self._next_job(account, now_s)
             victim = self._victim(donors)
@@ -74,7 +120,7 @@
             wait_s = engine.policy.reclaim_escalation_s
             if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
                 return
-            promised.add(job.spec.job_id)
+            self._promised[account.name].add(job.spec.job_id)
 
     def _next_job(self, account: Account, now_s: float) -> Job | None:
         engine = self.engine
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_stragglers.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_stragglers.py
@@ -12,6 +12,8 @@
 STRAGGLER_FACTOR = 4.0
 # Offered load counts a burst only in the mean, so more than the mean is kept free.
 RESERVE_FACTOR = 1.5
+# Demand swings within a minute, but long work gives room back over minutes, so peaks are kept.
+PEAK_WINDOWS = 10.0
 
 
 class ShortWorkGuard:
@@ -28,6 +30,7 @@
         self.total = ResourceVector()
         self.long_held = ResourceVector()
         self.offered_ = 0.0
+        self.peak_ = 0.0
         self._updated_s = 0.0
         self._checks: list[tuple[float, int, Attempt]] = []
         self._count = 0
@@ -48,7 +51,9 @@
 
     def _fade(self, now_s: float) -> None:
         if now_s > self._updated_s:
-            self.offered_ *= math.exp((self._updated_s - now_s) / self.policy.window_s)
+            windows = (now_s - self._updated_s) / self.policy.window_s
+            self.peak_ = max(self.offered_, self.peak_ * math.exp(-windows / PEAK_WINDOWS))
+            self.offered_ *= math.exp(-windows)
             self._updated_s = now_s
 
     def held(self, attempt: Attempt) -> None:
@@ -84,7 +89,7 @@
     def predict(self, now_s: float) -> float:
         """Return the part of the domain that long work must leave free."""
         self._fade(now_s)
-        offered = RESERVE_FACTOR * self.offered_ / self.policy.window_s
+        offered = RESERVE_FACTOR * self.peak_ / self.policy.window_s
         return min(self.policy.short_reserve_max, offered)
 
     def decide(self, size: ResourceVector, now_s: float) -> bool:
