Try one waiting job behind a blocked one instead of three

Decision p99 at 275 workers and 17,000 tasks was above 5 ms, because each round tried four jobs of every size class while the domain was full.

--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_policy.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_policy.py
@@ -55,7 +55,7 @@
     short_run_s: float = 10.0
     short_reserve_max: float = 0.2
     slack_factor: float = 10.0
-    lookahead_count: int = 4
+    lookahead_count: int = 2
     urgent_escalation_s: float = 1.5
     reclaim_escalation_s: float = 5.0
     reclaim_delay_s: float = 1.0
