Keep one queue entry per lease, bound kept outcomes, and record the measurements of state

Renewals of 1,100 leases took 1.8 to 2.1 % of a core and an election decision 520 to 590 us, mostly in heap entries that were pushed twice.

--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -78,21 +78,22 @@
     streams = {
         "job": (
             given.job_records(given.JOBS_PER_DAY // part, given.LIVE_JOBS_COUNT // part, seed),
-            JobsFold("domain-0", DAY_S),
+            lambda: JobsFold("domain-0", DAY_S),
         ),
         "task end": (
             given.task_end_records(given.TASK_ENDS_PER_DOMAIN // part, seed),
-            DomainFold(DAY_S),
+            lambda: DomainFold(DAY_S),
         ),
         "contract": (
             given.change_records(given.CHANGES_PER_DAY // part, seed),
-            ContractRegistry(DAY_S),
+            lambda: ContractRegistry(DAY_S),
         ),
     }
     rows, total_s, total_bytes = [], 0.0, 0
-    for name, (records, fold) in streams.items():
+    for name, (records, make_fold) in streams.items():
         entries = given.entries_of(records)
-        used_s = _replay(entries, fold.fold)
+        # Other work on the machine only adds time, so the shortest of three runs counts.
+        used_s = min(_replay(entries, make_fold().fold) for _ in range(3))
         total_s += used_s
         total_bytes += _size(entries)
         mean_bytes = _size(entries) / len(entries)
--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -38,6 +38,10 @@
     When a late reader meets a cancellation and a lateness before the refreshed job
     Then the job is cancelled and late
 
+  Scenario: outcomes are forgotten with their records, guarding against memory that only grows
+    When 10 jobs finish and the log deletes the records of the first 6
+    Then 5 outcomes are kept, one of them because it was recorded again
+
   Scenario: a conflicting submission of a job is known as a conflict
     When a job is accepted twice with equal digests and once with another
     Then the folds tell one accepted job, one repeat and one conflict
--- a/features/steps/state_log_steps.py
+++ b/features/steps/state_log_steps.py
@@ -344,6 +344,23 @@
     assert job.cancel_requested and job.late
 
 
+@when("{count:d} jobs finish and the log deletes the records of the first {deleted:d}")
+def delete_outcomes(context, count, deleted):
+    context.fold = fold = JobsFold("centro", 100.0)
+    for number in range(count):
+        fold.fold(2 * number, accepted(f"j-{number}"), 0.0)
+        fold.fold(2 * number + 1, JobFinished(f"j-{number}", JobState.DONE), 0.0)
+    # The outcome of the first job is recorded again and therefore stays.
+    fold.fold(2 * count, JobFinished("j-0", JobState.DONE), 0.0)
+    fold.drop_below(2 * deleted)
+
+
+@then("{kept:d} outcomes are kept, one of them because it was recorded again")
+def check_deleted(context, kept):
+    assert len(context.fold.finished_) == kept
+    assert context.fold.is_finished("j-0") and not context.fold.is_finished("j-1")
+
+
 @when("a job is accepted twice with equal digests and once with another")
 def accept_thrice(context):
     fold = JobsFold("centro", 100.0)
@@ -392,7 +409,8 @@
     context.facts = fold.facts(task)
     context.next = fold.next_attempt(task)
     context.done = fold.done_tasks("j-1")
-    fold.compact(lambda job_id: False)
+    assert fold.compact(JobsFold("centro", 100.0).is_finished) == 0 and fold.tasks_of("j-1")
+    fold.compact(lambda job_id: True)
 
 
 @then("its facts are right and nothing is left after its job was forgotten")
--- a/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
@@ -30,6 +30,7 @@
     due_s: float
     failures_count: int = 0
     held: bool = False
+    expiry_queued: bool = False
     wanted: bool = True
     sent_s: float = float("-inf")
     boot_id: str = ""
@@ -117,9 +118,7 @@
 
     def begin(self, name: str, now_s: float) -> float:
         """Note that a claim is about to be sent, and return the time to report with its answer."""
-        row = self._rows[name]
-        row.sent_s = now_s
-        self._schedule(name, row, now_s + self._answer_timeout_s())
+        self._rows[name].sent_s = now_s
         return now_s
 
     def on_granted(
@@ -155,8 +154,8 @@
         if isinstance(result, LeaseGained | LeaseRenewed) and row.lease.may_act(now_s):
             row.held = True
             self._held.add(name)
-            expiry_s = now_s + row.lease.remaining_s(now_s)
-            heapq.heappush(self._expiries, (expiry_s, name))
+            if not row.expiry_queued:
+                self._queue_expiry(name, row, now_s)
         self._answered(name, row, now_s)
         if epoch == row.lease.epoch and not row.lease.held:
             # The granter renewed a lease that was given up; it must lapse before the next claim.
@@ -247,9 +246,21 @@
         while self._expiries and self._expiries[0][0] <= now_s:
             _, name = heapq.heappop(self._expiries)
             row = self._rows.get(name)
-            if row is not None and row.held and not row.lease.may_act(now_s):
+            if row is None:
+                continue
+            row.expiry_queued = False
+            if not row.held:
+                continue
+            if row.lease.may_act(now_s):
+                self._queue_expiry(name, row, now_s)
+            else:
                 self._lose(name, row)
 
+    def _queue_expiry(self, name: str, row: _Row, now_s: float) -> None:
+        # One entry per lease: it is queued again when it comes up and the lease was renewed.
+        row.expiry_queued = True
+        heapq.heappush(self._expiries, (now_s + row.lease.remaining_s(now_s), name))
+
     def _take_boot(self, name: str, row: _Row, boot_id: str) -> bool:
         """Drop the lease after a restart of the granter; return False for an old boot's answer."""
         if boot_id in ("", row.boot_id):
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_domain_fold.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_domain_fold.py
@@ -106,9 +106,9 @@
                 if attempt.number > facts.ended_attempt:
                     facts.open_intent = attempt.number
                     facts.worker = worker
-                self._refresh.touch(attempt.task, now_s, live)
+                self._touch(attempt.task, now_s, live)
             case TaskEnded():
-                self._refresh.touch(record.attempt.task, now_s, live)
+                self._touch(record.attempt.task, now_s, live)
                 return self._end(record)
         return None
 
@@ -131,11 +131,21 @@
     def forget_job(self, job_id: str) -> None:
         """Drop the tasks of a finished job."""
         for index in self._jobs.pop(job_id, {}):
-            self._refresh.drop(TaskId(job_id, index))
+            self._refresh.drop((job_id, index))
 
-    def compact(self, is_live: Callable[[str], bool]) -> int:
-        """Drop the tasks of all jobs that are not live, and return the number of these jobs."""
-        finished = [job_id for job_id in self._jobs if not is_live(job_id)]
+    def compact(self, is_finished: Callable[[str], bool]) -> int:
+        """Drop the tasks of finished jobs; call it now and then on every VM of the domain.
+
+        Without it the memory grows, and `due_records` writes the ends of old tasks again for ever.
+        A job that is unknown is kept, because stream `jobs` may be read later than this one.
+
+        Args:
+            is_finished: `JobsFold.is_finished`.
+
+        Returns:
+            The number of jobs whose tasks were dropped.
+        """
+        finished = [job_id for job_id in self._jobs if is_finished(job_id)]
         for job_id in finished:
             self.forget_job(job_id)
         return len(finished)
@@ -147,16 +157,27 @@
             if isinstance(key, str):
                 records.append(WorkerAdded(self.workers_[key]))
                 continue
-            facts = self.facts(key)
+            task = TaskId(*key)
+            facts = self.facts(task)
             if facts.end is not None:
-                attempt = AttemptId(key, facts.ended_attempt)
+                attempt = AttemptId(task, facts.ended_attempt)
                 records.append(TaskEnded(attempt, facts.end, facts.worker, facts.elapsed_s))
             if facts.open_intent:
-                records.append(StartIntent(AttemptId(key, facts.open_intent), facts.worker))
+                records.append(StartIntent(AttemptId(task, facts.open_intent), facts.worker))
         return records
 
+    def _touch(self, task: TaskId, now_s: float, live: bool) -> None:
+        # A tuple hashes several times faster than an attrs object.
+        self._refresh.touch((task.job_id, task.index), now_s, live)
+
     def _facts_for(self, task: TaskId) -> TaskFacts:
-        return self._jobs.setdefault(task.job_id, {}).setdefault(task.index, TaskFacts())
+        tasks = self._jobs.get(task.job_id)
+        if tasks is None:
+            tasks = self._jobs[task.job_id] = {}
+        facts = tasks.get(task.index)
+        if facts is None:
+            facts = tasks[task.index] = TaskFacts()
+        return facts
 
     def _end(self, record: TaskEnded) -> DomainEvent | None:
         number = record.attempt.number
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
@@ -1,5 +1,6 @@
 """Fold of stream `jobs`: accepted jobs, their home domains and their outcomes."""
 
+from collections import OrderedDict
 from collections.abc import Iterator
 
 import attrs
@@ -54,7 +55,7 @@
         self.refresh_max_per_s = refresh_max_per_s
         self.offset_ = -1
         self.live_: dict[str, LiveJob] = {}
-        self.finished_: dict[str, FinishedJob] = {}
+        self.finished_: OrderedDict[str, FinishedJob] = OrderedDict()
         self.lost_domains_: dict[str, int] = {}
         self.records_of_unknown_jobs_count_ = 0
         self._by_domain: dict[str, dict[str, LiveJob]] = {}
@@ -97,6 +98,10 @@
         """Return what is known of a job."""
         return self.live_.get(job_id) or self.finished_.get(job_id)
 
+    def is_finished(self, job_id: str) -> bool:
+        """Return whether the outcome of a job is recorded."""
+        return job_id in self.finished_
+
     def live_jobs(self, domain: str) -> list[LiveJob]:
         """Return the live jobs whose home is `domain`, in log order of their first records."""
         return list(self._by_domain.get(domain, {}).values())
@@ -154,8 +159,14 @@
         )
 
     def drop_below(self, first_available: int) -> None:
-        """Forget outcomes and marks whose records the log has deleted."""
-        for job_id in [j for j, f in self.finished_.items() if f.offset < first_available]:
+        """Forget outcomes and marks whose records the log has deleted.
+
+        It is cheap enough to call after each read, also when the reader itself lost nothing.
+        """
+        while self.finished_:
+            job_id, oldest = next(iter(self.finished_.items()))
+            if oldest.offset >= first_available:
+                break
             del self.finished_[job_id]
             self._refresh.drop(job_id)
         for job_id in [j for j, marks in self._early.items() if marks.offset < first_available]:
@@ -254,6 +265,7 @@
         known = self.finished_.get(job_id)
         if known is not None:
             known.offset = offset
+            self.finished_.move_to_end(job_id)
             self._refresh.drop(job_id)
             return None
         finished = FinishedJob(record.state, record.late, record.detail, offset)
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_refresh.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_refresh.py
@@ -26,10 +26,13 @@
 
     def touch(self, key: Hashable, now_s: float, live: bool = True) -> None:
         """Note a record of `key`; the age of a record read in a replay is unknown, so it is due."""
-        self.drop(key)
+        self._due.pop(key, None)
+        self._asked.pop(key, None)
         if live:
             self._written_s[key] = now_s
+            self._written_s.move_to_end(key)
         else:
+            self._written_s.pop(key, None)
             self._due[key] = None
 
     def hasten(self, key: Hashable) -> None:
