Check that finished work is counted in the metrics

The daemon exports metrics of jobs, appends and request times but never counts them, so alarms on them stay silent.

--- a/features/cli_daemon.feature
+++ b/features/cli_daemon.feature
@@ -19,3 +19,21 @@
     When the CLI asks the daemon for its status
     Then the CLI exits with 50
     And its errors contain "refused the connection"
+
+  # Guards against metrics that exist but never count, on which alarms would stay silent.
+  @known_red
+  Scenario: finished work is counted in the metrics
+    Given stand-ins and a daemon that is ready
+    When the CLI applies the example contracts of "consortium"
+    And the CLI submits the example job "consortium/manifest" and waits for its end
+    And the CLI sends the same request twice with one key
+    Then these metrics of the daemon have counted
+      | metric                                   |
+      | fireflywharf_jobs_total                  |
+      | fireflywharf_log_appends_total           |
+      | fireflywharf_log_records_total           |
+      | fireflywharf_requests_total              |
+      | fireflywharf_request_wait_seconds_count  |
+      | fireflywharf_request_seconds_count       |
+      | fireflywharf_http_answers_total          |
+      | fireflywharf_decision_seconds_count      |
--- a/features/cli_daemon_process.py
+++ b/features/cli_daemon_process.py
@@ -47,6 +47,7 @@
         )
         self.folder = folder
         self.address = free_address()
+        self.metrics_address = free_address()
         self.process: subprocess.Popen | None = None
 
     def start(self) -> None:
@@ -61,7 +62,7 @@
             },
             "http": {"listen": self.address},
             "mesh": {"listen": free_address()},
-            "metrics": {"listen": "127.0.0.1:0"},
+            "metrics": {"listen": self.metrics_address},
             "platform": {
                 "log_url": f"http://{addresses['log'][DOMAIN]}",
                 "vm_list_url": f"http://{addresses['vm_list'][DOMAIN]}",
--- a/features/steps/cli_daemon_steps.py
+++ b/features/steps/cli_daemon_steps.py
@@ -5,6 +5,7 @@
 import tempfile
 import time
 
+import urllib3
 from behave import given, then, when
 from cli_daemon_process import DaemonProcess
 from cli_runner import race_applies, run_cli
@@ -70,6 +71,16 @@
     assert first["request_id"] == second["request_id"], context.answers
 
 
+@then("these metrics of the daemon have counted")
+def check_counted(context):
+    url = f"http://{context.server.metrics_address}/metrics"
+    text = urllib3.request("GET", url, retries=False).data.decode()
+    samples = [line.rpartition(" ") for line in text.splitlines() if not line.startswith("#")]
+    counted = {sample.partition("{")[0] for sample, _, value in samples if float(value) > 0}
+    missing = [row["metric"] for row in context.table if row["metric"] not in counted]
+    assert not missing, missing
+
+
 @when("the daemon gets SIGTERM")
 def terminate_daemon(context):
     context.daemon_status = context.server.terminate()
