--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_nodes.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_nodes.py
@@ -45,6 +45,11 @@
             self._process.kill()
             self._process.wait(STOP_TIMEOUT_S)
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
     def pause(self) -> None:
         """Stop the process from running until `resume`."""
         os.kill(self._process.pid, signal.SIGSTOP)
