Decide on events and stop reading the domain stream at each step

Cause: each scheduler step asked for a read of the domain stream, 20 and more reads a second with no candidate waiting for one; decisions ran every 50 ms with nothing to decide. Change: the read is wanted only by a candidate that holds workers; decisions follow events after 10 ms.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -47,8 +47,9 @@
 POOL_SIZES = {"log": 8, "workers": 16, "targets": 128, "control": 16}
 RESERVED_HTTP_THREADS = 8
 METRICS_THREADS = 2
-TARGET_STEP_S = 0.1
-DIGEST_STEP_S = 0.1
+SCHEDULER_STEP_S = 0.1
+TARGET_STEP_S = 0.2
+DIGEST_STEP_S = 0.25
 SNAPSHOT_STEP_S = 5.0
 LATE_STEP_S = 2.0
 DRAIN_POLL_S = 0.02
@@ -229,7 +230,7 @@
         every(scheduling.heartbeat_interval_s, self.membership.send_heartbeats)
         every(DIGEST_STEP_S, self.membership.send_digests)
         every(scheduling.vm_list_interval_s, self._read_vm_list)
-        every(scheduling.decision_interval_s, self.scheduler.step)
+        every(SCHEDULER_STEP_S, self.scheduler.step)
         every(TARGET_STEP_S, self.requests.targets.step)
         every(scheduling.log_poll_interval_s, self._catch_up)
         every(SNAPSHOT_STEP_S, self._write_snapshot)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_membership.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_membership.py
@@ -96,14 +96,14 @@
 
     def send_digests(self) -> None:
         """Send the digest of the domain to a few VMs of each other domain."""
-        digest = self.make_digest(self._sequence)
-        if digest is None:
-            return
         members: dict[str, list[str]] = {}
         for peer in self.context.settings.mesh.peers:
             members.setdefault(peer.failure_domain, []).append(peer.address)
-        for address in self.planner.due(members, self.context.now_s()):
-            self.context.mesh.send(address, digest)
+        addresses = self.planner.due(members, self.context.now_s())
+        digest = self.make_digest(self._sequence) if addresses else None
+        if digest is not None:
+            for address in addresses:
+                self.context.mesh.send(address, digest)
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat of a peer; one of another domain is ignored."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -1,5 +1,6 @@
 """The scheduler of the own failure domain: election, tenure and execution of its decisions."""
 
+import asyncio
 import logging
 import random
 import time
@@ -89,6 +90,7 @@
         self._change_pending = False
         self._executor: DecisionExecutor | None = None
         self._joined: dict[str, VmInfo] = {}
+        self._decision_planned = False
         self._claimed_free: dict[str, ResourceVector] = {}
         self._releasing = False
 
@@ -184,6 +186,19 @@
     def _observe(self, event: Event) -> None:
         if self.core is not None:
             self.core.observe(event, self.context.now_s())
+            self._decide_soon()
+
+    def _decide_soon(self) -> None:
+        """Decide once for all events that arrive within a short time."""
+        if not self._decision_planned:
+            self._decision_planned = True
+            interval_s = self.context.settings.scheduling.decision_interval_s
+            asyncio.get_running_loop().call_later(interval_s, self._decide_planned)
+
+    def _decide_planned(self) -> None:
+        self._decision_planned = False
+        if self.core is not None and self.may_command():
+            self._run_decisions()
 
     def _take_report(self, name: str, claim: ClaimAnswer, sent_s: float) -> None:
         self.election.on_report(name)
@@ -236,7 +251,9 @@
 
     def _knowledge_s(self) -> float | None:
         if self.stream.end_read_s > float("-inf") and self.stream.available:
-            self.stream.kick()
+            if not self.acting and self.gateway.held():
+                # A candidate with a majority needs a read that begins after it.
+                self.stream.kick()
             return self.stream.end_read_s
         if not self.stream.available and not self._asking_peers:
             self._asking_peers = True
@@ -307,6 +324,7 @@
         def observe(event: Event) -> None:
             if core is self.core:
                 core.observe(event, self.context.now_s())
+                self._decide_soon()
 
         self.core = core
         self._executor = DecisionExecutor(self.gateway, self.stream, self.jobs_stream, observe)
@@ -392,6 +410,8 @@
             self.jobs_stream.submit(record)
         for record in self.domain_fold.due_records(now_s):
             self.stream.submit(record)
+        if self.core.more:
+            self._decide_soon()
 
 
 def _volume(vector: ResourceVector) -> tuple[int, int, int]:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/settings/_settings.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/settings/_settings.py
@@ -111,7 +111,7 @@
         heartbeat_interval_s: time between heartbeats to peers of the domain.
         suspicion_s: silence after which a peer counts as failed.
         digest_interval_s: time between digests to other domains.
-        decision_interval_s: time between rounds of placement.
+        decision_interval_s: time for which events are collected before a round of placement.
         share_window_s: window of the fair share.
         worker_calls_count: calls to workers made at once.
     """
@@ -127,7 +127,7 @@
     heartbeat_interval_s: float = 0.5
     suspicion_s: float = 2.0
     digest_interval_s: float = 1.0
-    decision_interval_s: float = 0.05
+    decision_interval_s: float = 0.01
     share_window_s: float = 60.0
     worker_calls_count: int = 16
 
