Index reclaimable room after the attempt is counted; move work off leaving workers

Urgent work found no candidate on workers whose last start filled them, because the index was computed before the attempt was counted, and a task that came back to the queue was not checked for feasibility.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -12,3 +12,39 @@
       | policy     |
       | fair share |
       | baseline   |
+
+  Scenario: tasks of a leaving worker move by checkpoint
+    Guards against work that is lost when a leaving worker goes.
+
+    When a worker with a running batch task is leaving
+    Then the task is checkpointed and starts on another worker
+
+  Scenario: a worker that fails every task is set aside and probed
+    Guards against one faulty worker that fails the tasks of all jobs one after the other.
+
+    When one of two workers fails every task of ten jobs
+    Then that worker is set aside, gets one probe at a time, and every job is done
+
+  Scenario: a job that misses its deadline is reported late once
+    Guards against silent lateness and against repeated reports.
+
+    When a job with a deadline of 2 s waits for a full domain
+    Then it is reported late once and its explanation names a result code
+
+  Scenario: urgent work takes room back within 5.9 s
+    Guards against urgent work that waits for batch work to end.
+
+    When an urgent job arrives at a full domain
+    Then it starts within 5.9 s
+
+  Scenario: a job is reported when its last fitting worker goes
+    Guards against a job that waits for ever without anyone knowing.
+
+    When the only worker that fits a waiting job is lost
+    Then the job is reported as infeasible once
+
+  Scenario: cancelled jobs leave the queue at once
+    Guards against a wave of cancellations that delays the start of other work.
+
+    When 1000 waiting jobs are cancelled and one more is submitted
+    Then the new job starts in the next decision and every cancelled job is finished as cancelled
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -1,13 +1,23 @@
 """Steps for the scheduler of a failure domain."""
 
+import attrs
 from behave import then, when
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from scheduling_world import World
 
-from fireflywharf_core.jobs import JobKind
+from fireflywharf_core.jobs import AttemptEnd, JobKind
 from fireflywharf_core.resources import ResourceVector
-from fireflywharf_core.scheduling import FairShare, FirstComeFirstServed
+from fireflywharf_core.results import ResultCode
+from fireflywharf_core.scheduling import (
+    FairShare,
+    FirstComeFirstServed,
+    JobAdmitted,
+    JobCancelled,
+    ReportInfeasible,
+    ReportLate,
+    WorkerLeaving,
+)
 
 POLICIES = {"fair share": FairShare(), "baseline": FirstComeFirstServed()}
 SIZES = [ResourceVector(500, 512), ResourceVector(1500, 1024), ResourceVector(2000, 4000, 1)]
@@ -72,3 +82,162 @@
 @then("every job has reached its last state in at least {count:d} sequences")
 def check_worlds(context, count):
     assert context.worlds_count >= count, context.worlds_count
+
+
+def small_world(workers_count):
+    """Return a world whose tasks end only when a step ends them."""
+    world = World(FairShare(), 1, workers_count)
+    world.pass_time = lambda worker: None
+    world.step()
+    return world
+
+
+def submit_batch(world, tasks_count, size=SIZES[1]):
+    """Submit restartable batch work of customer a."""
+    world.submit(JobKind.BATCH, tasks_count, size, True, "a")
+
+
+def running_places(world):
+    """Return the worker names by job id."""
+    return {
+        ident.task.job_id: worker.vm.name
+        for worker in world.workers.values()
+        for ident in worker.running
+    }
+
+
+@when("a worker with a running batch task is leaving")
+def leave_worker(context):
+    context.world = small_world(2)
+    submit_batch(context.world, 1)
+    context.world.step()
+    context.left = running_places(context.world)["j0"]
+    context.world.tell(WorkerLeaving(context.left))
+
+
+@then("the task is checkpointed and starts on another worker")
+def check_moved(context):
+    for _ in range(4):
+        context.world.step()
+    places = running_places(context.world)
+    assert places["j0"] != context.left, places
+    ends = [record.end for record in context.world.log]
+    assert ends == [AttemptEnd.CHECKPOINTED], ends
+
+
+@when("one of two workers fails every task of ten jobs")
+def fail_on_one_worker(context):
+    world = context.world = World(FairShare(), 1, 2)
+    context.aside, context.most_running = [], 0
+
+    def pass_time(worker):
+        for ident in list(worker.running):
+            bad = worker.vm.name == "w0"
+            world.end(worker, ident, AttemptEnd.FAILED if bad else AttemptEnd.SUCCEEDED)
+
+    world.pass_time = pass_time
+    for _ in range(10):
+        submit_batch(world, 6)
+    for _ in range(60):
+        world.step()
+        if world.scheduler.set_aside_count:
+            context.aside.append(len(world.workers["w0"].running))
+
+
+@then("that worker is set aside, gets one probe at a time, and every job is done")
+def check_set_aside(context):
+    assert context.aside, "the worker was never set aside"
+    assert max(context.aside[1:]) <= 1, context.aside
+    states = {state.value for state in context.world.final.values()}
+    assert len(context.world.final) == 10, context.world.final
+    assert states == {"done"}, states
+
+
+@when("a job with a deadline of 2 s waits for a full domain")
+def wait_past_deadline(context):
+    world = context.world = small_world(1)
+    submit_batch(world, 2, ResourceVector(2000, 4000))
+    world.step()
+    spec = attrs.evolve(world.specs["j0"], job_id="j1", deadline_s=2.0)
+    world.specs["j1"] = spec
+    world.tell(JobAdmitted(spec=spec, new_in_tenure=True))
+    context.actions = watch(world, 10)
+
+
+def watch(world, steps_count):
+    """Return the actions of some steps."""
+    seen, carry_out = [], world.carry_out
+
+    def record(action):
+        seen.append(action)
+        carry_out(action)
+
+    world.carry_out = record
+    for _ in range(steps_count):
+        world.step()
+    return seen
+
+
+@then("it is reported late once and its explanation names a result code")
+def check_late(context):
+    late = [action for action in context.actions if isinstance(action, ReportLate)]
+    assert late == [ReportLate("j1")], late
+    text = context.world.scheduler.explain("j1", context.world.now_s)
+    assert text.split(":")[0] in ResultCode.__members__, text
+
+
+@when("an urgent job arrives at a full domain")
+def submit_urgent(context):
+    world = context.world = small_world(2)
+    submit_batch(world, 4, ResourceVector(2000, 4000))
+    world.step()
+    world.submit(JobKind.URGENT, 2, ResourceVector(3000, 4000), True, "b")
+    context.submitted_s = world.now_s
+
+
+@then("it starts within 5.9 s")
+def check_urgent(context):
+    world = context.world
+    while world.now_s < context.submitted_s + 5.4:
+        world.step()
+    running = [ident for w in world.workers.values() for ident in w.running]
+    assert sum(ident.task.job_id == "j1" for ident in running) == 2, running
+
+
+@when("the only worker that fits a waiting job is lost")
+def lose_fitting_worker(context):
+    world = context.world = small_world(1)
+    submit_batch(world, 2, ResourceVector(2000, 4000))
+    world.step()
+    submit_batch(world, 1, ResourceVector(2000, 4000))
+    world.cut()
+    context.actions = watch(world, 80)
+
+
+@then("the job is reported as infeasible once")
+def check_infeasible(context):
+    found = [a.job_id for a in context.actions if isinstance(a, ReportInfeasible)]
+    assert sorted(found) == ["j0", "j1"], found
+
+
+@when("{count:d} waiting jobs are cancelled and one more is submitted")
+def cancel_many(context, count):
+    world = context.world = small_world(1)
+    submit_batch(world, 1, ResourceVector(3000, 4000))
+    world.step()
+    for _ in range(count):
+        submit_batch(world, 1, ResourceVector(3000, 4000))
+    world.step()
+    for number in range(1, count + 1):
+        world.tell(JobCancelled(f"j{number}"))
+    submit_batch(world, 1, SIZES[0])
+    world.step()
+
+
+@then("the new job starts in the next decision and every cancelled job is finished as cancelled")
+def check_cancelled(context):
+    world = context.world
+    newest = f"j{len(world.specs) - 1}"
+    assert newest in running_places(world), "the new job does not run"
+    states = [state.value for state in world.final.values()]
+    assert states == ["cancelled"] * (len(world.specs) - 2), len(states)
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_attempts.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_attempts.py
@@ -76,8 +76,9 @@
     def hold(self, attempt: Attempt, now_s: float) -> None:
         """Charge an attempt to its worker."""
         attempt.worker.attempts[attempt.ident] = attempt
-        self.workers.charge(attempt.worker, attempt.charged, now_s)
+        # The room is told last, because indexes of reclaimable room are computed from it.
         self.tell(AttemptHeld(attempt), now_s)
+        self.workers.charge(attempt.worker, attempt.charged, now_s)
 
     def release(
         self, attempt: Attempt, now_s: float, elapsed_s: float | None, finished: bool = False
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
@@ -4,6 +4,7 @@
 import math
 import random
 
+from ..contracts import Contract
 from ..jobs import JobKind, JobSpec
 from ..resources import ResourceVector
 from ..results import ResultCode
@@ -74,7 +75,7 @@
         self.ledger = ShareLedger(policy.window_s, policy.charging)
         self.guard = ShortWorkGuard(policy, self.times_)
         self.gangs = GangPlanner(self.rooms, attempts)
-        self.reclaimer = Reclaimer(self.rooms, attempts, self._contract_of)
+        self.reclaimer = Reclaimer(self.rooms, attempts, self.contract_of)
         self.headroom = Headroom(self.rooms, self.ledger)
         self.urgent = UrgentStarter(self)
         self.lending = Lending(self)
@@ -84,7 +85,8 @@
         self._capacity_changed = False
         self._retry_s = 0.0
 
-    def _contract_of(self, customer: str):
+    def contract_of(self, customer: str) -> Contract | None:
+        """Return the contract of a customer, or None."""
         account = self.ledger.accounts_.get(customer)
         return None if account is None else account.contract
 
@@ -92,6 +94,8 @@
         """Take up a fact from the tables."""
         match fact:
             case RoomChanged(worker, grew):
+                if worker.leaving:
+                    self.lending.leaving[worker.name] = worker
                 self.rooms.observe_room(worker, grew)
                 self.reclaimer.observe_room(worker)
                 self._changed |= grew
@@ -185,6 +189,7 @@
             self.headroom.decide()
         self.guard.find_stragglers(now_s)
         self.reclaimer.decide(now_s)
+        self.lending.empty_leaving(now_s)
         self.gangs.decide(now_s)
         self.urgent.decide(now_s)
         if not self._changed and now_s < self._retry_s:
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..contracts import ReclaimStep
-from ._model import Attempt, Job
+from ._model import Attempt, Job, Worker
 from ._share import Account
 
 if TYPE_CHECKING:
@@ -19,6 +19,7 @@
 # Short work waits this long for room to become free before long work of its customer is recalled.
 SHORT_WAIT_S = 1.0
 LONG_ATTEMPTS_EXAMINED = 64
+MAX_MOVES_PER_DECISION = 32
 
 
 class Lending:
@@ -30,6 +31,7 @@
 
     def __init__(self, engine: FairShareEngine) -> None:
         self.engine = engine
+        self.leaving: dict[str, Worker] = {}
         self._below_since_: dict[str, float] = {}
         self._promised: dict[str, set[str]] = {}
 
@@ -64,6 +66,22 @@
             if now_s - since_s >= engine.policy.reclaim_delay_s and above:
                 self._take_back(account, [donor for _, donor in reversed(above)], now_s)
 
+    def empty_leaving(self, now_s: float) -> None:
+        """Move work off leaving workers by checkpoint where contracts allow it."""
+        left = MAX_MOVES_PER_DECISION
+        for worker in list(self.leaving.values()):
+            movable = [attempt for attempt in worker.attempts.values() if attempt.reclaimable]
+            for attempt in movable[:left]:
+                if (
+                    ReclaimStep.CHECKPOINT
+                    in self.engine.contract_of(attempt.job.spec.customer).reclaim_steps
+                ):
+                    wait_s = self.engine.policy.reclaim_escalation_s
+                    self.engine.reclaimer.recall(attempt, wait_s, now_s)
+            left -= min(left, len(movable))
+            if len(movable) <= left or worker.lost or not worker.attempts:
+                del self.leaving[worker.name]
+
     def _help_short_work(self, now_s: float) -> None:
         """Recall long work by checkpoint where short work of the same customer waits."""
         engine = self.engine
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_reports.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_reports.py
@@ -159,13 +159,13 @@
         if charged == attempt.charged:
             return
         before, attempt.charged = attempt.charged, charged
+        self.tell(AttemptCharged(attempt, before), now_s)
         change = charged - before
         grew = min(change.processors_millicores, change.memory_mb) < 0
         if grew:
             self.workers.discharge(attempt.worker, before - charged, now_s)
         else:
             self.workers.charge(attempt.worker, change, now_s)
-        self.tell(AttemptCharged(attempt, before), now_s)
 
     def _measure(self, attempt: Attempt, usage: ResourceVector, now_s: float) -> None:
         seen = attempt.usage
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
@@ -156,6 +156,8 @@
                 elif attempt.phase is Phase.STARTING:
                     self._attempts.start_uncertain(attempt.ident, now_s)
         if attempts_ended:
+            # Tasks that came back to the queue may fit no worker that is left.
+            self._capacity_shrank = True
             self._recovery.worker_resolved(name, now_s)
 
     def _admit(self, event: JobAdmitted, now_s: float) -> None:
