Share the bound on reclaims between customers and start fewer tasks per decision

Decision p99 at 275 workers rose to 5.5 ms after room was reclaimed for all customers in one decision, each with its own bound.

--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
@@ -34,6 +34,7 @@
         self.leaving: dict[str, Worker] = {}
         self._below_since_: dict[str, float] = {}
         self._promised: dict[str, set[str]] = {}
+        self._left_count = 0
 
     def predict(self) -> dict[str, float]:
         """Return the share of each customer that holds or waits for something."""
@@ -48,6 +49,7 @@
 
     def decide(self, now_s: float) -> None:
         """Take room back for customers that waited long enough below their share."""
+        self._left_count = MAX_RECLAIMS_PER_DECISION
         self._help_short_work(now_s)
         engine, shares = self.engine, self.predict()
         accounts = engine.ledger.accounts_
@@ -57,7 +59,7 @@
             if accounts[name].rate > share * (1 + TOLERANCE)
             and engine.reclaimer.by_customer.get(name)
         )
-        for name, share in shares.items():
+        for name, share in sorted(shares.items(), key=lambda row: accounts[row[0]].rate / row[1]):
             account = accounts[name]
             if name not in engine.queue.customers or account.rate >= share * (1 - TOLERANCE):
                 self._below_since_.pop(name, None)
@@ -89,7 +91,7 @@
             account = engine.ledger.accounts_.get(name)
             if account is None or ReclaimStep.CHECKPOINT not in account.contract.reclaim_steps:
                 continue
-            for _ in range(MAX_RECLAIMS_PER_DECISION):
+            while self._left_count > 0:
                 victim, job = self._newest_long(name), self._blocked_short(account, now_s)
                 if victim is None or job is None or self._promises_used(account):
                     break
@@ -97,6 +99,7 @@
                 wait_s = engine.policy.reclaim_escalation_s
                 if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
                     break
+                self._left_count -= 1
                 self._promised[name].add(job.spec.job_id)
 
     def _newest_long(self, name: str) -> Attempt | None:
@@ -127,7 +130,7 @@
 
     def _take_back(self, account: Account, donors: list[str], now_s: float) -> None:
         engine = self.engine
-        for _ in range(MAX_RECLAIMS_PER_DECISION):
+        while self._left_count > 0:
             if self._promises_used(account):
                 return
             job = self._next_job(account, now_s)
@@ -138,6 +141,7 @@
             wait_s = engine.policy.reclaim_escalation_s
             if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
                 return
+            self._left_count -= 1
             self._promised[account.name].add(job.spec.job_id)
 
     def _next_job(self, account: Account, now_s: float) -> Job | None:
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_policy.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_policy.py
@@ -46,7 +46,7 @@
         candidates_count: workers compared for one placement.
     """
 
-    max_starts_per_decision: int = 16
+    max_starts_per_decision: int = 8
     window_s: float = 60.0
     charging: Charging = Charging.METERED
     correct_sizes: bool = True
