--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..contracts import ReclaimStep
-from ._model import Attempt, Job
+from ._model import Attempt, Job, Worker
 from ._share import Account
 
 if TYPE_CHECKING:
@@ -19,6 +19,7 @@
 # Short work waits this long for room to become free before long work of its customer is recalled.
 SHORT_WAIT_S = 1.0
 LONG_ATTEMPTS_EXAMINED = 64
+MAX_MOVES_PER_DECISION = 32
 
 
 class Lending:
@@ -30,8 +31,10 @@
 
     def __init__(self, engine: FairShareEngine) -> None:
         self.engine = engine
+        self.leaving: dict[str, Worker] = {}
         self._below_since_: dict[str, float] = {}
         self._promised: dict[str, set[str]] = {}
+        self._left_count = 0
 
     def predict(self) -> dict[str, float]:
         """Return the share of each customer that holds or waits for something."""
@@ -46,6 +49,7 @@
 
     def decide(self, now_s: float) -> None:
         """Take room back for customers that waited long enough below their share."""
+        self._left_count = MAX_RECLAIMS_PER_DECISION
         self._help_short_work(now_s)
         engine, shares = self.engine, self.predict()
         accounts = engine.ledger.accounts_
@@ -55,7 +59,7 @@
             if accounts[name].rate > share * (1 + TOLERANCE)
             and engine.reclaimer.by_customer.get(name)
         )
-        for name, share in shares.items():
+        for name, share in sorted(shares.items(), key=lambda row: accounts[row[0]].rate / row[1]):
             account = accounts[name]
             if name not in engine.queue.customers or account.rate >= share * (1 - TOLERANCE):
                 self._below_since_.pop(name, None)
@@ -64,6 +68,22 @@
             if now_s - since_s >= engine.policy.reclaim_delay_s and above:
                 self._take_back(account, [donor for _, donor in reversed(above)], now_s)
 
+    def empty_leaving(self, now_s: float) -> None:
+        """Move work off leaving workers by checkpoint where contracts allow it."""
+        left = MAX_MOVES_PER_DECISION
+        for worker in list(self.leaving.values()):
+            movable = [attempt for attempt in worker.attempts.values() if attempt.reclaimable]
+            for attempt in movable[:left]:
+                if (
+                    ReclaimStep.CHECKPOINT
+                    in self.engine.contract_of(attempt.job.spec.customer).reclaim_steps
+                ):
+                    wait_s = self.engine.policy.reclaim_escalation_s
+                    self.engine.reclaimer.recall(attempt, wait_s, now_s)
+            left -= min(left, len(movable))
+            if len(movable) <= left or worker.lost or not worker.attempts:
+                del self.leaving[worker.name]
+
     def _help_short_work(self, now_s: float) -> None:
         """Recall long work by checkpoint where short work of the same customer waits."""
         engine = self.engine
@@ -71,7 +91,7 @@
             account = engine.ledger.accounts_.get(name)
             if account is None or ReclaimStep.CHECKPOINT not in account.contract.reclaim_steps:
                 continue
-            for _ in range(MAX_RECLAIMS_PER_DECISION):
+            while self._left_count > 0:
                 victim, job = self._newest_long(name), self._blocked_short(account, now_s)
                 if victim is None or job is None or self._promises_used(account):
                     break
@@ -79,6 +99,7 @@
                 wait_s = engine.policy.reclaim_escalation_s
                 if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
                     break
+                self._left_count -= 1
                 self._promised[name].add(job.spec.job_id)
 
     def _newest_long(self, name: str) -> Attempt | None:
@@ -109,7 +130,7 @@
 
     def _take_back(self, account: Account, donors: list[str], now_s: float) -> None:
         engine = self.engine
-        for _ in range(MAX_RECLAIMS_PER_DECISION):
+        while self._left_count > 0:
             if self._promises_used(account):
                 return
             job = self._next_job(account, now_s)
@@ -120,6 +141,7 @@
             wait_s = engine.policy.reclaim_escalation_s
             if not engine.reclaimer.reclaim(victim.worker, job, size, wait_s, now_s):
                 return
+            self._left_count -= 1
             self._promised[account.name].add(job.spec.job_id)
 
     def _next_job(self, account: Account, now_s: float) -> Job | None:
