Cover a repeated forward of an idempotent request

Cause: an injected fault (no check for a request id that is already in use) passed all scenarios. Change: the scenario of a request that arrives twice also repeats an idempotent one while it runs.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -86,7 +86,8 @@
     Guards against a transport that repeats a message between entry VMs.
     Given a router that holds a target with 2 slots
     When a forwarded request that may run once arrives again while it runs and after its answer
-    Then it was sent once
+    And a forwarded idempotent request arrives again while it runs
+    Then each was sent once
 
   Scenario: nothing is sent under a lapsed lease
     Guards against sends that only the epoch at the target would stop.
--- a/features/steps/routing_retry_steps.py
+++ b/features/steps/routing_retry_steps.py
@@ -51,7 +51,15 @@
     context.repeated += sends(router.decide(1.3))
 
 
-@then("it was sent once")
+@when("a forwarded idempotent request arrives again while it runs")
+def repeat_idempotent_forward(context):
+    for now_s in (2.0, 2.1):
+        context.router.observe(request(2, forwarded=True), now_s)
+        context.repeated += sends(context.router.decide(now_s))
+    assert context.repeated.pop(0).request_id == "r2"
+
+
+@then("each was sent once")
 def check_sent_once(context):
     assert not context.repeated
 
