Take the time in LeaseTable.release again

The rest before the next claim counts from the release and from the last claim, whichever ends later, and still survives forget().

--- a/features/state_election.feature
+++ b/features/state_election.feature
@@ -40,7 +40,7 @@
 
   Scenario: a released lease, guarding against a release that ends the next lease unnoticed
     When a lease is released, forgotten or not, and wanted again at once
-    Then it is claimed again only after the last claim has lapsed
+    Then it is claimed again only after its length has passed
 
   Scenario: a delayed claim renews a released lease, guarding against renewing it for ever
     When a released lease was renewed by a claim that was delayed
--- a/features/steps/state_election_steps.py
+++ b/features/steps/state_election_steps.py
@@ -190,7 +190,7 @@
     context.lease_table = table = LeaseTable(5.0)
     table.track(["w0"], 0.0)
     sent_s = table.begin("w0", 1.0)
-    table.release(["w0"])
+    table.release(["w0"], 1.1)
     context.result = table.on_granted("w0", 1, sent_s, 1.2)
 
 
@@ -230,18 +230,18 @@
         assert table.due(1.0) == ["w0"]
         grant = granter.claim("vm#1", 5.0, 1.0)
         table.on_granted("w0", grant.epoch, table.begin("w0", 1.0), 1.1)
-        released = table.release(["w0"])
+        released = table.release(["w0"], 2.0)
         if forgotten:
             table.forget(["w0"])
         table.track(["w0"], 2.0)
-        due = [table.due(now_s) for now_s in (2.5, 6.0, 6.3)]
-        again = granter.claim("vm#1", 5.0, 6.3)
-        table.on_granted("w0", again.epoch, table.begin("w0", 6.3), 6.4)
-        late_release = granter.release(grant.epoch, 6.5)
-        context.runs.append((released, due, late_release, table.held(6.5)))
+        due = [table.due(now_s) for now_s in (2.5, 7.0, 7.3)]
+        again = granter.claim("vm#1", 5.0, 7.3)
+        table.on_granted("w0", again.epoch, table.begin("w0", 7.3), 7.4)
+        late_release = granter.release(grant.epoch, 7.5)
+        context.runs.append((released, due, late_release, table.held(7.5)))
 
 
-@then("it is claimed again only after the last claim has lapsed")
+@then("it is claimed again only after its length has passed")
 def check_reclaim(context):
     expected = ([("w0", 1)], [[], [], ["w0"]], False, {"w0"})
     assert context.runs == [expected, expected], context.runs
@@ -252,17 +252,17 @@
     context.table_after = table = LeaseTable(5.0)
     table.track(["w0"], 0.0)
     table.on_granted("w0", 1, table.begin("w0", 1.0), 1.1)
-    table.release(["w0"])
+    table.release(["w0"], 2.0)
     table.track(["w0"], 2.0)
-    context.due = [table.due(6.3)]
-    context.answer = table.on_granted("w0", 1, table.begin("w0", 6.3), 6.4)
-    context.due += [table.due(11.4), table.due(11.7)]
+    context.due = [table.due(7.3)]
+    context.answer = table.on_granted("w0", 1, table.begin("w0", 7.3), 7.4)
+    context.due += [table.due(12.4), table.due(12.7)]
 
 
 @then("the holder does not act and lets it lapse before it claims again")
 def check_renewed_released(context):
     assert context.answer == AnswerStale()
-    assert context.table_after.held(6.5) == frozenset()
+    assert context.table_after.held(7.5) == frozenset()
     assert context.due == [["w0"], [], ["w0"]], context.due
 
 
--- a/features/steps/state_world.py
+++ b/features/steps/state_world.py
@@ -87,7 +87,7 @@
             for name in self.table.due(now_s):
                 self.world.send_claim(self, name, self.table.begin(name, now_s))
         else:
-            for name, epoch in self.table.release(self.table.names()):
+            for name, epoch in self.table.release(self.table.names(), now_s):
                 self.world.send_release(name, epoch)
             if self.forgets_released:
                 self.table.forget(self.table.names())
--- a/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
@@ -33,6 +33,7 @@
     expiry_queued: bool = False
     wanted: bool = True
     sent_s: float = float("-inf")
+    rest_until_s: float = float("-inf")
     boot_id: str = ""
     past_boot_ids: tuple[str, ...] = ()
 
@@ -79,8 +80,9 @@
     def track(self, names: Iterable[str], now_s: float) -> None:
         """Begin to claim and renew the leases of `names`; wanted ones are left as they are.
 
-        A lease that was released or forgotten is claimed again only when the last claim of it has
-        lapsed. Otherwise a release that is still on its way could end the new lease unnoticed.
+        A lease that was released is claimed again only after its length, and one that was forgotten
+        only when the last claim of it has lapsed. Otherwise a release that is still on its way
+        could end the new lease unnoticed.
         """
         self._resting = {name: s for name, s in self._resting.items() if s > now_s}
         for name in names:
@@ -188,13 +190,14 @@
             row.failures_count += 1
             self._answered(name, row, now_s)
 
-    def release(self, names: Iterable[str]) -> list[tuple[str, int]]:
+    def release(self, names: Iterable[str], now_s: float) -> list[tuple[str, int]]:
         """Give up leases and stop claiming them until `track` is called again.
 
         It must be called before the releases are sent.
 
         Args:
             names: workers or targets.
+            now_s: present time.
 
         Returns:
             Each held name with the epoch to release.
@@ -205,6 +208,7 @@
             if row is None or not row.wanted:
                 continue
             row.wanted = False
+            row.rest_until_s = now_s + self.lease_s + margin_s(self.lease_s)
             if row.held:
                 given_up.append((name, row.lease.epoch))
             row.lease.on_released()
@@ -293,7 +297,8 @@
         self._schedule(name, row, now_s + delay_s)
 
     def _lapse_s(self, row: _Row) -> float:
-        return row.sent_s + self.lease_s + margin_s(self.lease_s)
+        """Return the time by which the last claim has lapsed and a release has arrived."""
+        return max(row.rest_until_s, row.sent_s + self.lease_s + margin_s(self.lease_s))
 
     def _answer_timeout_s(self) -> float:
         return self.lease_s * ANSWER_TIMEOUT_FRACTION
