Use Pair1 sockets in the mesh

Change: the mesh dials with Pair1 and listens with polyamorous Pair1; the receiver is woken through the same protocol; a scenario replaces a peer 40 times under load.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -19,6 +19,11 @@
     When "b" is replaced by a new incarnation at the same address
     Then "a" reaches the new incarnation within 3.0 s
 
+  Scenario: a peer that is replaced again and again does not end the process
+    Guards against sends through a freed connection, as Push0 of nng 1.11 makes them.
+    When "b" is replaced 40 times while "a" sends without pause
+    Then "a" reaches "b" again within 3.0 s
+
   Scenario: a call to an address where nobody listens was not sent
     When "a" calls an address where nobody listens with a budget of 1000 ms
     Then the mesh outcome is "Unreachable" within 0.6 s
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -171,6 +171,36 @@
     assert wait_until(reached, limit_s)
 
 
+@when('"b" is replaced {count:d} times while "a" sends without pause')
+def replace_under_load(context, count):
+    a, address = context.peers["a"], context.peers["b"].address
+    stopping = threading.Event()
+
+    def send_all():
+        while not stopping.is_set():
+            a.mesh.send(address, Acknowledged("x"))
+
+    sender = threading.Thread(target=send_all)
+    sender.start()
+    try:
+        for life in range(count):
+            replace_peer(context, life + 2)
+            time.sleep(0.03)
+    finally:
+        stopping.set()
+        sender.join()
+
+
+@then('"a" reaches "b" again within {limit_s:g} s')
+def check_reaches_again(context, limit_s):
+    a, b = context.peers["a"], context.peers["b"]
+
+    def reached():
+        return isinstance(a.mesh.call(b.address, JobQuery("x"), 500), JobAnswer)
+
+    assert wait_until(reached, limit_s)
+
+
 @when('"a" calls an address where nobody listens with a budget of {budget_ms:d} ms')
 def call_nobody(context, budget_ms):
     context.mesh_nobody = f"127.0.0.1:{free_ports(1)[0]}"
@@ -239,7 +269,7 @@
 @given("a peer that accepts connections and never reads")
 def start_silent_peer(context):
     [port] = free_ports(1)
-    silent = pynng.Pull0(recv_buffer_size=1)
+    silent = pynng.Pair1(polyamorous=True, recv_buffer_size=1)
     context.silent_connections = []
     silent.add_post_pipe_connect_cb(lambda pipe: context.silent_connections.append(pipe.id))
     silent.listen(f"tcp://127.0.0.1:{port}")
@@ -317,7 +347,7 @@
 @when('random frames and frames of a newer version are sent to "a"')
 def send_damaged(context):
     generator = random.Random(5)
-    with pynng.Push0() as raw:
+    with pynng.Pair1(polyamorous=False) as raw:
         raw.dial(f"tcp://{context.peers['a'].address}", block=True)
         for _ in range(100):
             raw.send(generator.randbytes(generator.randint(0, 60)))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_frames.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_frames.py
@@ -10,8 +10,8 @@
 
 # A target's answer of up to 4 MiB fits with room for the other fields.
 MESSAGE_MAX_BYTES = 8_388_608
-# Length prefix of a message in the SP protocol over TCP.
-FRAME_OVERHEAD_BYTES = 8
+# Length prefix of a message in the SP protocol over TCP, and hop count of Pair1.
+FRAME_OVERHEAD_BYTES = 12
 
 
 class FrameKind(IntEnum):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_link.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_link.py
@@ -63,7 +63,9 @@
         self._pinged = False
         self._lock = threading.Lock()
         self._queue: deque[Outgoing] = deque()
-        self._socket = pynng.Push0(
+        # Push0 of nng 1.11 can send through a connection that was freed, which ends the process.
+        self._socket = pynng.Pair1(
+            polyamorous=False,
             send_buffer_size=0,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=int(reconnect_max_s * 1000),
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
@@ -26,13 +26,13 @@
 from ._incoming import CallHandler
 from ._link import Link, Outgoing
 from ._outcomes import CallRefused, IncomingCall, MeshObserver, NoAnswer, Unreachable
+from ._wake import wake_receiver
 
 _logger = logging.getLogger(__name__)
 
 LINKS_MAX_COUNT = 512
 # Time between looks at the connections while calls are pending, and otherwise.
-TICK_S = 0.1
-IDLE_TICK_S = 0.5
+TICK_S, IDLE_TICK_S = 0.1, 0.5
 ROUND_MIN_S = 0.0001
 # Longest delay between a new connection and the first frame on it.
 CONNECT_POLL_S = 0.01
@@ -41,8 +41,7 @@
 STOP_MAX_S = 2.0
 # A failed connection attempt costs about 1.6 ms of processor time in nng, so that 70 lost peers
 # tried once a second would take a tenth of a core. Peers of other domains are tried less often.
-RECONNECT_MAX_S = 8.0
-DOMAIN_RECONNECT_MAX_S = 1.0
+RECONNECT_MAX_S, DOMAIN_RECONNECT_MAX_S = 8.0, 1.0
 # nng drops what its transport has not yet written when a socket is closed.
 FLUSH_S = 0.05
 _REPLACED_BY_NEWER = (Heartbeat, DomainDigest)
@@ -93,7 +92,7 @@
         self._calls, self._links = CallTable(), dict[str, Link]()
         self._changed = threading.Condition()
         self._stopping = False
-        self._receiver_socket: pynng.Pull0 | None = None
+        self._receiver_socket: pynng.Pair1 | None = None
         self._handler = CallHandler(
             incarnation, on_call, self._put_control, call_threads_count, queue_max_messages
         )
@@ -105,7 +104,8 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        receiver = pynng.Pull0(recv_max_size=MESSAGE_MAX_BYTES)
+        # Without a receive timeout; see `wake_receiver`.
+        receiver = pynng.Pair1(polyamorous=True, recv_max_size=MESSAGE_MAX_BYTES)
         try:
             receiver.listen(f"tcp://{self.listen}")
         except pynng.NNGException as error:
@@ -202,32 +202,16 @@
             self._stopping = True
             self._changed.notify_all()
         self._handler.close()
-        self._end_receiver()
+        if self._threads:
+            wake_receiver(self._sender, STOP_MAX_S)
         for thread in self._threads:
             thread.join(STOP_MAX_S)
+        if self._receiver_socket is not None and not self._threads[-1].is_alive():
+            self._receiver_socket.close()
         self._calls.fail_all("the daemon is shutting down")
         for link in self._links.values():
             link.close()
 
-    def _end_receiver(self) -> None:
-        """End the receiver thread with a frame to itself, then close its socket.
-
-        nng 1.11 aborts or hangs when a socket is closed, or a receive times out, while another
-        thread receives from it.
-        """
-        receiver, thread = self._receiver_socket, self._threads[-1] if self._threads else None
-        if receiver is None or thread is None:
-            return
-        with pynng.Push0(send_timeout=int(STOP_MAX_S * 1000)) as waker:
-            try:
-                waker.dial(f"tcp://{self.listen}", block=True)
-                waker.send(encode_frame(FrameKind.PONG, self._sender))
-            except pynng.NNGException as error:
-                _logger.warning("mesh receiver could not be woken: %s", error)
-            thread.join(STOP_MAX_S)
-        if not thread.is_alive():
-            receiver.close()
-
     def _link(self, address: str) -> Link | None:
         with self._changed:
             link = self._links.get(address)
@@ -383,8 +367,7 @@
 
     def _count_received(self, address: str, reason: str, data: bytes) -> None:
         if self.observer is not None:
-            size_bytes = len(data) + FRAME_OVERHEAD_BYTES
-            self.observer.mesh_received(address, reason, size_bytes)
+            self.observer.mesh_received(address, reason, len(data) + FRAME_OVERHEAD_BYTES)
 
     def _decode(self, frame: Frame, data: bytes) -> Any | None:
         try:
