--- a/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/leases/_table.py
@@ -2,13 +2,14 @@
 
 import hashlib
 import heapq
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import attrs
 
-from ._holder import AnswerStale, HolderLease, LeaseGained, LeaseRenewed, RenewalResult
+from ._holder import AnswerStale, HolderLease, LeaseGained, LeaseRenewed, RenewalResult, margin_s
 
 JITTER_FRACTION = 0.05
 ANSWER_TIMEOUT_FRACTION = 0.5
@@ -29,8 +30,9 @@
     due_s: float
     failures_count: int = 0
     held: bool = False
+    expiry_queued: bool = False
     wanted: bool = True
-    reclaim_s: float = float("-inf")
+    sent_s: float = float("-inf")
     boot_id: str = ""
     past_boot_ids: tuple[str, ...] = ()
 
@@ -64,6 +66,8 @@
         self._held: set[str] = set()
         self._expiries: list[tuple[float, str]] = []
         self._lapsed: set[str] = set()
+        # Times before which forgotten leases are not claimed again.
+        self._resting: dict[str, float] = {}
 
     def __contains__(self, name: str) -> bool:
         return name in self._rows
@@ -75,9 +79,10 @@
     def track(self, names: Iterable[str], now_s: float) -> None:
         """Begin to claim and renew the leases of `names`; wanted ones are left as they are.
 
-        A lease that was released is claimed again only after its length has passed. Otherwise a
-        release that is still on its way could end the new lease unnoticed.
+        A lease that was released or forgotten is claimed again only when the last claim of it has
+        lapsed. Otherwise a release that is still on its way could end the new lease unnoticed.
         """
+        self._resting = {name: s for name, s in self._resting.items() if s > now_s}
         for name in names:
             row = self._rows.get(name)
             if row is None:
@@ -88,12 +93,15 @@
                 continue
             row.wanted = True
             first_s = now_s + row.phase * self.claim_interval_s
-            self._schedule(name, row, max(first_s, row.reclaim_s))
+            rested_s = max(self._resting.pop(name, first_s), self._lapse_s(row))
+            self._schedule(name, row, max(first_s, rested_s))
 
     def forget(self, names: Iterable[str]) -> None:
         """Stop claiming and renewing `names`; later answers for them are ignored."""
         for name in names:
-            self._rows.pop(name, None)
+            row = self._rows.pop(name, None)
+            if row is not None and row.sent_s > float("-inf"):
+                self._resting[name] = self._lapse_s(row)
             self._held.discard(name)
             self._lapsed.discard(name)
 
@@ -110,8 +118,7 @@
 
     def begin(self, name: str, now_s: float) -> float:
         """Note that a claim is about to be sent, and return the time to report with its answer."""
-        row = self._rows[name]
-        self._schedule(name, row, now_s + self._answer_timeout_s())
+        self._rows[name].sent_s = now_s
         return now_s
 
     def on_granted(
@@ -147,9 +154,12 @@
         if isinstance(result, LeaseGained | LeaseRenewed) and row.lease.may_act(now_s):
             row.held = True
             self._held.add(name)
-            expiry_s = now_s + row.lease.remaining_s(now_s)
-            heapq.heappush(self._expiries, (expiry_s, name))
+            if not row.expiry_queued:
+                self._queue_expiry(name, row, now_s)
         self._answered(name, row, now_s)
+        if epoch == row.lease.epoch and not row.lease.held:
+            # The granter renewed a lease that was given up; it must lapse before the next claim.
+            self._schedule(name, row, now_s + self.lease_s + margin_s(self.lease_s))
         return result
 
     def on_refused(self, name: str, epoch: int, now_s: float) -> None:
@@ -178,14 +188,13 @@
             row.failures_count += 1
             self._answered(name, row, now_s)
 
-    def release(self, names: Iterable[str], now_s: float) -> list[tuple[str, int]]:
+    def release(self, names: Iterable[str]) -> list[tuple[str, int]]:
         """Give up leases and stop claiming them until `track` is called again.
 
         It must be called before the releases are sent.
 
         Args:
             names: workers or targets.
-            now_s: present time.
 
         Returns:
             Each held name with the epoch to release.
@@ -196,7 +205,6 @@
             if row is None or not row.wanted:
                 continue
             row.wanted = False
-            row.reclaim_s = now_s + self.lease_s
             if row.held:
                 given_up.append((name, row.lease.epoch))
             row.lease.on_released()
@@ -213,6 +221,11 @@
         row = self._rows.get(name)
         return row is not None and row.lease.may_act(now_s)
 
+    def remaining_s(self, name: str, now_s: float) -> float:
+        """Return how long the lease of `name` may still be acted on."""
+        row = self._rows.get(name)
+        return row.lease.remaining_s(now_s) if row is not None else 0.0
+
     def held(self, now_s: float) -> frozenset[str]:
         """Return the names whose lease is held now."""
         self._expire(now_s)
@@ -233,9 +246,21 @@
         while self._expiries and self._expiries[0][0] <= now_s:
             _, name = heapq.heappop(self._expiries)
             row = self._rows.get(name)
-            if row is not None and row.held and not row.lease.may_act(now_s):
+            if row is None:
+                continue
+            row.expiry_queued = False
+            if not row.held:
+                continue
+            if row.lease.may_act(now_s):
+                self._queue_expiry(name, row, now_s)
+            else:
                 self._lose(name, row)
 
+    def _queue_expiry(self, name: str, row: _Row, now_s: float) -> None:
+        # One entry per lease: it is queued again when it comes up and the lease was renewed.
+        row.expiry_queued = True
+        heapq.heappush(self._expiries, (now_s + row.lease.remaining_s(now_s), name))
+
     def _take_boot(self, name: str, row: _Row, boot_id: str) -> bool:
         """Drop the lease after a restart of the granter; return False for an old boot's answer."""
         if boot_id in ("", row.boot_id):
@@ -256,11 +281,19 @@
         self._held.discard(name)
 
     def _answered(self, name: str, row: _Row, now_s: float) -> None:
-        interval_s = self.renewal_interval_s if row.held else self.claim_interval_s
-        if not row.held:
-            interval_s *= min(MAX_UNHELD_INTERVALS, 2 ** min(row.failures_count, 8))
-        interval_s *= 1 + self.rng.uniform(-JITTER_FRACTION, JITTER_FRACTION)
-        self._schedule(name, row, now_s + interval_s)
+        if row.held:
+            # Each lease keeps its own phase of the interval, which spreads the renewals evenly.
+            interval_s = self.renewal_interval_s
+            place = math.ceil(now_s / interval_s + 0.5 - row.phase) + row.phase
+            delay_s = place * interval_s - now_s
+        else:
+            delay_s = self.claim_interval_s
+            delay_s *= min(MAX_UNHELD_INTERVALS, 2 ** min(row.failures_count, 8))
+        delay_s *= 1 + self.rng.uniform(-JITTER_FRACTION, JITTER_FRACTION)
+        self._schedule(name, row, now_s + delay_s)
+
+    def _lapse_s(self, row: _Row) -> float:
+        return row.sent_s + self.lease_s + margin_s(self.lease_s)
 
     def _answer_timeout_s(self) -> float:
         return self.lease_s * ANSWER_TIMEOUT_FRACTION
--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_requests.py
@@ -33,7 +33,7 @@
     time_key: tuple[str, str, str]
     idempotent: bool
     key: str
-    digest: str
+    digest: bytes
     body_bytes: int
     forwarded: bool
     arrived_s: float
@@ -41,6 +41,7 @@
     may_forward: bool = True
     phase: Phase = Phase.QUEUED
     key_use: KeyUse = KeyUse.NONE
+    key_number: int = 0
     sends_count: int = 0
     live_count: int = 0
     maybe_ran: bool = False
@@ -68,3 +69,4 @@
     epoch: int
     sent_s: float
     probe: bool = False
+    long: bool = False
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -15,10 +15,11 @@
     StreamReader,
     Ticket,
 )
+from fireflywharf_core.platform import AppendAnswer, ReadAnswer
 from fireflywharf_core.records import RECORD_CODEC
 from fireflywharf_core.results import NotRun, OutcomeUnknown, ResultCode
 
-from ..platform import LogAppended, LogClient, LogFailed, LogRead, LogRefused
+from ..platform import LogClient, RefusedBeforeRun, Success
 from ._pools import IoPools
 from ._tasks import TaskGroup
 
@@ -27,6 +28,19 @@
 IDLE_WAIT_S = 0.5
 
 
+class StreamListener:
+    """Folds the records of one stream; a component overrides what it needs."""
+
+    def before_records(self, reader: StreamReader) -> None:
+        """Prepare for the records of one read."""
+
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record."""
+
+    def after_records(self, reader: StreamReader) -> None:
+        """Note that all records below `reader.next_offset` were folded."""
+
+
 class LogStream:
     """Connects the writer and the reader of one stream with the log service.
 
@@ -35,7 +49,7 @@
         pools: thread pools.
         writer: group writer of this process.
         reader: reader of the stream.
-        on_records: called with the reader and the new records after each read.
+        listener: folds the records.
         poll_interval_s: time between reads while nothing is waiting.
     """
 
@@ -45,16 +59,17 @@
         pools: IoPools,
         writer: GroupWriter,
         reader: StreamReader,
-        on_records: Callable[[StreamReader, list[ReadRecord]], None],
+        listener: StreamListener,
         poll_interval_s: float,
     ) -> None:
         self.client = client
         self.pools = pools
         self.writer = writer
         self.reader = reader
-        self.on_records = on_records
+        self.listener = listener
         self.poll_interval_s = poll_interval_s
         self.read_failures_count = 0
+        self.apply_failures_count = 0
         self.end_read_s = float("-inf")
         self._waiting: dict[int, asyncio.Future[int]] = {}
         self._write_wanted = asyncio.Event()
@@ -172,16 +187,13 @@
                 )
         now_s = time.monotonic()
         match answer:
-            case LogAppended(first_offset=first_offset):
+            case Success(AppendAnswer(first_offset)):
                 self._settle(self.writer.on_appended(first_offset, now_s))
-            case LogRead(answer=read):
-                durable = self.writer.on_read_back(
-                    read.entries, read.next_offset, read.first_available, now_s
-                )
-                self._settle(durable)
-            case LogRefused():
+            case Success(ReadAnswer(entries, next_offset, first_available)):
+                self._settle(self.writer.on_read_back(entries, next_offset, first_available, now_s))
+            case RefusedBeforeRun():
                 self.writer.on_refused(now_s)
-            case LogFailed():
+            case _:
                 self.writer.on_uncertain(now_s)
 
     def _settle(self, durable: list[Durable]) -> None:
@@ -200,7 +212,7 @@
                 "log", self.client.read, self.name, self.reader.next_offset, READ_LIMIT_RECORDS
             )
             match answer:
-                case LogRead(answer=read):
+                case Success(read):
                     self.read_failures_count = 0
                     self._deliver(read)
                     if self.reader.at_end:
@@ -210,7 +222,7 @@
                     self.reader.at_end = False
             async with self._read_done:
                 self._read_done.notify_all()
-            if isinstance(answer, LogRead) and not self.reader.at_end:
+            if isinstance(answer, Success) and not self.reader.at_end:
                 continue
             try:
                 await asyncio.wait_for(self._read_wanted.wait(), self.poll_interval_s)
@@ -219,11 +231,15 @@
             if self.read_failures_count:
                 await asyncio.sleep(self.poll_interval_s)
 
-    def _deliver(self, read: Any) -> None:
+    def _deliver(self, read: ReadAnswer) -> None:
         records = self.reader.on_read(read)
-        try:
-            self.on_records(self.reader, records)
-        except Exception:
-            # A record that this version cannot apply must not stop the reading of later ones.
-            _LOG.exception("records of stream %s could not be applied", self.name)
+        self.listener.before_records(self.reader)
+        for row in records:
+            try:
+                self.listener.fold_record(row)
+            except Exception:
+                # One record that cannot be applied must not hide the later ones.
+                self.apply_failures_count += 1
+                _LOG.exception("record %d of stream %s not applied", row.offset, self.name)
+        self.listener.after_records(self.reader)
         self.writer.note_end(self.reader.next_offset)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
@@ -11,7 +11,7 @@
 import attrs
 
 from fireflywharf_core.contracts import Contract
-from fireflywharf_core.log import ReadRecord, StreamReader
+from fireflywharf_core.log import ReadRecord
 from fireflywharf_core.messages import DomainDigest, ForwardRequest, Heartbeat, RequestAnswer
 from fireflywharf_core.platform import VmInfo
 from fireflywharf_core.records import KeyClaimed, KeyOutcome
@@ -54,9 +54,17 @@
 
 from ..http import ExecuteRequest, RequestResult
 from ..mesh import CallRefused, IncomingCall, Unreachable
-from ..platform import Failed, RefusedBeforeRun, RefusedReason, TargetAnswer
+from ..platform import (
+    Failed,
+    PlatformOutcome,
+    RefusalReason,
+    RefusedBeforeRun,
+    Success,
+    TargetAnswer,
+    TargetRequest,
+)
 from ._context import Context
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._targets import TargetService
 from ._tasks import TaskGroup
@@ -74,7 +82,7 @@
     arrived_s: float
 
 
-class RequestService:
+class RequestService(StreamListener):
     """Runs the router core of this entry VM.
 
     Args:
@@ -210,14 +218,13 @@
         """Admit nothing more."""
         self.observe(DrainStarted())
 
-    def on_records(self, _: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of stream `keys`."""
-        for row in records:
-            match row.record:
-                case KeyClaimed():
-                    self.observe(KeyClaimSeen(row.record))
-                case KeyOutcome():
-                    self.observe(KeyOutcomeSeen(row.record))
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of stream `keys`."""
+        match row.record:
+            case KeyClaimed():
+                self.observe(KeyClaimSeen(row.record))
+            case KeyOutcome():
+                self.observe(KeyOutcomeSeen(row.record))
 
     # Execution of actions.
 
@@ -271,33 +278,32 @@
         )
         elapsed_s = self.context.now_s() - started_s
         match answer:
-            case TargetAnswer():
+            case Success(TargetAnswer(status, body, leaving)):
                 self.observe(
-                    SendSucceeded(
-                        action.send_id, answer.status, answer.body, action.send_id, True, elapsed_s
-                    )
+                    SendSucceeded(action.send_id, status, body, action.send_id, True, elapsed_s)
                 )
-                if answer.leaving:
+                if leaving:
                     self.observe(TargetLeaving(action.target))
-            case RefusedBeforeRun(reason=reason):
+            case RefusedBeforeRun(reason, leaving=leaving):
                 self.observe(SendRefused(action.send_id, _refused_by(reason)))
-            case Failed(bytes_sent=bytes_sent):
+                if leaving:
+                    self.observe(TargetLeaving(action.target))
+            case Failed(bytes_sent):
                 self.observe(SendFailed(action.send_id, bytes_sent))
 
     def _execute_at_target(
         self, action: SendToTarget, request: ForwardRequest, vm: VmInfo, started_s: float
-    ) -> "TargetAnswer | RefusedBeforeRun | Failed":
+    ) -> PlatformOutcome[TargetAnswer]:
         # The pool can delay the call; what is left of the deadline goes to the target.
-        waited_ms = int((time.monotonic() - started_s) * 1000)
+        budget_s = action.remaining_ms / 1000 - (time.monotonic() - started_s)
         return self.context.clients.target.execute(
             vm.address,
-            request_id=action.send_id,
-            epoch=action.epoch,
-            deadline_ms=max(1, action.remaining_ms - waited_ms),
-            kind=request.kind,
-            key=request.key,
-            body=request.body,
-            connections_count=vm.connections_count,
+            vm.connections_count,
+            action.epoch,
+            TargetRequest(
+                request_id=action.send_id, body=request.body, kind=request.kind, key=request.key
+            ),
+            budget_s,
         )
 
     async def _forward(
@@ -337,11 +343,11 @@
         self.observe(KeyClaimUnavailable(request_id))
 
 
-def _refused_by(reason: RefusedReason) -> RefusedBy:
+def _refused_by(reason: RefusalReason) -> RefusedBy:
     match reason:
-        case RefusedReason.STALE_EPOCH:
+        case RefusalReason.STALE_EPOCH:
             return RefusedBy.STALE_EPOCH
-        case RefusedReason.NOT_RUN:
+        case RefusalReason.NOT_RUN:
             return RefusedBy.NOT_RUN
         case _:
             return RefusedBy.CONNECT
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -3,10 +3,11 @@
 import logging
 import random
 import time
+from typing import Any
 
 from fireflywharf_core.contracts import Contract
 from fireflywharf_core.jobs import AttemptId, TaskId
-from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord, StreamReader
+from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord
 from fireflywharf_core.membership import (
     ActAsScheduler,
     ClaimWorkers,
@@ -40,7 +41,7 @@
 
 from ._context import Context
 from ._execution import DecisionExecutor
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._tasks import TaskGroup
 from ._worker_gateway import WorkerGateway
@@ -50,7 +51,7 @@
 REPLAY_TIMEOUT_S = 5.0
 
 
-class SchedulerService:
+class SchedulerService(StreamListener):
     """Takes part in the election and, during a tenure, runs the decisions of the scheduler core.
 
     Args:
@@ -98,6 +99,15 @@
         """Whether this process is the scheduler of its domain."""
         return self.core is not None
 
+    def waiting_tasks(self) -> dict[str, int]:
+        """Return the waiting tasks by customer."""
+        if self.core is None:
+            return {}
+        return {
+            customer: sum(job.tasks_waiting_count for job in self.core.jobs(customer))
+            for customer in self.contracts
+        }
+
     def known_workers(self) -> dict[str, VmInfo]:
         """Return the known workers of the domain."""
         return self.domain_fold.workers_ | self.extra_workers
@@ -115,14 +125,13 @@
 
     # Input.
 
-    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of the stream of the domain."""
-        now_s = self.context.now_s()
-        for row in records:
-            self.domain_fold.fold(row.offset, row.record, now_s, live=self.stream.end_read_s > 0)
-            if isinstance(row.record, WorkerAdded | WorkerRemoved):
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of the stream of the domain."""
+        live = self.stream.end_read_s > float("-inf")
+        self.domain_fold.fold(row.offset, row.record, self.context.now_s(), live=live)
+        match row.record:
+            case WorkerAdded(VmInfo(name=name)) | WorkerRemoved(name):
                 self._change_pending = False
-                name = getattr(row.record, "name", "") or row.record.vm.name
                 self.extra_workers.pop(name, None)
 
     def set_contract(self, contract: Contract) -> None:
@@ -161,6 +170,17 @@
         self.provisional[admitted.spec.job_id] = admitted
         self._observe(admitted)
 
+    def answer_peer(self, message: KnownWorkersQuery | WorkersKnown) -> Any:
+        """Answer a peer that learns or spreads known workers while the log is down."""
+        match message:
+            case WorkersKnown(workers):
+                for vm in workers:
+                    if vm.name not in self.domain_fold.workers_:
+                        self.extra_workers[vm.name] = vm
+                return Acknowledged()
+            case KnownWorkersQuery():
+                return WorkersKnown(list(self.known_workers().values()))
+
     def _observe(self, event: Event) -> None:
         if self.core is not None:
             self.core.observe(event, self.context.now_s())
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 
-from fireflywharf_core.leases import LeaseTable
+from fireflywharf_core.leases import LeaseTable, LeaseUnwanted
 from fireflywharf_core.membership import TargetAssignment
 from fireflywharf_core.platform import VmInfo, VmRole, VmState
 from fireflywharf_core.routing import (
@@ -17,7 +17,7 @@
     TargetStatusSeen,
 )
 
-from ..platform import TargetClaimed, TargetStatusRead
+from ..platform import Success
 from ._context import Context
 from ._membership import Membership
 from ._tasks import TaskGroup
@@ -105,7 +105,6 @@
             self.observe(TargetLost(name))
             if name in self.vms:
                 self.tasks.spawn(self._send_release(name, epoch))
-        self.leases.forget(names)
 
     async def _send_release(self, name: str, epoch: int) -> None:
         vm = self.vms.get(name)
@@ -127,8 +126,12 @@
         )
         now_s = self.context.now_s()
         match answer:
-            case TargetClaimed(answer=claim) if claim.granted:
-                self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
+            case Success(claim) if claim.granted:
+                result = self.leases.on_granted(
+                    name, claim.epoch, sent_s, now_s, claim.remaining_s, claim.boot_id
+                )
+                if isinstance(result, LeaseUnwanted):
+                    await self._send_release(name, claim.epoch)
                 if self.leases.may_act(name, now_s):
                     self.observe(
                         TargetHeld(
@@ -137,11 +140,11 @@
                             in_progress=claim.in_progress,
                             boot_id=claim.boot_id,
                             leaving=claim.leaving,
-                            lease_until_s=self.leases.lease_until_s(name, now_s),
+                            lease_until_s=now_s + self.leases.remaining_s(name, now_s),
                             asked_s=sent_s,
                         )
                     )
-            case TargetClaimed(answer=claim):
+            case Success(claim):
                 self.leases.on_refused(name, claim.epoch, now_s)
             case _:
                 self.leases.on_failed(name, now_s)
@@ -155,7 +158,7 @@
             "control", self.context.clients.target.status, vm.address
         )
         match answer:
-            case TargetStatusRead(status=status):
+            case Success(status):
                 self.observe(TargetStatusSeen(name, status, asked_s))
                 if status.leaving:
                     self.observe(TargetLeaving(name))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
@@ -11,7 +11,7 @@
 from fireflywharf_core.leases import LeaseGained, LeaseTable, margin_s
 from fireflywharf_core.platform import ClaimAnswer, CommandAnswer, VmInfo, WorkerCommand
 
-from ..platform import CommandsDone, Failed, RefusedBeforeRun, WorkerClaimed, WorkerListed
+from ..platform import RefusalReason, RefusedBeforeRun, Success
 from ._context import Context
 from ._tasks import TaskGroup
 
@@ -133,7 +133,9 @@
             self.context.pools.run("workers", worker.release, self._rows[name].vm.address, epoch)
             for name, epoch in self.leases.release(names)
         ]
-        self._drop(names)
+        for name in names:
+            self._drop_commands(name)
+        self._rows.clear()
         await asyncio.gather(*calls, return_exceptions=True)
 
     def send(self, name: str, command: WorkerCommand, on_result: OnResult) -> None:
@@ -168,7 +170,7 @@
             # A claim could prolong the tasks of a worker whose answers are lost, so a worker that
             # fell silent is first asked without effect.
             listed = await self.context.pools.run("workers", worker.list, row.vm.address)
-            if not isinstance(listed, WorkerListed):
+            if not isinstance(listed, Success):
                 self.leases.on_failed(name, self.context.now_s())
                 return
         sent_s = self.leases.begin(name, self.context.now_s()) if name in self.leases else 0.0
@@ -187,18 +189,21 @@
         now_s = self.context.now_s()
         row.last_claim_s = now_s
         if self._rows.get(name) is not row:
+            self._return_unwanted(name, row, answer, sent_s)
             return
         match answer:
-            case WorkerClaimed(answer=claim) if claim.granted:
+            case Success(claim) if claim.granted:
                 row.unreachable_since_s, row.ended_reported = None, False
                 self.holders[name] = self.context.incarnation
-                result = self.leases.on_granted(name, claim.epoch, sent_s, now_s, claim.remaining_s)
+                result = self.leases.on_granted(
+                    name, claim.epoch, sent_s, now_s, claim.remaining_s, claim.boot_id
+                )
                 if isinstance(result, LeaseGained):
                     self._drop_commands(name)
                     _LOG.info("lease of worker %s gained", name, extra={"epoch": claim.epoch})
                 if self.leases.may_act(name, now_s):
                     self.on_report(name, claim, sent_s)
-            case WorkerClaimed(answer=claim):
+            case Success(claim):
                 row.unreachable_since_s, row.ended_reported = None, False
                 self.holders[name] = claim.holder
                 self.leases.on_refused(name, claim.epoch, now_s)
@@ -207,6 +212,23 @@
                     row.unreachable_since_s = sent_s
                 self.leases.on_failed(name, now_s)
 
+    def _return_unwanted(self, name: str, row: _Row, answer: object, sent_s: float) -> None:
+        """Release a lease that was granted after this process gave the worker up."""
+        match answer:
+            case Success(claim) if claim.granted and name not in self._rows:
+                self.leases.on_granted(
+                    name,
+                    claim.epoch,
+                    sent_s,
+                    self.context.now_s(),
+                    claim.remaining_s,
+                    claim.boot_id,
+                )
+                release = self.context.clients.worker.release
+                self.tasks.spawn(
+                    self.context.pools.run("workers", release, row.vm.address, claim.epoch)
+                )
+
     def _report_ended(self, now_s: float) -> None:
         task_lease_s = self.context.settings.scheduling.task_lease_s
         wait_s = task_lease_s + margin_s(task_lease_s) + self.context.settings.platform.timeout_s
@@ -233,19 +255,21 @@
         if not (self.may_command() and self.leases.may_act(name, self.context.now_s())):
             results: list[CommandResult] = [CommandNotRun("stale_epoch")] * len(batch)
         else:
+            epoch = self.leases.epoch(name)
             answer = await self.context.pools.run(
                 "workers",
                 self.context.clients.worker.commands,
                 row.vm.address,
-                self.leases.epoch(name),
+                epoch,
                 [command for command, _ in batch],
             )
             match answer:
-                case CommandsDone(answers=answers) if len(answers) == len(batch):
+                case Success(answers) if len(answers) == len(batch):
                     results = [CommandTaken(one) for one in answers]
-                case RefusedBeforeRun():
+                case RefusedBeforeRun(RefusalReason.STALE_EPOCH):
+                    self.leases.on_stale(name, epoch, self.context.now_s())
                     results = [CommandNotRun("stale_epoch")] * len(batch)
-                case Failed(bytes_sent=False):
+                case RefusedBeforeRun():
                     results = [CommandNotRun("unreachable")] * len(batch)
                 case _:
                     results = [CommandUncertain()] * len(batch)
