--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_exchange.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_exchange.py
@@ -181,6 +181,9 @@
         return _read_answer(connection, request)
     except _ERRORS as error:
         if sock.bytes_sent == sent_before:
+            if isinstance(error, TimeoutError):
+                detail = f"no time left to send to {where}"
+                return RefusedBeforeRun(RefusalReason.BUDGET_SPENT, detail)
             detail = f"{where} had closed the connection: {error}"
             return RefusedBeforeRun(RefusalReason.CONNECTION_CLOSED, detail)
         reason = _failure_reason(error)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_pool.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_pool.py
@@ -94,7 +94,7 @@
             try:
                 outcome = exchange(connection, request)
                 # A pooled connection that turned out closed before a byte left is replaced.
-                if isinstance(outcome, RefusedBeforeRun) and not is_new:
+                if _was_closed(outcome) and not is_new:
                     continue
                 if isinstance(outcome, HttpResult):
                     reusable = outcome.reusable
@@ -125,6 +125,12 @@
         connection.close()
 
 
+def _was_closed(outcome: Any) -> bool:
+    return (
+        isinstance(outcome, RefusedBeforeRun) and outcome.reason is RefusalReason.CONNECTION_CLOSED
+    )
+
+
 class PoolSet:
     """Pools by address.
 
