Pass the time to LeaseTable.release again

Cause: the core takes the time again, because a released lease rests for one lease length. Change: two calls adapted.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_targets.py
@@ -101,7 +101,7 @@
         self.tasks.spawn(self._poll(name))
 
     def _release(self, names: list[str]) -> None:
-        for name, epoch in self.leases.release(names):
+        for name, epoch in self.leases.release(names, self.context.now_s()):
             self.observe(TargetLost(name))
             if name in self.vms:
                 self.tasks.spawn(self._send_release(name, epoch))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
@@ -131,7 +131,7 @@
         worker = self.context.clients.worker
         calls = [
             self.context.pools.run("workers", worker.release, self._rows[name].vm.address, epoch)
-            for name, epoch in self.leases.release(names)
+            for name, epoch in self.leases.release(names, self.context.now_s())
         ]
         for name in names:
             self._drop_commands(name)
