--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,21 +16,30 @@
 from benchmarks._table import Row, render
 
 PAGES = pathlib.Path("docs/measurements")
-MARKER = "<!-- measured -->"
 
 
-def write_page(name: str, rows: list[Row], command: str) -> None:
-    """Replace the measured part of a page and keep the notes below the second marker."""
-    path = PAGES / f"{name}.md"
-    notes = ""
-    if path.exists():
-        parts = path.read_text().split(MARKER)
-        notes = parts[2] if len(parts) == 3 else ""
+def write_section(page: str, module: str, rows: list[Row], command: str) -> None:
+    """Replace the section of one module in its page, and keep everything else.
+
+    Args:
+        page: name of the page.
+        module: name of the subject module.
+        rows: what it measured.
+        command: command that measures it again.
+    """
+    path = PAGES / f"{page}.md"
+    begin, end = f"<!-- {module} -->", f"<!-- end of {module} -->"
     today = datetime.date.today().isoformat()
-    head = f"# Measurements: {name}\n\n{MARKER}\n\n"
-    about = f"Command: `{command}`, {today}, Python {platform.python_version()}, one machine.\n\n"
+    about = f"Command: `{command}`, {today}, Python {platform.python_version()}, one machine."
+    section = f"{begin}\n## {module}\n\n{about}\n\n{render(rows)}\n{end}"
+    text = path.read_text() if path.exists() else f"# Measurements: {page}\n"
+    if begin in text:
+        head, rest = text.split(begin, 1)
+        text = head + section + rest.split(end, 1)[1]
+    else:
+        text = f"{text}\n{section}\n"
     PAGES.mkdir(parents=True, exist_ok=True)
-    path.write_text(f"{head}{about}{render(rows)}\n\n{MARKER}{notes or chr(10)}")
+    path.write_text(text)
 
 
 def main(*, seed: int = 1, quick: bool = False, only: str = "", write: bool = False) -> None:
@@ -41,19 +50,19 @@
     :param only: run the modules whose name starts with this
     :param write: write the pages under docs/measurements
     """
-    pages: dict[str, list[Row]] = {}
+    everything: list[Row] = []
     for info in pkgutil.iter_modules(benchmarks.__path__):
         if info.name.startswith("_") or not info.name.startswith(only):
             continue
         module = importlib.import_module(f"benchmarks.{info.name}")
         rows = module.measure(seed, quick)
-        pages.setdefault(module.PAGE, []).extend(rows)
+        everything.extend(rows)
         print(f"{info.name}: {len(rows)} rows", flush=True)
-    print(render([row for rows in pages.values() for row in rows]))
-    if write:
-        command = f"python -m benchmarks --seed {seed}" + (" --quick" if quick else "")
-        for name, rows in pages.items():
-            write_page(name, rows, command)
+        if write:
+            command = f"python -m benchmarks --seed {seed} --only {info.name}"
+            command += " --quick" if quick else ""
+            write_section(module.PAGE, info.name, rows, command)
+    print(render(everything))
 
 
 if __name__ == "__main__":
