--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_calls.py
@@ -0,0 +1,122 @@
+"""From the outcome of a call to the outcome of a command."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from fireflywharf_core.results import CodeClass, Problem, ResultCode, describe_code
+
+from ._answers import convert_answer
+from ._outcomes import Answered, AnswerLost, CallOutcome, CommandOutcome, Failure, NotSent, Report
+
+UNREACHABLE_ADVICE = (
+    "nothing was sent; check --server or FIREFLYWHARF_SERVER and that the daemon runs"
+)
+READ_ADVICE = "the command only reads, so it can be repeated"
+SUCCESS_CLASSES = (CodeClass.COMPLETED, CodeClass.PENDING)
+
+
+@attrs.frozen(kw_only=True)
+class _FaultCodes:
+    """Result codes of a call that was sent and whose answer cannot be used.
+
+    Args:
+        answer_lost: no valid answer arrived.
+        answer_unusable: the daemon failed or answered in an undocumented form.
+    """
+
+    answer_lost: ResultCode
+    answer_unusable: ResultCode
+
+
+_READ_CODES = _FaultCodes(
+    answer_lost=ResultCode.DAEMON_UNREACHABLE, answer_unusable=ResultCode.INTERNAL_ERROR
+)
+_WRITE_CODES = _FaultCodes(
+    answer_lost=ResultCode.OUTCOME_UNKNOWN, answer_unusable=ResultCode.OUTCOME_UNKNOWN
+)
+
+
+def finish_read(outcome: CallOutcome, kind: type, render: Callable[[Any], str]) -> CommandOutcome:
+    """Turn the outcome of a call that only reads into that of its command.
+
+    Args:
+        outcome: outcome of the call.
+        kind: class of the answer.
+        render: writes the typed answer as text.
+
+    Returns:
+        The report or the failure of the command.
+    """
+    return _finish(outcome, kind, render, _READ_CODES, READ_ADVICE)
+
+
+def finish_write(
+    outcome: CallOutcome, kind: type, render: Callable[[Any], str], how_to_ask: str
+) -> CommandOutcome:
+    """Turn the outcome of a call that may have had an effect into that of its command.
+
+    Args:
+        outcome: outcome of the call.
+        kind: class of the answer.
+        render: writes the typed answer as text.
+        how_to_ask: what shows whether the effect took place.
+
+    Returns:
+        The report or the failure of the command.
+    """
+    return _finish(outcome, kind, render, _WRITE_CODES, how_to_ask)
+
+
+def _finish(
+    outcome: CallOutcome,
+    kind: type,
+    render: Callable[[Any], str],
+    codes: _FaultCodes,
+    advice: str,
+) -> CommandOutcome:
+    match outcome:
+        case NotSent(detail):
+            return Failure(ResultCode.DAEMON_UNREACHABLE, detail, advice=UNREACHABLE_ADVICE)
+        case AnswerLost(detail):
+            return Failure(codes.answer_lost, detail, advice=advice)
+        case Answered(ResultCode.INTERNAL_ERROR, document, server):
+            detail = f"{server} answered INTERNAL_ERROR: {document.get('detail')}"
+            return Failure(codes.answer_unusable, detail, advice=advice)
+        case Answered(code, document, server) if _code_class(code) in SUCCESS_CLASSES:
+            answer = convert_answer(document, kind)
+            if isinstance(answer, str):
+                detail = f"{server} answered in an undocumented form: {answer}"
+                return Failure(codes.answer_unusable, detail, advice=advice)
+            return Report(code, document, render(answer))
+        case Answered(code, document):
+            is_unknown = _code_class(code) is CodeClass.UNKNOWN
+            return failure_from_answer(code, document, advice if is_unknown else "")
+
+
+def _code_class(code: ResultCode) -> CodeClass:
+    return describe_code(code).code_class
+
+
+def failure_from_answer(code: ResultCode, document: dict[str, Any], advice: str = "") -> Failure:
+    """Return the failure that an error answer of the daemon reports.
+
+    Args:
+        code: result code of the answer.
+        document: the JSON answer.
+        advice: what the operator can do next; derived from `retry_after_s` if empty.
+
+    Returns:
+        The failure with every problem that the answer lists.
+    """
+    rows = document.get("problems")
+    problems = tuple(
+        Problem(code, str(row.get("field")), str(row.get("value")), str(row.get("accepted")))
+        for row in (rows if isinstance(rows, list) else [])
+        if isinstance(row, dict)
+    )
+    retry_after_s = document.get("retry_after_s")
+    if not advice and isinstance(retry_after_s, int | float) and retry_after_s > 0:
+        advice = f"a repeat can help after {retry_after_s:g} s"
+    return Failure(code, str(document.get("detail") or ""), problems, advice, document)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
@@ -1,1 +1,67 @@
 """Stand-ins for the platform interfaces of fireflywharf."""
+
+from ._caller import CallResult, RecordingCaller, RequestPlan
+from ._cluster import Cluster, Shutdown
+from ._effects import EffectsRecorder
+from ._faults import NO_FAULTS, FaultSettings, parse_faults
+from ._lease import HolderLease
+from ._log import LogSettings, LogStandIn
+from ._platform import Platform, wait_until
+from ._ports import free_port
+from ._server import Answer, Call, StandInServer, json_answer
+from ._target import TargetSettings, TargetStandIn
+from ._task import CheckpointStore, TaskBehaviour, read_behaviour
+from ._topology import (
+    Domain,
+    TargetGroup,
+    Topology,
+    TopologyError,
+    WorkerGroup,
+    load_topology,
+    parse_topology,
+)
+from ._vm_list import VmListStandIn
+from ._worker import WorkerSettings, WorkerStandIn
+from ._workload import Submitted, Workload, WorkloadPlan, outcome_table, waiting_times_s
+
+__all__ = [
+    "NO_FAULTS",
+    "Answer",
+    "Call",
+    "CallResult",
+    "CheckpointStore",
+    "Cluster",
+    "Domain",
+    "EffectsRecorder",
+    "FaultSettings",
+    "HolderLease",
+    "LogSettings",
+    "LogStandIn",
+    "Platform",
+    "RecordingCaller",
+    "RequestPlan",
+    "Shutdown",
+    "StandInServer",
+    "Submitted",
+    "TargetGroup",
+    "TargetSettings",
+    "TargetStandIn",
+    "TaskBehaviour",
+    "Topology",
+    "TopologyError",
+    "VmListStandIn",
+    "WorkerGroup",
+    "WorkerSettings",
+    "WorkerStandIn",
+    "Workload",
+    "WorkloadPlan",
+    "free_port",
+    "json_answer",
+    "load_topology",
+    "outcome_table",
+    "parse_faults",
+    "parse_topology",
+    "read_behaviour",
+    "wait_until",
+    "waiting_times_s",
+]
