Check that no job is called infeasible while the scheduler starts

A daemon that has just become scheduler answered INFEASIBLE, which is final, to a job that it accepted 0.4 s later.

--- a/features/cli_daemon.feature
+++ b/features/cli_daemon.feature
@@ -25,6 +25,7 @@
   Scenario: finished work is counted in the metrics
     Given stand-ins and a daemon that is ready
     When the CLI applies the example contracts of "consortium"
+    And the CLI submits the example job "consortium/manifest" until it is accepted
     And the CLI submits the example job "consortium/manifest" and waits for its end
     And the CLI sends the same request twice with one key
     Then these metrics of the daemon have counted
@@ -37,3 +38,12 @@
       | fireflywharf_request_seconds_count       |
       | fireflywharf_http_answers_total          |
       | fireflywharf_decision_seconds_count      |
+
+  # Guards against a job that is refused for good because the scheduler has just started and does not
+  # know its workers yet.
+  @known_red
+  Scenario: a job is not called infeasible while the workers are not known
+    Given stand-ins and a daemon that just starts
+    When the CLI applies the example contracts of "consortium" as soon as it can
+    And the CLI submits the example job "consortium/manifest" until it is accepted
+    Then no submission was answered with code 200
--- a/features/cli_daemon_process.py
+++ b/features/cli_daemon_process.py
@@ -51,7 +51,7 @@
         self.process: subprocess.Popen | None = None
 
     def start(self) -> None:
-        """Start everything and wait until the daemon schedules its domain."""
+        """Start the stand-ins and the daemon."""
         self.platform.__enter__()
         addresses = self.platform.addresses()
         settings = {
@@ -73,9 +73,9 @@
         with (self.folder / "daemon.log").open("w") as log:
             command = [sys.executable, "-m", "fireflywharf_daemon.main", str(path)]
             self.process = subprocess.Popen(command, stderr=log)
-        self._wait_until_ready()
 
-    def _wait_until_ready(self) -> None:
+    def wait_until_ready(self) -> None:
+        """Wait until the daemon schedules its domain and holds its targets."""
         deadline_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline_s:
             try:
--- a/features/steps/cli_daemon_steps.py
+++ b/features/steps/cli_daemon_steps.py
@@ -15,6 +15,12 @@
 
 
 @given("stand-ins and a daemon that is ready")
+def start_ready_daemon(context):
+    start_daemon(context)
+    context.server.wait_until_ready()
+
+
+@given("stand-ins and a daemon that just starts")
 def start_daemon(context):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
@@ -31,6 +37,36 @@
         assert context.status == 0, context.errors
 
 
+def repeat_until_accepted(context, arguments):
+    """Run a command until it succeeds and return the result codes of all runs."""
+    codes = []
+    deadline_s = time.monotonic() + JOB_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        run_cli(context, [*arguments, "--output", "json"])
+        codes.append(json.loads(context.output)["code"])
+        if context.status == 0:
+            return codes
+        time.sleep(0.05)
+    raise AssertionError(context.output)
+
+
+@when('the CLI applies the example contracts of "{name}" as soon as it can')
+def apply_examples_early(context, name):
+    for path in sorted((EXAMPLES / "contracts" / name).glob("*.toml")):
+        repeat_until_accepted(context, ["contract", "apply", str(path)])
+
+
+@when('the CLI submits the example job "{name}" until it is accepted')
+def submit_until_accepted(context, name):
+    path = EXAMPLES / "jobs" / f"{name}.toml"
+    context.codes = repeat_until_accepted(context, ["job", "submit", str(path)])
+
+
+@then("no submission was answered with code {code:d}")
+def check_codes(context, code):
+    assert code not in context.codes, context.codes
+
+
 @when('two operators apply changes of "{name}" on version {version:d} at the same time')
 def apply_racing_versions(context, name, version):
     run_cli(context, ["contract", "get", name])
