--- a/features/documentation.feature
+++ b/features/documentation.feature
@@ -9,7 +9,6 @@
   Scenario: every example contract and job is valid
     Then every file in examples/contracts is a valid contract
     And every file in examples/jobs is a valid job of an example customer
-    And every file in examples/settings is a valid settings file
 
   # Guards against links to pages that were renamed or never written.
   Scenario: links between pages lead to files
--- a/features/steps/documentation_steps.py
+++ b/features/steps/documentation_steps.py
@@ -13,7 +13,6 @@
 from fireflywharf_core.contracts import parse_contract
 from fireflywharf_core.jobs import parse_job
 from fireflywharf_daemon.metrics import Metrics
-from fireflywharf_daemon.settings import parse_settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CURL_BLOCK = re.compile(r"^```sh\n(.*?)^```", re.S | re.M)
@@ -54,13 +53,6 @@
         assert data.get("team", "") in ["", *teams], path
 
 
-@then("every file in examples/settings is a valid settings file")
-def check_settings(context):
-    for path, data in load_objects("settings").items():
-        _, problems = parse_settings(data)
-        assert not problems, (path, list(map(str, problems)))
-
-
 @then("every relative link in README.md and docs leads to a file")
 def check_links(context):
     pages = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
