Look a job up at the end of the log before it is called unknown

Cause: an entry VM answered UNKNOWN_JOB for a job that another one had accepted, until its next poll of stream jobs (1 s; longer with a slow log). 'the log is slow' saw 'changed from done to missing'. After: status and cancel read the stream to its end first, and answer STORE_UNAVAILABLE if they cannot. The retention scenario does not ask for ends that are older than the retention.

--- a/features/steps/daemon_platform_steps.py
+++ b/features/steps/daemon_platform_steps.py
@@ -45,7 +45,7 @@
 @when("the log is down")
 def step_log_down(context):
     context.cluster.platform.cut_log()
-    # A record that is under way when the log fails has an uncertain outcome, which section 8 allows.
+    # A record under way when the log fails has an uncertain outcome, which section 8 allows.
     for vm in running_vms(context.cluster):
         eventually(
             lambda v=vm: context.cluster.status(v).get("log_available") is False,
--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_job_checks.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_job_checks.py
@@ -24,8 +24,9 @@
 ) -> list[Violation]:
     """Return a violation for each accepted job that was lost, told wrongly, or run twice.
 
-    * The last state seen is an end state, or the job was reported late.
-    * An end state never changes.
+    * The last state seen is a recorded end state, or the job was reported late.
+    * A recorded end state never changes. In an outage of the log, a scheduler may tell "done, not
+      yet recorded"; when it dies, its successor learns the end from the worker.
     * `done` means that each task succeeded on a worker, and later than the deadline only if the
       job was reported late.
     * A task that succeeded does not start again, unless its worker died since; a task that is not
@@ -63,7 +64,7 @@
     for record in seen:
         if ended and record.state != ended:
             return f"changed from {ended} to {record.state}"
-        if record.state in END_STATES:
+        if record.state in END_STATES and record.recorded:
             ended = record.state
     if not ended and not any(record.late for record in seen):
         return f"has no end: last state {seen[-1].state}, not reported late"
--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_observations.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_observations.py
@@ -76,12 +76,21 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class JobStateSeen:
-    """An entry VM told the state of a job: a `JobState` value, or `missing`."""
+    """An entry VM told the state of a job: a `JobState` value, or `missing`.
+
+    Args:
+        time_s: time after the answer was received.
+        job_id: identifier.
+        state: state.
+        late: whether the job was reported late.
+        recorded: whether the state was said to be recorded; an end that is not is no promise.
+    """
 
     time_s: float
     job_id: str
     state: str
     late: bool = False
+    recorded: bool = True
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -259,7 +259,9 @@
         """Return the state of a job, from its scheduler or else from the log."""
         known = self.fold.lookup(job_id)
         if known is None and job_id not in self._provisional:
-            return CallerError(ResultCode.UNKNOWN_JOB, f"no job {job_id} is known")
+            known = await self._find(job_id)
+            if isinstance(known, CallerError):
+                return known
         if isinstance(known, FinishedJob):
             done = f"{known.state.value}: {known.detail}" if known.detail else known.state.value
             return JobStatus(
@@ -288,11 +290,24 @@
             explanation=f"{ResultCode.NO_SCHEDULER.name}: {detail}.",
         )
 
-    async def cancel(self, job_id: str) -> CancelledJob | CallerError:
-        """Record the cancellation and tell the scheduler."""
+    async def _find(self, job_id: str) -> LiveJob | FinishedJob | CallerError:
+        """Return a job; one that another entry VM accepted just now may not be read here yet."""
         known = self.fold.lookup(job_id)
+        if known is None:
+            read = await self.stream.read_to_end(self.context.now_s(), RECORD_TIMEOUT_S)
+            known = self.fold.lookup(job_id)
+            if known is None and not read:
+                detail = f"job {job_id} is not known here and the platform log cannot be read"
+                return CallerError(ResultCode.STORE_UNAVAILABLE, detail)
         if known is None:
             return CallerError(ResultCode.UNKNOWN_JOB, f"no job {job_id} is known")
+        return known
+
+    async def cancel(self, job_id: str) -> CancelledJob | CallerError:
+        """Record the cancellation and tell the scheduler."""
+        known = await self._find(job_id)
+        if isinstance(known, CallerError):
+            return known
         if isinstance(known, FinishedJob):
             return CancelledJob(job_id, known.state)
         offset = await self.stream.append(JobCancelRequested(job_id), RECORD_TIMEOUT_S)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_caller.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_caller.py
@@ -169,6 +169,7 @@
                     job_id=job_id,
                     state=state,
                     late=bool(result.answer.get("late")),
+                    recorded=bool(result.answer.get("recorded", True)),
                 )
             )
         return result
