Let records be withdrawn from a batch that never reached the log

Cause: the first record after the log went down formed a batch whose every attempt was refused at connect. A batch kept its records for good, so its record could not be withdrawn any more.

--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
@@ -45,7 +45,7 @@
 
 @attrs.define(slots=True)
 class _Batch:
-    """The records of one sequence; they stay together until they are durable."""
+    """The records of one sequence; once one attempt may be in the log, they stay together."""
 
     sequence: int
     numbers: tuple[int, ...]
@@ -53,14 +53,15 @@
     size_bytes: int
     read_from: int
     uncertain: bool = False
+    maybe_sent: bool = False
 
 
 class GroupWriter:
     """Groups the records of one process into few appends to one stream.
 
-    A batch keeps its sequence and content until it is known to be in the log, and only then the
-    next sequence is used. A delayed copy of an append can therefore only repeat records that the
-    log or the reader recognises by (writer, sequence).
+    Once an attempt may have reached the log, a batch keeps its sequence and content until it is
+    known to be in the log, and only then the next sequence is used. A delayed copy of an append can
+    therefore only repeat records that the log or the reader recognises by (writer, sequence).
 
     Args:
         writer: incarnation of this process.
@@ -222,6 +223,8 @@
     def on_refused(self, now_s: float) -> None:
         """Take a failure after which the batch was certainly not taken by this attempt."""
         self._expect(AppendNow, ReadBack)
+        if not self._batch.maybe_sent:
+            self._dissolve_batch()
         self._fail(now_s)
 
     def on_uncertain(self, now_s: float) -> None:
@@ -229,6 +232,7 @@
         self._expect(AppendNow, ReadBack)
         if isinstance(self._in_flight, AppendNow) and not self._batch.uncertain:
             self._batch.uncertain = True
+            self._batch.maybe_sent = True
             self._read_from = self._batch.read_from
         self._fail(now_s)
 
@@ -278,6 +282,15 @@
         self._next_sequence += 1
         return _Batch(self._next_sequence - 1, tuple(numbers), records, size_bytes, self._known_end)
 
+    def _dissolve_batch(self) -> None:
+        """Put back a batch that no attempt brought to the log, so that it can be withdrawn."""
+        batch, self._batch = self._batch, None
+        for number, record in zip(reversed(batch.numbers), reversed(batch.records), strict=True):
+            self._waiting[number] = record
+            self._waiting.move_to_end(number, last=False)
+        self._waiting_bytes += batch.size_bytes
+        self._next_sequence = batch.sequence
+
     def _resolve(self, first_offset: int, now_s: float) -> list[Durable]:
         batch, self._batch, self._in_flight = self._batch, None, None
         self._known_end = max(self._known_end, first_offset + len(batch.records))
