Pace the appends of a process over its streams

Cause: four streams of a daemon made up to four appends in one interval, above the stated rate of one. Change: all writers share an AppendPacer; the demo's load polls a job until its end is recorded, as the check of the history now asks.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -9,7 +9,7 @@
 
 from fireflywharf_core.contracts import Contract
 from fireflywharf_core.leases import margin_s
-from fireflywharf_core.log import GroupWriter, JobsFold, StreamReader
+from fireflywharf_core.log import AppendPacer, GroupWriter, JobsFold, StreamReader
 from fireflywharf_core.messages import (
     CancelJob,
     ContractsSince,
@@ -104,6 +104,7 @@
             self.context, self.membership, self.jobs_fold, self.scheduler, self.requests
         )
         self.streams: dict[str, LogStream] = {}
+        self._pacer = AppendPacer(settings.scheduling.append_interval_s)
         self._tasks = TaskGroup()
         self._stop_wanted: asyncio.Event | None = None
         self._stop_signals_count = 0
@@ -214,6 +215,7 @@
             name,
             append_interval_s=scheduling.append_interval_s,
             backlog_max_records=scheduling.backlog_max_records,
+            pacer=self._pacer,
         )
         return LogStream(
             self.context.clients.log,
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_workload.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_workload.py
@@ -180,9 +180,9 @@
         state = answer.get("state")
         if row.kind == "service" and answer.get("tasks_running_count") == 2:
             caller.exchange(vm, "POST", f"/v1/jobs/{row.name}/cancel", {})
-        elif row.kind == "service" and state == "cancelled":
+        elif row.kind == "service" and state == "cancelled" and answer.get("recorded"):
             row.outcome = "on time"
-        elif state in FINAL_STATES:
+        elif state in FINAL_STATES and answer.get("recorded"):
             on_time = state == "done" and not answer.get("late")
             row.outcome = "on time" if on_time else ("late" if state == "done" else str(state))
 
