--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -72,24 +72,7 @@
         self.loop: asyncio.AbstractEventLoop | None = None
         self.vms: list[VmInfo] = []
         self.started = threading.Event()
-        timeout_s = settings.platform.timeout_s
-        self.context = Context(
-            settings=settings,
-            incarnation=draw_incarnation(settings.vm.name),
-            clients=Clients(
-                log=LogClient(settings.platform.log_url, timeout_s),
-                vm_list=VmListClient(settings.platform.vm_list_url, timeout_s),
-                worker=WorkerClient(timeout_s),
-                target=TargetClient(
-                    timeout_s,
-                    settings.routing.connect_timeout_s,
-                    settings.routing.idle_connection_max_s,
-                    settings.routing.answer_max_bytes,
-                ),
-            ),
-            pools=IoPools(POOL_SIZES | {"workers": settings.scheduling.worker_calls_count}),
-            metrics=Metrics(link_of_peers(settings)),
-        )
+        self.context = _make_context(settings)
         self.jobs_fold = JobsFold(self.context.domain, settings.platform.retention_s)
         self.contracts = ContractService(self.context, self._contract_changed)
         self.membership = Membership(
@@ -108,22 +91,30 @@
         self._tasks = TaskGroup()
         self._stop_wanted: asyncio.Event | None = None
         self._stop_signals_count = 0
-        self._http = HttpServer(
-            build_application(
-                Callers(self),
-                settings.http.body_max_bytes,
-                max(1, settings.http.threads_count - RESERVED_HTTP_THREADS),
-                self.context.metrics,
-            ),
-            settings.http.listen,
-            settings.http.threads_count,
-            settings.http.body_timeout_s,
-            settings.http.waiting_connections_max,
+        self._http, self._metrics_server = self._make_servers()
+
+    def _make_servers(self) -> tuple[HttpServer, HttpServer]:
+        """Return the server for callers and operators and that of the metrics."""
+        http, metrics = self.settings.http, self.context.metrics
+        application = build_application(
+            Callers(self),
+            http.body_max_bytes,
+            max(1, http.threads_count - RESERVED_HTTP_THREADS),
+            metrics,
         )
-        self._metrics_server = HttpServer(
-            build_metrics_application(self.context.metrics.registry),
-            settings.metrics.listen,
-            METRICS_THREADS,
+        return (
+            HttpServer(
+                application,
+                http.listen,
+                http.threads_count,
+                http.body_timeout_s,
+                http.waiting_connections_max,
+            ),
+            HttpServer(
+                build_metrics_application(metrics.registry),
+                self.settings.metrics.listen,
+                METRICS_THREADS,
+            ),
         )
 
     @property
@@ -367,3 +358,26 @@
                 call.reply(self.scheduler.answer_peer(call.message))
             case _:
                 call.fail()
+
+
+def _make_context(settings: Settings) -> Context:
+    """Return the parts that all components share."""
+    timeout_s = settings.platform.timeout_s
+    routing = settings.routing
+    return Context(
+        settings=settings,
+        incarnation=draw_incarnation(settings.vm.name),
+        clients=Clients(
+            log=LogClient(settings.platform.log_url, timeout_s),
+            vm_list=VmListClient(settings.platform.vm_list_url, timeout_s),
+            worker=WorkerClient(timeout_s),
+            target=TargetClient(
+                timeout_s,
+                routing.connect_timeout_s,
+                routing.idle_connection_max_s,
+                routing.answer_max_bytes,
+            ),
+        ),
+        pools=IoPools(POOL_SIZES | {"workers": settings.scheduling.worker_calls_count}),
+        metrics=Metrics(link_of_peers(settings)),
+    )
