Run seeded histories of the daemon's components on a virtual clock

Cause: the promises were checked only in runs of real processes, which are few and not repeatable. History keeps the order of what starts and ends at one time, since a batch of start, stop and start was reported as too full.

--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_history.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_history.py
@@ -40,11 +40,21 @@
 _ENDS = (_effects.AttemptEnded, _effects.RequestEnded, _effects.AttemptResized)
 
 
+def _run_of(record: HistoryRecord) -> tuple | None:
+    """Return what identifies the attempt or execution of a record."""
+    match record:
+        case _effects.AttemptStarted() | _effects.AttemptEnded() | _effects.AttemptResized():
+            return (record.time_s, record.worker, record.attempt)
+        case _effects.RequestStarted() | _effects.RequestEnded():
+            return (record.time_s, record.target, record.execution)
+    return None
+
+
 class History:
     """Records of one run in order of time.
 
     Args:
-        records: records of all sources, in any order.
+        records: records of all sources, in any order; those of one source in its order.
 
     Example:
         >>> from fireflywharf_core.history import VmAdded
@@ -53,9 +63,16 @@
     """
 
     def __init__(self, records: Iterable[HistoryRecord]) -> None:
-        self.records = sorted(
-            records, key=lambda record: (record.time_s, not isinstance(record, _ENDS))
-        )
+        records = list(records)
+        # What starts and ends at one time, such as in one batch of commands, keeps its order.
+        starts = (_effects.AttemptStarted, _effects.RequestStarted)
+        started = {_run_of(record) for record in records if isinstance(record, starts)}
+
+        def key(record: HistoryRecord) -> tuple[float, bool]:
+            ends_earlier_run = isinstance(record, _ENDS) and _run_of(record) not in started
+            return (record.time_s, not ends_earlier_run)
+
+        self.records = sorted(records, key=key)
 
     def of(self, kind: type[RecordType]) -> list[RecordType]:
         """Return the records of one class in order of time."""
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_target.py
@@ -45,6 +45,27 @@
     seed: int = 0
 
 
+@attrs.frozen(slots=True)
+class BegunExecution:
+    """A request that a target executes.
+
+    Args:
+        execution: number of the execution at this target.
+        request_id: identifier of the send.
+        call: the HTTP request.
+        fields: fields of its body.
+        service_s: time that it takes.
+        stopping: set when the target dies.
+    """
+
+    execution: int
+    request_id: str
+    call: Call
+    fields: dict[str, Any]
+    service_s: float
+    stopping: threading.Event
+
+
 class TargetStandIn:
     """Executes requests under a holder lease, at most `slots_count` at once.
 
@@ -133,6 +154,19 @@
         return json_answer({"detail": f"no such route: {call.method} {call.path}"}, 404)
 
     def _handle_execute(self, call: Call) -> Answer:
+        begun = self.begin(call)
+        if isinstance(begun, Answer):
+            return begun
+        begun.stopping.wait(begun.service_s)
+        self.finish(begun)
+        return self.answer(begun)
+
+    def begin(self, call: Call) -> BegunExecution | Answer:
+        """Start the execution of a request, or return the refusal.
+
+        A caller without threads ends the execution with `finish` after `service_s` and then takes
+        the `answer`.
+        """
         request_id = call.headers.get("x-request-id", "")
         try:
             epoch = int(call.headers.get("x-epoch", ""))
@@ -151,13 +185,19 @@
             if deadline_ms <= 0:
                 return self._refuse(request_id, 503, "the deadline has passed")
             execution = self._start(call, request_id, fields, epoch)
-            service_s = self._service_s(fields)
-            stopping = self._stopping
-        stopping.wait(service_s)
+            return BegunExecution(
+                execution, request_id, call, fields, self._service_s(fields), self._stopping
+            )
+
+    def finish(self, begun: BegunExecution) -> None:
+        """End an execution, unless the target died."""
         with self._lock:
-            if self._in_progress.pop(execution, None) is not None:
-                self._record_end(execution, request_id, completed=True)
-        return self._answer(call, request_id, fields)
+            if self._in_progress.pop(begun.execution, None) is not None:
+                self._record_end(begun.execution, begun.request_id, completed=True)
+
+    def answer(self, begun: BegunExecution) -> Answer:
+        """Return the answer to an execution."""
+        return self._answer(begun.call, begun.request_id, begun.fields)
 
     def _start(self, call: Call, request_id: str, fields: dict[str, Any], epoch: int) -> int:
         execution = next(self._executions)
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/__init__.py
@@ -0,0 +1,15 @@
+"""Seeded histories of one failure domain on a virtual clock, without sockets or threads."""
+
+from ._cluster import PLANTED, Cluster, ClusterPlan
+from ._faults import FAULTS
+from ._run import HistoryResult, record_history, run_history
+
+__all__ = [
+    "FAULTS",
+    "PLANTED",
+    "Cluster",
+    "ClusterPlan",
+    "HistoryResult",
+    "record_history",
+    "run_history",
+]
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_cluster.py
@@ -0,0 +1,216 @@
+"""One failure domain on a virtual clock."""
+
+import random
+
+import attrs
+
+from fireflywharf_core.history import EntryVmDown, EntryVmUp
+from fireflywharf_core.platform import ClaimAnswer, CommandAnswer, VmInfo, VmRole, WorkerCommand
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_daemon.settings import (
+    HttpSettings,
+    MeshPeer,
+    MeshSettings,
+    MetricsSettings,
+    PlatformSettings,
+    RoutingSettings,
+    SchedulingSettings,
+    Settings,
+    VmSettings,
+)
+
+from .._effects import EffectsRecorder
+from .._log import LogSettings, LogStandIn
+from .._target import TargetSettings, TargetStandIn
+from .._task import CheckpointStore
+from .._vm_list import VmListStandIn
+from .._worker import WorkerSettings, WorkerStandIn
+from ._entry import EntryVm
+from ._load import CUSTOMERS, SERVICE, Load
+from ._loop import World
+from ._network import Conditions, Network
+
+DOMAIN = "zone-a"
+REGION = "region-a"
+WORKERS_COUNT = 5
+TARGETS_COUNT = 3
+READY_POLL_S = 0.2
+ADVANCE_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class ClusterPlan:
+    """What a history consists of, besides faults.
+
+    Args:
+        entries_count: number of entry VMs.
+        task_lease_s: task lease of workers; shorter than in production, so that a history is short.
+        holder_lease_s: holder lease of workers and targets.
+        retention_s: age at which the log removes records; zero to keep them.
+        wrong_sizes: whether declared sizes and run times are far off.
+        planted: name of a fault of a component that the checks must find, or empty.
+    """
+
+    entries_count: int = 3
+    task_lease_s: float = 8.0
+    holder_lease_s: float = 3.0
+    retention_s: float = 0.0
+    wrong_sizes: bool = False
+    planted: str = ""
+
+
+PLANTED_EPOCHS = "a worker ignores epochs"
+PLANTED_REFUSAL = "an uncertain send is told as refused"
+PLANTED = (PLANTED_EPOCHS, PLANTED_REFUSAL)
+
+
+class EpochIgnoringWorker(WorkerStandIn):
+    """Grants every claim and runs every command, whatever its epoch."""
+
+    def claim(self, holder: str, ttl_s: float, renew_tasks: bool = False) -> ClaimAnswer:
+        """Grant the lease."""
+        self._lease.holder = holder
+        return super().claim(holder, ttl_s, renew_tasks)
+
+    def commands(
+        self, epoch: int, commands: list[WorkerCommand], fail_starts: bool = False
+    ) -> list[CommandAnswer] | None:
+        """Run commands under the present epoch."""
+        return super().commands(self._lease.epoch, commands, fail_starts)
+
+
+class Cluster:
+    """Entry VMs, stand-ins and the network between them.
+
+    Args:
+        world: clock and events.
+        rng: source of delays and losses.
+        plan: sizes and settings.
+        load: creates the load for this cluster.
+    """
+
+    customers = tuple(CUSTOMERS)
+
+    def __init__(self, world: World, rng: random.Random, plan: ClusterPlan) -> None:
+        self.world = world
+        self.rng = rng
+        self.plan = plan
+        self.recorder = EffectsRecorder()
+        self.conditions = Conditions()
+        self.network = Network(world, rng, self.conditions)
+        self.failing: set[str] = set()
+        self.errors: list[str] = []
+        self.entries: dict[str, EntryVm] = {}
+        self.workers: dict[str, WorkerStandIn] = {}
+        self.targets: dict[str, TargetStandIn] = {}
+        self.checkpoints = CheckpointStore()
+        clock = world.monotonic
+        log_settings = LogSettings(appends_per_second=300.0, retention_s=plan.retention_s)
+        self.log = LogStandIn(log_settings, self.recorder, clock)
+        self.vm_list = VmListStandIn(0.5, self.recorder, clock)
+        self._addresses_count = 0
+        for number in range(WORKERS_COUNT):
+            self.add_worker(f"worker-{number}")
+        for number in range(TARGETS_COUNT):
+            self._add_target(f"target-{number}")
+        self.load = Load(
+            world, random.Random(rng.getrandbits(64)), self.recorder, self.entries, plan.wrong_sizes
+        )
+        for number in range(plan.entries_count):
+            self.start(f"entry-{number}")
+        world.after(ADVANCE_S, self._advance)
+
+    def _address(self) -> str:
+        self._addresses_count += 1
+        return f"10.0.0.{self._addresses_count}:80"
+
+    def _vm(self, name: str, role: VmRole, **fields: object) -> VmInfo:
+        return VmInfo(
+            name=name,
+            role=role,
+            address=self._address(),
+            region=REGION,
+            failure_domain=DOMAIN,
+            rack="rack-a",
+            **fields,
+        )
+
+    def add_worker(self, name: str) -> None:
+        """Add a worker, or replace the one of that name, at a new address."""
+        vm = self._vm(name, VmRole.WORKER, capacity=ResourceVector(8_000, 16_000, 0))
+        settings = WorkerSettings(task_lease_s=self.plan.task_lease_s, usage_lag_s=1.0)
+        planted = self.plan.planted == PLANTED_EPOCHS
+        kind = EpochIgnoringWorker if planted else WorkerStandIn
+        worker = kind(vm, settings, self.recorder, self.checkpoints, self.world.monotonic)
+        self.workers[name] = self.network.stand_ins[vm.address] = worker
+        self.vm_list.add(vm)
+
+    def _add_target(self, name: str) -> None:
+        vm = self._vm(name, VmRole.TARGET, service=SERVICE, slots_count=4, connections_count=16)
+        target = TargetStandIn(vm, TargetSettings(), self.recorder, self.world.monotonic)
+        self.targets[name] = self.network.stand_ins[vm.address] = target
+        self.vm_list.add(vm)
+
+    def _settings(self, name: str) -> Settings:
+        plan = self.plan
+        names = [f"entry-{number}" for number in range(plan.entries_count)]
+        peers = [MeshPeer(address=n, failure_domain=DOMAIN, region=REGION) for n in names]
+        return Settings(
+            vm=VmSettings(name=name, region=REGION, failure_domain=DOMAIN),
+            http=HttpSettings(listen="127.0.0.1:0"),
+            mesh=MeshSettings(listen=name, peers=[p for p in peers if p.address != name]),
+            metrics=MetricsSettings(listen="127.0.0.1:0"),
+            platform=PlatformSettings(
+                log_url="", vm_list_url="", retention_s=plan.retention_s or 86_400.0
+            ),
+            scheduling=SchedulingSettings(
+                holder_lease_s=plan.holder_lease_s,
+                task_lease_s=plan.task_lease_s,
+                renew_interval_s=0.7,
+                decision_interval_s=0.1,
+                suspicion_s=1.5,
+            ),
+            routing=RoutingSettings(
+                target_lease_s=plan.holder_lease_s,
+                key_lifetime_s=plan.retention_s / 2 or 3600.0,
+            ),
+        )
+
+    def start(self, name: str) -> None:
+        """Start an entry VM with empty memory."""
+        previous = self.entries.get(name)
+        if previous is not None and previous.alive:
+            return
+        entry = self.entries[name] = EntryVm(
+            self._settings(name),
+            self.network,
+            (self.log, self.vm_list),
+            self.failing,
+            lambda text: self.errors.append(f"{name}: {text}"),
+            self.plan.planted == PLANTED_REFUSAL,
+        )
+        self._note_ready(entry)
+
+    def _note_ready(self, entry: EntryVm) -> None:
+        if entry.serving:
+            self.recorder.add(EntryVmUp(time_s=self.world.now_s, entry_vm=entry.name))
+        elif entry.alive:
+            self.world.after(READY_POLL_S, lambda: self._note_ready(entry))
+
+    def kill(self, name: str) -> None:
+        """End an entry VM at once."""
+        entry = self.entries[name]
+        self.recorder.add(EntryVmDown(time_s=self.world.now_s, entry_vm=name, killed=True))
+        entry.kill()
+
+    def _advance(self) -> None:
+        """Let workers notice ends, so that the history does not end before them."""
+        for worker in self.workers.values():
+            worker.advance()
+        self.world.after(ADVANCE_S, self._advance)
+
+    def close(self) -> None:
+        """End all entry VMs."""
+        for entry in self.entries.values():
+            if entry.alive:
+                entry.kill()
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_entry.py
@@ -0,0 +1,152 @@
+"""Entry VMs: the daemon's components on a virtual clock, behind a virtual network."""
+
+import contextlib
+import random
+from collections.abc import Callable, Coroutine, Iterator
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from fireflywharf_daemon.application import Application
+from fireflywharf_daemon.application import _context as context_module
+from fireflywharf_daemon.application import _contracts as contracts_module
+from fireflywharf_daemon.application import _jobs as jobs_module
+from fireflywharf_daemon.application import _log_stream as log_stream_module
+from fireflywharf_daemon.application import _requests as requests_module
+from fireflywharf_daemon.application import _scheduling as scheduling_module
+from fireflywharf_daemon.application._callers import Callers
+from fireflywharf_daemon.application._context import Clients
+from fireflywharf_daemon.mesh import Sender
+from fireflywharf_daemon.settings import Settings
+
+from ._loop import VirtualLoop, World
+from ._network import (
+    ListCalls,
+    LogCalls,
+    Network,
+    TargetCalls,
+    VirtualMesh,
+    VirtualPools,
+    WorkerCalls,
+)
+
+_CLOCK_MODULES = (
+    context_module,
+    jobs_module,
+    log_stream_module,
+    requests_module,
+    scheduling_module,
+)
+
+
+@contextlib.contextmanager
+def virtual_process(world: World, rng: random.Random) -> Iterator[None]:
+    """Replace the clock and the sources of randomness of the daemon's components.
+
+    Args:
+        world: clock.
+        rng: source of incarnations, identifiers and seeds.
+    """
+
+    def draw(_: int = 8) -> str:
+        return f"{rng.getrandbits(64):016x}"
+
+    def seeded() -> random.Random:
+        return random.Random(rng.getrandbits(64))
+
+    ids = SimpleNamespace(uuid4=lambda: SimpleNamespace(hex=draw() + draw()))
+    sources = SimpleNamespace(Random=seeded, SystemRandom=seeded)
+    with contextlib.ExitStack() as stack:
+        for module in _CLOCK_MODULES:
+            stack.enter_context(mock.patch.object(module, "time", world))
+        for module in (requests_module, contracts_module):
+            stack.enter_context(mock.patch.object(module, "uuid", ids))
+        for module in (requests_module, scheduling_module):
+            stack.enter_context(mock.patch.object(module, "random", sources))
+        drawn = SimpleNamespace(token_hex=draw)
+        stack.enter_context(mock.patch.object(context_module, "secrets", drawn))
+        yield
+
+
+class EntryVm:
+    """One life of the daemon of an entry VM.
+
+    Args:
+        settings: settings of the daemon.
+        network: carries its calls.
+        stand_ins: log and VM list.
+        failing: names of workers on which every start fails.
+        on_error: called with the text of an unexpected error.
+        lie_about_timeouts: plants a fault, see `TargetCalls`.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: Network,
+        stand_ins: tuple[Any, Any],
+        failing: set[str],
+        on_error: Callable[[str], None],
+        lie_about_timeouts: bool = False,
+    ) -> None:
+        self.settings = settings
+        self.network = network
+        self.alive = True
+        self.loop = VirtualLoop(network.world, on_error)
+        self.application = Application(settings)
+        self.callers = Callers(self.application)
+        log, vm_list = stand_ins
+        context = self.application.context
+        context.pools = VirtualPools(network)
+        context.clients = Clients(
+            log=LogCalls(log),
+            vm_list=ListCalls(vm_list),
+            worker=WorkerCalls(network, failing),
+            target=TargetCalls(network, lie_about_timeouts),
+        )
+        sender = Sender(context.incarnation, settings.mesh.listen)
+        context.mesh = VirtualMesh(network, sender)
+        network.world.loops.append(self.loop)
+        network.entries[settings.mesh.listen] = self
+        self.loop.call_soon(self._start)
+
+    @property
+    def name(self) -> str:
+        """Name of the VM."""
+        return self.settings.vm.name
+
+    @property
+    def serving(self) -> bool:
+        """Whether it runs and is ready."""
+        return self.alive and not self.loop.paused and self.application.ready
+
+    def _start(self) -> None:
+        # The same steps as `Application._start`, without the servers.
+        application = self.application
+        application.loop = self.loop
+        application._create_streams()
+        for stream in application.streams.values():
+            stream.start()
+        application._start_periodic_steps()
+        application._tasks.spawn(application._become_ready())
+
+    def call(self, coroutine: Coroutine[Any, Any, Any], done: Callable[[Any], None]) -> None:
+        """Run a call of a caller; `done` gets its answer, or None when the process ended."""
+
+        def start() -> None:
+            task = self.loop.create_task(coroutine)
+            task.add_done_callback(lambda ended: done(_result(ended)))
+
+        self.loop.call_soon(start)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.alive = False
+        self.application.context.pools.closed = True
+        self.application.context.mesh.closed = True
+        self.network.world.loops.remove(self.loop)
+        self.loop.end()
+
+
+def _result(task: Any) -> Any:
+    return None if task.cancelled() else task.result()
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_load.py
@@ -0,0 +1,448 @@
+"""Callers and operators: what they ask, and records of what they hear."""
+
+import hashlib
+import itertools
+import json
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+
+from fireflywharf_core.contracts import Contract, Quota
+from fireflywharf_core.history import (
+    ContractApplied,
+    ContractSeen,
+    JobAcceptedSeen,
+    JobStateSeen,
+    RequestAnswered,
+    RequestSent,
+)
+from fireflywharf_core.history._job_checks import END_STATES
+from fireflywharf_core.jobs import JobKind, JobSpec
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.results import (
+    CodeClass,
+    Completed,
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    describe_code,
+)
+from fireflywharf_daemon.http import (
+    AppliedContract,
+    ApplyContract,
+    CallerError,
+    ExecuteRequest,
+    IssuedKeys,
+    IssueKeys,
+    JobStatus,
+    RequestResult,
+    SubmitJob,
+    SubmittedJob,
+)
+
+from .._effects import EffectsRecorder
+from ._entry import EntryVm
+from ._loop import World
+
+CUSTOMERS = {"austral": 2.0, "tico": 1.0}
+SERVICE = "dispatch"
+LOAD_START_S = 4.0
+LOAD_END_S = 28.0
+SUBMIT_TRIES_MAX = 12
+RETRY_S = 1.0
+POLL_S = 2.0
+
+
+@attrs.define
+class _JobState:
+    """A job of a caller.
+
+    Args:
+        job: what is submitted, the same each time.
+        poll_at: name of the entry VM that is asked for the state.
+    """
+
+    job: SubmitJob
+    poll_at: str
+    tries_count: int = 0
+    accepted: bool = False
+    cancel_wanted: bool = False
+    cancelled: bool = False
+    ended: bool = False
+
+
+class Load:
+    """Submits seeded jobs, requests and contract changes and records the answers.
+
+    Args:
+        world: clock and events.
+        rng: source of the load.
+        recorder: receives the records.
+        entries: present life of each entry VM by name.
+        wrong_sizes: whether declared sizes and run times are far off.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        rng: random.Random,
+        recorder: EffectsRecorder,
+        entries: dict[str, EntryVm],
+        wrong_sizes: bool = False,
+    ) -> None:
+        self.world = world
+        self.rng = rng
+        self.recorder = recorder
+        self.entries = entries
+        self.wrong_sizes = wrong_sizes
+        self.jobs: dict[str, _JobState] = {}
+        self._numbers = itertools.count(1)
+
+    # Plan.
+
+    def plan(self, jobs_count: int, requests_count: int) -> None:
+        """Schedule the whole load."""
+        for customer, weight in CUSTOMERS.items():
+            self.world.at(2.0, lambda c=customer, w=weight: self.change_contract(c, 0, w))
+            for _ in range(2):
+                at_s = self.rng.uniform(LOAD_START_S, LOAD_END_S)
+                self.world.at(at_s, lambda c=customer: self.race_contract(c, 1))
+        for _ in range(jobs_count):
+            self.world.at(self.rng.uniform(LOAD_START_S, LOAD_END_S), self.submit_new_job)
+        for _ in range(requests_count):
+            self.world.at(self.rng.uniform(LOAD_START_S, LOAD_END_S), self.send_new_request)
+        self.world.at(LOAD_END_S + 2.0, self.cancel_services)
+        self.world.at(3.0, self._poll)
+
+    def _serving(self) -> list[EntryVm]:
+        return [entry for entry in self.entries.values() if entry.serving]
+
+    def _pick(self) -> EntryVm | None:
+        """Return an entry VM that accepts connections; a paused one does so, too."""
+        alive = [entry for entry in self.entries.values() if entry.alive]
+        return self.rng.choice(alive) if alive else None
+
+    def _call(
+        self, entry: EntryVm, coroutine: Coroutine[Any, Any, Any], done: Callable[[Any], None]
+    ) -> None:
+        """Make a call that arrives after the delay to the client, as does the answer."""
+
+        def arrive() -> None:
+            if entry.alive:
+                entry.call(coroutine, lambda answer: self._answered(answer, done))
+            else:
+                coroutine.close()
+                done(None)
+
+        self.world.after(self.rng.uniform(0.001, 0.006), arrive)
+
+    def _answered(self, answer: Any, done: Callable[[Any], None]) -> None:
+        if answer is None:
+            done(None)
+        else:
+            self.world.after(self.rng.uniform(0.001, 0.006), lambda: done(answer))
+
+    # Jobs.
+
+    def submit_new_job(self, cancel_soon: bool = False) -> None:
+        """Submit one job of a random kind."""
+        rng = self.rng
+        number = next(self._numbers)
+        kind = rng.choices(list(JobKind), [6, 2, 1, 2])[0]
+        customer = rng.choice(list(CUSTOMERS))
+        run_s = None if kind is JobKind.SERVICE else rng.uniform(0.3, 4.0)
+        factor = rng.choice([0.1, 1.0, 6.0]) if self.wrong_sizes else 1.0
+        size = ResourceVector(rng.randrange(500, 3001), rng.randrange(500, 4001), 0)
+        command: dict[str, Any] = {"run_s": run_s, "fail": rng.random() < 0.05}
+        if self.wrong_sizes:
+            use = rng.choice([0.2, 0.5, 3.0])
+            command["use"] = {
+                "processors_millicores": int(size.processors_millicores * use),
+                "memory_mb": int(size.memory_mb * use),
+            }
+        job_id = f"{customer}-{number}"
+        spec = JobSpec(
+            job_id=job_id,
+            customer=customer,
+            kind=kind,
+            workload=kind.value,
+            tasks_count=rng.randrange(2, 5) if kind is JobKind.GANG else rng.choice([1, 1, 2, 4]),
+            size=size,
+            run_time_s=(run_s or 0.0) * factor,
+            deadline_s=None if run_s is None else rng.choice([None, 5.0, 20.0, 60.0]),
+            restartable=rng.random() < 0.7,
+            command=json.dumps(command),
+        )
+        digest = hashlib.sha256(job_id.encode()).hexdigest()
+        job = SubmitJob(spec=spec, key=f"key-{number}", digest=digest)
+        state = _JobState(job, rng.choice(list(self.entries)))
+        self.jobs[job_id] = state
+        if rng.random() < 0.1 or cancel_soon:
+            self.world.after(rng.uniform(0.5, 4.0), lambda: self.cancel(state))
+        if rng.random() < 0.3:
+            self._with_issued_key(customer, lambda key: self._submit_under(state, key))
+        else:
+            self._submit(state)
+
+    def _with_issued_key(self, customer: str, use: Callable[[str | None], None]) -> None:
+        """Ask an entry VM for a key and hand it over; None when it issues none."""
+        entry = self._pick()
+        if entry is None:
+            use(None)
+            return
+
+        def issued(answer: Any) -> None:
+            use(answer.keys[0] if isinstance(answer, IssuedKeys) else None)
+
+        self._call(entry, entry.callers._issue_keys(IssueKeys(customer, 1)), issued)
+
+    def _submit_under(self, state: _JobState, key: str | None) -> None:
+        if key is not None:
+            state.job = attrs.evolve(state.job, key=key)
+        self._submit(state)
+
+    def _submit(self, state: _JobState) -> None:
+        state.tries_count += 1
+        if state.tries_count > SUBMIT_TRIES_MAX:
+            return
+        entry = self._pick()
+        if entry is None:
+            self.world.after(RETRY_S, lambda: self._submit(state))
+            return
+        self._call(
+            entry,
+            entry.callers._submit_job(state.job),
+            lambda answer: self._submitted(state, answer),
+        )
+
+    def _submitted(self, state: _JobState, answer: Any) -> None:
+        spec = state.job.spec
+        match answer:
+            case SubmittedJob(code=ResultCode.ACCEPTED | ResultCode.ACCEPTED_LATE):
+                if state.accepted:
+                    return
+                state.accepted = True
+                self.recorder.add(
+                    JobAcceptedSeen(
+                        time_s=self.world.now_s,
+                        job_id=spec.job_id,
+                        customer=spec.customer,
+                        tasks_count=spec.tasks_count,
+                        deadline_s=spec.deadline_s,
+                        restartable=spec.restartable,
+                    )
+                )
+                if state.cancel_wanted:
+                    self.cancel(state)
+            case _:
+                self.world.after(self.rng.uniform(0.2, RETRY_S), lambda: self._submit(state))
+
+    def cancel(self, state: _JobState) -> None:
+        """Cancel a job, repeatedly until an entry VM confirms it."""
+        state.cancel_wanted = True
+        entry = self._pick()
+        if not state.accepted or state.cancelled or state.ended:
+            return
+        if entry is None:
+            self.world.after(RETRY_S, lambda: self.cancel(state))
+            return
+
+        def done(answer: Any) -> None:
+            state.cancelled = answer is not None and not isinstance(answer, CallerError)
+            if not state.cancelled:
+                self.world.after(RETRY_S, lambda: self.cancel(state))
+
+        self._call(entry, entry.application.jobs.cancel(state.job.spec.job_id), done)
+
+    def cancel_services(self) -> None:
+        """Cancel the jobs that never end by themselves."""
+        for state in self.jobs.values():
+            if state.job.spec.kind is JobKind.SERVICE:
+                self.cancel(state)
+
+    def cancel_wave(self, count: int) -> None:
+        """Submit many jobs and cancel all of them soon after."""
+        for _ in range(count):
+            self.submit_new_job(cancel_soon=True)
+
+    # Requests.
+
+    def send_new_request(self) -> None:
+        """Send one request, idempotent or with a key, and perhaps repeats of it."""
+        rng = self.rng
+        operation = f"op-{next(self._numbers)}"
+        customer = rng.choice(list(CUSTOMERS))
+        service_ms = 2000 if rng.random() < 0.05 else rng.randrange(10, 400)
+        request = ExecuteRequest(
+            customer=customer,
+            service=SERVICE,
+            kind="long" if service_ms == 2000 else "short",
+            idempotent=rng.random() < 0.4,
+            body=json.dumps({"echo": operation, "service_ms": service_ms}).encode(),
+            deadline_ms=rng.randrange(2000, 8000),
+        )
+        repeats_s = [rng.uniform(0.0, 4.0) for _ in range(rng.choice([0, 0, 1, 2]))]
+
+        def send(key: str | None) -> None:
+            keyed = attrs.evolve(request, key=key or "")
+            self._send(operation, keyed)
+            for delay_s in repeats_s if keyed.key or keyed.idempotent else ():
+                self.world.after(delay_s, lambda: self._send(operation, keyed))
+
+        if request.idempotent:
+            send(None)
+        elif rng.random() < 0.5:
+            send(f"own-{operation}")
+        else:
+            self._with_issued_key(customer, send)
+
+    def _send(self, operation: str, request: ExecuteRequest) -> None:
+        entry = self._pick()
+        if entry is None:
+            return
+        call = f"call-{next(self._numbers)}"
+        self.recorder.add(
+            RequestSent(
+                time_s=self.world.now_s,
+                call=call,
+                operation=operation,
+                entry_vm=entry.name,
+                customer=request.customer,
+                kind=request.kind,
+                idempotent=request.idempotent,
+                body_digest=hashlib.sha256(request.body).hexdigest(),
+            )
+        )
+        self._call(
+            entry,
+            entry.callers._execute_request(request),
+            lambda answer: self._request_answered(call, answer),
+        )
+
+    def _request_answered(self, call: str, answer: Any) -> None:
+        outcome, echoed = "lost", ""
+        match answer:
+            case CallerError(code):
+                unknown = describe_code(code).code_class is CodeClass.UNKNOWN
+                outcome = "unknown" if unknown else "not_run"
+            case RequestResult(_, Completed(body, _, _)):
+                outcome = "completed"
+                text = json.loads(body).get("body", "")
+                echoed = hashlib.sha256(text.encode()).hexdigest()
+            case RequestResult(_, NotRun()):
+                outcome = "not_run"
+            case RequestResult(_, OutcomeUnknown()):
+                outcome = "unknown"
+        self.recorder.add(
+            RequestAnswered(
+                time_s=self.world.now_s, call=call, outcome=outcome, echoed_digest=echoed
+            )
+        )
+
+    # Contracts.
+
+    def change_contract(self, customer: str, base_version: int, weight: float) -> None:
+        """Apply a contract; repeat until it exists when it is the first."""
+        entry = self._pick()
+        if entry is None:
+            self.world.after(RETRY_S, lambda: self.change_contract(customer, base_version, weight))
+            return
+        change = ApplyContract(
+            contract=make_contract(customer, weight), base_version=base_version, author="operator"
+        )
+
+        def done(answer: Any) -> None:
+            if isinstance(answer, AppliedContract):
+                self.recorder.add(
+                    ContractApplied(
+                        time_s=self.world.now_s, customer=customer, version=answer.version
+                    )
+                )
+            elif base_version == 0 and not self._known_version(entry, customer):
+                self.world.after(
+                    RETRY_S, lambda: self.change_contract(customer, base_version, weight)
+                )
+
+        self._call(entry, entry.application.contracts.apply(change), done)
+
+    def race_contract(self, customer: str, changes_count: int) -> None:
+        """Apply concurrent changes on the same base version."""
+        entry = self._pick()
+        base_version = 0 if entry is None else self._known_version(entry, customer)
+        if base_version:
+            for _ in range(changes_count):
+                self.change_contract(customer, base_version, self.rng.uniform(0.5, 4.0))
+
+    def _known_version(self, entry: EntryVm, customer: str) -> int:
+        row = entry.application.contracts.registry.get(customer)
+        return 0 if row is None else row.version
+
+    # Observation.
+
+    def _poll(self) -> None:
+        for entry in self._serving():
+            self._see_contracts(entry)
+        for state in self.jobs.values():
+            entry = self.entries[state.poll_at]
+            if state.accepted and not state.ended and entry.serving:
+                self._see_job(entry, state)
+        self.world.after(POLL_S, self._poll)
+
+    def _see_contracts(self, entry: EntryVm) -> None:
+        for customer in CUSTOMERS:
+            version = self._known_version(entry, customer)
+            self.recorder.add(
+                ContractSeen(
+                    time_s=self.world.now_s,
+                    entry_vm=entry.name,
+                    customer=customer,
+                    version=version,
+                )
+            )
+
+    def _see_job(self, entry: EntryVm, state: _JobState) -> None:
+        job_id = state.job.spec.job_id
+
+        def done(answer: Any) -> None:
+            match answer:
+                case JobStatus():
+                    value, late = answer.state.value, answer.late
+                case CallerError(code=ResultCode.UNKNOWN_JOB):
+                    value, late = "missing", False
+                case _:
+                    return
+            state.ended = state.ended or value in END_STATES
+            self.recorder.add(
+                JobStateSeen(time_s=self.world.now_s, job_id=job_id, state=value, late=late)
+            )
+
+        self._call(entry, entry.application.jobs.status(job_id, explain=False), done)
+
+    def see_all_jobs(self) -> None:
+        """Ask every serving entry VM for the state of every accepted job."""
+        for entry in self._serving():
+            for state in self.jobs.values():
+                if state.accepted:
+                    self._see_job(entry, state)
+
+    @property
+    def finished(self) -> bool:
+        """Whether every accepted job was seen to have ended."""
+        return all(state.ended or not state.accepted for state in self.jobs.values())
+
+
+def make_contract(customer: str, weight: float) -> Contract:
+    """Return a contract without bounds."""
+    quota = Quota(
+        processors_millicores="unlimited", memory_mb="unlimited", accelerators_count="unlimited"
+    )
+    return Contract(
+        customer=customer,
+        share_weight=weight,
+        quota=quota,
+        requests_per_second="unlimited",
+        queue_max_tasks="unlimited",
+        provisional_admission=True,
+    )
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_loop.py
@@ -0,0 +1,125 @@
+"""Event loops of several processes on one virtual clock, without sockets or threads."""
+
+import asyncio
+import heapq
+import itertools
+import math
+from collections.abc import Callable
+from typing import Any
+
+
+class _NoSelector:
+    """Stands in for the selector of an event loop that has no sockets."""
+
+    def select(self, _timeout_s: float | None) -> list[Any]:
+        return []
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """Event loop of one process; the world runs it when something is due.
+
+    Args:
+        world: owner of the clock.
+        on_error: called with the text of an error that no task handled.
+    """
+
+    def __init__(self, world: "World", on_error: Callable[[str], None]) -> None:
+        super().__init__()
+        self.world = world
+        self.on_error = on_error
+        self.paused = False
+        self._selector = _NoSelector()
+
+    def time(self) -> float:
+        """Return the virtual time."""
+        return self.world.now_s
+
+    def next_s(self) -> float:
+        """Return the time of the next callback; infinity when there is none."""
+        if self.paused or self.is_closed():
+            return math.inf
+        if self._ready:
+            return self.world.now_s
+        while self._scheduled and self._scheduled[0].cancelled():
+            # Same bookkeeping as in `_run_once`, which drops cancelled timers from the front.
+            self._timer_cancelled_count -= 1
+            heapq.heappop(self._scheduled)._scheduled = False
+        return self._scheduled[0].when() if self._scheduled else math.inf
+
+    def run_due(self) -> None:
+        """Run what is due now."""
+        asyncio.events._set_running_loop(self)
+        try:
+            self._run_once()
+        finally:
+            asyncio.events._set_running_loop(None)
+
+    def end(self) -> None:
+        """Cancel all tasks and close, as when the process is killed."""
+        self.paused = False
+        self.on_error = lambda _: None
+        for _ in range(50):
+            tasks = [task for task in asyncio.all_tasks(self) if not task.done()]
+            if not tasks:
+                break
+            for task in tasks:
+                task.cancel()
+            for _ in range(3):
+                self.run_due()
+        self.run_due()
+        self.close()
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """Report an error that no task handled."""
+        self.on_error(f"{context.get('message')}: {context.get('exception')!r}")
+
+    def _process_events(self, event_list: list[Any]) -> None:
+        """Do nothing, because there are no sockets."""
+
+    def _write_to_self(self) -> None:
+        """Do nothing, because the world asks for the next callback itself."""
+
+
+class World:
+    """The clock, the events outside of all processes, and the loops of the processes."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.loops: list[VirtualLoop] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def monotonic(self) -> float:
+        """Return the virtual time; serves as clock of the stand-ins."""
+        return self.now_s
+
+    def time(self) -> float:
+        """Return the virtual time of day."""
+        return 1_700_000_000.0 + self.now_s
+
+    def at(self, time_s: float, function: Callable[[], None]) -> None:
+        """Call a function at a time, or now if that has passed."""
+        heapq.heappush(self._events, (max(time_s, self.now_s), next(self._numbers), function))
+
+    def after(self, delay_s: float, function: Callable[[], None]) -> None:
+        """Call a function after a delay."""
+        self.at(self.now_s + delay_s, function)
+
+    def run_until(self, end_s: float) -> None:
+        """Run everything that is due up to a time."""
+        while True:
+            event_s = self._events[0][0] if self._events else math.inf
+            loop_s, loop = math.inf, None
+            for candidate in self.loops:
+                next_s = candidate.next_s()
+                if next_s < loop_s:
+                    loop_s, loop = next_s, candidate
+            due_s = min(event_s, loop_s)
+            if due_s > end_s:
+                self.now_s = end_s
+                return
+            self.now_s = max(self.now_s, due_s)
+            if event_s <= loop_s:
+                heapq.heappop(self._events)[2]()
+            else:
+                loop.run_due()
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_network.py
@@ -0,0 +1,369 @@
+"""Calls between processes and stand-ins, with seeded delays and losses."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from fireflywharf_core.platform import AppendAnswer, WorkerCommand
+from fireflywharf_daemon.mesh import CallRefused, IncomingCall, NoAnswer, Sender, Unreachable
+from fireflywharf_daemon.platform import (
+    Failed,
+    FailureReason,
+    RefusalReason,
+    RefusedBeforeRun,
+    Success,
+    TargetAnswer,
+    TargetRequest,
+)
+
+from .._server import Answer, Call
+from ._loop import World
+
+if TYPE_CHECKING:
+    from ._entry import EntryVm
+
+TIMEOUT_S = 2.0
+TIMED_OUT = Failed(True, FailureReason.TIMEOUT, "no answer in time")
+RESET = Failed(True, FailureReason.RESET, "connection reset")
+REFUSED = RefusedBeforeRun(RefusalReason.CONNECT_FAILED, "connection refused")
+STALE = RefusedBeforeRun(RefusalReason.STALE_EPOCH, "stale epoch")
+
+
+@attrs.define
+class Conditions:
+    """What is wrong with the network and the log at present.
+
+    Args:
+        lost_before: part of the calls that never arrive.
+        lost_after: part of the answers that never arrive.
+        slow: part of the calls that take up to 1.5 s.
+        log_down: whether the log refuses connections.
+        log_delay_s: largest additional delay of the log, each way.
+        log_answers_lost: part of the answers to appends that never arrive.
+        silent: names of targets whose answers never arrive.
+    """
+
+    lost_before: float = 0.0
+    lost_after: float = 0.0
+    slow: float = 0.0
+    log_down: bool = False
+    log_delay_s: float = 0.0
+    log_answers_lost: float = 0.0
+    silent: set[str] = attrs.field(factory=set)
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Exchange:
+    """A call to a stand-in that is not yet sent.
+
+    Args:
+        service: `log`, `list`, or the address of a worker or target.
+        effect: runs at the stand-in with a function that takes its outcome.
+        timeout_s: time until the caller gives up.
+        is_append: whether it appends to the log.
+        failure: what the caller sees when no answer came in time.
+    """
+
+    service: str
+    effect: Callable[[Callable[[Any], None]], None]
+    timeout_s: float = TIMEOUT_S
+    is_append: bool = False
+    failure: Any = TIMED_OUT
+
+
+class Network:
+    """Delivers calls and answers.
+
+    Args:
+        world: clock and events.
+        rng: source of delays and losses.
+        conditions: present faults.
+    """
+
+    def __init__(self, world: World, rng: random.Random, conditions: Conditions) -> None:
+        self.world = world
+        self.rng = rng
+        self.conditions = conditions
+        self.stand_ins: dict[str, Any] = {}
+        self.entries: dict[str, EntryVm] = {}
+
+    def delay_s(self) -> float:
+        """Return the delay of one message."""
+        if self.rng.random() < self.conditions.slow:
+            return self.rng.uniform(0.05, 1.5)
+        return self.rng.uniform(0.0005, 0.004)
+
+    def perform(self, exchange: Exchange, done: Callable[[Any], None]) -> None:
+        """Send a call and give its outcome, or the failure after the time limit, to `done`."""
+        conditions, world = self.conditions, self.world
+        finished = False
+
+        def finish(outcome: Any) -> None:
+            nonlocal finished
+            if not finished:
+                finished = True
+                done(outcome)
+
+        def answer(outcome: Any) -> None:
+            lost = conditions.log_answers_lost if exchange.is_append else 0.0
+            silent = exchange.service in conditions.silent
+            if silent or self.rng.random() < max(lost, conditions.lost_after):
+                return
+            world.after(self._delay_to(exchange), lambda: finish(outcome))
+
+        def arrive() -> None:
+            if finished:
+                # The caller closed the connection before its call arrived.
+                return
+            if (
+                exchange.service == "log"
+                and conditions.log_down
+                or exchange.service not in ("log", "list", *self.stand_ins)
+            ):
+                finish(REFUSED)
+            else:
+                exchange.effect(answer)
+
+        if self.rng.random() >= conditions.lost_before:
+            world.after(self._delay_to(exchange), arrive)
+        world.after(exchange.timeout_s, lambda: finish(exchange.failure))
+
+    def _delay_to(self, exchange: Exchange) -> float:
+        extra_s = 0.0
+        if exchange.service == "log" and self.conditions.log_delay_s > 0:
+            extra_s = self.rng.uniform(0.0, self.conditions.log_delay_s)
+        return self.delay_s() + extra_s
+
+
+class VirtualPools:
+    """Performs the calls of one process without threads.
+
+    Args:
+        network: carries the calls.
+    """
+
+    def __init__(self, network: Network) -> None:
+        self.network = network
+        self.closed = False
+
+    async def run(self, _pool: str, function: Callable[..., Exchange], *args: Any) -> Any:
+        """Make a call and wait for its outcome."""
+        if self.closed:
+            raise asyncio.CancelledError
+        future = asyncio.get_running_loop().create_future()
+
+        def done(outcome: Any) -> None:
+            if not future.done() and not future.get_loop().is_closed():
+                future.set_result(outcome)
+
+        self.network.perform(function(*args), done)
+        return await future
+
+
+class LogCalls:
+    """Replaces the client of the log service."""
+
+    def __init__(self, log: Any) -> None:
+        self.log = log
+
+    def append(self, stream: str, writer: str, sequence: int, records: list[bytes]) -> Exchange:
+        """Append records."""
+
+        def effect(answer: Callable[[Any], None]) -> None:
+            result = self.log.append(stream, writer, sequence, list(records))
+            answer(REFUSED if result is None else Success(AppendAnswer(result.first_offset)))
+
+        return Exchange(service="log", effect=effect, is_append=True)
+
+    def read(self, stream: str, offset: int, limit: int) -> Exchange:
+        """Read records."""
+        return Exchange(
+            service="log",
+            effect=lambda answer: answer(Success(self.log.read(stream, offset, limit))),
+        )
+
+
+class ListCalls:
+    """Replaces the client of the VM list."""
+
+    def __init__(self, vm_list: Any) -> None:
+        self.vm_list = vm_list
+
+    def list(self) -> Exchange:
+        """Return the VMs."""
+        return Exchange(service="list", effect=lambda answer: answer(Success(self.vm_list.shown())))
+
+
+class WorkerCalls:
+    """Replaces the client of the workers."""
+
+    def __init__(self, network: Network, failing: set[str]) -> None:
+        self.network = network
+        self.failing = failing
+
+    def claim(self, address: str, holder: str, ttl_s: float, renew_tasks: bool) -> Exchange:
+        """Claim or renew a holder lease."""
+        return self._call(address, lambda vm: Success(vm.claim(holder, ttl_s, renew_tasks)))
+
+    def commands(self, address: str, epoch: int, commands: list[WorkerCommand]) -> Exchange:
+        """Send commands."""
+
+        def run(worker: Any) -> Any:
+            answers = worker.commands(epoch, commands, worker.vm.name in self.failing)
+            return STALE if answers is None else Success(answers)
+
+        return self._call(address, run)
+
+    def release(self, address: str, epoch: int) -> Exchange:
+        """Give up a holder lease."""
+        return self._call(address, lambda vm: Success(None) if vm.release(epoch) else STALE)
+
+    def list(self, address: str) -> Exchange:
+        """Return what a worker runs."""
+        return self._call(address, lambda vm: Success(vm.listing()))
+
+    def _call(self, address: str, run: Callable[[Any], Any]) -> Exchange:
+        return Exchange(
+            service=address,
+            effect=lambda answer: answer(run(self.network.stand_ins[address])),
+        )
+
+
+class TargetCalls:
+    """Replaces the client of the targets.
+
+    Args:
+        network: carries the calls.
+        lie_about_timeouts: plants a fault: an uncertain send is told as refused.
+    """
+
+    def __init__(self, network: Network, lie_about_timeouts: bool = False) -> None:
+        self.network = network
+        self.lie_about_timeouts = lie_about_timeouts
+
+    def claim(self, address: str, holder: str, ttl_s: float) -> Exchange:
+        """Claim or renew a holder lease."""
+        return self._call(address, lambda vm: Success(vm.claim(holder, ttl_s)))
+
+    def release(self, address: str, epoch: int) -> Exchange:
+        """Give up a holder lease."""
+        return self._call(address, lambda vm: Success(None) if vm.release(epoch) else STALE)
+
+    def status(self, address: str) -> Exchange:
+        """Return the requests in progress."""
+        return self._call(address, lambda vm: Success(vm.status()))
+
+    def execute(
+        self, address: str, _connections: int, epoch: int, request: TargetRequest, budget_s: float
+    ) -> Exchange:
+        """Execute a request."""
+        headers = {
+            "x-request-id": request.request_id,
+            "x-epoch": str(epoch),
+            "x-deadline-ms": str(max(1, int(budget_s * 1000))),
+            "x-kind": request.kind,
+            "x-request-key": request.key,
+        }
+        call = Call("POST", "/v1/execute", {}, headers, request.body)
+
+        def effect(answer: Callable[[Any], None]) -> None:
+            target = self.network.stand_ins[address]
+            begun = target.begin(call)
+            if isinstance(begun, Answer):
+                answer(_target_outcome(begun))
+                return
+
+            def finish() -> None:
+                target.finish(begun)
+                reset = begun.stopping.is_set()
+                answer(RESET if reset else _target_outcome(target.answer(begun)))
+
+            self.network.world.after(begun.service_s, finish)
+
+        failure = REFUSED if self.lie_about_timeouts else TIMED_OUT
+        return Exchange(
+            service=address, effect=effect, timeout_s=max(0.001, budget_s), failure=failure
+        )
+
+    def _call(self, address: str, run: Callable[[Any], Any]) -> Exchange:
+        return Exchange(
+            service=address,
+            effect=lambda answer: answer(run(self.network.stand_ins[address])),
+        )
+
+
+def _target_outcome(answer: Answer) -> Any:
+    leaving = answer.headers.get("X-Leaving") == "1"
+    if answer.status == 409:
+        return RefusedBeforeRun(RefusalReason.STALE_EPOCH, "stale epoch", leaving)
+    if answer.status == 503 and answer.headers.get("X-Not-Run") == "1":
+        return RefusedBeforeRun(RefusalReason.NOT_RUN, "not run", leaving)
+    return Success(TargetAnswer(answer.status, answer.body, leaving))
+
+
+class VirtualMesh:
+    """Carries the messages of one process to its peers.
+
+    Args:
+        network: carries the messages.
+        sender: this process.
+    """
+
+    def __init__(self, network: Network, sender: Sender) -> None:
+        self.network = network
+        self.sender = sender
+        self.closed = False
+
+    def send(self, address: str, message: Any) -> bool:
+        """Send a message without an answer."""
+        if not self.closed and self.network.rng.random() >= self.network.conditions.lost_before:
+            self.network.world.after(
+                self.network.delay_s(), lambda: self._deliver(address, message)
+            )
+        return True
+
+    def start_call(
+        self, address: str, message: Any, budget_ms: int, done: Callable[[Any], None]
+    ) -> None:
+        """Call a peer; `done` gets the answer or a failure."""
+        if self.closed:
+            return
+        network, world = self.network, self.network.world
+        deadline_s = world.now_s + budget_ms / 1000
+        finished = False
+
+        def finish(outcome: Any) -> None:
+            nonlocal finished
+            if not finished and not self.closed:
+                finished = True
+                done(outcome)
+
+        def reply(answer: Any) -> None:
+            outcome = NoAnswer("the handler failed") if answer is None else answer
+            if network.rng.random() >= network.conditions.lost_after:
+                world.after(network.delay_s(), lambda: finish(outcome))
+
+        def handle(entry: "EntryVm") -> None:
+            if world.now_s >= deadline_s:
+                finish(CallRefused("the time budget passed before handling"))
+                return
+            entry.application._take_call(IncomingCall(self.sender, message, deadline_s, reply))
+
+        def arrive() -> None:
+            entry = network.entries.get(address)
+            if entry is None or not entry.alive:
+                finish(Unreachable(f"{address} refused the connection"))
+            else:
+                entry.loop.call_soon(handle, entry)
+
+        if network.rng.random() >= network.conditions.lost_before:
+            world.after(network.delay_s(), arrive)
+        world.at(deadline_s, lambda: finish(NoAnswer("no answer in time")))
+
+    def _deliver(self, address: str, message: Any) -> None:
+        entry = self.network.entries.get(address)
+        if entry is not None and entry.alive:
+            entry.loop.call_soon(entry.application._take_message, message)
--- /dev/null
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_run.py
@@ -0,0 +1,169 @@
+"""One seeded history, judged by the checks of the core."""
+
+import logging
+import random
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+
+from fireflywharf_core.history import (
+    AttemptStarted,
+    ContractSeen,
+    History,
+    JobAcceptedSeen,
+    Promise,
+    RequestAnswered,
+    RequestSent,
+    RequestStarted,
+    Violation,
+    VmLeaving,
+    check_history,
+)
+
+from ._cluster import Cluster, ClusterPlan
+from ._entry import virtual_process
+from ._faults import plan_faults
+from ._loop import World
+
+QUIET_FROM_S = 45.0
+END_MAX_S = 120.0
+STEP_S = 5.0
+SETTLE_S = 12.0
+RETENTION_S = 16.0
+
+
+@attrs.frozen(kw_only=True)
+class HistoryResult:
+    """Verdict on one history.
+
+    Args:
+        seed: seed that repeats it.
+        faults: names of its faults.
+        violations: broken promises.
+        errors: unexpected errors inside the daemon.
+        checked: operations checked, by promise.
+        end_s: virtual time at its end.
+    """
+
+    seed: int
+    faults: tuple[str, ...]
+    violations: list[Violation]
+    errors: list[str]
+    checked: dict[Promise, int]
+    end_s: float
+
+
+class _ErrorLog(logging.Handler):
+    """Collects the errors that the daemon logs."""
+
+    def __init__(self, errors: list[str]) -> None:
+        super().__init__(logging.ERROR)
+        self.errors = errors
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Store the message and the error."""
+        error = record.exc_info[1] if record.exc_info else None
+        self.errors.append(f"{record.getMessage()}: {error!r}")
+
+
+@contextmanager
+def _collected_errors(errors: list[str]) -> Iterator[None]:
+    logger = logging.getLogger("fireflywharf_daemon")
+    handler = _ErrorLog(errors)
+    before = (logger.level, logger.propagate)
+    logger.setLevel(logging.ERROR)
+    logger.propagate = False
+    logger.addHandler(handler)
+    try:
+        yield
+    finally:
+        logger.removeHandler(handler)
+        logger.setLevel(before[0])
+        logger.propagate = before[1]
+
+
+def run_history(
+    seed: int,
+    faults: tuple[str, ...] = (),
+    planted: str = "",
+    jobs_count: int = 14,
+    requests_count: int = 50,
+) -> HistoryResult:
+    """Run one history and judge it.
+
+    The same arguments repeat the same history within one version of the code, if the interpreter
+    runs with the same PYTHONHASHSEED.
+
+    Args:
+        seed: seed of everything random.
+        faults: names from `FAULTS`.
+        planted: name from `PLANTED`, or empty.
+        jobs_count: number of jobs.
+        requests_count: number of requests, repeats not counted.
+
+    Returns:
+        The verdict.
+    """
+    result, _ = record_history(seed, faults, planted, jobs_count, requests_count)
+    return result
+
+
+def record_history(
+    seed: int,
+    faults: tuple[str, ...] = (),
+    planted: str = "",
+    jobs_count: int = 14,
+    requests_count: int = 50,
+) -> tuple[HistoryResult, History]:
+    """Do the same as `run_history`, and return the records as well."""
+    rng = random.Random(f"{seed}:{','.join(faults)}")
+    world = World()
+    errors: list[str] = []
+    plan = ClusterPlan(
+        entries_count=rng.choice([2, 3]),
+        retention_s=RETENTION_S if "records truncated" in faults else 0.0,
+        wrong_sizes="wrong sizes" in faults,
+        planted=planted,
+    )
+    with virtual_process(world, random.Random(rng.getrandbits(64))), _collected_errors(errors):
+        cluster = Cluster(world, random.Random(rng.getrandbits(64)), plan)
+        cluster.load.plan(jobs_count, requests_count)
+        plan_faults(cluster, faults, random.Random(rng.getrandbits(64)))
+        world.run_until(QUIET_FROM_S)
+        while world.now_s < END_MAX_S and not cluster.load.finished:
+            world.run_until(world.now_s + STEP_S)
+        world.run_until(world.now_s + SETTLE_S)
+        cluster.load.see_all_jobs()
+        world.run_until(world.now_s + STEP_S)
+        # The check of the configuration needs this moment for versions applied late.
+        records = cluster.recorder.all()
+        cluster.close()
+    history = History(records)
+    result = HistoryResult(
+        seed=seed,
+        faults=faults,
+        violations=check_history(history),
+        errors=errors + cluster.errors,
+        checked=_count_checked(history),
+        end_s=world.now_s,
+    )
+    return result, history
+
+
+def _count_checked(history: History) -> dict[Promise, int]:
+    """Return how many operations each promise was checked on."""
+    counts = Counter(type(record) for record in history.records)
+    sent = history.of(RequestSent)
+    refused = [row for row in history.of(RequestAnswered) if row.outcome == "not_run"]
+    return {
+        Promise.ROOM: counts[AttemptStarted] + counts[RequestStarted],
+        Promise.ONE_PLACE: counts[AttemptStarted],
+        Promise.OWN_ANSWER: len(sent),
+        Promise.NOT_RUN: len(refused),
+        Promise.AT_MOST_ONCE: len({row.operation for row in sent if not row.idempotent}),
+        Promise.LEAVING: counts[RequestStarted] if counts[VmLeaving] else 0,
+        Promise.CONFIGURATION: counts[ContractSeen],
+        Promise.NOTHING_LOST: counts[JobAcceptedSeen],
+    }
