Take up ends that were reported before their job was known

Cause: history (restart, failing worker). A new scheduler got a worker's report before the replay of stream jobs admitted the job. The ends in the report were dropped, yet the worker counted as reported, so recovery finished and the task that had succeeded started again, before the next report. Before: 4 starts after a success in that history. The driver also asks for one job state at a time, since answers to two have no order.

--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_reports.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_reports.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from ..jobs import AttemptEnd, AttemptId
 from ..platform import RunningAttempt
 from ..resources import ResourceVector
@@ -24,6 +26,16 @@
 UNKNOWN_JOB_GRACE_S = 60.0
 
 
+@attrs.frozen(slots=True)
+class _UnknownEnd:
+    """Reported end of an attempt whose job is not known yet."""
+
+    worker: str
+    end: AttemptEnd
+    elapsed_s: float
+    first_s: float
+
+
 class ReportReader:
     """Compares what workers list with what the table of attempts expects.
 
@@ -49,7 +61,7 @@
         self.outbox = outbox
         self.tell = tell
         self._ended: dict[str, dict[AttemptId, float]] = {}
-        self._unknown_ends: dict[AttemptId, float] = {}
+        self._unknown_ends: dict[str, dict[AttemptId, _UnknownEnd]] = {}
 
     def read(self, report: WorkerReport, now_s: float) -> bool:
         """Take up a report; return whether its worker is known."""
@@ -120,11 +132,17 @@
         self.tell(AttemptConfirmed(attempt), now_s)
 
     def job_known(self, job: Job, now_s: float) -> None:
-        """Assign attempts that were reported before their job was known."""
+        """Take up attempts and ends that were reported before their job was known.
+
+        A worker counts as reported from then on, so waiting for its next report would be too late:
+        the task could start again in the meantime.
+        """
         for attempt in list(self.attempts.unknown.pop(job.spec.job_id, {}).values()):
             self.attempts.release(attempt, now_s, None)
             attempt.job = job
             self._claim_task(attempt, now_s)
+        for ident, kept in self._unknown_ends.pop(job.spec.job_id, {}).items():
+            self.ended(ident, kept.worker, kept.end, kept.elapsed_s, now_s)
 
     def listed(self, attempt: Attempt, report: RunningAttempt, now_s: float) -> None:
         """Take up what a report says of a known attempt."""
@@ -199,10 +217,13 @@
         """Take up the end of an attempt, and have it recorded and acknowledged."""
         job = self.jobs.get(ident.task.job_id)
         if job is None:
-            first_s = self._unknown_ends.setdefault(ident, now_s)
-            if now_s - first_s < UNKNOWN_JOB_GRACE_S:
+            kept = self._unknown_ends.setdefault(ident.task.job_id, {})
+            row = kept.setdefault(ident, _UnknownEnd(worker_name, end, elapsed_s, now_s))
+            if now_s - row.first_s < UNKNOWN_JOB_GRACE_S:
                 return
-            del self._unknown_ends[ident]
+            del kept[ident]
+            if not kept:
+                del self._unknown_ends[ident.task.job_id]
         ends = self._ended.setdefault(worker_name, {})
         last_s = ends.get(ident)
         if last_s is not None and now_s - last_s < REPEAT_END_S:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_entry.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_entry.py
@@ -130,11 +130,13 @@
         application._start_periodic_steps()
         application._tasks.spawn(application._become_ready())
 
-    def call(self, coroutine: Coroutine[Any, Any, Any], done: Callable[[Any], None]) -> None:
+    def call(
+        self, make: Callable[[], Coroutine[Any, Any, Any]], done: Callable[[Any], None]
+    ) -> None:
         """Run a call of a caller; `done` gets its answer, or None when the process ended."""
 
         def start() -> None:
-            task = self.loop.create_task(coroutine)
+            task = self.loop.create_task(make())
             task.add_done_callback(lambda ended: done(_result(ended)))
 
         self.loop.call_soon(start)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_load.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_load.py
@@ -71,6 +71,7 @@
     cancel_wanted: bool = False
     cancelled: bool = False
     ended: bool = False
+    asking: bool = False
 
 
 class Load:
@@ -125,15 +126,17 @@
         return self.rng.choice(alive) if alive else None
 
     def _call(
-        self, entry: EntryVm, coroutine: Coroutine[Any, Any, Any], done: Callable[[Any], None]
+        self,
+        entry: EntryVm,
+        make: Callable[[], Coroutine[Any, Any, Any]],
+        done: Callable[[Any], None],
     ) -> None:
         """Make a call that arrives after the delay to the client, as does the answer."""
 
         def arrive() -> None:
             if entry.alive:
-                entry.call(coroutine, lambda answer: self._answered(answer, done))
+                entry.call(make, lambda answer: self._answered(answer, done))
             else:
-                coroutine.close()
                 done(None)
 
         self.world.after(self.rng.uniform(0.001, 0.006), arrive)
@@ -196,7 +199,7 @@
         def issued(answer: Any) -> None:
             use(answer.keys[0] if isinstance(answer, IssuedKeys) else None)
 
-        self._call(entry, entry.callers._issue_keys(IssueKeys(customer, 1)), issued)
+        self._call(entry, lambda: entry.callers._issue_keys(IssueKeys(customer, 1)), issued)
 
     def _submit_under(self, state: _JobState, key: str | None) -> None:
         if key is not None:
@@ -213,7 +216,7 @@
             return
         self._call(
             entry,
-            entry.callers._submit_job(state.job),
+            lambda: entry.callers._submit_job(state.job),
             lambda answer: self._submitted(state, answer),
         )
 
@@ -254,7 +257,8 @@
             if not state.cancelled:
                 self.world.after(RETRY_S, lambda: self.cancel(state))
 
-        self._call(entry, entry.application.jobs.cancel(state.job.spec.job_id), done)
+        job_id = state.job.spec.job_id
+        self._call(entry, lambda: entry.application.jobs.cancel(job_id), done)
 
     def cancel_services(self) -> None:
         """Cancel the jobs that never end by themselves."""
@@ -317,7 +321,7 @@
         )
         self._call(
             entry,
-            entry.callers._execute_request(request),
+            lambda: entry.callers._execute_request(request),
             lambda answer: self._request_answered(call, answer),
         )
 
@@ -365,7 +369,7 @@
                     RETRY_S, lambda: self.change_contract(customer, base_version, weight)
                 )
 
-        self._call(entry, entry.application.contracts.apply(change), done)
+        self._call(entry, lambda: entry.application.contracts.apply(change), done)
 
     def race_contract(self, customer: str, changes_count: int) -> None:
         """Apply concurrent changes on the same base version."""
@@ -386,7 +390,9 @@
             self._see_contracts(entry)
         for state in self.jobs.values():
             entry = self.entries[state.poll_at]
-            if state.accepted and not state.ended and entry.serving:
+            if state.accepted and not state.ended and not state.asking and entry.serving:
+                # One question at a time, because the answers to two have no order.
+                state.asking = True
                 self._see_job(entry, state)
         self.world.after(POLL_S, self._poll)
 
@@ -406,6 +412,7 @@
         job_id = state.job.spec.job_id
 
         def done(answer: Any) -> None:
+            state.asking = False
             match answer:
                 case JobStatus():
                     value, late = answer.state.value, answer.late
@@ -418,7 +425,7 @@
                 JobStateSeen(time_s=self.world.now_s, job_id=job_id, state=value, late=late)
             )
 
-        self._call(entry, entry.application.jobs.status(job_id, explain=False), done)
+        self._call(entry, lambda: entry.application.jobs.status(job_id, explain=False), done)
 
     def see_all_jobs(self) -> None:
         """Ask every serving entry VM for the state of every accepted job."""
