Count jobs, appends and request times, and name workers that are set aside

Cause: five metrics never got a sample, the VM list showed no set-aside worker, finished jobs had no kind, an infinite rate was accepted in a contract, and a missing field was shown in quotes. Change: each is filled in at its place; the topology example moves out of the folder of settings. Result: features/cli_daemon.feature 'finished work is counted' passes; it was known red.

--- a/examples/seven-vms/run.sh
+++ b/examples/seven-vms/run.sh
@@ -15,7 +15,7 @@
 }
 trap stop_all EXIT
 
-"$bin/fireflywharf-standin" --topology examples/seven-vms/topology.toml \
+"$bin/fireflywharf-standin" --topology examples/seven-vms-topology.toml \
     --effects "$work/effects.jsonl" >"$work/addresses.json" 2>"$work/standin.log" &
 pids+=($!)
 for _ in $(seq 100); do [ -s "$work/addresses.json" ] && break; sleep 0.1; done
--- a/features/cli_daemon.feature
+++ b/features/cli_daemon.feature
@@ -21,7 +21,6 @@
     And its errors contain "refused the connection"
 
   # Guards against metrics that exist but never count, on which alarms would stay silent.
-  @known_red
   Scenario: finished work is counted in the metrics
     Given stand-ins and a daemon that is ready
     When the CLI applies the example contracts of "consortium"
@@ -41,7 +40,6 @@
 
   # Guards against a job that is refused for good because the scheduler has just started and does not
   # know its workers yet.
-  @known_red
   Scenario: a job is not called infeasible while the workers are not known
     Given stand-ins and a daemon that just starts
     When the CLI applies the example contracts of "consortium" as soon as it can
--- a/packages/fireflywharf-core/src/fireflywharf_core/checking/_field_checker.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/checking/_field_checker.py
@@ -8,6 +8,8 @@
 
 from ..results import Problem, ResultCode
 
+MISSING = "(missing)"
+
 
 class FieldChecker:
     """Converts the fields of one mapping and collects the problems.
@@ -32,7 +34,8 @@
     def add(self, name: str, value: Any, accepted: str) -> None:
         """Record a problem of field `name`."""
         field = ".".join(part for part in (self._path, name) if part) or "(top level)"
-        shown = repr(value) if len(repr(value)) <= 80 else repr(value)[:77] + "..."
+        text = MISSING if value is MISSING else repr(value)
+        shown = text if len(text) <= 80 else text[:77] + "..."
         self.problems.append(Problem(self._code, field, shown, accepted))
 
     def take(
@@ -58,7 +61,7 @@
         self._used.add(name)
         if name not in self._data:
             if default is attrs.NOTHING:
-                self.add(name, "(missing)", accepted)
+                self.add(name, MISSING, accepted)
                 return None
             return default
         raw = self._data[name]
--- a/packages/fireflywharf-core/src/fireflywharf_core/contracts/_parse.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/contracts/_parse.py
@@ -14,7 +14,9 @@
 
 
 def _is_limit(value: int | float | str) -> bool:
-    return value == UNLIMITED or (not isinstance(value, bool) and value >= 0)
+    return value == UNLIMITED or (
+        not isinstance(value, bool | str) and math.isfinite(value) and value >= 0
+    )
 
 
 def _is_positive(value: float) -> bool:
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_job_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_job_events.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..jobs import JobSpec, JobState
+from ..jobs import JobKind, JobSpec, JobState
 
 
 @attrs.define(slots=True)
@@ -36,7 +36,7 @@
 
 @attrs.define(slots=True)
 class FinishedJob:
-    """Outcome of a job, kept until the log deletes its record."""
+    """Outcome of a job, kept until the log deletes its record; `kind` is None if not known."""
 
     state: JobState
     late: bool
@@ -45,6 +45,7 @@
     customer: str = ""
     home_domain: str = ""
     submission_digest: str = ""
+    kind: JobKind | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
@@ -273,6 +273,7 @@
         if job is not None:
             del self._by_domain[job.home_domain][job_id]
             finished.customer = job.spec.customer
+            finished.kind = job.spec.kind
             finished.home_domain = job.home_domain
             finished.submission_digest = job.submission_digest
             finished.late |= job.late
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
@@ -263,6 +263,10 @@
         obstacle = self._engine.obstacle(job.spec)
         return obstacle or (job.wait_code, job.wait_detail)
 
+    def set_aside_workers(self) -> list[str]:
+        """Return the names of the workers that are set aside."""
+        return [worker.name for worker in self._workers.all() if worker.set_aside]
+
     @property
     def set_aside_count(self) -> int:
         """Number of workers that are set aside."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -214,6 +214,7 @@
             writer,
             StreamReader(name, RECORD_CODEC),
             listener,
+            self.context.metrics,
             scheduling.log_poll_interval_s,
         )
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_callers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_callers.py
@@ -98,7 +98,7 @@
                 JobRow(
                     job_id=job_id,
                     customer=owner,
-                    kind=None if finished else job.spec.kind,
+                    kind=job.kind if finished else job.spec.kind,
                     state=job.state if finished else state,
                     home_domain=job.home_domain,
                     late=job.late,
@@ -190,6 +190,8 @@
         application = self.application
         own_targets = application.requests.targets.held()
         aside = set(application.requests.router.set_aside_targets())
+        if application.scheduler.core is not None:
+            aside.update(application.scheduler.core.set_aside_workers())
         holders = application.scheduler.gateway.holders
         incarnation = application.context.incarnation
         return VmListing(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_execution.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_execution.py
@@ -34,6 +34,7 @@
     ThrottleTask,
 )
 
+from ..metrics import Metrics
 from ._log_stream import LogStream
 from ._worker_gateway import (
     CommandNotRun,
@@ -54,6 +55,7 @@
         stream: stream of the domain.
         jobs_stream: stream `jobs`.
         observe: takes the events that answer the actions; ignores them after the tenure.
+        metrics: counts jobs.
     """
 
     def __init__(
@@ -62,11 +64,13 @@
         stream: LogStream,
         jobs_stream: LogStream,
         observe: Callable[[Event], None],
+        metrics: Metrics,
     ) -> None:
         self.gateway = gateway
         self.stream = stream
         self.jobs_stream = jobs_stream
         self.observe = observe
+        self.metrics = metrics
         self._recorded_ends: dict[AttemptId, asyncio.Future[int] | NotRun] = {}
 
     def execute(self, action: Action) -> None:
@@ -101,9 +105,11 @@
                 durable = self.stream.submit(StartIntent(attempt, worker))
                 self._then(durable, StartIntentDurable(attempt))
             case FinishJob(job_id, state, late, detail):
+                self.metrics.job_finished(state)
                 record = JobFinished(job_id, state, late, detail)
                 self._then(self.jobs_stream.submit(record), JobFinishRecorded(job_id))
             case ReportLate(job_id):
+                self.metrics.job_late()
                 _LOG.warning("job passed its deadline", extra={"job_id": job_id})
                 self.jobs_stream.submit(JobLate(job_id))
             case ReportInfeasible(job_id, detail):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -19,7 +19,8 @@
 from fireflywharf_core.records import RECORD_CODEC
 from fireflywharf_core.results import NotRun, OutcomeUnknown, ResultCode
 
-from ..platform import LogClient, RefusedBeforeRun, Success
+from ..metrics import AppendResult, Metrics
+from ..platform import LogClient, PlatformOutcome, RefusedBeforeRun, Success
 from ._pools import IoPools
 from ._tasks import TaskGroup
 
@@ -50,6 +51,7 @@
         writer: group writer of this process.
         reader: reader of the stream.
         listener: folds the records.
+        metrics: counts appends.
         poll_interval_s: time between reads while nothing is waiting.
     """
 
@@ -60,6 +62,7 @@
         writer: GroupWriter,
         reader: StreamReader,
         listener: StreamListener,
+        metrics: Metrics,
         poll_interval_s: float,
     ) -> None:
         self.client = client
@@ -67,6 +70,7 @@
         self.writer = writer
         self.reader = reader
         self.listener = listener
+        self.metrics = metrics
         self.poll_interval_s = poll_interval_s
         self.read_failures_count = 0
         self.apply_failures_count = 0
@@ -185,6 +189,8 @@
                 answer = await self.pools.run(
                     "log", self.client.read, self.name, from_offset, READ_LIMIT_RECORDS
                 )
+        if isinstance(action, AppendNow):
+            self._count_append(answer, len(action.records))
         now_s = time.monotonic()
         match answer:
             case Success(AppendAnswer(first_offset)):
@@ -196,6 +202,16 @@
             case _:
                 self.writer.on_uncertain(now_s)
 
+    def _count_append(self, answer: PlatformOutcome[AppendAnswer], records_count: int) -> None:
+        match answer:
+            case Success():
+                result = AppendResult.DONE
+            case RefusedBeforeRun():
+                result = AppendResult.REFUSED
+            case _:
+                result = AppendResult.UNCERTAIN
+        self.metrics.appended(self.name, result, records_count)
+
     def _settle(self, durable: list[Durable]) -> None:
         for row in durable:
             future = self._waiting.pop(row.ticket.number, None)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
@@ -80,6 +80,7 @@
     request: ForwardRequest
     on_outcome: Callable[[Outcome], None]
     arrived_s: float
+    first_send_s: float | None = None
 
 
 class RequestService(StreamListener):
@@ -263,8 +264,16 @@
             case Answer(request_id, outcome):
                 accepted = self._accepted.pop(request_id, None)
                 if accepted is not None:
+                    self._count(accepted)
                     accepted.on_outcome(outcome)
 
+    def _count(self, accepted: _Accepted) -> None:
+        """Observe the times of a request that was sent."""
+        if accepted.first_send_s is not None:
+            wait_s = accepted.first_send_s - accepted.arrived_s
+            total_s = self.context.now_s() - accepted.arrived_s
+            self.context.metrics.request_timed(accepted.request.kind, wait_s, total_s)
+
     async def _send(self, action: SendToTarget) -> None:
         accepted = self._accepted.get(action.request_id)
         vm = self.targets.vms.get(action.target)
@@ -273,6 +282,8 @@
             return
         request = accepted.request
         started_s = self.context.now_s()
+        if accepted.first_send_s is None:
+            accepted.first_send_s = started_s
         answer = await self.context.pools.run(
             "targets", self._execute_at_target, action, request, vm, started_s
         )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -114,6 +114,12 @@
         """Return the known workers of the domain."""
         return self.domain_fold.workers_ | self.extra_workers
 
+    def knows_all_workers(self) -> bool:
+        """Return whether every listed worker is known and has reported in this tenure."""
+        known = self.known_workers()
+        listed = {name for name, vm in self.listed.items() if vm.state is VmState.LIVE}
+        return listed <= set(known) and set(known) <= self.gateway.held()
+
     def may_command(self) -> bool:
         """Return whether worker commands are allowed now."""
         known = self.known_workers()
@@ -327,7 +333,9 @@
                 self._decide_soon()
 
         self.core = core
-        self._executor = DecisionExecutor(self.gateway, self.stream, self.jobs_stream, observe)
+        self._executor = DecisionExecutor(
+            self.gateway, self.stream, self.jobs_stream, observe, self.context.metrics
+        )
         self._joined = {}
         for contract in self.contracts.values():
             self._observe(ContractChanged(contract))
