Answer infeasible only when every worker has reported

Cause: a new scheduler judged feasibility before the reports of its workers, and refused a feasible job for good. Change: until the recovery is over such a job hears NO_SCHEDULER, which can be repeated; a cut shutdown ends the process at once.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -116,6 +116,8 @@
 
     def knows_all_workers(self) -> bool:
         """Return whether every listed worker is known and has reported in this tenure."""
+        if self.core is None or self.core.recovering:
+            return False
         known = self.known_workers()
         listed = {name for name, vm in self.listed.items() if vm.state is VmState.LIVE}
         return listed <= set(known) and set(known) <= self.gateway.held()
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/main.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/main.py
@@ -1,6 +1,8 @@
 """Command `fireflywharfd`: runs the daemon of one entry VM."""
 
 import asyncio
+import logging
+import os
 import pathlib
 import sys
 
@@ -34,7 +36,12 @@
         return 0
     application = Application(loaded)
     configure_logging(loaded.logs.level, loaded.vm.name, application.context.incarnation)
-    return asyncio.run(application.run())
+    status = asyncio.run(application.run())
+    if status != 0:
+        # Threads that wait for answers of peers or workers would delay the end of a cut shutdown.
+        logging.shutdown()
+        os._exit(status)
+    return status
 
 
 def main() -> None:
