--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_admission.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_admission.py
@@ -12,6 +12,9 @@
 
 _REFUSABLE_KIND = "request"
 _FORWARDED_DEADLINE_S = 10.0
+# Part of the deadline that the expected time may use; the rest covers errors of the prediction, so
+# that few admitted requests are dropped in the queue.
+_DEADLINE_PART = 0.9
 # A forwarded request that must not run twice is recognised for this long if it arrives again.
 _FORWARD_MEMORY_S = 60.0
 _FORWARD_MEMORY_MAX_COUNT = 50_000
@@ -267,7 +270,7 @@
         wait_s = queue.expected_wait_s(event.customer, event.kind, slots_count, now_s)
         run_s = state.times.predict((event.service, event.customer, event.kind)).p50_s
         deadline_s = self._deadline_s(event)
-        if wait_s + run_s <= deadline_s:
+        if wait_s + run_s <= _DEADLINE_PART * deadline_s:
             return None
         detail = f"expected {wait_s + run_s:.3f} s, deadline {deadline_s:.3f} s"
         return NotRun(ResultCode.WOULD_BE_LATE, detail, min(wait_s, 60.0))
