--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -10,6 +10,10 @@
     Then the backlog stayed within its limit and later records were refused as not run
     And at most one append was made per interval and all accepted records are durable once
 
+  Scenario: several streams of one process, guarding against more appends than the log accepts
+    When 4 writers of one process share a pace of 0.25 seconds for 60 seconds
+    Then they make at most 4 appends a second together and all streams get turns
+
   Scenario: an append that a truncation overtook, guarding against the conclusion "not appended"
     When an append takes effect, its answer is lost and its record is truncated before the read-back
     Then the writer repeats the same sequence with the same records
@@ -34,6 +38,10 @@
     When a late reader meets a cancellation and a lateness before the refreshed job
     Then the job is cancelled and late
 
+  Scenario: outcomes are forgotten with their records, guarding against memory that only grows
+    When 10 jobs finish and the log deletes the records of the first 6
+    Then 5 outcomes are kept, one of them because it was recorded again
+
   Scenario: a conflicting submission of a job is known as a conflict
     When a job is accepted twice with equal digests and once with another
     Then the folds tell one accepted job, one repeat and one conflict
--- a/features/steps/state_log_steps.py
+++ b/features/steps/state_log_steps.py
@@ -11,6 +11,7 @@
 from fireflywharf_core.jobs import AttemptEnd, AttemptId, JobKind, JobSpec, JobState, TaskId
 from fireflywharf_core.log import (
     AppendNow,
+    AppendPacer,
     DomainFold,
     GroupWriter,
     JobBecameLive,
@@ -159,6 +160,35 @@
     assert len(context.log.entries) == len(context.tickets)
 
 
+@when("{count:d} writers of one process share a pace of {interval_s:f} seconds for 60 seconds")
+def share_pace(context, count, interval_s):
+    pacer = AppendPacer(interval_s)
+    # The last stream has few records, and the first ones would leave it no turn.
+    writers = [
+        GroupWriter("vm#0", f"s{i}", append_interval_s=interval_s, pacer=pacer)
+        for i in range(count)
+    ]
+    context.append_times, context.served = [], Counter()
+    for step in range(60 * 50):
+        now_s = step / 50
+        for index, writer in enumerate(writers):
+            if index < count - 1 or step % 100 == 0:
+                writer.submit(b"record", now_s)
+            if writer.next_action(now_s) is not None:
+                writer.on_appended(0, now_s)
+                context.append_times.append(now_s)
+                context.served[index] += 1
+
+
+@then("they make at most {limit:d} appends a second together and all streams get turns")
+def check_pace(context, limit):
+    times = context.append_times
+    assert all(later - times[i] >= 0.99 for i, later in enumerate(times[limit:])), times
+    assert len(times) > 0.9 * 60 * limit, len(times)
+    # The last stream has a record every 2 seconds.
+    assert context.served[3] >= 29 and min(context.served.values()) >= 29, context.served
+
+
 @when("an append takes effect, its answer is lost and its record is truncated before the read-back")
 def truncate_before_read_back(context):
     writer = GroupWriter("vm#0", "s")
@@ -314,6 +344,23 @@
     assert job.cancel_requested and job.late
 
 
+@when("{count:d} jobs finish and the log deletes the records of the first {deleted:d}")
+def delete_outcomes(context, count, deleted):
+    context.fold = fold = JobsFold("centro", 100.0)
+    for number in range(count):
+        fold.fold(2 * number, accepted(f"j-{number}"), 0.0)
+        fold.fold(2 * number + 1, JobFinished(f"j-{number}", JobState.DONE), 0.0)
+    # The outcome of the first job is recorded again and therefore stays.
+    fold.fold(2 * count, JobFinished("j-0", JobState.DONE), 0.0)
+    fold.drop_below(2 * deleted)
+
+
+@then("{kept:d} outcomes are kept, one of them because it was recorded again")
+def check_deleted(context, kept):
+    assert len(context.fold.finished_) == kept
+    assert context.fold.is_finished("j-0") and not context.fold.is_finished("j-1")
+
+
 @when("a job is accepted twice with equal digests and once with another")
 def accept_thrice(context):
     fold = JobsFold("centro", 100.0)
@@ -362,7 +409,8 @@
     context.facts = fold.facts(task)
     context.next = fold.next_attempt(task)
     context.done = fold.done_tasks("j-1")
-    fold.compact(lambda job_id: False)
+    assert fold.compact(JobsFold("centro", 100.0).is_finished) == 0 and fold.tasks_of("j-1")
+    fold.compact(lambda job_id: True)
 
 
 @then("its facts are right and nothing is left after its job was forgotten")
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_writer.py
@@ -10,6 +10,7 @@
 from ..platform import LogEntry
 from ..results import NotRun, ResultCode
 from ._backoff import backoff_s
+from ._pacer import AppendPacer
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +45,7 @@
 
 @attrs.define(slots=True)
 class _Batch:
-    """The records of one sequence; they stay together until they are durable."""
+    """The records of one sequence; once one attempt may be in the log, they stay together."""
 
     sequence: int
     numbers: tuple[int, ...]
@@ -52,14 +53,15 @@
     size_bytes: int
     read_from: int
     uncertain: bool = False
+    maybe_sent: bool = False
 
 
 class GroupWriter:
     """Groups the records of one process into few appends to one stream.
 
-    A batch keeps its sequence and content until it is known to be in the log, and only then the
-    next sequence is used. A delayed copy of an append can therefore only repeat records that the
-    log or the reader recognises by (writer, sequence).
+    Once an attempt may have reached the log, a batch keeps its sequence and content until it is
+    known to be in the log, and only then the next sequence is used. A delayed copy of an append can
+    therefore only repeat records that the log or the reader recognises by (writer, sequence).
 
     Args:
         writer: incarnation of this process.
@@ -71,6 +73,8 @@
         max_batch_bytes: bytes of one append.
         retry_max_s: longest delay between two attempts.
         unavailable_after_failures: consecutive failures after which `available` is false.
+        pacer: pace shared with the other writers of the process; without one only this writer's
+            interval counts.
         rng: source of jitter; by default seeded from the names.
     """
 
@@ -86,6 +90,7 @@
         max_batch_bytes: int = 256 * 1024,
         retry_max_s: float = 5.0,
         unavailable_after_failures: int = 2,
+        pacer: AppendPacer | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.writer = writer
@@ -97,6 +102,7 @@
         self.max_batch_bytes = max_batch_bytes
         self.retry_max_s = retry_max_s
         self.unavailable_after_failures = unavailable_after_failures
+        self.pacer = pacer
         self.rng = rng or random.Random(f"{writer}/{stream}")
         self.appends_count_ = 0
         self.read_backs_count_ = 0
@@ -187,10 +193,12 @@
             return self._in_flight
         if now_s < self._last_append_s + self.append_interval_s:
             return None
+        if self._batch is None and not self._waiting:
+            return None
+        if self.pacer is not None and not self.pacer.take_turn(self.stream, now_s):
+            return None
         if self._batch is None:
             self._batch = self._form_batch()
-        if self._batch is None:
-            return None
         self._in_flight = AppendNow(self._batch.sequence, self._batch.records)
         self._last_append_s = now_s
         self.appends_count_ += 1
@@ -215,6 +223,8 @@
     def on_refused(self, now_s: float) -> None:
         """Take a failure after which the batch was certainly not taken by this attempt."""
         self._expect(AppendNow, ReadBack)
+        if not self._batch.maybe_sent:
+            self._dissolve_batch()
         self._fail(now_s)
 
     def on_uncertain(self, now_s: float) -> None:
@@ -222,6 +232,7 @@
         self._expect(AppendNow, ReadBack)
         if isinstance(self._in_flight, AppendNow) and not self._batch.uncertain:
             self._batch.uncertain = True
+            self._batch.maybe_sent = True
             self._read_from = self._batch.read_from
         self._fail(now_s)
 
@@ -257,7 +268,7 @@
             self._batch.read_from = max(self._read_from, next_offset, first_available)
         return []
 
-    def _form_batch(self) -> _Batch | None:
+    def _form_batch(self) -> _Batch:
         numbers: list[int] = []
         size_bytes = 0
         for number, record in self._waiting.items():
@@ -265,14 +276,21 @@
             if len(numbers) >= self.max_batch_records or size_bytes > self.max_batch_bytes:
                 break
             numbers.append(number)
-        if not numbers:
-            return None
         records = tuple(self._waiting.pop(number) for number in numbers)
         size_bytes = sum(map(len, records))
         self._waiting_bytes -= size_bytes
         self._next_sequence += 1
         return _Batch(self._next_sequence - 1, tuple(numbers), records, size_bytes, self._known_end)
 
+    def _dissolve_batch(self) -> None:
+        """Put back a batch that no attempt brought to the log, so that it can be withdrawn."""
+        batch, self._batch = self._batch, None
+        for number, record in zip(reversed(batch.numbers), reversed(batch.records), strict=True):
+            self._waiting[number] = record
+            self._waiting.move_to_end(number, last=False)
+        self._waiting_bytes += batch.size_bytes
+        self._next_sequence = batch.sequence
+
     def _resolve(self, first_offset: int, now_s: float) -> list[Durable]:
         batch, self._batch, self._in_flight = self._batch, None, None
         self._known_end = max(self._known_end, first_offset + len(batch.records))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -9,7 +9,7 @@
 
 from fireflywharf_core.contracts import Contract
 from fireflywharf_core.leases import margin_s
-from fireflywharf_core.log import GroupWriter, JobsFold, StreamReader
+from fireflywharf_core.log import AppendPacer, GroupWriter, JobsFold, StreamReader
 from fireflywharf_core.messages import (
     CancelJob,
     ContractsSince,
@@ -35,7 +35,7 @@
 from ._context import Clients, Context, draw_incarnation
 from ._contracts import ContractService
 from ._jobs import JobService
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._pools import IoPools
 from ._reports import make_digest, make_heartbeat, update_gauges
@@ -47,8 +47,9 @@
 POOL_SIZES = {"log": 8, "workers": 16, "targets": 128, "control": 16}
 RESERVED_HTTP_THREADS = 8
 METRICS_THREADS = 2
-TARGET_STEP_S = 0.1
-DIGEST_STEP_S = 0.1
+SCHEDULER_STEP_S = 0.1
+TARGET_STEP_S = 0.2
+DIGEST_STEP_S = 0.25
 SNAPSHOT_STEP_S = 5.0
 LATE_STEP_S = 2.0
 DRAIN_POLL_S = 0.02
@@ -71,24 +72,7 @@
         self.loop: asyncio.AbstractEventLoop | None = None
         self.vms: list[VmInfo] = []
         self.started = threading.Event()
-        timeout_s = settings.platform.timeout_s
-        self.context = Context(
-            settings=settings,
-            incarnation=draw_incarnation(settings.vm.name),
-            clients=Clients(
-                log=LogClient(settings.platform.log_url, timeout_s),
-                vm_list=VmListClient(settings.platform.vm_list_url, timeout_s),
-                worker=WorkerClient(timeout_s),
-                target=TargetClient(
-                    timeout_s,
-                    settings.routing.connect_timeout_s,
-                    settings.routing.idle_connection_max_s,
-                    settings.routing.answer_max_bytes,
-                ),
-            ),
-            pools=IoPools(POOL_SIZES | {"workers": settings.scheduling.worker_calls_count}),
-            metrics=Metrics(link_of_peers(settings)),
-        )
+        self.context = _make_context(settings)
         self.jobs_fold = JobsFold(self.context.domain, settings.platform.retention_s)
         self.contracts = ContractService(self.context, self._contract_changed)
         self.membership = Membership(
@@ -103,25 +87,34 @@
             self.context, self.membership, self.jobs_fold, self.scheduler, self.requests
         )
         self.streams: dict[str, LogStream] = {}
+        self._pacer = AppendPacer(settings.scheduling.append_interval_s)
         self._tasks = TaskGroup()
         self._stop_wanted: asyncio.Event | None = None
         self._stop_signals_count = 0
-        self._http = HttpServer(
-            build_application(
-                Callers(self),
-                settings.http.body_max_bytes,
-                max(1, settings.http.threads_count - RESERVED_HTTP_THREADS),
-                self.context.metrics,
-            ),
-            settings.http.listen,
-            settings.http.threads_count,
-            settings.http.body_timeout_s,
-            settings.http.waiting_connections_max,
+        self._http, self._metrics_server = self._make_servers()
+
+    def _make_servers(self) -> tuple[HttpServer, HttpServer]:
+        """Return the server for callers and operators and that of the metrics."""
+        http, metrics = self.settings.http, self.context.metrics
+        application = build_application(
+            Callers(self),
+            http.body_max_bytes,
+            max(1, http.threads_count - RESERVED_HTTP_THREADS),
+            metrics,
         )
-        self._metrics_server = HttpServer(
-            build_metrics_application(self.context.metrics.registry),
-            settings.metrics.listen,
-            METRICS_THREADS,
+        return (
+            HttpServer(
+                application,
+                http.listen,
+                http.threads_count,
+                http.body_timeout_s,
+                http.waiting_connections_max,
+            ),
+            HttpServer(
+                build_metrics_application(metrics.registry),
+                self.settings.metrics.listen,
+                METRICS_THREADS,
+            ),
         )
 
     @property
@@ -196,30 +189,31 @@
     def _create_streams(self) -> None:
         domain_stream = f"domain-{self.context.domain}"
         self.streams = {
-            "contracts": self._create_stream("contracts", self.contracts.on_records),
-            "jobs": self._create_stream("jobs", self.jobs.on_records),
-            "keys": self._create_stream("keys", self.requests.on_records),
-            domain_stream: self._create_stream(domain_stream, self.scheduler.on_records),
+            "contracts": self._create_stream("contracts", self.contracts),
+            "jobs": self._create_stream("jobs", self.jobs),
+            "keys": self._create_stream("keys", self.requests),
+            domain_stream: self._create_stream(domain_stream, self.scheduler),
         }
         self.contracts.stream = self.streams["contracts"]
         self.jobs.stream = self.scheduler.jobs_stream = self.streams["jobs"]
         self.requests.stream = self.streams["keys"]
         self.scheduler.stream = self.streams[domain_stream]
 
-    def _create_stream(self, name: str, on_records: Callable[..., None]) -> LogStream:
+    def _create_stream(self, name: str, listener: StreamListener) -> LogStream:
         scheduling = self.settings.scheduling
         writer = GroupWriter(
             self.context.incarnation,
             name,
             append_interval_s=scheduling.append_interval_s,
             backlog_max_records=scheduling.backlog_max_records,
+            pacer=self._pacer,
         )
         return LogStream(
             self.context.clients.log,
             self.context.pools,
             writer,
             StreamReader(name, RECORD_CODEC),
-            on_records,
+            listener,
             scheduling.log_poll_interval_s,
         )
 
@@ -229,7 +223,7 @@
         every(scheduling.heartbeat_interval_s, self.membership.send_heartbeats)
         every(DIGEST_STEP_S, self.membership.send_digests)
         every(scheduling.vm_list_interval_s, self._read_vm_list)
-        every(scheduling.decision_interval_s, self.scheduler.step)
+        every(SCHEDULER_STEP_S, self.scheduler.step)
         every(TARGET_STEP_S, self.requests.targets.step)
         every(scheduling.log_poll_interval_s, self._catch_up)
         every(SNAPSHOT_STEP_S, self._write_snapshot)
@@ -364,3 +358,26 @@
                 call.reply(self.scheduler.answer_peer(call.message))
             case _:
                 call.fail()
+
+
+def _make_context(settings: Settings) -> Context:
+    """Return the parts that all components share."""
+    timeout_s = settings.platform.timeout_s
+    routing = settings.routing
+    return Context(
+        settings=settings,
+        incarnation=draw_incarnation(settings.vm.name),
+        clients=Clients(
+            log=LogClient(settings.platform.log_url, timeout_s),
+            vm_list=VmListClient(settings.platform.vm_list_url, timeout_s),
+            worker=WorkerClient(timeout_s),
+            target=TargetClient(
+                timeout_s,
+                routing.connect_timeout_s,
+                routing.idle_connection_max_s,
+                routing.answer_max_bytes,
+            ),
+        ),
+        pools=IoPools(POOL_SIZES | {"workers": settings.scheduling.worker_calls_count}),
+        metrics=Metrics(link_of_peers(settings)),
+    )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -34,7 +34,7 @@
 
 from ..http import CallerError, CancelledJob, JobStatus, SubmitJob, SubmittedJob
 from ._context import Context
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._requests import RequestService
 from ._scheduling import SchedulerService
@@ -47,7 +47,7 @@
 MESSAGES_OF_SCHEDULER = SubmitToScheduler | JobQuery | CancelJob
 
 
-class JobService:
+class JobService(StreamListener):
     """Accepts jobs of callers and answers questions about them.
 
     Args:
@@ -74,19 +74,20 @@
         self.stream: LogStream | None = None
         self._provisional: dict[str, JobAccepted] = {}
 
-    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of stream `jobs` and tell the scheduler."""
-        now_s = self.context.now_s()
+    def before_records(self, reader: StreamReader) -> None:
+        """Take a truncation of stream `jobs`."""
         if reader.truncation is not None:
             self.fold.drop_below(reader.truncation.first_available)
-        for row in records:
-            live = self.stream.end_read_s > 0
-            match self.fold.fold(row.offset, row.record, now_s, live=live):
-                case JobBecameLive(job_id) | JobRehomed(job_id):
-                    self._provisional.pop(job_id, None)
-                    self.scheduler.job_became_live(job_id)
-                case JobCancelled(job_id):
-                    self.scheduler.job_cancelled(job_id)
+
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of stream `jobs` and tell the scheduler."""
+        live = self.stream.end_read_s > float("-inf")
+        match self.fold.fold(row.offset, row.record, self.context.now_s(), live=live):
+            case JobBecameLive(job_id) | JobRehomed(job_id):
+                self._provisional.pop(job_id, None)
+                self.scheduler.job_became_live(job_id)
+            case JobCancelled(job_id):
+                self.scheduler.job_cancelled(job_id)
 
     # Submission.
 
@@ -258,7 +259,9 @@
         """Return the state of a job, from its scheduler or else from the log."""
         known = self.fold.lookup(job_id)
         if known is None and job_id not in self._provisional:
-            return CallerError(ResultCode.UNKNOWN_JOB, f"no job {job_id} is known")
+            known = await self._find(job_id)
+            if isinstance(known, CallerError):
+                return known
         if isinstance(known, FinishedJob):
             done = f"{known.state.value}: {known.detail}" if known.detail else known.state.value
             return JobStatus(
@@ -287,11 +290,24 @@
             explanation=f"{ResultCode.NO_SCHEDULER.name}: {detail}.",
         )
 
-    async def cancel(self, job_id: str) -> CancelledJob | CallerError:
-        """Record the cancellation and tell the scheduler."""
+    async def _find(self, job_id: str) -> LiveJob | FinishedJob | CallerError:
+        """Return a job; one that another entry VM accepted just now may not be read here yet."""
         known = self.fold.lookup(job_id)
+        if known is None:
+            read = await self.stream.read_to_end(self.context.now_s(), RECORD_TIMEOUT_S)
+            known = self.fold.lookup(job_id)
+            if known is None and not read:
+                detail = f"job {job_id} is not known here and the platform log cannot be read"
+                return CallerError(ResultCode.STORE_UNAVAILABLE, detail)
         if known is None:
             return CallerError(ResultCode.UNKNOWN_JOB, f"no job {job_id} is known")
+        return known
+
+    async def cancel(self, job_id: str) -> CancelledJob | CallerError:
+        """Record the cancellation and tell the scheduler."""
+        known = await self._find(job_id)
+        if isinstance(known, CallerError):
+            return known
         if isinstance(known, FinishedJob):
             return CancelledJob(job_id, known.state)
         offset = await self.stream.append(JobCancelRequested(job_id), RECORD_TIMEOUT_S)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -1,5 +1,6 @@
 """The scheduler of the own failure domain: election, tenure and execution of its decisions."""
 
+import asyncio
 import logging
 import random
 import time
@@ -7,7 +8,7 @@
 
 from fireflywharf_core.contracts import Contract
 from fireflywharf_core.jobs import AttemptId, TaskId
-from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord, StreamReader
+from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord
 from fireflywharf_core.membership import (
     ActAsScheduler,
     ClaimWorkers,
@@ -41,7 +42,7 @@
 
 from ._context import Context
 from ._execution import DecisionExecutor
-from ._log_stream import LogStream
+from ._log_stream import LogStream, StreamListener
 from ._membership import Membership
 from ._tasks import TaskGroup
 from ._worker_gateway import WorkerGateway
@@ -51,7 +52,7 @@
 REPLAY_TIMEOUT_S = 5.0
 
 
-class SchedulerService:
+class SchedulerService(StreamListener):
     """Takes part in the election and, during a tenure, runs the decisions of the scheduler core.
 
     Args:
@@ -89,6 +90,7 @@
         self._change_pending = False
         self._executor: DecisionExecutor | None = None
         self._joined: dict[str, VmInfo] = {}
+        self._decision_planned = False
         self._claimed_free: dict[str, ResourceVector] = {}
         self._releasing = False
 
@@ -125,14 +127,13 @@
 
     # Input.
 
-    def on_records(self, reader: StreamReader, records: list[ReadRecord]) -> None:
-        """Fold the records of the stream of the domain."""
-        now_s = self.context.now_s()
-        for row in records:
-            self.domain_fold.fold(row.offset, row.record, now_s, live=self.stream.end_read_s > 0)
-            if isinstance(row.record, WorkerAdded | WorkerRemoved):
+    def fold_record(self, row: ReadRecord) -> None:
+        """Fold one record of the stream of the domain."""
+        live = self.stream.end_read_s > float("-inf")
+        self.domain_fold.fold(row.offset, row.record, self.context.now_s(), live=live)
+        match row.record:
+            case WorkerAdded(VmInfo(name=name)) | WorkerRemoved(name):
                 self._change_pending = False
-                name = getattr(row.record, "name", "") or row.record.vm.name
                 self.extra_workers.pop(name, None)
 
     def set_contract(self, contract: Contract) -> None:
@@ -185,6 +186,19 @@
     def _observe(self, event: Event) -> None:
         if self.core is not None:
             self.core.observe(event, self.context.now_s())
+            self._decide_soon()
+
+    def _decide_soon(self) -> None:
+        """Decide once for all events that arrive within a short time."""
+        if not self._decision_planned:
+            self._decision_planned = True
+            interval_s = self.context.settings.scheduling.decision_interval_s
+            asyncio.get_running_loop().call_later(interval_s, self._decide_planned)
+
+    def _decide_planned(self) -> None:
+        self._decision_planned = False
+        if self.core is not None and self.may_command():
+            self._run_decisions()
 
     def _take_report(self, name: str, claim: ClaimAnswer, sent_s: float) -> None:
         self.election.on_report(name)
@@ -237,7 +251,9 @@
 
     def _knowledge_s(self) -> float | None:
         if self.stream.end_read_s > float("-inf") and self.stream.available:
-            self.stream.kick()
+            if not self.acting and self.gateway.held():
+                # A candidate with a majority needs a read that begins after it.
+                self.stream.kick()
             return self.stream.end_read_s
         if not self.stream.available and not self._asking_peers:
             self._asking_peers = True
@@ -308,6 +324,7 @@
         def observe(event: Event) -> None:
             if core is self.core:
                 core.observe(event, self.context.now_s())
+                self._decide_soon()
 
         self.core = core
         self._executor = DecisionExecutor(self.gateway, self.stream, self.jobs_stream, observe)
@@ -393,6 +410,8 @@
             self.jobs_stream.submit(record)
         for record in self.domain_fold.due_records(now_s):
             self.stream.submit(record)
+        if self.core.more:
+            self._decide_soon()
 
 
 def _volume(vector: ResourceVector) -> tuple[int, int, int]:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
@@ -26,23 +26,22 @@
 from ._incoming import CallHandler
 from ._link import Link, Outgoing
 from ._outcomes import CallRefused, IncomingCall, MeshObserver, NoAnswer, Unreachable
+from ._wake import wake_receiver
 
 _logger = logging.getLogger(__name__)
 
 LINKS_MAX_COUNT = 512
 # Time between looks at the connections while calls are pending, and otherwise.
-TICK_S = 0.1
-IDLE_TICK_S = 0.5
+TICK_S, IDLE_TICK_S = 0.1, 0.5
 ROUND_MIN_S = 0.0001
 # Longest delay between a new connection and the first frame on it.
 CONNECT_POLL_S = 0.01
-RECEIVE_TIMEOUT_MS = 1000
 # The sender thread ends calls at their deadline; this covers its delay under load.
 CALL_MARGIN_S = 2.0
+STOP_MAX_S = 2.0
 # A failed connection attempt costs about 1.6 ms of processor time in nng, so that 70 lost peers
 # tried once a second would take a tenth of a core. Peers of other domains are tried less often.
-RECONNECT_MAX_S = 8.0
-DOMAIN_RECONNECT_MAX_S = 1.0
+RECONNECT_MAX_S, DOMAIN_RECONNECT_MAX_S = 8.0, 1.0
 # nng drops what its transport has not yet written when a socket is closed.
 FLUSH_S = 0.05
 _REPLACED_BY_NEWER = (Heartbeat, DomainDigest)
@@ -90,11 +89,10 @@
         self.queue_max_messages = queue_max_messages
         self.observer = observer
         self._sender = Sender(incarnation, listen)
-        self._calls = CallTable()
-        self._links: dict[str, Link] = {}
+        self._calls, self._links = CallTable(), dict[str, Link]()
         self._changed = threading.Condition()
         self._stopping = False
-        self._receiver_socket: pynng.Pull0 | None = None
+        self._receiver_socket: pynng.Pair1 | None = None
         self._handler = CallHandler(
             incarnation, on_call, self._put_control, call_threads_count, queue_max_messages
         )
@@ -106,7 +104,8 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        receiver = pynng.Pull0(recv_timeout=RECEIVE_TIMEOUT_MS, recv_max_size=MESSAGE_MAX_BYTES)
+        # Without a receive timeout; see `wake_receiver`.
+        receiver = pynng.Pair1(polyamorous=True, recv_max_size=MESSAGE_MAX_BYTES)
         try:
             receiver.listen(f"tcp://{self.listen}")
         except pynng.NNGException as error:
@@ -203,10 +202,12 @@
             self._stopping = True
             self._changed.notify_all()
         self._handler.close()
-        if self._receiver_socket is not None:
-            self._receiver_socket.close()
+        if self._threads:
+            wake_receiver(self._sender, STOP_MAX_S)
         for thread in self._threads:
-            thread.join()
+            thread.join(STOP_MAX_S)
+        if self._receiver_socket is not None and not self._threads[-1].is_alive():
+            self._receiver_socket.close()
         self._calls.fail_all("the daemon is shutting down")
         for link in self._links.values():
             link.close()
@@ -290,9 +291,10 @@
                     detail = f"the connection to {link.address} was lost"
                     self._calls.finish(call_id, NoAnswer(detail))
         if link.unreachable:
+            detail = f"no connection to {link.address}"
             for call_id, _ in self._calls.to_peer(link.address):
                 if link.withdraw(call_id):
-                    self._calls.finish(call_id, Unreachable(f"no connection to {link.address}"))
+                    self._calls.finish(call_id, Unreachable(detail))
         if link.needs_ping(now_s):
             self._put_control(link.address, FrameKind.PING, b"")
         if link.reset_if_silent(now_s):
@@ -324,13 +326,14 @@
         while not self._stopping and receiver is not None:
             try:
                 data = receiver.recv()
-            except pynng.Timeout:
-                continue
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
                 _logger.warning("mesh receiver: %s", error)
                 continue
+            except RuntimeError:
+                # pynng 0.9 cannot unpack a message without bytes.
+                data = b""
             try:
                 self._receive(data)
             except Exception:
@@ -364,8 +367,7 @@
 
     def _count_received(self, address: str, reason: str, data: bytes) -> None:
         if self.observer is not None:
-            size_bytes = len(data) + FRAME_OVERHEAD_BYTES
-            self.observer.mesh_received(address, reason, size_bytes)
+            self.observer.mesh_received(address, reason, len(data) + FRAME_OVERHEAD_BYTES)
 
     def _decode(self, frame: Frame, data: bytes) -> Any | None:
         try:
