Check that an old heartbeat of a replaced incarnation is no sign of life

A trial copy without the comparison of sequences passed, because the successor was never silent when the old heartbeat came. The scenario now also sends one after the successor fell silent.

--- a/features/steps/state_membership_steps.py
+++ b/features/steps/state_membership_steps.py
@@ -65,12 +65,14 @@
     context.peer_table = table = PeerTable("own#0")
     beats = (beat("vm1", 0, 5), beat("vm1", 1, 1), beat("vm1", 0, 4), beat("vm1", 0, 6))
     context.effects = [table.on_heartbeat(each, 1.0) for each in beats]
+    # The successor is silent now, and an old heartbeat is still no sign of life.
+    context.effects.append(table.on_heartbeat(beat("vm1", 0, 5), 3.5))
 
 
 @then("only the new incarnation is a peer")
 def check_restart(context):
     assert shown(context.peer_table, 1.0) == [("vm1#1", 1)]
-    assert [effect.value for effect in context.effects] == ["new", "replaced"] + ["ignored"] * 2
+    assert [effect.value for effect in context.effects] == ["new", "replaced"] + ["ignored"] * 3
 
 
 @when("the first heartbeat of a gone incarnation arrives after its successor was heard")
