Tell the scheduler of job ends that it reads from the log

A scheduler whose tenure began before it could read stream jobs admitted each accepted job as its record was folded; the JobFinished record later in the same read was not passed on, so finished jobs ran again after the recovery.

--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_events.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..contracts import Contract
-from ..jobs import AttemptEnd, AttemptId, JobSpec, TaskId
+from ..jobs import AttemptEnd, AttemptId, JobSpec, JobState, TaskId
 from ..platform import EndedAttempt, RunningAttempt, VmInfo
 
 
@@ -80,9 +80,16 @@
 
 @attrs.frozen(slots=True)
 class JobFinishRecorded:
-    """The record of `FinishJob` is durable."""
+    """The last state of a job is durable.
+
+    Args:
+        job_id: the job.
+        state: the recorded state, when the record was read from the log. An earlier scheduler may
+            have written it, and then the job must not run here.
+    """
 
     job_id: str
+    state: JobState | None = None
 
 
 @attrs.frozen(slots=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_jobs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_jobs.py
@@ -82,15 +82,18 @@
             return
         self.tell(JobReady(job), now_s)
 
-    def finish(self, job: Job, state: JobState, detail: str, now_s: float) -> None:
-        """Give a job its last state; the first call wins."""
+    def finish(
+        self, job: Job, state: JobState, detail: str, now_s: float, recorded: bool = False
+    ) -> None:
+        """Give a job its last state, and have it recorded if it is not; the first call wins."""
         if job.final:
             return
         job.late |= now_s > job.deadline_s
         job.state = state
         job.detail = detail
         self.tell(JobGone(job), now_s)
-        self.outbox.put(FinishJob(job.spec.job_id, state, job.late, detail))
+        if not recorded:
+            self.outbox.put(FinishJob(job.spec.job_id, state, job.late, detail))
 
     def finish_recorded(self, job_id: str) -> None:
         """Note that the last state is durable, and forget the oldest finished jobs."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
@@ -119,8 +119,8 @@
                 self._admit(event, now_s)
             case JobCancelled(job_id):
                 self._cancel(job_id, now_s)
-            case JobFinishRecorded(job_id):
-                self._jobs.finish_recorded(job_id)
+            case JobFinishRecorded(job_id, state):
+                self._finish_recorded(job_id, state, now_s)
             case ContractChanged(contract):
                 self._tell(ContractSet(contract), now_s)
             case TaskDone() | AttemptEndRecorded() | StartIntentDurable():
@@ -189,6 +189,14 @@
             job.cancelled = True
             self._attempts.fail_job(job, JobState.CANCELLED, "cancelled by its caller", now_s)
 
+    def _finish_recorded(self, job_id: str, state: JobState | None, now_s: float) -> None:
+        job = self._jobs.get(job_id)
+        if job is not None and state is not None and not job.final:
+            self._jobs.finish(job, state, "recorded before", now_s, recorded=True)
+            for attempt in list(job.live.values()):
+                self._attempts.stop(attempt, now_s)
+        self._jobs.finish_recorded(job_id)
+
     def decide(self, now_s: float) -> list[Action]:
         """Return the actions to take now; call again while `more` is true.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -13,6 +13,7 @@
     FinishedJob,
     JobBecameLive,
     JobCancelled,
+    JobEnded,
     JobRehomed,
     JobsFold,
     LiveJob,
@@ -88,6 +89,8 @@
                 self.scheduler.job_became_live(job_id)
             case JobCancelled(job_id):
                 self.scheduler.job_cancelled(job_id)
+            case JobEnded(job_id, state):
+                self.scheduler.job_ended(job_id, state)
 
     # Submission.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from fireflywharf_core.contracts import Contract
-from fireflywharf_core.jobs import AttemptId, TaskId
+from fireflywharf_core.jobs import AttemptId, JobState, TaskId
 from fireflywharf_core.log import DomainFold, JobsFold, LiveJob, ReadRecord
 from fireflywharf_core.membership import (
     ActAsScheduler,
@@ -29,6 +29,7 @@
     FairShare,
     JobAdmitted,
     JobCancelled,
+    JobFinishRecorded,
     RecoveryFinished,
     RecoveryStarted,
     StartIntentDurable,
@@ -165,6 +166,11 @@
         self.provisional.pop(job_id, None)
         self._observe(JobCancelled(job_id))
 
+    def job_ended(self, job_id: str, state: JobState) -> None:
+        """Take the recorded outcome of a job, which another scheduler may have decided."""
+        self.provisional.pop(job_id, None)
+        self._observe(JobFinishRecorded(job_id, state))
+
     def admit_provisional(self, admitted: JobAdmitted) -> None:
         """Admit a job whose record waits for the log."""
         self.provisional[admitted.spec.job_id] = admitted
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_entry.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_entry.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from fireflywharf_daemon.application import Application
+from fireflywharf_daemon.application import _application as application_module
 from fireflywharf_daemon.application import _context as context_module
 from fireflywharf_daemon.application import _contracts as contracts_module
 from fireflywharf_daemon.application import _jobs as jobs_module
@@ -37,6 +38,8 @@
     requests_module,
     scheduling_module,
 )
+# There are no other domains, and targets are claimed every 0.5 s at most.
+_SLOWER_STEPS_S = {"TARGET_STEP_S": 0.25, "DIGEST_STEP_S": 5.0, "LATE_STEP_S": 5.0}
 
 
 @contextlib.contextmanager
@@ -63,6 +66,8 @@
             stack.enter_context(mock.patch.object(module, "uuid", ids))
         for module in (requests_module, scheduling_module):
             stack.enter_context(mock.patch.object(module, "random", sources))
+        for name, interval_s in _SLOWER_STEPS_S.items():
+            stack.enter_context(mock.patch.object(application_module, name, interval_s))
         drawn = SimpleNamespace(token_hex=draw)
         stack.enter_context(mock.patch.object(context_module, "secrets", drawn))
         yield
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_loop.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_loop.py
@@ -47,10 +47,12 @@
         return self._scheduled[0].when() if self._scheduled else math.inf
 
     def run_due(self) -> None:
-        """Run what is due now."""
+        """Run what is due now, and what that makes ready at once."""
         asyncio.events._set_running_loop(self)
         try:
             self._run_once()
+            while self._ready and not self.paused:
+                self._run_once()
         finally:
             asyncio.events._set_running_loop(None)
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_network.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_network.py
@@ -31,6 +31,9 @@
 REFUSED = RefusedBeforeRun(RefusalReason.CONNECT_FAILED, "connection refused")
 STALE = RefusedBeforeRun(RefusalReason.STALE_EPOCH, "stale epoch")
 
+# Calls that act under a lease: commands to workers, and requests to targets.
+EFFECTS = ("commands", "_execute_at_target")
+
 
 @attrs.define
 class Conditions:
@@ -148,6 +151,8 @@
     def __init__(self, network: Network) -> None:
         self.network = network
         self.closed = False
+        # Pauses the process between its check and this call; returns the length of the pause.
+        self.pause_at_effect: Callable[[], float] | None = None
 
     async def run(self, _pool: str, function: Callable[..., Exchange], *args: Any) -> Any:
         """Make a call and wait for its outcome."""
@@ -159,7 +164,12 @@
             if not future.done() and not future.get_loop().is_closed():
                 future.set_result(outcome)
 
-        self.network.perform(function(*args), done)
+        exchange = function(*args)
+        if self.pause_at_effect is not None and function.__name__ in EFFECTS:
+            pause, self.pause_at_effect = self.pause_at_effect, None
+            self.network.world.after(pause(), lambda: self.network.perform(exchange, done))
+        else:
+            self.network.perform(exchange, done)
         return await future
 
 
