--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_job_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_job_events.py
@@ -46,6 +46,7 @@
     home_domain: str = ""
     submission_digest: str = ""
     kind: JobKind | None = None
+    tasks_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_jobs_fold.py
@@ -274,6 +274,7 @@
             del self._by_domain[job.home_domain][job_id]
             finished.customer = job.spec.customer
             finished.kind = job.spec.kind
+            finished.tasks_count = job.spec.tasks_count
             finished.home_domain = job.home_domain
             finished.submission_digest = job.submission_digest
             finished.late |= job.late
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -272,7 +272,11 @@
         if isinstance(known, FinishedJob):
             done = f"{known.state.value}: {known.detail}" if known.detail else known.state.value
             return JobStatus(
-                job_id=job_id, state=known.state, late=known.late, explanation=f"The job is {done}."
+                job_id=job_id,
+                state=known.state,
+                tasks_done_count=known.tasks_count if known.state is JobState.DONE else 0,
+                late=known.late,
+                explanation=f"The job is {done}.",
             )
         home = self.context.domain if known is None else known.home_domain
         answer = await self._ask_home(home, JobQuery(job_id, explain))
