Keep tickets and futures of the log stream apart

Cause: the ticket number was stored as an attribute of a future. Change: the ticket is returned by one private function that both ways of writing use.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -106,14 +106,8 @@
         Returns:
             A future of its offset, or a refusal after which it is certainly not written.
         """
-        ticket = self.writer.submit(RECORD_CODEC.encode(record), time.monotonic())
-        if isinstance(ticket, NotRun):
-            return ticket
-        future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self._waiting[ticket.number] = future
-        future.ticket_number = ticket.number  # type: ignore[attr-defined]
-        self._write_wanted.set()
-        return future
+        ticket = self._enqueue(record)
+        return ticket if isinstance(ticket, NotRun) else self._waiting[ticket.number]
 
     async def append(self, record: Any, timeout_s: float) -> int | NotRun | OutcomeUnknown:
         """Queue a record and wait until it is durable.
@@ -126,20 +120,27 @@
             Its offset; `NotRun` when it was not written and will not be; `OutcomeUnknown` when it
             may be in the log.
         """
-        future = self.submit(record)
-        if isinstance(future, NotRun):
-            return future
+        ticket = self._enqueue(record)
+        if isinstance(ticket, NotRun):
+            return ticket
+        future = self._waiting[ticket.number]
         try:
             return await asyncio.wait_for(asyncio.shield(future), timeout_s)
         except TimeoutError:
-            number = future.ticket_number  # type: ignore[attr-defined]
-            if self.writer.withdraw(Ticket(number)):
-                self._waiting.pop(number, None)
+            if self.writer.withdraw(ticket):
+                self._waiting.pop(ticket.number, None)
                 detail = f"the platform log did not take the record within {timeout_s:.1f} s"
                 return NotRun(ResultCode.STORE_UNAVAILABLE, detail, timeout_s)
             detail = "the record was sent to the platform log and its answer did not arrive"
             return OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, detail)
 
+    def _enqueue(self, record: Any) -> Ticket | NotRun:
+        ticket = self.writer.submit(RECORD_CODEC.encode(record), time.monotonic())
+        if isinstance(ticket, Ticket):
+            self._waiting[ticket.number] = asyncio.get_running_loop().create_future()
+            self._write_wanted.set()
+        return ticket
+
     def kick(self) -> None:
         """Ask for a read now."""
         self._read_wanted.set()
