Show the share that a customer's running tasks hold

Cause: the status named a share that was always 0. Change: the scheduler computes the dominant share of the running tasks. Result: shown by fireflywharf status; the number follows from the job table.

--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
@@ -3,6 +3,7 @@
 import random
 
 from ..jobs import JobSpec, JobState
+from ..resources import ResourceVector
 from ..results import ResultCode
 from ._actions import Action, AdmissionForecast, JobStatus, ReportInfeasible, ReportLate
 from ._attempts import AttemptTable
@@ -271,6 +272,14 @@
         obstacle = self._engine.obstacle(job.spec)
         return obstacle or (job.wait_code, job.wait_detail)
 
+    def share(self, customer: str) -> float:
+        """Return the dominant share of all workers that a customer's running tasks hold."""
+        total = sum((worker.vm.capacity for worker in self._workers.all()), ResourceVector())
+        held = ResourceVector()
+        for job in self._jobs.of_customer(customer):
+            held += job.spec.size.scaled(self._jobs.status(job).tasks_running_count)
+        return held.dominant_share(total)
+
     def set_aside_workers(self) -> list[str]:
         """Return the names of the workers that are set aside."""
         return [worker.name for worker in self._workers.all() if worker.set_aside]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_status.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_status.py
@@ -81,6 +81,7 @@
                 waiting_requests_count=application.requests.router.queued_count_of(customer),
                 waiting_tasks_count=sum(job.tasks_waiting_count for job in jobs),
                 running_tasks_count=sum(job.tasks_running_count for job in jobs),
+                share=0.0 if core is None else core.share(customer),
             )
         )
     return rows
