--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_cluster.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_cluster.py
@@ -59,13 +59,14 @@
     planted: str = ""
 
 
-PLANTED_EPOCHS = "a worker ignores epochs"
+PLANTED_EPOCHS = "a worker ignores epochs and repeats"
 PLANTED_REFUSAL = "an uncertain send is told as refused"
-PLANTED = (PLANTED_EPOCHS, PLANTED_REFUSAL)
+PLANTED_RECOVERY = "a new scheduler does not wait for reports"
+PLANTED = (PLANTED_EPOCHS, PLANTED_REFUSAL, PLANTED_RECOVERY)
 
 
 class EpochIgnoringWorker(WorkerStandIn):
-    """Grants every claim and runs every command, whatever its epoch."""
+    """Grants every claim and runs every command, whatever its epoch, and also a repeated one."""
 
     def claim(self, holder: str, ttl_s: float, renew_tasks: bool = False) -> ClaimAnswer:
         """Grant the lease."""
@@ -76,6 +77,7 @@
         self, epoch: int, commands: list[WorkerCommand], fail_starts: bool = False
     ) -> list[CommandAnswer] | None:
         """Run commands under the present epoch."""
+        self._seen.clear()
         return super().commands(self._lease.epoch, commands, fail_starts)
 
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_run.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_run.py
@@ -4,7 +4,8 @@
 import random
 from collections import Counter
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, nullcontext
+from unittest import mock
 
 import attrs
 
@@ -21,8 +22,9 @@
     VmLeaving,
     check_history,
 )
+from fireflywharf_core.scheduling._recovery import Recovery
 
-from ._cluster import Cluster, ClusterPlan
+from ._cluster import PLANTED_RECOVERY, Cluster, ClusterPlan
 from ._entry import virtual_process
 from ._faults import plan_faults
 from ._loop import World
@@ -85,6 +87,13 @@
         logger.propagate = before[1]
 
 
+@contextmanager
+def _without_recovery() -> Iterator[None]:
+    """Plant a fault: jobs of an earlier scheduler start before its attempts are known."""
+    with mock.patch.object(Recovery, "start", lambda *_: None):
+        yield
+
+
 def run_history(
     seed: int,
     faults: tuple[str, ...] = (),
@@ -128,7 +137,11 @@
         wrong_sizes="wrong sizes" in faults,
         planted=planted,
     )
-    with virtual_process(world, random.Random(rng.getrandbits(64))), _collected_errors(errors):
+    with (
+        virtual_process(world, random.Random(rng.getrandbits(64))),
+        _collected_errors(errors),
+        _without_recovery() if planted == PLANTED_RECOVERY else nullcontext(),
+    ):
         cluster = Cluster(world, random.Random(rng.getrandbits(64)), plan)
         cluster.load.plan(jobs_count, requests_count)
         plan_faults(cluster, faults, random.Random(rng.getrandbits(64)))
--- a/tools/check_histories.py
+++ b/tools/check_histories.py
@@ -119,7 +119,11 @@
     parser.add_argument("--limit-s", type=float, default=240.0, help="end after this time")
     parser.add_argument("--no-report", action="store_true", help="do not write the page")
     parser.add_argument("--repeat", type=int, help="run one history of this seed only")
-    parser.add_argument("--fault", action="append", default=[], choices=list(FAULTS))
+    parser.add_argument(
+        "--fault", action="append", default=[], choices=list(FAULTS), help="in every history"
+    )
+    parser.add_argument("--jobs", type=int, help="jobs of each history")
+    parser.add_argument("--requests", type=int, help="requests of each history")
     return parser.parse_args()
 
 
@@ -144,12 +148,18 @@
         environment = dict(os.environ, PYTHONHASHSEED=HASH_SEED)
         os.execve(sys.executable, [sys.executable, *sys.argv], environment)
     started_s = time.monotonic()
-    load = QUICK_LOAD if arguments.quick else FULL_LOAD
+    load = dict(QUICK_LOAD if arguments.quick else FULL_LOAD)
+    if arguments.jobs is not None:
+        load["jobs_count"] = arguments.jobs
+    if arguments.requests is not None:
+        load["requests_count"] = arguments.requests
     if arguments.repeat is not None:
         jobs = [(arguments.repeat, tuple(arguments.fault), arguments.planted, load)]
         results = [run_one(jobs[0])]
     else:
         jobs = plan_histories(arguments.histories, arguments.seed, arguments.planted, load)
+        if arguments.fault:
+            jobs = [(seed, tuple(arguments.fault), *rest) for seed, _, *rest in jobs]
         results = run_all(jobs, arguments.limit_s)
     elapsed_s = time.monotonic() - started_s
     table, broken = make_table(results), describe_broken(results)
@@ -161,7 +171,9 @@
         f"{len(results)} of {len(jobs)} histories in {elapsed_s:.1f} s,"
         f" {violations_count} violations and errors"
     )
-    if not (arguments.no_report or arguments.planted or arguments.repeat is not None):
+    if not (
+        arguments.no_report or arguments.planted or arguments.fault or arguments.repeat is not None
+    ):
         command = " ".join(["tools/check_histories.py", *sys.argv[1:]])
         write_report(table, command, elapsed_s, broken)
     return 1 if violations_count or len(results) < len(jobs) else 0
