Keep tasks of unread jobs running until the log was read

Cause: a scheduler that took over while the log was down stopped attempts of jobs it did not know after 60 s, though their records were in the log. Change: unknown attempts are stopped only after the recovery is over.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -48,3 +48,9 @@
 
     When 1000 waiting jobs are cancelled and one more is submitted
     Then the new job starts in the next decision and every cancelled job is finished as cancelled
+
+  Scenario: tasks of jobs that were not read yet keep running
+    Guards against a new scheduler that stops accepted work because the log is down.
+
+    When a new scheduler sees a task of an unknown job for 120 s without the end of the log
+    Then it stops the task only after the log was read to its end
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -1,22 +1,31 @@
 """Steps for the scheduler of a failure domain."""
 
+import random
+
 import attrs
 from behave import then, when
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from scheduling_world import World
 
-from fireflywharf_core.jobs import AttemptEnd, JobKind
+from fireflywharf_core.jobs import AttemptEnd, AttemptId, JobKind, TaskId
+from fireflywharf_core.platform import RunningAttempt, VmInfo, VmRole
 from fireflywharf_core.resources import ResourceVector
 from fireflywharf_core.results import ResultCode
 from fireflywharf_core.scheduling import (
+    DomainScheduler,
     FairShare,
     FirstComeFirstServed,
     JobAdmitted,
     JobCancelled,
+    RecoveryFinished,
+    RecoveryStarted,
     ReportInfeasible,
     ReportLate,
+    StopTask,
+    WorkerJoined,
     WorkerLeaving,
+    WorkerReport,
 )
 
 POLICIES = {"fair share": FairShare(), "baseline": FirstComeFirstServed()}
@@ -241,3 +250,32 @@
     assert newest in running_places(world), "the new job does not run"
     states = [state.value for state in world.final.values()]
     assert states == ["cancelled"] * (len(world.specs) - 2), len(states)
+
+
+@when("a new scheduler sees a task of an unknown job for 120 s without the end of the log")
+def run_unknown_task(context):
+    vm = VmInfo(
+        name="w1",
+        role=VmRole.WORKER,
+        address="127.0.0.1:1",
+        region="r",
+        failure_domain="d",
+        capacity=ResourceVector(4000, 4000),
+    )
+    running = [RunningAttempt(AttemptId(TaskId("j-unread", 0), 1), ResourceVector(1000, 100))]
+    core = DomainScheduler(policy=FairShare(), rng=random.Random(1))
+    core.observe(RecoveryStarted(frozenset({"w1"})), 0.0)
+    core.observe(WorkerJoined(vm), 0.0)
+    context.stops_before, context.stops_after = [], []
+    for now_s in range(1, 240):
+        if now_s == 120:
+            core.observe(RecoveryFinished(), now_s)
+        core.observe(WorkerReport("w1", running, [], now_s), now_s)
+        stops = [action for action in core.decide(now_s) if isinstance(action, StopTask)]
+        (context.stops_before if now_s < 120 else context.stops_after).extend(stops)
+
+
+@then("it stops the task only after the log was read to its end")
+def check_unknown_task(context):
+    assert context.stops_before == [], context.stops_before
+    assert context.stops_after
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_scheduler.py
@@ -214,7 +214,9 @@
         self._jobs.report_late(now_s)
         if now_s >= self._janitor_s:
             self._janitor_s = now_s + JANITOR_PERIOD_S
-            self._reports.stop_unknown(now_s)
+            if not self._recovery.active:
+                # Until the log was read to its end, an unknown job may be an accepted one.
+                self._reports.stop_unknown(now_s)
             self._probes.decide(now_s)
             if self._capacity_shrank and not self._recovery.active:
                 self._capacity_shrank = False
