--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_cluster.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_cluster.py
@@ -26,9 +26,10 @@
 from .._vm_list import VmListStandIn
 from .._worker import WorkerSettings, WorkerStandIn
 from ._entry import EntryVm
-from ._load import CUSTOMERS, SERVICE, Load
+from ._load import SERVICE, Load
 from ._loop import World
 from ._network import Conditions, Network
+from ._operators import CUSTOMERS
 
 DOMAIN = "zone-a"
 REGION = "region-a"
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_load.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_load.py
@@ -1,18 +1,15 @@
-"""Callers and operators: what they ask, and records of what they hear."""
+"""Callers: what they ask, and records of what they hear."""
 
 import hashlib
 import itertools
 import json
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from fireflywharf_core.contracts import Contract, Quota
 from fireflywharf_core.history import (
-    ContractApplied,
-    ContractSeen,
     JobAcceptedSeen,
     JobStateSeen,
     RequestAnswered,
@@ -30,8 +27,6 @@
     describe_code,
 )
 from fireflywharf_daemon.http import (
-    AppliedContract,
-    ApplyContract,
     CallerError,
     ExecuteRequest,
     IssuedKeys,
@@ -45,13 +40,12 @@
 from .._effects import EffectsRecorder
 from ._entry import EntryVm
 from ._loop import World
+from ._operators import CUSTOMERS, RETRY_S, Operators
 
-CUSTOMERS = {"austral": 2.0, "tico": 1.0}
 SERVICE = "dispatch"
 LOAD_START_S = 4.0
 LOAD_END_S = 28.0
 SUBMIT_TRIES_MAX = 12
-RETRY_S = 1.0
 POLL_S = 2.0
 
 
@@ -74,7 +68,7 @@
     asking: bool = False
 
 
-class Load:
+class Load(Operators):
     """Submits seeded jobs, requests and contract changes and records the answers.
 
     Args:
@@ -93,10 +87,7 @@
         entries: dict[str, EntryVm],
         wrong_sizes: bool = False,
     ) -> None:
-        self.world = world
-        self.rng = rng
-        self.recorder = recorder
-        self.entries = entries
+        super().__init__(world, rng, recorder, entries)
         self.wrong_sizes = wrong_sizes
         self.jobs: dict[str, _JobState] = {}
         self._numbers = itertools.count(1)
@@ -117,36 +108,6 @@
         self.world.at(LOAD_END_S + 2.0, self.cancel_services)
         self.world.at(3.0, self._poll)
 
-    def _serving(self) -> list[EntryVm]:
-        return [entry for entry in self.entries.values() if entry.serving]
-
-    def _pick(self) -> EntryVm | None:
-        """Return an entry VM that accepts connections; a paused one does so, too."""
-        alive = [entry for entry in self.entries.values() if entry.alive]
-        return self.rng.choice(alive) if alive else None
-
-    def _call(
-        self,
-        entry: EntryVm,
-        make: Callable[[], Coroutine[Any, Any, Any]],
-        done: Callable[[Any], None],
-    ) -> None:
-        """Make a call that arrives after the delay to the client, as does the answer."""
-
-        def arrive() -> None:
-            if entry.alive:
-                entry.call(make, lambda answer: self._answered(answer, done))
-            else:
-                done(None)
-
-        self.world.after(self.rng.uniform(0.001, 0.006), arrive)
-
-    def _answered(self, answer: Any, done: Callable[[Any], None]) -> None:
-        if answer is None:
-            done(None)
-        else:
-            self.world.after(self.rng.uniform(0.001, 0.006), lambda: done(answer))
-
     # Jobs.
 
     def submit_new_job(self, cancel_soon: bool = False) -> None:
@@ -345,44 +306,6 @@
             )
         )
 
-    # Contracts.
-
-    def change_contract(self, customer: str, base_version: int, weight: float) -> None:
-        """Apply a contract; repeat until it exists when it is the first."""
-        entry = self._pick()
-        if entry is None:
-            self.world.after(RETRY_S, lambda: self.change_contract(customer, base_version, weight))
-            return
-        change = ApplyContract(
-            contract=make_contract(customer, weight), base_version=base_version, author="operator"
-        )
-
-        def done(answer: Any) -> None:
-            if isinstance(answer, AppliedContract):
-                self.recorder.add(
-                    ContractApplied(
-                        time_s=self.world.now_s, customer=customer, version=answer.version
-                    )
-                )
-            elif base_version == 0 and not self._known_version(entry, customer):
-                self.world.after(
-                    RETRY_S, lambda: self.change_contract(customer, base_version, weight)
-                )
-
-        self._call(entry, lambda: entry.application.contracts.apply(change), done)
-
-    def race_contract(self, customer: str, changes_count: int) -> None:
-        """Apply concurrent changes on the same base version."""
-        entry = self._pick()
-        base_version = 0 if entry is None else self._known_version(entry, customer)
-        if base_version:
-            for _ in range(changes_count):
-                self.change_contract(customer, base_version, self.rng.uniform(0.5, 4.0))
-
-    def _known_version(self, entry: EntryVm, customer: str) -> int:
-        row = entry.application.contracts.registry.get(customer)
-        return 0 if row is None else row.version
-
     # Observation.
 
     def _poll(self) -> None:
@@ -396,18 +319,6 @@
                 self._see_job(entry, state)
         self.world.after(POLL_S, self._poll)
 
-    def _see_contracts(self, entry: EntryVm) -> None:
-        for customer in CUSTOMERS:
-            version = self._known_version(entry, customer)
-            self.recorder.add(
-                ContractSeen(
-                    time_s=self.world.now_s,
-                    entry_vm=entry.name,
-                    customer=customer,
-                    version=version,
-                )
-            )
-
     def _see_job(self, entry: EntryVm, state: _JobState) -> None:
         job_id = state.job.spec.job_id
 
@@ -438,18 +349,3 @@
     def finished(self) -> bool:
         """Whether every accepted job was seen to have ended."""
         return all(state.ended or not state.accepted for state in self.jobs.values())
-
-
-def make_contract(customer: str, weight: float) -> Contract:
-    """Return a contract without bounds."""
-    quota = Quota(
-        processors_millicores="unlimited", memory_mb="unlimited", accelerators_count="unlimited"
-    )
-    return Contract(
-        customer=customer,
-        share_weight=weight,
-        quota=quota,
-        requests_per_second="unlimited",
-        queue_max_tasks="unlimited",
-        provisional_admission=True,
-    )
