Add a tool that measures recovery from faults

Cause: section 13 bounds the take-over (10 s), a leaving target (3 s) and the configuration (10 s), and no run measured them with real daemons. Change: tools/measure_faults.py kills schedulers, marks targets as leaving, changes contracts and loses all answers, bounded in count and time, and writes the table.

--- /dev/null
+++ b/tools/measure_faults.py
@@ -0,0 +1,300 @@
+"""Measures how fast daemons recover from faults, and writes docs/measurements/faults.md.
+
+Runs clusters of daemons over loopback, one after the other, bounded in count and time.
+"""
+
+import contextlib
+import pathlib
+import platform
+import statistics
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+import defopt
+import tabulate
+
+from fireflywharf_core.history import (
+    AttemptStarted,
+    LeaseGranted,
+    RequestEnded,
+    RequestSent,
+    RequestStarted,
+)
+from fireflywharf_core.jobs import job_id_of
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_testing import (
+    Cluster,
+    Domain,
+    FaultSettings,
+    RecordingCaller,
+    RequestPlan,
+    TargetGroup,
+    Topology,
+    WorkerGroup,
+    wait_until,
+)
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+RESULT = ROOT / "docs" / "measurements" / "faults.md"
+LIMIT_S = 30.0
+LEAVING_WATCH_S = 4.0
+SENDERS_COUNT = 8
+UNLIMITED = {
+    "processors_millicores": "unlimited",
+    "memory_mb": "unlimited",
+    "accelerators_count": "unlimited",
+}
+CONTRACT = {
+    "customer": "austral",
+    "share_weight": 1,
+    "quota": UNLIMITED,
+    "requests_per_second": "unlimited",
+    "queue_max_tasks": "unlimited",
+}
+
+
+@attrs.frozen(slots=True)
+class Row:
+    """One row of the table; `limit` is the bound that the design states."""
+
+    name: str
+    unit: str
+    limit: float
+    values: list[float]
+
+
+@contextlib.contextmanager
+def started_cluster(domains: tuple[str, ...], entry_vms_count: int) -> Iterator[Cluster]:
+    """Run a cluster with one contract in force everywhere."""
+    topology = Topology(
+        domains=[
+            Domain(
+                name=name,
+                region=name,
+                entry_vms_count=entry_vms_count,
+                workers=[WorkerGroup(count=4, capacity=ResourceVector(2_000, 8_000, 0))],
+                targets=[TargetGroup(service="dispatch", count=4)],
+            )
+            for name in domains
+        ]
+    )
+    with Cluster(topology) as cluster:
+        caller = cluster.caller("austral")
+        caller.apply_contract(next(iter(cluster.entry_vms)), CONTRACT, 0)
+        for vm in cluster.entry_vms:
+            await_true(lambda v=vm: caller.poll_contract(v, "austral").answer.get("version") == 1)
+        yield cluster
+
+
+def await_true(condition: Callable[[], object]) -> None:
+    """Wait for a condition, or fail after `LIMIT_S`."""
+    if not wait_until(lambda: bool(condition()), LIMIT_S, 0.01):
+        raise TimeoutError(f"a condition did not become true within {LIMIT_S} s")
+
+
+class Senders:
+    """Threads that send idempotent requests to some entry VMs until stopped."""
+
+    def __init__(self, caller: RecordingCaller, vms: list[str]) -> None:
+        self.caller = caller
+        self.vms = vms
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._send, args=[number], daemon=True)
+            for number in range(SENDERS_COUNT)
+        ]
+
+    def __enter__(self) -> "Senders":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(LIMIT_S)
+
+    def _send(self, number: int) -> None:
+        plan = RequestPlan(service="dispatch", service_ms=20, deadline_ms=5000)
+        while not self._stopping.wait(0.01):
+            self.caller.send_request(self.vms[number % len(self.vms)], plan)
+
+
+def measure_take_over(count: int) -> list[Row]:
+    """Kill the scheduler's entry VM `count` times under load."""
+    starts_s, answers_s = [], []
+    with started_cluster(("centro",), entry_vms_count=3) as cluster:
+        caller = cluster.caller("austral")
+        for number in range(count):
+            victim = cluster.scheduler("centro")
+            others = [vm for vm in cluster.entry_vms if vm != victim]
+            job = {"key": f"backlog-{number}", "kind": "batch", "tasks_count": 200}
+            job |= {"size": {"processors_millicores": 1000, "memory_mb": 100}, "run_time_s": 0.5}
+            caller.submit_job(others[0], job)
+            rows = cluster.status(victim)["targets"]
+            held = {row["name"] for row in rows if row["held"]}
+            with Senders(caller, others):
+                time.sleep(1.0)
+                incarnation = cluster.status(victim)["incarnation"]
+                killed_s = time.monotonic()
+                cluster.kill(victim)
+                starts_s.append(_first_start_s(cluster, killed_s, incarnation) - killed_s)
+                if held:
+                    answers_s.append(_first_answer_s(cluster, killed_s, held) - killed_s)
+            job_id = job_id_of("austral", job["key"])
+            caller.exchange(others[0], "POST", f"/v1/jobs/{job_id}/cancel")
+            cluster.restart(victim)
+            cluster.wait_schedulers()
+            print(f"kill {number + 1}: start {starts_s[-1]:.2f} s, answers {answers_s[-1:]}")
+    return [
+        Row("scheduler killed: next start of a waiting task", "s", 10.0, starts_s),
+        Row("same kill: first answer of a target that it held", "s", 10.0, answers_s),
+    ]
+
+
+def _first_start_s(cluster: Cluster, killed_s: float, incarnation: str) -> float:
+    """Return the time of the first start after a worker's lease went to another holder."""
+    found: list[float] = []
+
+    def find() -> bool:
+        grants = [
+            row.time_s
+            for row in cluster.recorder.of(LeaseGranted)
+            if row.time_s > killed_s and row.holder != incarnation and "-worker-" in row.vm
+        ]
+        starts = [row.time_s for row in cluster.recorder.of(AttemptStarted)]
+        found.extend(time_s for time_s in starts if grants and time_s >= grants[0])
+        return bool(found)
+
+    await_true(find)
+    return found[0]
+
+
+def _first_answer_s(cluster: Cluster, killed_s: float, targets: set[str]) -> float:
+    found: list[float] = []
+
+    def find() -> bool:
+        granted = {
+            row.vm: row.time_s
+            for row in reversed(cluster.recorder.of(LeaseGranted))
+            if row.time_s > killed_s and row.vm in targets
+        }
+        begun = {
+            (row.target, row.execution)
+            for row in cluster.recorder.of(RequestStarted)
+            if row.target in granted and row.time_s >= granted[row.target]
+        }
+        ends = cluster.recorder.of(RequestEnded)
+        found.extend(r.time_s for r in ends if r.completed and (r.target, r.execution) in begun)
+        return bool(found)
+
+    await_true(find)
+    return found[0]
+
+
+def measure_leaving(count: int) -> list[Row]:
+    """Mark a target as leaving under load, `count` times, and look for its last new request."""
+    times_s = []
+    with started_cluster(("centro",), entry_vms_count=3) as cluster:
+        platform_ = cluster.platform
+        names = sorted(platform_.targets)
+        with Senders(cluster.caller("austral"), list(cluster.entry_vms)):
+            for number in range(count):
+                name = names[number % len(names)]
+                target = platform_.targets[name]
+                before_s = time.monotonic()
+                await_true(lambda n=name, s=before_s: _last_start_s(cluster, n) > s)
+                left_s = time.monotonic()
+                platform_.mark_leaving(name)
+                time.sleep(LEAVING_WATCH_S)
+                times_s.append(max(0.0, _last_start_s(cluster, name) - left_s))
+                address = platform_.servers[name].address
+                target.leaving = False
+                platform_.vm_list.add(attrs.evolve(target.vm, address=address))
+    return [Row("target leaving: last new request", "s", 3.0, times_s)]
+
+
+def _last_start_s(cluster: Cluster, target: str) -> float:
+    starts = cluster.recorder.of(RequestStarted)
+    return max((row.time_s for row in starts if row.target == target), default=0.0)
+
+
+def measure_contracts(count: int) -> list[Row]:
+    """Change a contract `count` times and wait until every entry VM of 3 regions shows it."""
+    times_s = []
+    with started_cluster(("centro", "pacifico", "caribe"), entry_vms_count=2) as cluster:
+        caller = cluster.caller("austral")
+        vms = list(cluster.entry_vms)
+        for version in range(2, count + 2):
+            start_s = time.monotonic()
+            contract = CONTRACT | {"share_weight": version}
+            caller.apply_contract(vms[version % len(vms)], contract, version - 1)
+            behind = list(vms)
+            while behind:
+                answers = {vm: caller.poll_contract(vm, "austral").answer for vm in behind}
+                behind = [vm for vm in behind if answers[vm].get("version", 0) < version]
+                if time.monotonic() > start_s + LIMIT_S:
+                    raise TimeoutError(f"version {version} is not in force at {behind}")
+            times_s.append(time.monotonic() - start_s)
+    return [Row("contract: from the call until in force in 3 regions", "s", 10.0, times_s)]
+
+
+def measure_amplification(requests_count: int) -> list[Row]:
+    """Let all targets lose their answers, and count the executions of idempotent requests."""
+    with started_cluster(("centro",), entry_vms_count=3) as cluster:
+        caller = cluster.caller("austral")
+        for name in cluster.platform.targets:
+            faults = FaultSettings(lose_answer_p=1.0, only=["/v1/execute"])
+            cluster.platform.set_faults(name, faults)
+        with Senders(caller, list(cluster.entry_vms)):
+            await_true(lambda: len(cluster.recorder.of(RequestSent)) >= requests_count)
+        sent = len(cluster.recorder.of(RequestSent))
+        executions = len(cluster.recorder.of(RequestStarted))
+        print(f"{executions} executions of {sent} requests")
+        operations = {row.operation for row in cluster.recorder.of(RequestStarted)}
+        ratio = executions / max(1, len(operations))
+    return [Row("all targets fail: executions per executed request", "", 1.1, [ratio])]
+
+
+def write_table(rows: list[Row], command: str) -> None:
+    """Write the table with its command."""
+    table = [
+        [row.name, len(row.values), row.unit, min(row.values), statistics.median(row.values)]
+        + [max(row.values), row.limit, "yes" if max(row.values) <= row.limit else "NO"]
+        for row in rows
+    ]
+    headers = ["case", "runs", "unit", "min", "median", "max", "bound", "within"]
+    text = tabulate.tabulate(table, headers, tablefmt="github", floatfmt=".2f")
+    machine = f"{platform.machine()}, Python {platform.python_version()}"
+    RESULT.write_text(
+        "# Recovery from faults\n\n"
+        "Daemons run as processes over loopback against the stand-ins, all on one machine\n"
+        f"({machine}), with the default settings. The bounds are those of section 13 of the\n"
+        "design; the bound on executions is that of section 10. Written by\n\n"
+        f"```\n{command}\n```\n\n{text}\n",
+        encoding="utf-8",
+    )
+    print(text)
+
+
+def measure(*, kills: int = 20, leaves: int = 10, changes: int = 20, requests: int = 2000) -> None:
+    """Measure all cases and write the table.
+
+    Args:
+        kills: how often the scheduler is killed, 1 to 50.
+        leaves: how often a target leaves, 1 to 50.
+        changes: number of contract changes, 1 to 100.
+        requests: requests while all targets fail, 100 to 20,000.
+    """
+    rows = measure_take_over(min(50, max(1, kills)))
+    rows += measure_leaving(min(50, max(1, leaves)))
+    rows += measure_contracts(min(100, max(1, changes)))
+    rows += measure_amplification(min(20_000, max(100, requests)))
+    command = f".venv/bin/python tools/measure_faults.py --kills {kills} --leaves {leaves}"
+    write_table(rows, f"{command} --changes {changes} --requests {requests}")
+
+
+if __name__ == "__main__":
+    defopt.run(measure)
