Compact the folds, and let one entry VM record the first workers

Cause: the fold of the domain stream kept every task of finished jobs and wrote their ends again for ever; outcomes that the log had deleted were dropped only on a truncation; every entry VM of a new domain recorded the same workers. Change: compaction every 30 s, outcomes dropped after each read, first workers by the first candidate.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -51,6 +51,7 @@
 TARGET_STEP_S = 0.2
 DIGEST_STEP_S = 0.25
 SNAPSHOT_STEP_S = 5.0
+COMPACTION_STEP_S = 30.0
 LATE_STEP_S = 2.0
 DRAIN_POLL_S = 0.02
 # The balancer and the peers need this long to stop sending new work to a leaving entry VM.
@@ -228,6 +229,7 @@
         every(TARGET_STEP_S, self.requests.targets.step)
         every(scheduling.log_poll_interval_s, self._catch_up)
         every(SNAPSHOT_STEP_S, self._write_snapshot)
+        every(COMPACTION_STEP_S, self.scheduler.forget_finished_jobs)
         every(LATE_STEP_S, self._look_after_other_domains)
         every(1.0, lambda: update_gauges(self))
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -75,10 +75,9 @@
         self.stream: LogStream | None = None
         self._provisional: dict[str, JobAccepted] = {}
 
-    def before_records(self, reader: StreamReader) -> None:
-        """Take a truncation of stream `jobs`."""
-        if reader.truncation is not None:
-            self.fold.drop_below(reader.truncation.first_available)
+    def after_records(self, reader: StreamReader) -> None:
+        """Forget outcomes that the log has deleted."""
+        self.fold.drop_below(reader.first_available)
 
     def fold_record(self, row: ReadRecord) -> None:
         """Fold one record of stream `jobs` and tell the scheduler."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -16,6 +16,7 @@
     SchedulerElection,
     StepDown,
     plan_worker_changes,
+    rank_members,
 )
 from fireflywharf_core.messages import Acknowledged, KnownWorkersQuery, WorkersKnown
 from fireflywharf_core.platform import ClaimAnswer, VmInfo, VmRole, VmState
@@ -102,6 +103,10 @@
         """Whether this process is the scheduler of its domain."""
         return self.core is not None
 
+    def forget_finished_jobs(self) -> None:
+        """Drop the tasks of finished jobs from the fold of the domain stream."""
+        self.domain_fold.compact(self.jobs_fold.is_finished)
+
     def waiting_tasks(self) -> dict[str, int]:
         """Return the waiting tasks by customer."""
         if self.core is None:
@@ -294,7 +299,10 @@
         """Record the first workers of a domain; nobody can hold a majority of an empty set."""
         if known or not self.listed or self._change_pending or self.context.draining:
             return
-        if self.stream.available and self.stream.end_read_s > float("-inf"):
+        peers = [peer.incarnation for peer in self.membership.live_peers() if not peer.draining]
+        first = rank_members(self.context.domain, [*peers, self.context.incarnation])[0]
+        read = self.stream.available and self.stream.end_read_s > float("-inf")
+        if read and first == self.context.incarnation:
             self._change_workers(known)
 
     def _change_workers(self, known: dict[str, VmInfo]) -> None:
