Tell the scheduler again that a lost worker's attempts have ended

Cause: the end of the task leases of a lost worker was told once, also when no tenure or recovery could use it yet, and never when the worker was removed; tasks waited for it for ever. Change: it is told every second and at the removal; a worker counts as silent from its last claim on.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_scheduling.py
@@ -360,6 +360,10 @@
         self.tasks.spawn(self._replay(core, self.context.now_s()))
 
     def _join_workers(self, known: dict[str, VmInfo]) -> None:
+        for name in set(self._joined).difference(known):
+            # A worker is removed only when its task leases have lapsed.
+            del self._joined[name]
+            self._observe(WorkerLost(name, True))
         for name, vm in known.items():
             if self._joined.get(name) != vm:
                 self._joined[name] = vm
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_worker_gateway.py
@@ -17,6 +17,7 @@
 
 _LOG = logging.getLogger(__name__)
 COMMANDS_PER_CALL_MAX = 200
+ENDED_REPEAT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +55,7 @@
     sending: bool = False
     last_claim_s: float = float("-inf")
     unreachable_since_s: float | None = None
-    ended_reported: bool = False
+    ended_told_s: float = float("-inf")
 
 
 class WorkerGateway:
@@ -93,10 +94,10 @@
         return self.leases.held(self.context.now_s())
 
     def unreachable_since_s(self) -> dict[str, float]:
-        """Return since when the workers that do not answer have not answered."""
+        """Return since when no claim can have reached the workers that do not answer."""
         rows = self._rows.items()
         return {
-            name: row.unreachable_since_s
+            name: max(row.unreachable_since_s, row.last_claim_s)
             for name, row in rows
             if row.unreachable_since_s is not None
         }
@@ -193,7 +194,7 @@
             return
         match answer:
             case Success(claim) if claim.granted:
-                row.unreachable_since_s, row.ended_reported = None, False
+                row.unreachable_since_s = None
                 self.holders[name] = self.context.incarnation
                 result = self.leases.on_granted(
                     name, claim.epoch, sent_s, now_s, claim.remaining_s, claim.boot_id
@@ -204,7 +205,7 @@
                 if self.leases.may_act(name, now_s):
                     self.on_report(name, claim, sent_s)
             case Success(claim):
-                row.unreachable_since_s, row.ended_reported = None, False
+                row.unreachable_since_s = None
                 self.holders[name] = claim.holder
                 self.leases.on_refused(name, claim.epoch, now_s)
             case _:
@@ -233,10 +234,12 @@
         task_lease_s = self.context.settings.scheduling.task_lease_s
         wait_s = task_lease_s + margin_s(task_lease_s) + self.context.settings.platform.timeout_s
         for name, row in self._rows.items():
-            if row.unreachable_since_s is None or row.ended_reported:
+            if row.unreachable_since_s is None:
                 continue
-            if now_s - row.last_claim_s >= wait_s and now_s - row.unreachable_since_s >= wait_s:
-                row.ended_reported = True
+            silent_s = now_s - max(row.last_claim_s, row.unreachable_since_s)
+            # It is told again, because a tenure or its recovery can begin after the first time.
+            if silent_s >= wait_s and now_s - row.ended_told_s >= ENDED_REPEAT_S:
+                row.ended_told_s = now_s
                 self.on_lost(name, True)
 
     async def _send_queue(self, name: str, row: _Row) -> None:
