Wait in the fault measurement until the backlog is accepted

Cause: the tool did not look at the answer to its job. An entry VM that was just restarted answered NO_SCHEDULER, so at kill 5 of a run there was no waiting task and no start within 30 s. After: it repeats the job until it is accepted.

--- a/tools/measure_faults.py
+++ b/tools/measure_faults.py
@@ -24,6 +24,7 @@
 )
 from fireflywharf_core.jobs import job_id_of
 from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.results import ResultCode
 from fireflywharf_testing import (
     Cluster,
     Domain,
@@ -132,7 +133,10 @@
             others = [vm for vm in cluster.entry_vms if vm != victim]
             job = {"key": f"backlog-{number}", "kind": "batch", "tasks_count": 200}
             job |= {"size": {"processors_millicores": 1000, "memory_mb": 100}, "run_time_s": 0.5}
-            caller.submit_job(others[0], job)
+            # An entry VM that was just restarted has not heard of the scheduler yet.
+            await_true(
+                lambda vm=others[0], job=job: caller.submit_job(vm, job).code is ResultCode.ACCEPTED
+            )
             rows = cluster.status(victim)["targets"]
             held = {row["name"] for row in rows if row["held"]}
             with Senders(caller, others):
