Find the entry VM that decides for a key in every failure domain

Cause: digests name only the schedulers of other domains, so a key issued or claimed by another entry VM was answered KEY_HOLDER_GONE there although that VM was alive. Result: keys of 4 entry VMs used at 4 entry VMs: 20 of 20 completed, one execution each; before, only the schedulers' keys were.

--- /dev/null
+++ b/features/steps/daemon_keys_steps.py
@@ -0,0 +1,84 @@
+"""Steps for request keys that are used at several entry VMs."""
+
+from behave import given, then, when
+
+from fireflywharf_testing import (
+    Cluster,
+    Domain,
+    RequestPlan,
+    TargetGroup,
+    Topology,
+    WorkerGroup,
+    wait_until,
+)
+
+CUSTOMER = "austral"
+CONTRACT = {
+    "customer": CUSTOMER,
+    "share_weight": 1.0,
+    "quota": {
+        "processors_millicores": "unlimited",
+        "memory_mb": "unlimited",
+        "accelerators_count": "unlimited",
+    },
+    "requests_per_second": "unlimited",
+    "queue_max_tasks": "unlimited",
+}
+CONTRACT_LIMIT_S = 10.0
+
+
+@given("daemons in 2 failure domains with a contract")
+def start_two_domains(context):
+    domains = [
+        Domain(
+            name=name,
+            region=name,
+            entry_vms_count=2,
+            workers=[WorkerGroup(count=2)],
+            targets=[TargetGroup(service="dispatch", count=2)],
+        )
+        for name in ("centro", "pacifico")
+    ]
+    context.key_cluster = Cluster(Topology(domains=domains)).start()
+    context.add_cleanup(context.key_cluster.stop)
+    caller = context.key_caller = context.key_cluster.caller(CUSTOMER)
+    caller.apply_contract("centro-entry-1", CONTRACT, 0)
+    for vm in caller.entry_vms:
+        known = wait_until(
+            lambda vm=vm: caller.poll_contract(vm, CUSTOMER).answer.get("version") == 1,
+            CONTRACT_LIMIT_S,
+        )
+        assert known, f"{vm} has no contract after {CONTRACT_LIMIT_S} s"
+    context.key_results = []
+
+
+def send_everywhere(context, key, operation):
+    """Send the same request to every entry VM."""
+    plan = RequestPlan(service="dispatch", idempotent=False, key=key, operation=operation)
+    for vm in context.key_caller.entry_vms:
+        context.key_results.append((key, vm, context.key_caller.send_request(vm, plan)))
+
+
+@when("a request with a key issued by each entry VM is sent to every entry VM")
+def use_issued_keys(context):
+    for issuer in context.key_caller.entry_vms:
+        asked = {"customer": CUSTOMER, "count": 1}
+        answer = context.key_caller.exchange(issuer, "POST", "/v1/keys", asked).answer
+        send_everywhere(context, answer["keys"][0], f"issued by {issuer}")
+
+
+@when("a request with a caller's own key is sent to every entry VM")
+def use_own_key(context):
+    send_everywhere(context, "own-key-1", "own key")
+
+
+@then("every call hears a completed outcome")
+def check_completed(context):
+    assert len(context.key_results) == 20
+    for key, vm, result in context.key_results:
+        assert result.outcome == "completed", (key, vm, result)
+
+
+@then("no request was executed twice")
+def check_executed_once(context):
+    assert context.key_cluster.violations() == []
--- a/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/messages/_messages.py
@@ -176,6 +176,19 @@
     workers: list[VmInfo]
 
 
+@attrs.frozen(slots=True)
+class IdentityQuery:
+    """Asks a process for its incarnation; answered by `Identity`."""
+
+
+@attrs.frozen(slots=True)
+class Identity:
+    """Incarnation of the answering process and its mesh address."""
+
+    incarnation: str
+    mesh_address: str
+
+
 @attrs.frozen(slots=True)
 class KnownWorkersQuery:
     """Asks a peer of the domain for the workers that it knows; answered by `WorkersKnown`."""
@@ -210,6 +223,8 @@
         ContractsSince,
         ContractsCatchUp,
         Handover,
+        IdentityQuery,
+        Identity,
         KnownWorkersQuery,
         WorkersKnown,
         Acknowledged,
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -17,6 +17,8 @@
     ForwardRequest,
     Handover,
     Heartbeat,
+    Identity,
+    IdentityQuery,
     JobQuery,
     KnownWorkersQuery,
     SubmitToScheduler,
@@ -357,6 +359,8 @@
                 call.reply(self.jobs.answer_peer(call.message))
             case ContractsSince():
                 call.reply(self.contracts.answer_peer(call.message))
+            case IdentityQuery():
+                call.reply(Identity(self.context.incarnation, self.settings.mesh.listen))
             case KnownWorkersQuery() | WorkersKnown():
                 call.reply(self.scheduler.answer_peer(call.message))
             case _:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_membership.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_membership.py
@@ -1,5 +1,6 @@
 """Heartbeats inside the failure domain and digests to other domains."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from typing import Protocol
@@ -7,12 +8,14 @@
 import attrs
 
 from fireflywharf_core.membership import DigestPlanner, HeartbeatEffect, PeerTable
-from fireflywharf_core.messages import DomainDigest, Heartbeat
+from fireflywharf_core.messages import DomainDigest, Heartbeat, Identity, IdentityQuery
 
 from ._context import Context
 
 _LOG = logging.getLogger(__name__)
 DIGEST_STALE_S = 5.0
+FIND_INTERVAL_S = 1.0
+FIND_TIMEOUT_S = 1.0
 
 
 @attrs.define(slots=True)
@@ -61,12 +64,33 @@
         self.remote: dict[str, RemoteDomain] = {}
         self._sequence = 0
         self._addresses: dict[str, str] = {}
+        self._found_s = float("-inf")
+        self._finding: asyncio.Future[None] | None = None
         self._suspected: set[str] = set()
 
-    def address_of(self, incarnation: str) -> str | None:
-        """Return the mesh address of an incarnation that was heard."""
+    async def find(self, incarnation: str) -> str | None:
+        """Return the mesh address of an incarnation, asking all entry VMs if it is not known.
+
+        Digests name only the schedulers of other domains, but any entry VM can decide for a key.
+        Everybody is asked at most once in `FIND_INTERVAL_S`.
+        """
+        now_s = self.context.now_s()
+        if incarnation not in self._addresses and now_s - self._found_s >= FIND_INTERVAL_S:
+            self._found_s = now_s
+            self._finding = asyncio.ensure_future(self._ask_identities())
+        if incarnation not in self._addresses and self._finding is not None:
+            await asyncio.shield(self._finding)
         return self._addresses.get(incarnation)
 
+    async def _ask_identities(self) -> None:
+        calls = [
+            self.context.call(peer.address, IdentityQuery(), FIND_TIMEOUT_S)
+            for peer in self.context.settings.mesh.peers
+        ]
+        for answer in await asyncio.gather(*calls):
+            if isinstance(answer, Identity):
+                self._addresses[answer.incarnation] = answer.mesh_address
+
     def live_peers(self) -> list[Heartbeat]:
         """Return the heartbeats of the peers of the domain that are not suspected."""
         return self.peers.peers(self.context.now_s())
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_requests.py
@@ -321,7 +321,7 @@
         self, send_id: str, request_id: str, incarnation: str, remaining_ms: int, ask_holder: bool
     ) -> None:
         accepted = self._accepted.get(request_id)
-        address = self.membership.address_of(incarnation)
+        address = await self.membership.find(incarnation)
         if accepted is None or address is None:
             detail = f"entry VM {incarnation} is not known"
             code = ResultCode.KEY_HOLDER_GONE if ask_holder else ResultCode.NO_TARGET
