Refuse quickly while the log is known to be down, and test provisional jobs

Cause: a submission waited 5 s for a log that was known to be down; no test ran a provisional job. Change: waiting is bounded by 0.5 s while the log is unavailable; a scenario with an issued key.

--- a/features/steps/daemon_keys_steps.py
+++ b/features/steps/daemon_keys_steps.py
@@ -23,6 +23,7 @@
     },
     "requests_per_second": "unlimited",
     "queue_max_tasks": "unlimited",
+    "provisional_admission": True,
 }
 CONTRACT_LIMIT_S = 10.0
 
@@ -82,3 +83,48 @@
 @then("no request was executed twice")
 def check_executed_once(context):
     assert context.key_cluster.violations() == []
+
+
+@when("the log is cut off and a job with an issued key is submitted")
+def submit_in_outage(context):
+    cluster, caller = context.key_cluster, context.key_caller
+    asked = {"customer": CUSTOMER, "count": 1}
+    keys = caller.exchange("centro-entry-1", "POST", "/v1/keys", asked).answer["keys"]
+    cluster.platform.cut_log()
+    assert wait_until(lambda: not cluster.status("centro-entry-1")["log_available"], 10.0)
+    job = {
+        "key": keys[0],
+        "kind": "batch",
+        "size": {"processors_millicores": 100, "memory_mb": 10},
+        "command": '{"run_s": 0.3}',
+    }
+    context.key_submitted = caller.submit_job("centro-entry-1", job).answer
+
+
+@then("the answer is PROVISIONAL and the job is done but not recorded")
+def check_provisional(context):
+    assert context.key_submitted["name"] == "PROVISIONAL", context.key_submitted
+    job_id = context.key_submitted["job_id"]
+
+    def done():
+        answer = context.key_caller.poll_job("centro-entry-1", job_id).answer
+        return answer.get("state") == "done" and not answer["recorded"]
+
+    assert wait_until(done, 10.0)
+
+
+@when("the log is back")
+def restore_log(context):
+    context.key_cluster.platform.cut_log(down="")
+
+
+@then("every entry VM says that the job is done and recorded")
+def check_recorded(context):
+    job_id = context.key_submitted["job_id"]
+    for vm in context.key_caller.entry_vms:
+
+        def recorded(vm=vm):
+            answer = context.key_caller.poll_job(vm, job_id).answer
+            return answer.get("state") == "done" and answer["recorded"]
+
+        assert wait_until(recorded, 20.0), vm
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -27,6 +27,8 @@
 _LOG = logging.getLogger(__name__)
 READ_LIMIT_RECORDS = 1000
 IDLE_WAIT_S = 0.5
+# A caller need not wait long for a log that is known to be down.
+OUTAGE_TIMEOUT_S = 0.5
 
 
 class StreamListener:
@@ -124,6 +126,8 @@
         if isinstance(ticket, NotRun):
             return ticket
         future = self._waiting[ticket.number]
+        if not self.available:
+            timeout_s = min(timeout_s, OUTAGE_TIMEOUT_S)
         try:
             return await asyncio.wait_for(asyncio.shield(future), timeout_s)
         except TimeoutError:
