Share what the streams of a process know about the log

Change: one LogHealth for all streams; a writer with an empty backlog does not keep the log unavailable.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_application.py
@@ -37,7 +37,7 @@
 from ._context import Clients, Context, draw_incarnation
 from ._contracts import ContractService
 from ._jobs import JobService
-from ._log_stream import LogStream, StreamListener
+from ._log_stream import LogHealth, LogStream, StreamListener
 from ._membership import Membership
 from ._pools import IoPools
 from ._reports import make_digest, make_heartbeat, update_gauges
@@ -90,6 +90,7 @@
             self.context, self.membership, self.jobs_fold, self.scheduler, self.requests
         )
         self.streams: dict[str, LogStream] = {}
+        self._log_health = LogHealth()
         self._pacer = AppendPacer(settings.scheduling.append_interval_s)
         self._tasks = TaskGroup()
         self._stop_wanted: asyncio.Event | None = None
@@ -128,7 +129,7 @@
     @property
     def log_available(self) -> bool:
         """Whether the platform log answers."""
-        return bool(self.streams) and all(row.available for row in self.streams.values())
+        return self._log_health.available
 
     # Life cycle.
 
@@ -218,6 +219,7 @@
             StreamReader(name, RECORD_CODEC),
             listener,
             self.context.metrics,
+            self._log_health,
             scheduling.log_poll_interval_s,
         )
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_log_stream.py
@@ -44,6 +44,25 @@
         """Note that all records below `reader.next_offset` were folded."""
 
 
+class LogHealth:
+    """Whether the log answers, as all streams of the process see it together."""
+
+    def __init__(self) -> None:
+        self._failing: set[str] = set()
+
+    @property
+    def available(self) -> bool:
+        """Whether no stream fails."""
+        return not self._failing
+
+    def report(self, stream: str, working: bool) -> None:
+        """Take what one stream saw last."""
+        if working:
+            self._failing.discard(stream)
+        else:
+            self._failing.add(stream)
+
+
 class LogStream:
     """Connects the writer and the reader of one stream with the log service.
 
@@ -54,6 +73,7 @@
         reader: reader of the stream.
         listener: folds the records.
         metrics: counts appends.
+        health: shared by the streams of the process.
         poll_interval_s: time between reads while nothing is waiting.
     """
 
@@ -65,6 +85,7 @@
         reader: StreamReader,
         listener: StreamListener,
         metrics: Metrics,
+        health: LogHealth,
         poll_interval_s: float,
     ) -> None:
         self.client = client
@@ -73,6 +94,7 @@
         self.reader = reader
         self.listener = listener
         self.metrics = metrics
+        self.health = health
         self.poll_interval_s = poll_interval_s
         self.read_failures_count = 0
         self.apply_failures_count = 0
@@ -90,8 +112,8 @@
 
     @property
     def available(self) -> bool:
-        """Whether the log answered the last reads and appends."""
-        return self.writer.available and self.read_failures_count < 2
+        """Whether the log answered the last reads and appends of this process."""
+        return self.health.available
 
     def start(self) -> None:
         """Start the loops; to be called inside the event loop."""
@@ -197,6 +219,16 @@
         if isinstance(action, AppendNow):
             self._count_append(answer, len(action.records))
         now_s = time.monotonic()
+        self._settle_action(answer, now_s)
+        self._report_health()
+
+    def _report_health(self) -> None:
+        # A writer whose last record was withdrawn learns nothing more about the log; reads do.
+        writing = self.writer.available or self.writer.backlog_count == 0
+        working = writing and self.read_failures_count < 2
+        self.health.report(self.name, working)
+
+    def _settle_action(self, answer: PlatformOutcome[Any], now_s: float) -> None:
         match answer:
             case Success(AppendAnswer(first_offset)):
                 self._settle(self.writer.on_appended(first_offset, now_s))
@@ -241,6 +273,7 @@
                 case _:
                     self.read_failures_count += 1
                     self.reader.at_end = False
+            self._report_health()
             async with self._read_done:
                 self._read_done.notify_all()
             if isinstance(answer, Success) and not self.reader.at_end:
