Take the first sight of an outcome where a job had no attempt

Cause: a job that was cancelled before its first attempt has no last attempt from which the log's time of keeping its outcome counts; showed 7 of them 27 s and more after the end, at 16 s. Change: such a job counts from the first time that its recorded end was seen.

--- a/packages/fireflywharf-core/src/fireflywharf_core/history/_job_checks.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/history/_job_checks.py
@@ -35,7 +35,7 @@
     * A task that succeeded does not start again, unless its worker died since; a task that is not
       restartable starts once.
     * An outcome may be missing when the log has deleted it, which is `outcome_kept_s` after the
-      last attempt of the job ended.
+      last attempt of the job ended, or after the outcome was first seen if it had no attempt.
     """
     violations = []
     last_ends_s = _last_ends_s(history)
@@ -45,7 +45,8 @@
         states[seen.job_id].append(seen)
     jobs = {record.job_id: record for record in reversed(history.of(JobAcceptedSeen))}
     for job in jobs.values():
-        forgotten_s = last_ends_s.get(job.job_id, math.inf) + outcome_kept_s
+        end_s = last_ends_s.get(job.job_id, _first_end_seen_s(states[job.job_id]))
+        forgotten_s = end_s + outcome_kept_s
         states[job.job_id] = [
             seen
             for seen in states[job.job_id]
@@ -73,6 +74,11 @@
     return {record.attempt.task.job_id: record.time_s for record in history.of(AttemptEnded)}
 
 
+def _first_end_seen_s(seen: list[JobStateSeen]) -> float:
+    ends = [row.time_s for row in seen if row.state in END_STATES and row.recorded]
+    return min(ends, default=math.inf)
+
+
 def _state_problem(seen: list[JobStateSeen]) -> str:
     if not seen:
         return "was accepted and its state never seen"
