Print the failed step of a scenario, and follow the shorter message

Change: the runner prints step and message; the expectation names the new text, as strictly as before.

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -125,7 +125,7 @@
       | contract apply missing.toml                         | 2      | FILE: 'missing.toml' is not valid; accepted: a reada |
       | contract apply austral-v2.toml --base-version -1    | 2      | --base-version                                       |
       | contract apply broken.toml                          | 22     | FILE: 'broken.toml' is not valid; accepted: valid TO |
-      | job submit keyless.toml                             | 20     | key: '(missing)' is not valid; accepted: 1 to 128    |
+      | job submit keyless.toml                             | 20     | key: (missing) is not valid; accepted: 1 to 128      |
       | job submit twice.json                               | 20     | valid JSON (field 'key' is given more than once)     |
       | job                                                 | 2      | too few arguments                                    |
       | contract move                                       | 2      | 'move'                                               |
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -13,6 +13,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SOURCES = ["packages", "benchmarks", "features", "tools", "examples"]
+MESSAGE_MAX_CHARACTERS = 2000
 BIN = pathlib.Path(sys.executable).parent
 
 
@@ -25,6 +26,16 @@
     return done.returncode == 0
 
 
+def print_failure(element: dict) -> None:
+    """Print the failed step of a scenario and its message."""
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") in ("failed", "error"):
+            message = result.get("error_message", "")
+            text = "\n".join(message) if isinstance(message, list) else str(message)
+            print(f"\n{element['name']}\n  {step['name']}\n{text[:MESSAGE_MAX_CHARACTERS]}")
+
+
 def run_features(tag_options: list[str]) -> list[tuple[str, str]]:
     """Run behave and return the name and status of each scenario."""
     with tempfile.TemporaryDirectory() as folder:
@@ -37,6 +48,9 @@
             features = json.loads(report.read_text())
         except (OSError, ValueError):
             return [(f"behave exited with status {done.returncode}", "failed")]
+    for feature in features:
+        for element in feature.get("elements", []):
+            print_failure(element)
     rows = [
         (f"{feature['name']}: {element['name']}", element["status"])
         for feature in features
