--- a/tools/write_capacity.py
+++ b/tools/write_capacity.py
@@ -144,10 +144,15 @@
     }
 
 
+def show(value: float) -> str:
+    """Return a number with three digits and without an exponent."""
+    return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
+
+
 def main() -> None:
     """Fill the template."""
     figures = scheduler_figures() | memory_figures() | other_figures()
-    shown = {name: f"{value:.3g}" for name, value in figures.items()}
+    shown = {name: show(value) for name, value in figures.items()}
     page = string.Template(TEMPLATE.read_text()).substitute(shown)
     (ROOT / "docs" / "CAPACITY.md").write_text(page)
 
