--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -0,0 +1,121 @@
+"""Choice of workers for the tasks of a step."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from ..resources import ResourceVector
+from ._state import Step, Worker
+
+_UNLIMITED = 1 << 30
+SUSPICIOUS_FAILURES = 0.5
+"""Decayed share of failed runs above which a worker is chosen last."""
+
+
+def fit_count(free: ResourceVector, size: ResourceVector) -> int:
+    """Return how many times `size` fits in `free`."""
+    count = _UNLIMITED
+    if size.processors_millicores > 0:
+        count = free.processors_millicores // size.processors_millicores
+    if size.memory_mb > 0:
+        count = min(count, free.memory_mb // size.memory_mb)
+    if size.accelerators_count > 0:
+        count = min(count, free.accelerators_count // size.accelerators_count)
+    return max(0, count)
+
+
+def room_for(step: Step, worker: Worker, free: ResourceVector) -> int:
+    """Return how many further tasks of the step the worker may take."""
+    spec = step.spec
+    if spec.required_label and spec.required_label not in worker.info.labels:
+        return 0
+    count = fit_count(free, spec.charged)
+    if spec.max_per_worker > 0 and count > 0:
+        present = sum(1 for task, _ in worker.runs if task.step_name == step.name)
+        count = min(count, spec.max_per_worker - present)
+    return max(0, count)
+
+
+def rank(step: Step, worker: Worker, free: ResourceVector) -> tuple:
+    """Return the sort key of a worker for single tasks; the lowest is best.
+
+    The fullest worker that fits comes first, so that room for wide steps stays in one piece.
+    """
+    return (
+        worker.failures > SUSPICIOUS_FAILURES,
+        bool(step.spec.data_rack) and worker.info.rack != step.spec.data_rack,
+        free.processors_millicores,
+    )
+
+
+def assign_singles(
+    step: Step, rooms: Mapping[Worker, ResourceVector], indices: Iterable[int]
+) -> list[tuple[int, Worker]]:
+    """Assign tasks that need not run together.
+
+    Args:
+        step: their step.
+        rooms: free room of the workers that may be used.
+        indices: the tasks.
+
+    Returns:
+        Pairs of task index and worker, for as many tasks as fit.
+    """
+    counts = [
+        (rank(step, worker, free), worker, room_for(step, worker, free))
+        for worker, free in rooms.items()
+    ]
+    counts = [row for row in counts if row[2] > 0]
+    counts.sort(key=lambda row: row[0])
+    left = {worker: count for _, worker, count in counts}
+    pairs = []
+    for index in indices:
+        avoided = step.avoided.get(index)
+        chosen = None
+        for worker, count in left.items():
+            if count > 0 and (chosen is None or worker.worker_id != avoided):
+                chosen = worker
+                if worker.worker_id != avoided:
+                    break
+        if chosen is None:
+            break
+        left[chosen] -= 1
+        pairs.append((index, chosen))
+    return pairs
+
+
+def _fill(indices: list[int], ordered: list[tuple[Worker, int]]) -> list[tuple[int, Worker]] | None:
+    pairs: list[tuple[int, Worker]] = []
+    for worker, count in ordered:
+        for _ in range(count):
+            if len(pairs) == len(indices):
+                return pairs
+            pairs.append((indices[len(pairs)], worker))
+    return pairs if len(pairs) == len(indices) else None
+
+
+def assign_gang(
+    step: Step, rooms: Mapping[Worker, ResourceVector], indices: list[int]
+) -> list[tuple[int, Worker]] | None:
+    """Assign all tasks of a gang, or none.
+
+    Workers with the most room come first, so that few workers are touched. A gang that is slower on
+    several racks is put on one rack if one has the room.
+
+    Returns:
+        Pairs of task index and worker, or None if the gang does not fit.
+    """
+    counts = [(worker, room_for(step, worker, free)) for worker, free in rooms.items()]
+    counts = [row for row in counts if row[1] > 0]
+    if sum(count for _, count in counts) < len(indices):
+        return None
+    counts.sort(key=lambda row: (row[0].failures > SUSPICIOUS_FAILURES, -row[1]))
+    preferred = step.spec.data_rack
+    racks = [preferred] if preferred else []
+    if step.spec.rack_sensitive:
+        racks += sorted({worker.info.rack for worker, _ in counts} - {preferred})
+    for rack in racks:
+        pairs = _fill(indices, [row for row in counts if row[0].info.rack == rack])
+        if pairs is not None:
+            return pairs
+    return _fill(indices, counts)
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -0,0 +1,329 @@
+"""The scheduler of the workers of all failure domains: events in, actions out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from ..resources import ResourceVector
+from ._approvals import Approvals
+from ._estimates import RunTimes
+from ._events import (
+    Action,
+    ApprovalFailed,
+    ApprovalReceived,
+    DirectoryChanged,
+    Event,
+    JobAdded,
+    JobCancelled,
+    StartAnswered,
+    WorkerLifeEnded,
+    WorkerListed,
+    WorkerSilent,
+)
+from ._journal import WorkflowProgress, WorkflowState
+from ._names import TaskName
+from ._order import order_key
+from ._placement import assign_gang, assign_singles
+from ._runs import RunTable
+from ._state import Job, Run, RunPhase, Step, Worker
+
+HOLD_MARGIN_S = 0.3
+"""Time beyond the expected answer for which the room of a gang is kept; covers the way back."""
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Timing:
+    """Times that the scheduler depends on.
+
+    Args:
+        task_lease_s: longest time that a run goes on without an order that renews it.
+        clock_drift: largest relative error of a worker's clock.
+        start_validity_s: time after which a worker refuses an order to start a run.
+        inherited_wait_s: time after which runs on a worker that never answered in this tenure have
+            ended.
+        repeat_s: time after which an unanswered order is repeated.
+        start_repeats_s: time after which an unanswered start is no longer repeated.
+        network_margin_s: allowance for an order that is still on its way.
+    """
+
+    task_lease_s: float = 6.0
+    clock_drift: float = 0.02
+    start_validity_s: float = 4.0
+    inherited_wait_s: float = 12.5
+    repeat_s: float = 0.6
+    start_repeats_s: float = 1.5
+    network_margin_s: float = 0.3
+
+
+class WorkflowScheduler:
+    """Decides which task runs where, for all jobs and workers of one deployment.
+
+    One instance lives for one tenure. Runs of earlier tenures are taken over from the lists of the
+    workers; jobs that an earlier tenure may have started wait until every worker is accounted for.
+
+    Args:
+        timing: times that depend on the deployment.
+        first_number: lowest run number of this tenure; higher than those of earlier tenures.
+        workers_in_use: workers on which an earlier tenure may have started runs.
+        started_s: start of the tenure.
+    """
+
+    def __init__(
+        self,
+        *,
+        timing: Timing,
+        first_number: int = 1,
+        workers_in_use: Iterable[str] = (),
+        started_s: float = 0.0,
+    ) -> None:
+        self.timing = timing
+        self.started_s = started_s
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, Worker] = {}
+        self.run_times = RunTimes()
+        self.outbox: list[Action] = []
+        self._unaccounted = set(workers_in_use)
+        self.runs = RunTable(self.jobs, self.workers, self.outbox, self.run_times, timing)
+        self.runs.first_number = first_number
+        self.approvals = Approvals(self.workers, self.outbox)
+        self._accounted = False
+
+    def observe(self, event: Event, now_s: float) -> None:
+        """Take up an event.
+
+        Args:
+            event: what happened.
+            now_s: present time.
+        """
+        match event:
+            case WorkerListed():
+                self._worker_listed(event, now_s)
+            case StartAnswered(worker_id, task, number, result):
+                self.runs.start_answered(worker_id, task, number, result, now_s)
+            case ApprovalReceived():
+                self.approvals.received(self.find_step(event.step), event)
+            case ApprovalFailed(step):
+                self.approvals.failed(self.find_step(step), now_s)
+            case JobAdded():
+                self._add_job(event, now_s)
+            case JobCancelled(job_id):
+                self._cancel(job_id, now_s)
+            case DirectoryChanged(workers):
+                self._take_directory(workers, now_s)
+            case WorkerSilent(worker_id, renewed_s):
+                self._silent(worker_id, renewed_s)
+            case WorkerLifeEnded(worker_id):
+                self._end_life(worker_id, now_s)
+
+    def decide(self, now_s: float, utc_s: float) -> list[Action]:
+        """Return the orders to send now.
+
+        Args:
+            now_s: present time.
+            utc_s: seconds since 1970, for jobs with set times.
+        """
+        self.runs.sweep(now_s)
+        self._drop_workers(now_s)
+        accounted = self.accounted(now_s)
+        ready = []
+        for job in self.jobs.values():
+            if job.state.final or (job.inherited and not accounted):
+                continue
+            self._open_due(job, utc_s)
+            ready += [step for step in job.steps.values() if step.waiting and job.ready(step)]
+        ready.sort(key=lambda step: order_key(step, self.run_times, now_s))
+        usable = {
+            service: [
+                w for w in self.workers.values() if w.info.service == service and w.usable(now_s)
+            ]
+            for service in {step.job.queue.service for step in ready}
+        }
+        for step in ready:
+            if step.blocked_room != self.runs.room_version or step.job.queue.approval is not None:
+                self._place(step, usable[step.job.queue.service], now_s)
+        actions, self.outbox[:] = list(self.outbox), []
+        return actions
+
+    def accounted(self, now_s: float) -> bool:
+        """Return whether runs of earlier tenures are all known or have ended."""
+        if not self._accounted:
+            waited = now_s >= self.started_s + self.timing.inherited_wait_s
+            known = all(worker.listed for worker in self.workers.values())
+            self._accounted = waited or (known and not self._unaccounted)
+        return self._accounted
+
+    def take_progress(self) -> list[WorkflowProgress]:
+        """Return the progress of jobs that changed since the last call."""
+        changed = [job for job in self.jobs.values() if job.dirty]
+        for job in changed:
+            job.dirty = False
+            if job.state.final and not self.runs.any_of(job):
+                self.runs.closed.append(job.job_id)
+        for job_id in self.runs.closed:
+            self.jobs.pop(job_id, None)
+        self.runs.closed.clear()
+        return [job.progress() for job in changed if job.state is not WorkflowState.CANCELLED]
+
+    def find_step(self, name) -> Step | None:
+        """Return the step of that name, or None."""
+        job = self.jobs.get(name.job_id)
+        return None if job is None else job.steps.get((name.occurrence, name.step))
+
+    def _add_job(self, event: JobAdded, now_s: float) -> None:
+        folded = event.folded
+        if folded.accepted is None or folded.state.final or event.job_id in self.jobs:
+            return
+        accepted = folded.accepted
+        job = Job(event.job_id, accepted.queue, accepted.spec, now_s, event.inherited)
+        if folded.progress is not None:
+            job.restore(folded.progress)
+        if not accepted.spec.times_count:
+            job.open_occurrence(0)
+        self.jobs[event.job_id] = job
+
+    def _open_due(self, job: Job, utc_s: float) -> None:
+        spec = job.spec
+        if not spec.times_count or len(job.steps) == spec.times_count * len(spec.steps):
+            return
+        for occurrence in range(spec.times_count):
+            if utc_s < spec.first_due_utc_s + occurrence * spec.interval_s:
+                return
+            job.open_occurrence(occurrence)
+
+    def _cancel(self, job_id: str, now_s: float) -> None:
+        job = self.jobs.get(job_id)
+        if job is not None and not job.state.final:
+            job.state = WorkflowState.CANCELLED
+            self.runs.stop_all(job, now_s)
+            if not self.runs.any_of(job):
+                self.runs.closed.append(job_id)
+
+    def _take_directory(self, directory, now_s: float) -> None:
+        for worker in self.workers.values():
+            worker.present = worker.worker_id in directory
+        for worker_id, info in directory.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                worker = Worker(info=info, free=info.capacity)
+                worker.runs_end_s = now_s + self.timing.inherited_wait_s
+                self.workers[worker_id] = worker
+                self.runs.room_version += 1
+                continue
+            if info.incarnation != worker.info.incarnation and worker.info.incarnation:
+                self._end_life(worker_id, now_s)
+            elif info == worker.info:
+                continue
+            used = worker.info.capacity - worker.free
+            worker.info, worker.free = info, info.capacity - used
+            self.runs.room_version += 1
+
+    def _silent(self, worker_id: str, renewed_s: float) -> None:
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.reachable = False
+            worker.runs_end_s = max(worker.runs_end_s, renewed_s + self._lease_s())
+
+    def _lease_s(self) -> float:
+        timing = self.timing
+        return timing.task_lease_s * (1 + timing.clock_drift) + timing.network_margin_s
+
+    def _end_life(self, worker_id: str, now_s: float) -> None:
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        worker.listed = worker.reachable = False
+        self._unaccounted.discard(worker_id)
+        for run in list(worker.runs.values()):
+            self.runs.lost(run, now_s)
+
+    def _drop_workers(self, now_s: float) -> None:
+        for worker in list(self.workers.values()):
+            if worker.reachable or now_s < worker.runs_end_s:
+                continue
+            for run in list(worker.runs.values()):
+                self.runs.lost(run, now_s)
+            self._unaccounted.discard(worker.worker_id)
+            if not worker.present:
+                del self.workers[worker.worker_id]
+
+    def _worker_listed(self, event: WorkerListed, now_s: float) -> None:
+        worker = self.workers.get(event.worker_id)
+        if worker is None:
+            return
+        known = worker.info.incarnation
+        if event.incarnation and known and event.incarnation != known:
+            self._end_life(event.worker_id, now_s)
+            worker.info = attrs.evolve(worker.info, incarnation=event.incarnation)
+        if not worker.usable(now_s):
+            self.runs.room_version += 1
+        worker.listed = worker.reachable = True
+        self._unaccounted.discard(event.worker_id)
+        worker.runs_end_s = max(worker.runs_end_s, now_s + self._lease_s())
+        self.runs.listed(worker, event, now_s)
+
+    def _rooms(
+        self, step: Step, workers: list[Worker], now_s: float, lapsed: bool = False
+    ) -> dict[Worker, ResourceVector]:
+        if step.job.queue.approval is None:
+            return {worker: worker.room(step, now_s) for worker in workers}
+        return {
+            worker: worker.room(step, now_s)
+            for worker in workers
+            if self.approvals.allows(step, worker.worker_id, now_s, lapsed)
+        }
+
+    def _place(self, step: Step, workers: list[Worker], now_s: float) -> None:
+        if step.spec.gang and step.runs:
+            return
+        if not self.approvals.prepare(step, workers, now_s):
+            return
+        indices = sorted(step.waiting)
+        pairs = self._assign(step, self._rooms(step, workers, now_s), indices)
+        number = self.runs.next_number(step, indices) if step.spec.gang else 0
+        for index, worker in pairs:
+            self._start(step, index, worker, number, now_s)
+        if step.waiting:
+            step.blocked_room = self.runs.room_version
+            self._renew_tickets(step, workers, now_s)
+
+    def _assign(
+        self, step: Step, rooms: dict[Worker, ResourceVector], indices: list[int]
+    ) -> list[tuple[int, Worker]]:
+        if step.spec.gang:
+            return assign_gang(step, rooms, indices) or []
+        return assign_singles(step, rooms, indices)
+
+    def _renew_tickets(self, step: Step, workers: list[Worker], now_s: float) -> None:
+        """Ask for new tickets where the step would fit, and keep the room of a gang meanwhile."""
+        if step.job.queue.approval is None:
+            return
+        rooms = self._rooms(step, workers, now_s, lapsed=True)
+        pairs = self._assign(step, rooms, sorted(step.waiting))
+        chosen = dict.fromkeys(worker for _, worker in pairs)
+        if not chosen or not self.approvals.renew(step, list(chosen), now_s):
+            return
+        if step.spec.gang:
+            until_s = now_s + self.approvals.expected_s(step, len(chosen)) + HOLD_MARGIN_S
+            for worker in chosen:
+                count = sum(1 for _, other in pairs if other is worker)
+                worker.holds[step] = (step.spec.charged.scaled(count), until_s)
+
+    def _start(self, step: Step, index: int, worker: Worker, number: int, now_s: float) -> None:
+        number = number or self.runs.next_number(step, [index])
+        task = TaskName(step.name, index)
+        run = Run(
+            task=task,
+            number=number,
+            step=step,
+            worker=worker,
+            charged=step.spec.charged,
+            phase=RunPhase.STARTING,
+            since_s=now_s,
+            started_s=now_s,
+            progressed_s=now_s,
+        )
+        worker.holds.pop(step, None)
+        self.runs.add(run)
+        self.runs.start(run, self.approvals.ticket(step, worker.worker_id), now_s)
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -0,0 +1,230 @@
+"""The daemon of workflows: every VM runs it, one of them schedules."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Coroutine, Mapping
+
+from fireflywharf_core.workflows import (
+    Configuration,
+    JournalRecord,
+    StepName,
+    TenureRecord,
+    Timing,
+    WorkerInfo,
+    WorkersInUse,
+    WorkflowAccepted,
+    WorkflowProgress,
+)
+
+from ._approvals import ApprovalQueue, ApprovalReader, encode_approval
+from ._desk import Desk
+from ._interfaces import Appended, Surroundings, Topic
+from ._journal import FOLLOWER_PAUSE_S, HOLDER_PAUSE_S, GroupAppender, JournalReader
+from ._office import Office
+from ._tenure import Election, JournalWriter
+
+_LOG = logging.getLogger(__name__)
+
+_FOLLOWER_DIRECTORY_S = 1.0
+"""Pause between reads of the directory of a daemon that does not schedule."""
+_HOLDER_DIRECTORY_S = 0.25
+"""Pause between reads of the directory of the scheduler; a draining worker must get no work after
+2.5 s (`drain_ms`)."""
+_ELECTION_TICK_S = 0.1
+_CATCH_UP_S = 5.0
+"""Longest time to read up to the own tenure record."""
+_CONFIGURATION_RETRY_S = 0.3
+_SHARE_S = 1.0
+"""Longest time to share an approval; after that the scheduler asks itself."""
+
+
+class WorkflowDaemon:
+    """Everything that one VM does for workflows.
+
+    Args:
+        name: incarnation of the daemon.
+        surroundings: what it talks to.
+        timing: times that depend on the deployment.
+    """
+
+    def __init__(self, name: str, surroundings: Surroundings, timing: Timing) -> None:
+        self.name = name
+        self._outside = surroundings
+        self._timing = timing
+        self._rng = random.Random(name)
+        self.reader = JournalReader(surroundings.log, self._journal_changed)
+        self._appender = GroupAppender(surroundings.log, Topic.JOURNAL)
+        self._sharer = GroupAppender(surroundings.log, Topic.APPROVALS)
+        self._approvals = ApprovalQueue(surroundings.approvals)
+        self.desk = Desk(self.reader, self._appender, self._accepting)
+        self._election = Election(name, self._rng)
+        self._directory: Mapping[str, WorkerInfo] = {}
+        self._directory_wake = asyncio.Event()
+        self.office: Office | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._stopping = False
+
+    def begin(self) -> None:
+        """Start all loops."""
+        self._spawn(self.reader.run())
+        self._spawn(self._appender.run())
+        self._spawn(self._sharer.run())
+        self._spawn(self._approvals.run())
+        self._spawn(self._configuration_loop())
+        self._spawn(self._directory_loop())
+        self._spawn(self._election_loop())
+
+    async def resign(self) -> None:
+        """Give up the office, so that another daemon takes over at once."""
+        self._stopping = True
+        office, self.office = self.office, None
+        if office is not None:
+            await office.resign()
+            _LOG.info("scheduler resigned", extra={"epoch": office.record.epoch})
+
+    async def close(self) -> None:
+        """End all loops."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("task of the daemon failed", exc_info=task.exception())
+
+    def _journal_changed(self, record: JournalRecord, offset: int) -> None:
+        now_s = time.monotonic()
+        match record:
+            case TenureRecord():
+                previous = self._election.latest
+                self._election.observe(record, now_s)
+                if previous is None or previous.epoch != record.epoch:
+                    _LOG.info(
+                        "tenure began",
+                        extra={"holder": record.holder, "epoch": record.epoch, "offset": offset},
+                    )
+            case WorkflowProgress() | WorkersInUse():
+                self._election.heard(now_s)
+        if self.office is not None:
+            self.office.journal_changed(record, offset, self.reader.fold)
+
+    async def _configuration_loop(self) -> None:
+        known: Configuration | None = None
+        while True:
+            newer = await self._outside.configuration.next_version(known)
+            if newer is None:
+                await asyncio.sleep(_CONFIGURATION_RETRY_S)
+                continue
+            known = newer
+            self.desk.configuration = newer
+            _LOG.info(
+                "configuration in force",
+                extra={"version": newer.version, "queues": len(newer.queues)},
+            )
+
+    async def _directory_loop(self) -> None:
+        while True:
+            directory = await self._outside.directory.poll()
+            if directory is not None:
+                self._directory = directory
+                if self.office is not None:
+                    await self.office.directory_changed(directory)
+            pause_s = _FOLLOWER_DIRECTORY_S if self.office is None else _HOLDER_DIRECTORY_S
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._directory_wake.wait()
+            except TimeoutError:
+                continue
+            self._directory_wake.clear()
+
+    def _accepting(self, accepted: WorkflowAccepted) -> None:
+        """Ask for the tickets of the first steps of a job while it is being stored."""
+        if accepted.queue.approval is None or accepted.spec.times_count:
+            return
+        service = accepted.queue.service
+        workers = [w.worker_id for w in self._directory.values() if w.service == service]
+        if not workers:
+            return
+        for index, step in enumerate(accepted.spec.steps):
+            if not step.after:
+                name = StepName(accepted.job_id, 0, index)
+                self._spawn(self._share_approval(name, accepted, workers))
+
+    async def _share_approval(
+        self, step: StepName, accepted: WorkflowAccepted, workers: list[str]
+    ) -> None:
+        cost_ms = accepted.queue.approval.decision_ms
+        granted = await self._approvals.ask(step, workers, cost_ms)
+        if granted is None:
+            return
+        received_s = time.monotonic()
+        record = encode_approval(step, granted, workers, granted.validity_s)
+        result = await self._sharer.put(record, received_s + _SHARE_S)
+        if not isinstance(result, Appended):
+            _LOG.warning("approval was not shared", extra={"job_id": step.job_id})
+
+    async def _election_loop(self) -> None:
+        while True:
+            await asyncio.sleep(_ELECTION_TICK_S)
+            now_s = time.monotonic()
+            if not self.reader.current:
+                self._election.unavailable(now_s)
+                continue
+            if self.office is None and not self._stopping and self._election.due(now_s):
+                await self._stand()
+
+    async def _stand(self) -> None:
+        """Append a tenure record and take office if it was accepted."""
+        tenure = self._election.next_tenure()
+        writer = JournalWriter(self._outside.log, tenure.epoch)
+        _LOG.info("standing for scheduler", extra={"epoch": tenure.epoch})
+        result = await writer.append([tenure])
+        self._election.heard(time.monotonic())
+        if not isinstance(result, Appended):
+            _LOG.info("another daemon became scheduler", extra={"epoch": tenure.epoch})
+            return
+        limit_s = time.monotonic() + _CATCH_UP_S
+        while (self.reader.fold.tenure.epoch if self.reader.fold.tenure else 0) < tenure.epoch:
+            await self.reader.refresh(0.5)
+            if time.monotonic() > limit_s:
+                _LOG.warning("own tenure could not be read", extra={"epoch": tenure.epoch})
+                return
+        if self.reader.fold.tenure.epoch != tenure.epoch or self._stopping:
+            return
+        self.office = Office(
+            tenure, writer, self.reader.fold, self._outside, self._timing, self._resigned
+        )
+        self.reader.pause_s = HOLDER_PAUSE_S
+        self.office.begin()
+        self._directory_wake.set()
+        self._spawn(self._feed_approvals(self.office))
+        _LOG.info(
+            "scheduler in office",
+            extra={"epoch": tenure.epoch, "jobs": len(self.office.scheduler.jobs)},
+        )
+
+    async def _feed_approvals(self, office: Office) -> None:
+        reader = ApprovalReader(self._outside.log)
+        await reader.skip()
+        while self.office is office:
+            for event in await reader.next():
+                office.observe(event)
+
+    def _resigned(self, reason: str) -> None:
+        office, self.office = self.office, None
+        self.reader.pause_s = FOLLOWER_PAUSE_S
+        if office is not None:
+            _LOG.warning("tenure ended", extra={"epoch": office.record.epoch, "reason": reason})
+            self._election.heard(time.monotonic())
+            self._spawn(office.close())
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
@@ -0,0 +1,178 @@
+"""Answers to callers: submission, state, cancellation and counts of jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import attrs
+
+from fireflywharf_core.workflows import (
+    Configuration,
+    Queue,
+    WorkflowAccepted,
+    WorkflowCancelled,
+    WorkflowSpec,
+    WorkflowState,
+)
+
+from ._interfaces import Appended, AppendRejected
+from ._journal import GroupAppender, JournalReader
+
+_LOG = logging.getLogger(__name__)
+
+STORE_S = 2.4
+"""Longest time to store a job before its caller is told that the outcome is unknown.
+
+Callers wait three seconds (`timeout` of the queues)."""
+_REFRESH_S = 0.4
+"""Longest time to read the journal for a question about a job."""
+_RETRY_AFTER_S = 1
+"""When to come back after a rejection because the log does not answer; outages last seconds."""
+
+
+@attrs.frozen(slots=True)
+class Accepted:
+    """The job is durable."""
+
+
+@attrs.frozen(slots=True)
+class Rejected:
+    """The job was not accepted and never runs; the caller may try again later."""
+
+    reason: str
+    retry_after_s: int
+
+
+@attrs.frozen(slots=True)
+class Uncertain:
+    """Whether the request took effect is not known; the caller repeats it."""
+
+    reason: str
+
+
+@attrs.frozen(slots=True)
+class UnknownJob:
+    """No such job exists."""
+
+
+@attrs.frozen(slots=True)
+class JobShown:
+    """State of a job."""
+
+    state: WorkflowState
+
+
+@attrs.frozen(slots=True)
+class PendingShown:
+    """Number of jobs of a queue of which no task has started."""
+
+    count: int
+
+
+Reply = Accepted | Rejected | Uncertain | UnknownJob | JobShown | PendingShown
+
+
+class Desk:
+    """Answers callers at one VM.
+
+    Args:
+        reader: reads the journal.
+        appender: appends to the journal.
+        on_accept: called with each job while it is being stored.
+    """
+
+    def __init__(self, reader: JournalReader, appender: GroupAppender, on_accept) -> None:
+        self._reader = reader
+        self._appender = appender
+        self._on_accept = on_accept
+        self.configuration: Configuration | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be served."""
+        return self.configuration is not None and self._reader.current
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue that a request addresses."""
+        return self.configuration.find_queue(host, path)
+
+    async def submit(self, queue: Queue, job_id: str, spec: WorkflowSpec) -> Reply:
+        """Accept a job; a repeated one is the same job."""
+        started_s = time.monotonic()
+        known = self._reader.fold.jobs.get(job_id)
+        if known is not None and known.accepted is not None:
+            return Accepted()
+        if not self._reader.current:
+            return self._reject(queue, job_id, "the journal cannot be read")
+        record = WorkflowAccepted(job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time())
+        future = self._appender.put_record(record, started_s + STORE_S)
+        self._on_accept(record)
+        result = await asyncio.shield(future)
+        took_ms = round((time.monotonic() - started_s) * 1000)
+        match result:
+            case Appended(offset):
+                _LOG.info(
+                    "job accepted",
+                    extra={"job_id": job_id, "queue": queue.name, "offset": offset, "ms": took_ms},
+                )
+                return Accepted()
+            case AppendRejected(reason):
+                return self._reject(queue, job_id, reason)
+        _LOG.warning("outcome of a submission is unknown", extra={"job_id": job_id, "ms": took_ms})
+        return Uncertain("the log did not answer")
+
+    def _reject(self, queue: Queue, job_id: str, reason: str) -> Rejected:
+        _LOG.info(
+            "job rejected",
+            extra={
+                "job_id": job_id,
+                "queue": queue.name,
+                "reason": reason,
+                "journal_age_s": round(min(self._reader.age_s, 1e6), 3),
+            },
+        )
+        return Rejected(reason, _RETRY_AFTER_S)
+
+    async def show(self, job_id: str) -> Reply:
+        """Return the state of a job."""
+        known = self._reader.fold.jobs.get(job_id)
+        if known is None or known.accepted is None or not known.state.final:
+            await self._reader.refresh(_REFRESH_S)
+            known = self._reader.fold.jobs.get(job_id)
+        if known is not None and known.accepted is not None:
+            return JobShown(known.state)
+        if not self._reader.current:
+            return Rejected("the journal cannot be read", _RETRY_AFTER_S)
+        return UnknownJob()
+
+    async def cancel(self, job_id: str) -> Reply:
+        """Cancel a job; one that has ended stays as it is."""
+        deadline_s = time.monotonic() + STORE_S
+        known = self._reader.fold.jobs.get(job_id)
+        if known is None:
+            await self._reader.refresh(_REFRESH_S)
+            known = self._reader.fold.jobs.get(job_id)
+        if known is None:
+            if not self._reader.current:
+                return Rejected("the journal cannot be read", _RETRY_AFTER_S)
+            return UnknownJob()
+        if known.state.final:
+            return Accepted()
+        record = WorkflowCancelled(job_id=job_id)
+        match await asyncio.shield(self._appender.put_record(record, deadline_s)):
+            case Appended(offset):
+                _LOG.info("job cancelled", extra={"job_id": job_id, "offset": offset})
+                return Accepted()
+            case AppendRejected(reason):
+                return Rejected(reason, _RETRY_AFTER_S)
+        return Uncertain("the log did not answer")
+
+    async def pending(self, queue: Queue) -> Reply:
+        """Return the number of jobs of a queue of which no task has started."""
+        if not self._reader.current:
+            await self._reader.refresh(_REFRESH_S)
+        if not self._reader.current:
+            return Rejected("the journal cannot be read", _RETRY_AFTER_S)
+        return PendingShown(self._reader.fold.pending_count(queue.name))
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -0,0 +1,232 @@
+"""Reading of the journal and grouped appends to it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Sequence
+
+from fireflywharf_core.workflows import JournalFold, JournalRecord, encode_record
+
+from ._interfaces import (
+    Appended,
+    AppendFenced,
+    AppendRejected,
+    AppendResult,
+    AppendUncertain,
+    LogRecord,
+    ReadExpired,
+    ReadFailed,
+    ReadRecords,
+    SharedLog,
+    Topic,
+)
+
+_LOG = logging.getLogger(__name__)
+
+LONG_READ_S = 1.0
+"""How long a read waits for a record; below `STALE_S`, so that a silent connection is noticed."""
+STALE_S = 2.5
+"""Age of the latest complete read above which the state is not used to deny that a job exists.
+
+Callers may see a job as unknown up to three seconds after its acceptance (`visible_ms`)."""
+_RETRY_S = 0.15
+"""Pause after a failed read."""
+FOLLOWER_PAUSE_S = 0.2
+"""Pause between reads of a daemon that does not schedule; callers' questions cut it short."""
+HOLDER_PAUSE_S = 0.003
+"""Pause between reads of the scheduler in office."""
+
+
+class JournalReader:
+    """Folds the journal and tells a listener of each record that changed the state.
+
+    Args:
+        log: the shared log.
+        listener: receives each record that changed the state, with its offset.
+    """
+
+    def __init__(self, log: SharedLog, listener: Callable[[JournalRecord, int], None]) -> None:
+        self.fold = JournalFold()
+        self.offset = 0
+        self.loaded = False
+        self.read_s = float("-inf")
+        self.pause_s = FOLLOWER_PAUSE_S
+        self._log = log
+        self._listener = listener
+        self._poke = asyncio.Event()
+        self._waiting = False
+        self._turn: asyncio.Future | None = None
+        self._available = True
+
+    @property
+    def age_s(self) -> float:
+        """Age of the state."""
+        return time.monotonic() - self.read_s
+
+    @property
+    def current(self) -> bool:
+        """Whether the state is recent enough to deny that a job exists."""
+        return self.loaded and self.age_s < STALE_S
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            if not self.loaded:
+                done = await self._load()
+            else:
+                poked = self._poke.is_set()
+                self._poke.clear()
+                done = await self._read(0.0 if poked else LONG_READ_S)
+            if not done:
+                await asyncio.sleep(_RETRY_S)
+                continue
+            if self.pause_s > 0 and not self._poke.is_set():
+                try:
+                    async with asyncio.timeout(self.pause_s):
+                        await self._poke.wait()
+                except TimeoutError:
+                    continue
+
+    async def refresh(self, timeout_s: float) -> bool:
+        """Make the state as recent as this call, and return whether that succeeded."""
+        if self._waiting and self.age_s < LONG_READ_S + 0.5:
+            return True
+        if self._turn is None:
+            self._turn = asyncio.get_running_loop().create_future()
+        turn = self._turn
+        self._poke.set()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.shield(turn)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _load(self) -> bool:
+        started_s = time.monotonic()
+        match await self._log.newest(Topic.JOURNAL):
+            case ReadRecords(end, rows):
+                self._apply(rows)
+                self.offset = max(end, self.offset)
+                self.loaded = True
+                self._note(True, started_s, "")
+                return True
+            case ReadFailed(reason):
+                self._note(False, started_s, reason)
+        return False
+
+    async def _read(self, wait_s: float) -> bool:
+        started_s = time.monotonic()
+        turn, self._turn = self._turn, None
+        self._waiting = wait_s > 0
+        result = await self._log.read(Topic.JOURNAL, self.offset, wait_s=wait_s)
+        self._waiting = False
+        match result:
+            case ReadRecords(end, rows):
+                self._apply(rows)
+                if rows:
+                    self.offset = rows[-1][0] + 1
+                elif end < self.offset:
+                    _LOG.error("journal is shorter than before", extra={"end": end})
+                self._note(True, started_s, "")
+            case ReadExpired(first):
+                _LOG.warning("journal history expired", extra={"first": first})
+                self.loaded = False
+                await self._load()
+            case ReadFailed(reason):
+                self._note(False, started_s, reason)
+        if turn is not None and not turn.done():
+            turn.set_result(None)
+        return not isinstance(result, ReadFailed)
+
+    def _apply(self, rows: Sequence[tuple[int, LogRecord]]) -> None:
+        now_s = time.monotonic()
+        for offset, record in sorted(rows, key=lambda row: row[0]):
+            changed = self.fold.apply(offset, record.key, record.value, now_s)
+            if changed is not None:
+                self._listener(changed, offset)
+
+    def _note(self, available: bool, started_s: float, reason: str) -> None:
+        if available:
+            # A read proves the state at its answer; its start is the safe bound after a pause.
+            self.read_s = time.monotonic() if self._waiting else started_s
+            self.read_s = max(self.read_s, started_s)
+        if available != self._available:
+            self._available = available
+            if available:
+                _LOG.info("journal can be read again", extra={"offset": self.offset})
+            else:
+                _LOG.warning("journal cannot be read", extra={"reason": reason})
+
+
+class GroupAppender:
+    """Appends records of many callers together.
+
+    While one append is under way, further records wait for the next one. A record may be repeated,
+    because the journal keeps one record for each key.
+
+    Args:
+        log: the shared log.
+        topic: where to append.
+    """
+
+    _ATTEMPT_S = 1.0
+    _PAUSE_S = 0.05
+    _REJECTIONS_MAX = 4
+    """Rejected appends, 50 ms apart, after which callers are told so and may try another VM."""
+
+    def __init__(self, log: SharedLog, topic: Topic) -> None:
+        self._log = log
+        self._topic = topic
+        self._queue: list[tuple[LogRecord, asyncio.Future, float]] = []
+        self._wake = asyncio.Event()
+        self.appends_count = 0
+
+    def put(self, record: LogRecord, deadline_s: float) -> asyncio.Future:
+        """Append a record; the future ends with an `AppendResult`."""
+        future = asyncio.get_running_loop().create_future()
+        self._queue.append((record, future, deadline_s))
+        self._wake.set()
+        return future
+
+    def put_record(self, record: JournalRecord, deadline_s: float) -> asyncio.Future:
+        """Append a record of the journal."""
+        return self.put(LogRecord(*encode_record(record)), deadline_s)
+
+    async def run(self) -> None:
+        """Append until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            batch, self._queue = self._queue, []
+            if batch:
+                result = await self._append(batch)
+                for _, future, _ in batch:
+                    if not future.done():
+                        future.set_result(result)
+
+    async def _append(self, batch: list[tuple[LogRecord, asyncio.Future, float]]) -> AppendResult:
+        records = [record for record, _, _ in batch]
+        deadline_s = min(deadline for _, _, deadline in batch)
+        uncertain: AppendUncertain | None = None
+        rejections = 0
+        while True:
+            self.appends_count += 1
+            left_s = deadline_s - time.monotonic()
+            result = await self._log.append(
+                self._topic, records, timeout_s=max(0.1, min(self._ATTEMPT_S, left_s))
+            )
+            match result:
+                case Appended() | AppendFenced():
+                    return result
+                case AppendUncertain():
+                    uncertain = result
+                case AppendRejected():
+                    rejections += 1
+                    if uncertain is None and rejections >= self._REJECTIONS_MAX:
+                        return result
+            if time.monotonic() + self._PAUSE_S >= deadline_s:
+                return uncertain or result
+            await asyncio.sleep(self._PAUSE_S)
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -0,0 +1,324 @@
+"""What the scheduler in office does: decisions, orders and the records of its tenure."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Coroutine, Mapping
+
+from fireflywharf_core.workflows import (
+    ApprovalFailed,
+    ApprovalReceived,
+    AskApproval,
+    DirectoryChanged,
+    Event,
+    JobAdded,
+    JobCancelled,
+    JournalFold,
+    JournalRecord,
+    StartAnswered,
+    StartResult,
+    StartRun,
+    StopRun,
+    TenureRecord,
+    Timing,
+    WorkerInfo,
+    WorkerLifeEnded,
+    WorkersInUse,
+    WorkflowAccepted,
+    WorkflowCancelled,
+    WorkflowScheduler,
+    job_keys,
+)
+
+from ._approvals import ApprovalQueue
+from ._interfaces import AppendFenced, LogRecord, Surroundings
+from ._sessions import WorkerSession
+from ._tenure import CONFIRMATION_S, RENEWAL_S, JournalWriter
+
+_LOG = logging.getLogger(__name__)
+
+_BATCH_S = 0.015
+"""Time in which changes are collected before they are appended together."""
+_GATHER_S = 0.004
+"""Time in which events are collected before one decision."""
+_RESIGN_S = 1.0
+"""Longest time to record a resignation; after that the successor waits for the silence."""
+_TICK_S = 0.1
+"""Longest time between two decisions."""
+RETENTION_S = 150.0
+"""How long the state of a job can be asked for after its end (`status_s` is 120)."""
+_NUMBERS_PER_TENURE = 1000
+"""Run numbers that a tenure may use, so that later tenures use higher ones."""
+
+
+class Office:
+    """One tenure of the scheduler.
+
+    Args:
+        record: the tenure.
+        writer: appends the records of the tenure.
+        fold: the journal as read up to the tenure record.
+        surroundings: what the daemon talks to.
+        timing: times that depend on the deployment.
+        resigned: called once when the tenure has ended.
+    """
+
+    def __init__(
+        self,
+        record: TenureRecord,
+        writer: JournalWriter,
+        fold: JournalFold,
+        surroundings: Surroundings,
+        timing: Timing,
+        resigned: Callable[[str], None],
+    ) -> None:
+        self.record = record
+        self._writer = writer
+        self._outside = surroundings
+        self._resigned = resigned
+        self._closing = False
+        self._now = time.monotonic
+        self.scheduler = WorkflowScheduler(
+            timing=timing,
+            first_number=(record.ordinal - 1) * _NUMBERS_PER_TENURE + 1,
+            workers_in_use=fold.workers_in_use,
+            started_s=self._now(),
+        )
+        for job_id, folded in fold.jobs.items():
+            self.scheduler.observe(
+                JobAdded(job_id=job_id, folded=folded, inherited=True), self._now()
+            )
+        self._in_use = set(fold.workers_in_use)
+        self._directory: Mapping[str, WorkerInfo] = {}
+        self._sessions: dict[str, tuple[WorkerSession, asyncio.Task]] = {}
+        self._wake = asyncio.Event()
+        self._dirty = asyncio.Event()
+        self._flushes: list[asyncio.Future] = []
+        self._extra: list[JournalRecord | LogRecord] = []
+        self._fold = fold
+        self._tasks: set[asyncio.Task] = set()
+        self._approvals = ApprovalQueue(surroundings.approvals)
+
+    def begin(self) -> None:
+        """Start the loops."""
+        self._spawn(self._decide_loop())
+        self._spawn(self._record_loop())
+        self._spawn(self._approvals.run())
+
+    async def close(self) -> None:
+        """End all loops and sessions."""
+        self._closing = True
+        tasks = [*self._tasks, *(task for _, task in self._sessions.values())]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for future in self._flushes:
+            if not future.done():
+                future.set_result(False)
+
+    async def resign(self) -> None:
+        """Record that the office is free, then end."""
+        ended = TenureRecord(
+            holder=self.record.holder,
+            epoch=self.record.epoch,
+            ordinal=self.record.ordinal,
+            resigned=True,
+        )
+        try:
+            async with asyncio.timeout(_RESIGN_S):
+                await self._append(ended)
+        except TimeoutError:
+            _LOG.warning("resignation was not recorded", extra={"epoch": self.record.epoch})
+        await self.close()
+
+    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error("task of the scheduler failed", exc_info=task.exception())
+            self._give_up("internal error")
+
+    def _give_up(self, reason: str) -> None:
+        if not self._closing:
+            self._closing = True
+            self._resigned(reason)
+
+    def observe(self, event: Event) -> None:
+        """Take up an event and decide soon."""
+        self.scheduler.observe(event, self._now())
+        self._wake.set()
+
+    def journal_changed(self, record: JournalRecord, offset: int, fold: JournalFold) -> None:
+        """Take up a record that was read from the journal."""
+        match record:
+            case WorkflowAccepted(job_id=job_id):
+                self.observe(JobAdded(job_id=job_id, folded=fold.jobs[job_id], inherited=False))
+            case WorkflowCancelled(job_id=job_id):
+                self.observe(JobCancelled(job_id))
+            case TenureRecord() if record.epoch > self.record.epoch:
+                self._give_up(f"tenure {record.epoch} of {record.holder} began")
+
+    async def directory_changed(self, directory: Mapping[str, WorkerInfo]) -> None:
+        """Take up a new directory; workers get sessions once they are recorded as in use."""
+        self._directory = directory
+        new = set(directory) - self._in_use
+        if new:
+            in_use = {*directory, *self.scheduler.workers}
+            if not await self._append(WorkersInUse(worker_ids=tuple(sorted(in_use)))):
+                return
+            self._in_use = in_use
+        self.observe(DirectoryChanged(directory))
+        for worker_id, info in directory.items():
+            entry = self._sessions.get(worker_id)
+            if entry is None:
+                self._open_session(info)
+            else:
+                entry[0].info = info
+        for worker_id in set(self._sessions) - set(self.scheduler.workers) - set(directory):
+            _, task = self._sessions.pop(worker_id)
+            task.cancel()
+            self._spawn(self._outside.workers.forget(worker_id))
+            _LOG.info("worker is gone", extra={"worker": worker_id})
+
+    def _open_session(self, info: WorkerInfo) -> None:
+        session = WorkerSession(
+            info,
+            epoch=self.record.epoch,
+            gateway=self._outside.workers,
+            observe=self.observe,
+            flush=self.flush,
+            stale=lambda worker_id: self._give_up(f"{worker_id} has seen a higher epoch"),
+            may_renew=self._may_renew,
+        )
+        task = self._spawn(session.run())
+        self._sessions[info.worker_id] = (session, task)
+
+    def _may_renew(self) -> bool:
+        return self._now() < self._writer.confirmed_s + CONFIRMATION_S
+
+    async def flush(self) -> bool:
+        """Return when everything observed so far is durable, or the tenure has ended.
+
+        Returns:
+            Whether it is durable.
+        """
+        if self._closing:
+            return False
+        future = asyncio.get_running_loop().create_future()
+        self._flushes.append(future)
+        self._dirty.set()
+        return await future
+
+    async def _decide_loop(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(_TICK_S):
+                    await self._wake.wait()
+                await asyncio.sleep(_GATHER_S)
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            if not self._may_renew():
+                continue
+            for action in self.scheduler.decide(self._now(), time.time()):
+                match action:
+                    case StartRun():
+                        self._spawn(self._start(action))
+                    case StopRun():
+                        self._spawn(self._stop(action))
+                    case AskApproval():
+                        self._spawn(self._ask(action))
+            if any(job.dirty for job in self.scheduler.jobs.values()):
+                self._dirty.set()
+
+    async def _start(self, order: StartRun) -> None:
+        worker = self.scheduler.workers.get(order.worker_id)
+        if worker is None:
+            return
+        result = await self._outside.workers.start(worker.info, order, self.record.epoch)
+        if result is not StartResult.STARTED:
+            _LOG.info(
+                "run was not started",
+                extra={"run": run_name(order), "worker": order.worker_id, "result": result.value},
+            )
+        if result is StartResult.STALE_EPOCH:
+            self._give_up(f"{order.worker_id} has seen a higher epoch")
+            return
+        if result is StartResult.OTHER_INCARNATION:
+            self.observe(WorkerLifeEnded(order.worker_id))
+        self.observe(StartAnswered(order.worker_id, order.task, order.number, result))
+
+    async def _stop(self, order: StopRun) -> None:
+        worker = self.scheduler.workers.get(order.worker_id)
+        if worker is not None:
+            await self._outside.workers.stop(worker.info, order, self.record.epoch)
+
+    async def _ask(self, order: AskApproval) -> None:
+        granted = await self._approvals.ask(order.step, order.worker_ids)
+        if granted is None:
+            self.observe(ApprovalFailed(order.step))
+            return
+        self.observe(
+            ApprovalReceived(
+                step=order.step,
+                tickets=granted.tickets,
+                asked=order.worker_ids,
+                expires_s=self._now() + granted.validity_s,
+            )
+        )
+
+    async def _append(self, record: JournalRecord) -> bool:
+        """Append through the record loop, which is the only user of the writer."""
+        self._extra.append(record)
+        return await self.flush()
+
+    def _forget_expired(self) -> None:
+        """Delete the records of jobs whose state no caller may still ask for."""
+        for job_id in self._fold.expired(self._now(), RETENTION_S):
+            self._extra += [LogRecord(key, b"") for key in job_keys(job_id)]
+
+    async def _record_loop(self) -> None:
+        """Append progress, extra records and the renewal of the tenure, in groups."""
+        renewed_s, renewal = self._now(), 0
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, renewed_s + RENEWAL_S - self._now())):
+                    await self._dirty.wait()
+                await asyncio.sleep(_BATCH_S)
+            except TimeoutError:
+                pass
+            self._dirty.clear()
+            flushes, self._flushes = self._flushes, []
+            records, self._extra = self._extra, []
+            records += self.scheduler.take_progress()
+            if self._now() >= renewed_s + RENEWAL_S - _BATCH_S:
+                renewal += 1
+                renewed_s = self._now()
+                self._forget_expired()
+                records.append(
+                    TenureRecord(
+                        holder=self.record.holder,
+                        epoch=self.record.epoch,
+                        ordinal=self.record.ordinal,
+                        renewal=renewal,
+                    )
+                )
+            if records and isinstance(await self._writer.append(records), AppendFenced):
+                self._give_up("the journal has seen a higher epoch")
+                return
+            for future in flushes:
+                if not future.done():
+                    future.set_result(True)
+
+
+def run_name(order: StartRun | StopRun) -> str:
+    """Return the name of a run for log lines."""
+    name = order.task.step_name
+    return f"{name.job_id}.{name.occurrence}.{name.step}.{order.task.index}#{order.number}"
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -0,0 +1,142 @@
+"""Sessions with workers: renewal of leases, lists of runs, orders."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+from fireflywharf_core.workflows import (
+    Event,
+    WorkerInfo,
+    WorkerLifeEnded,
+    WorkerListed,
+    WorkerSilent,
+)
+
+from ._interfaces import HoldFailed, HoldLifeEnded, HoldStale, Lists, WorkerGateway
+
+_LOG = logging.getLogger(__name__)
+
+HOLD_WAIT_S = 1.5
+"""How long a worker waits for an end before it answers; a quarter of a task lease."""
+_RETRY_S = 0.25
+"""Pause after a worker did not answer."""
+_FLUSH_S = 0.5
+"""How long a session waits for ends to be durable before it asks again without acknowledging."""
+_GATHER_S = 0.015
+"""Pause after an answer with ends, in which further ends of the same worker are collected."""
+
+
+class WorkerSession:
+    """Keeps the lists of one worker current and its runs alive for one tenure.
+
+    Args:
+        info: the worker.
+        epoch: fencing token of the tenure.
+        gateway: sends the orders.
+        observe: receives what the worker said.
+        flush: returns when all ends observed so far are durable.
+        stale: called when the worker has seen a higher epoch.
+        may_renew: whether the tenure is confirmed recently enough to renew leases.
+    """
+
+    def __init__(
+        self,
+        info: WorkerInfo,
+        *,
+        epoch: int,
+        gateway: WorkerGateway,
+        observe: Callable[[Event], None],
+        flush: Callable[[], Awaitable[bool]],
+        stale: Callable[[str], None],
+        may_renew: Callable[[], bool],
+    ) -> None:
+        self.info = info
+        self._epoch = epoch
+        self._gateway = gateway
+        self._observe = observe
+        self._flush = flush
+        self._stale = stale
+        self._may_renew = may_renew
+        self._acknowledged = 0
+        self._incarnation = 0
+        self._silent = False
+        self._renewed_s = 0.0
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        wait_s = 0.0
+        while True:
+            sent_s = time.monotonic()
+            renew = self._may_renew() and not self._silent
+            if renew:
+                self._renewed_s = sent_s
+            result = await self._gateway.hold(
+                self.info,
+                epoch=self._epoch,
+                acknowledged=self._acknowledged,
+                wait_s=wait_s,
+                renew=renew,
+            )
+            match result:
+                case Lists():
+                    wait_s = 0.0 if self._silent else HOLD_WAIT_S
+                    self._answered(result, sent_s)
+                    await self._acknowledge(result)
+                case HoldStale():
+                    self._stale(self.info.worker_id)
+                    await asyncio.sleep(_RETRY_S)
+                case HoldLifeEnded(reason):
+                    self._note_silent(reason)
+                    self._observe(WorkerLifeEnded(self.info.worker_id))
+                    await asyncio.sleep(_RETRY_S)
+                case HoldFailed(reason):
+                    wait_s = 0.0
+                    self._note_silent(reason)
+                    self._observe(WorkerSilent(self.info.worker_id, self._renewed_s))
+                    await asyncio.sleep(_RETRY_S)
+
+    def _answered(self, lists: Lists, sent_s: float) -> None:
+        if self._silent:
+            self._silent = False
+            _LOG.info("worker answers again", extra={"worker": self.info.worker_id})
+        if lists.incarnation and lists.incarnation != self._incarnation:
+            if self._incarnation:
+                self._acknowledged = 0
+                _LOG.info(
+                    "worker started anew",
+                    extra={"worker": self.info.worker_id, "life": lists.incarnation},
+                )
+            self._incarnation = lists.incarnation
+        self._observe(
+            WorkerListed(
+                worker_id=self.info.worker_id,
+                incarnation=lists.incarnation,
+                sent_s=sent_s,
+                running=lists.running,
+                ended=lists.ended,
+            )
+        )
+
+    async def _acknowledge(self, lists: Lists) -> None:
+        if not lists.ended:
+            return
+        highest = max(end.serial for end in lists.ended)
+        try:
+            async with asyncio.timeout(_FLUSH_S):
+                if not await self._flush():
+                    return
+        except TimeoutError:
+            return
+        self._acknowledged = max(self._acknowledged, highest)
+        await asyncio.sleep(_GATHER_S)
+
+    def _note_silent(self, reason: str) -> None:
+        if not self._silent:
+            self._silent = True
+            _LOG.warning(
+                "worker does not answer",
+                extra={"worker": self.info.worker_id, "reason": reason},
+            )
