--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -8,11 +8,12 @@
 from ._state import Step, Worker
 
 _TICKET_MARGIN_S = 0.15
-"""Time that a ticket must still be valid for when an order is sent; covers the way to the worker."""
+"""Validity that a ticket must have left when an order is sent; covers the way to the worker."""
 _FIRST_WAIT_S = 0.25
 """Time that the daemon that accepted a job has, beside the decision, to send its first tickets."""
-_RETRY_S = 1.0
-"""Time after which a request for approval without an answer is repeated."""
+_GIVE_UP_S = 30.0
+"""Time after which a request is repeated although nothing was heard of it; requests that wait for
+their turn are not repeated, because each repetition would make all of them wait longer."""
 _NAMED_MAX = 100
 """Workers that one request may name (protocol of the approval service)."""
 
@@ -75,9 +76,9 @@
             return False
         expected_s = self.expected_s(step, len(workers))
         first = not step.spec.after and step.name.occurrence == 0
-        if step.approval_s is None and first and not step.job.inherited:
-            if now_s < step.job.accepted_s + expected_s + _FIRST_WAIT_S:
-                return False
+        waited_s = now_s - step.job.accepted_s
+        if first and not step.job.inherited and waited_s < expected_s + _FIRST_WAIT_S:
+            return False
         self._ask(step, [worker.worker_id for worker in workers], expected_s, now_s)
         return False
 
@@ -93,7 +94,7 @@
         return self._ask(step, lapsed, self.expected_s(step, len(lapsed)), now_s)
 
     def _ask(self, step: Step, worker_ids: list[str], expected_s: float, now_s: float) -> bool:
-        if step.approval_s is not None and now_s < step.approval_s + expected_s + _RETRY_S:
+        if step.approval_s is not None and now_s < step.approval_s + expected_s + _GIVE_UP_S:
             return False
         step.approval_s = now_s
         self._outbox.append(AskApproval(step=step.name, worker_ids=tuple(worker_ids[:_NAMED_MAX])))
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -60,13 +60,14 @@
         occurrence: occurrence of the job.
         step: index of the step.
         done_bits: bit `index` is set when that task is done.
-        failures: failed runs by task index; a gang counts under index -1.
+        failures: numbers of the failed runs by task index; a gang counts under index -1. A worker
+            repeats an end until it is acknowledged, and the number tells which ends were counted.
     """
 
     occurrence: int
     step: int
     done_bits: int
-    failures: dict[int, int]
+    failures: dict[int, tuple[int, ...]]
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -127,7 +128,7 @@
 
     job_id: str
     state: str
-    steps: list[tuple[int, int, bytes, dict[int, int]]]
+    steps: list[tuple[int, int, bytes, dict[int, tuple[int, ...]]]]
 
 
 _CODEC = TaggedCodec(
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -259,14 +259,14 @@
         step.avoided[index] = worker.worker_id
         if step.spec.gang:
             index = GANG_INDEX
-            if end.number in step.failed_numbers:
-                return
-            step.failed_numbers.add(end.number)
+        counted = step.failures.get(index, ())
+        if end.number in counted:
+            return
         worker.failures += _FAILURE_WEIGHT * (1 - worker.failures)
         if worker.failures > _FAILURES_TO_SUSPECT:
             worker.suspect_until_s = now_s + _SUSPECT_S
-        step.failures[index] = step.failures.get(index, 0) + 1
-        if step.failures[index] >= step.job.queue.max_attempts:
+        step.failures[index] = (*counted, end.number)
+        if len(step.failures[index]) >= step.job.queue.max_attempts:
             step.job.state = WorkflowState.FAILED
             self.stop_all(step.job, now_s)
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
@@ -141,12 +141,8 @@
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of `path`, or None."""
-        best = None
-        for queue in self.queues:
-            if queue.host == host and path.startswith(queue.path_prefix):
-                if best is None or len(queue.path_prefix) > len(best.path_prefix):
-                    best = queue
-        return best
+        matching = [q for q in self.queues if q.host == host and path.startswith(q.path_prefix)]
+        return max(matching, key=lambda queue: len(queue.path_prefix), default=None)
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -131,7 +131,7 @@
         spec: what was submitted.
         job: its job.
         done_bits: bit `index` is set when that task is done.
-        failures: failed runs by task index; a gang counts under `GANG_INDEX`.
+        failures: numbers of failed runs by task index; a gang counts under `GANG_INDEX`.
         runs: present run of each task that has one.
         waiting: indices of tasks without a run that are not done.
         numbers: highest run number by task index.
@@ -140,7 +140,6 @@
         tickets: ticket and its expiry by worker that may run the step.
         approval_s: time of the latest request for approval; None before the first.
         approved: whether an approval has been received.
-        failed_numbers: run numbers of a gang that were counted as failed.
         blocked_room: version of the free room at which it could not be placed.
     """
 
@@ -148,7 +147,7 @@
     spec: StepSpec
     job: Job
     done_bits: int = 0
-    failures: dict[int, int] = attrs.field(factory=dict)
+    failures: dict[int, tuple[int, ...]] = attrs.field(factory=dict)
     runs: dict[int, Run] = attrs.field(factory=dict)
     waiting: set[int] = attrs.field(factory=set)
     numbers: dict[int, int] = attrs.field(factory=dict)
@@ -157,7 +156,6 @@
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     approval_s: float | None = None
     approved: bool = False
-    failed_numbers: set[int] = attrs.field(factory=set)
     blocked_room: int = -1
 
     def __attrs_post_init__(self) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -261,7 +261,11 @@
             await self._outside.workers.stop(worker.info, order, self.record.epoch)
 
     async def _ask(self, order: AskApproval) -> None:
-        granted = await self._approvals.ask(order.step, order.worker_ids)
+        step = self.scheduler.find_step(order.step)
+        if step is None:
+            return
+        cost_ms = step.job.queue.approval.decision_ms
+        granted = await self._approvals.ask(order.step, order.worker_ids, cost_ms)
         if granted is None:
             self.observe(ApprovalFailed(order.step))
             return
