Spread requests for approval over all VMs

Workers that were not listed when a step asked were never asked about. Ruled out: repeated requests; they were gone before.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -26,6 +26,7 @@
     JournalRecord,
     StepProgress,
     TenureRecord,
+    VmPresent,
     WorkersInUse,
     WorkflowAccepted,
     WorkflowCancelled,
@@ -34,6 +35,7 @@
     decode_record,
     encode_record,
     job_keys,
+    vm_key,
 )
 from ._names import StepName, TaskName
 from ._scheduler import Timing, WorkflowScheduler
@@ -76,6 +78,7 @@
     "TaskName",
     "TenureRecord",
     "Timing",
+    "VmPresent",
     "WorkerInfo",
     "WorkerLifeEnded",
     "WorkerListed",
@@ -90,4 +93,5 @@
     "decode_record",
     "encode_record",
     "job_keys",
+    "vm_key",
 ]
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -52,7 +52,7 @@
         """Keep tickets."""
         if step is None:
             return
-        step.approved = True
+        step.asked.update(event.asked)
         step.approval_s = None
         step.blocked_room = -1
         for worker_id, ticket in event.tickets.items():
@@ -64,23 +64,27 @@
             step.approval_s = None
 
     def prepare(self, step: Step, workers: list[Worker], now_s: float) -> bool:
-        """Ask for the first tickets of a step if nobody else does.
+        """Ask about workers that no request has named yet, if nobody else does.
+
+        Workers that join or come back later are asked about too, because a step may be allowed on
+        few workers only.
 
         Returns:
             Whether the step has an answer, or needs none.
         """
         approval = step.job.queue.approval
-        if approval is None or step.approved:
+        if approval is None:
             return True
-        if not workers:
-            return False
-        expected_s = self.expected_s(step, len(workers))
+        unasked = [w.worker_id for w in workers if w.worker_id not in step.asked]
+        if not unasked:
+            return bool(workers)
+        expected_s = self.expected_s(step, len(unasked))
         first = not step.spec.after and step.name.occurrence == 0
         waited_s = now_s - step.job.accepted_s
         if first and not step.job.inherited and waited_s < expected_s + _FIRST_WAIT_S:
-            return False
-        self._ask(step, [worker.worker_id for worker in workers], expected_s, now_s)
-        return False
+            return bool(step.asked)
+        self._ask(step, unasked, expected_s, now_s)
+        return bool(step.asked)
 
     def renew(self, step: Step, chosen: list[Worker], now_s: float) -> bool:
         """Ask again for workers whose tickets have lapsed.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -17,6 +17,7 @@
 
 TENURE_KEY = "tenure"
 WORKERS_KEY = "workers"
+_VM_PREFIX = "v"
 _JOB_PREFIX = {"a": "accepted", "c": "cancelled", "p": "progress"}
 
 
@@ -105,8 +106,22 @@
     worker_ids: tuple[str, ...]
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class VmPresent:
+    """A VM that runs the daemon, and where other daemons reach it."""
+
+    vm: str
+    incarnation: str
+    address: str
+
+
 JournalRecord = (
-    WorkflowAccepted | WorkflowCancelled | WorkflowProgress | TenureRecord | WorkersInUse
+    WorkflowAccepted
+    | WorkflowCancelled
+    | WorkflowProgress
+    | TenureRecord
+    | WorkersInUse
+    | VmPresent
 )
 
 
@@ -132,7 +147,14 @@
 
 
 _CODEC = TaggedCodec(
-    [WorkflowAccepted, WorkflowCancelled, _PackedProgress, TenureRecord, WorkersInUse]
+    [
+        WorkflowAccepted,
+        WorkflowCancelled,
+        _PackedProgress,
+        TenureRecord,
+        WorkersInUse,
+        VmPresent,
+    ]
 )
 
 
@@ -153,6 +175,8 @@
             return TENURE_KEY, _CODEC.encode(record)
         case WorkersInUse():
             return WORKERS_KEY, _CODEC.encode(record)
+        case VmPresent(vm=vm):
+            return vm_key(vm), _CODEC.encode(record)
 
 
 def decode_record(value: bytes) -> JournalRecord:
@@ -176,6 +200,11 @@
     return WorkflowProgress(job_id=record.job_id, state=state, steps=steps)
 
 
+def vm_key(vm: str) -> str:
+    """Return the key of the record of a VM."""
+    return f"{_VM_PREFIX}{vm}"
+
+
 def job_keys(job_id: str) -> list[str]:
     """Return the keys of all records of a job."""
     return [prefix + job_id for prefix in _JOB_PREFIX]
@@ -222,6 +251,7 @@
         self.tenure: TenureRecord | None = None
         self.tenure_offset = -1
         self.workers_in_use: tuple[str, ...] = ()
+        self.vms: dict[str, VmPresent] = {}
         self.undecodable_count = 0
         self._offsets: dict[str, int] = {}
         self._pending: dict[str, set[str]] = {}
@@ -259,6 +289,9 @@
             case WorkersInUse(worker_ids=worker_ids):
                 self.workers_in_use = worker_ids
                 return True
+            case VmPresent(vm=vm):
+                self.vms[vm] = record
+                return True
         job = self.jobs.setdefault(record.job_id, FoldedWorkflow())
         before = job.state
         match record:
@@ -299,7 +332,9 @@
         ]
 
     def _forget(self, key: str) -> None:
-        if key[:1] not in _JOB_PREFIX or key in (TENURE_KEY, WORKERS_KEY):
+        if key[:1] == _VM_PREFIX:
+            self.vms.pop(key[1:], None)
+        if key[:1] not in _JOB_PREFIX:
             return
         job = self.jobs.pop(key[1:], None)
         if job is not None and job.accepted is not None:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -154,6 +154,40 @@
             self._accounted = waited or (known and not self._unaccounted)
         return self._accounted
 
+    def explain_waiting(self, now_s: float, age_s: float, rows_max: int) -> list[dict]:
+        """Return why the oldest steps wait, for logs.
+
+        Args:
+            now_s: present time.
+            age_s: least age of their jobs.
+            rows_max: most rows.
+        """
+        steps = [
+            step
+            for job in self.jobs.values()
+            if not job.state.final and now_s - job.accepted_s >= age_s
+            for step in job.steps.values()
+            if step.waiting and job.ready(step)
+        ]
+        steps.sort(key=lambda step: step.job.accepted_s)
+        return [
+            {
+                "job_id": step.name.job_id,
+                "step": step.name.step,
+                "age_s": round(now_s - step.job.accepted_s, 2),
+                "waiting": len(step.waiting),
+                "runs": len(step.runs),
+                "gang": step.spec.gang,
+                "asked": len(step.asked),
+                "allowed": len(step.tickets),
+                "approval_age_s": (
+                    None if step.approval_s is None else round(now_s - step.approval_s, 2)
+                ),
+                "accounted": self.accounted(now_s),
+            }
+            for step in steps[:rows_max]
+        ]
+
     def take_progress(self) -> list[WorkflowProgress]:
         """Return the progress of jobs that changed since the last call."""
         changed = [job for job in self.jobs.values() if job.dirty]
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -139,7 +139,7 @@
         avoided: worker on which the latest run of a task failed.
         tickets: ticket and its expiry by worker that may run the step.
         approval_s: time of the latest request for approval; None before the first.
-        approved: whether an approval has been received.
+        asked: workers about which an answer has been received.
         blocked_room: version of the free room at which it could not be placed.
     """
 
@@ -155,7 +155,7 @@
     avoided: dict[int, str] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     approval_s: float | None = None
-    approved: bool = False
+    asked: set[str] = attrs.field(factory=set)
     blocked_room: int = -1
 
     def __attrs_post_init__(self) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
@@ -11,6 +11,7 @@
     Uncertain,
     UnknownJob,
 )
+from ._http import Answer, HttpClient, NoAnswer, NotSent
 from ._interfaces import (
     Appended,
     AppendFenced,
@@ -35,6 +36,7 @@
 
 __all__ = [
     "Accepted",
+    "Answer",
     "AppendFenced",
     "AppendRejected",
     "AppendResult",
@@ -46,9 +48,12 @@
     "HoldLifeEnded",
     "HoldResult",
     "HoldStale",
+    "HttpClient",
     "JobShown",
     "Lists",
     "LogRecord",
+    "NoAnswer",
+    "NotSent",
     "PendingShown",
     "ReadExpired",
     "ReadFailed",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_approvals.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_approvals.py
@@ -28,6 +28,8 @@
 
 _PARALLEL = 2
 """Requests under way at a time; the service works on one for each VM, the next one waits there."""
+_PATIENCE = 3.0
+"""A request lets later ones pass for this multiple of the time that it takes itself."""
 _ASK_S = 3.0
 """Longest time of one request."""
 _RETRY_S = 0.2
@@ -35,10 +37,10 @@
 
 
 class ApprovalQueue:
-    """Sends the requests of this VM, the shortest first.
+    """Sends the requests of this VM, short ones before long ones.
 
     Pattern: the service answers the requests of a VM one after the other, and one for a wide step
-    takes fifty times as long as one for an urgent step.
+    takes fifty times as long as one for an urgent step. A long request waits a bounded time.
 
     Args:
         service: the approval service.
@@ -54,7 +56,8 @@
     ) -> ApprovalGranted | None:
         """Ask in turn; None without a usable answer."""
         future = asyncio.get_running_loop().create_future()
-        self._queue.put_nowait((cost_ms, next(self._serial), step, tuple(worker_ids), future))
+        due_s = time.monotonic() + _PATIENCE * cost_ms / 1000.0
+        self._queue.put_nowait((due_s, next(self._serial), step, tuple(worker_ids), future))
         return await future
 
     async def run(self) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -14,6 +14,7 @@
     StepName,
     TenureRecord,
     Timing,
+    VmPresent,
     WorkerInfo,
     WorkersInUse,
     WorkflowAccepted,
@@ -22,9 +23,11 @@
 
 from ._approvals import ApprovalQueue, ApprovalReader, encode_approval
 from ._desk import Desk
+from ._http import HttpClient
 from ._interfaces import Appended, Surroundings, Topic
 from ._journal import FOLLOWER_PAUSE_S, HOLDER_PAUSE_S, GroupAppender, JournalReader
 from ._office import Office
+from ._peers import ApprovalPool, PeerServer
 from ._tenure import Election, JournalWriter
 
 _LOG = logging.getLogger(__name__)
@@ -38,6 +41,10 @@
 _CATCH_UP_S = 5.0
 """Longest time to read up to the own tenure record."""
 _CONFIGURATION_RETRY_S = 0.3
+_PEER_CONNECTIONS = 8
+"""Most connections to one peer; requests beyond that would only wait in its queue."""
+_ANNOUNCE_S = 2.0
+"""Time for one try to record the address of this VM."""
 _SHARE_S = 1.0
 """Longest time to share an approval; after that the scheduler asks itself."""
 
@@ -49,10 +56,22 @@
         name: incarnation of the daemon.
         surroundings: what it talks to.
         timing: times that depend on the deployment.
+        vm: name of the VM.
+        peer_address: address and port at which other daemons reach this one.
     """
 
-    def __init__(self, name: str, surroundings: Surroundings, timing: Timing) -> None:
+    def __init__(
+        self,
+        name: str,
+        surroundings: Surroundings,
+        timing: Timing,
+        *,
+        vm: str,
+        peer_address: tuple[str, int],
+    ) -> None:
         self.name = name
+        self.vm = vm
+        self._peer_address = peer_address
         self._outside = surroundings
         self._timing = timing
         self._rng = random.Random(name)
@@ -60,6 +79,9 @@
         self._appender = GroupAppender(surroundings.log, Topic.JOURNAL)
         self._sharer = GroupAppender(surroundings.log, Topic.APPROVALS)
         self._approvals = ApprovalQueue(surroundings.approvals)
+        self._peer_http = HttpClient(_PEER_CONNECTIONS)
+        self._peer_server = PeerServer(self._approvals)
+        self._pool = ApprovalPool(self._approvals, self._peer_http, vm, self._peer_addresses)
         self.desk = Desk(self.reader, self._appender, self._accepting)
         self._election = Election(name, self._rng)
         self._directory: Mapping[str, WorkerInfo] = {}
@@ -68,8 +90,11 @@
         self._tasks: set[asyncio.Task] = set()
         self._stopping = False
 
-    def begin(self) -> None:
+    async def begin(self) -> None:
         """Start all loops."""
+        await self._peer_http.open()
+        await self._peer_server.open(*self._peer_address)
+        self._spawn(self._announce())
         self._spawn(self.reader.run())
         self._spawn(self._appender.run())
         self._spawn(self._sharer.run())
@@ -91,6 +116,21 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peer_server.close()
+        await self._peer_http.close()
+
+    def _peer_addresses(self) -> dict[str, str]:
+        return {vm: record.address for vm, record in self.reader.fold.vms.items()}
+
+    async def _announce(self) -> None:
+        """Record where this VM is reached."""
+        host, port = self._peer_address
+        record = VmPresent(vm=self.vm, incarnation=self.name, address=f"{host}:{port}")
+        while True:
+            deadline_s = time.monotonic() + _ANNOUNCE_S
+            if isinstance(await self._appender.put_record(record, deadline_s), Appended):
+                return
+            await asyncio.sleep(_ANNOUNCE_S)
 
     def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -164,7 +204,8 @@
     async def _share_approval(
         self, step: StepName, accepted: WorkflowAccepted, workers: list[str]
     ) -> None:
-        cost_ms = accepted.queue.approval.decision_ms
+        approval = accepted.queue.approval
+        cost_ms = approval.decision_ms + len(workers) * approval.per_worker_ms
         granted = await self._approvals.ask(step, workers, cost_ms)
         if granted is None:
             return
@@ -203,7 +244,13 @@
         if self.reader.fold.tenure.epoch != tenure.epoch or self._stopping:
             return
         self.office = Office(
-            tenure, writer, self.reader.fold, self._outside, self._timing, self._resigned
+            tenure,
+            writer,
+            self.reader.fold,
+            self._outside,
+            self._timing,
+            self._resigned,
+            self._pool,
         )
         self.reader.pause_s = HOLDER_PAUSE_S
         self.office.begin()
--- a/platform/fireflywharf_platform/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -1,4 +1,4 @@
-"""One HTTP client for all outside systems, with tagged outcomes."""
+"""HTTP client with tagged outcomes."""
 
 from __future__ import annotations
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -32,8 +32,8 @@
     job_keys,
 )
 
-from ._approvals import ApprovalQueue
 from ._interfaces import AppendFenced, LogRecord, Surroundings
+from ._peers import ApprovalPool
 from ._sessions import WorkerSession
 from ._tenure import CONFIRMATION_S, RENEWAL_S, JournalWriter
 
@@ -47,6 +47,11 @@
 """Longest time to record a resignation; after that the successor waits for the silence."""
 _TICK_S = 0.1
 """Longest time between two decisions."""
+_REPORT_S = 2.0
+"""Time between reports of steps that wait."""
+_WAITING_S = 3.0
+"""Age of a job from which its waiting steps are reported."""
+_REPORTED_MAX = 8
 RETENTION_S = 150.0
 """How long the state of a job can be asked for after its end (`status_s` is 120)."""
 _NUMBERS_PER_TENURE = 1000
@@ -63,6 +68,7 @@
         surroundings: what the daemon talks to.
         timing: times that depend on the deployment.
         resigned: called once when the tenure has ended.
+        approvals: sends requests for approval.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         surroundings: Surroundings,
         timing: Timing,
         resigned: Callable[[str], None],
+        approvals: ApprovalPool,
     ) -> None:
         self.record = record
         self._writer = writer
@@ -98,14 +105,14 @@
         self._flushes: list[asyncio.Future] = []
         self._extra: list[JournalRecord | LogRecord] = []
         self._fold = fold
+        self._reported_s = self._now()
         self._tasks: set[asyncio.Task] = set()
-        self._approvals = ApprovalQueue(surroundings.approvals)
+        self._approvals = approvals
 
     def begin(self) -> None:
         """Start the loops."""
         self._spawn(self._decide_loop())
         self._spawn(self._record_loop())
-        self._spawn(self._approvals.run())
 
     async def close(self) -> None:
         """End all loops and sessions."""
@@ -230,14 +237,31 @@
             for action in self.scheduler.decide(self._now(), time.time()):
                 match action:
                     case StartRun():
+                        _LOG.info(
+                            "run placed",
+                            extra={"run": run_name(action), "worker": action.worker_id},
+                        )
                         self._spawn(self._start(action))
                     case StopRun():
+                        _LOG.info(
+                            "run stopped",
+                            extra={"run": run_name(action), "worker": action.worker_id},
+                        )
                         self._spawn(self._stop(action))
                     case AskApproval():
                         self._spawn(self._ask(action))
+            self._report_waiting()
             if any(job.dirty for job in self.scheduler.jobs.values()):
                 self._dirty.set()
 
+    def _report_waiting(self) -> None:
+        """Log the steps that have waited longest, at bounded volume."""
+        if self._now() < self._reported_s + _REPORT_S:
+            return
+        self._reported_s = self._now()
+        for row in self.scheduler.explain_waiting(self._now(), _WAITING_S, _REPORTED_MAX):
+            _LOG.info("step waits", extra=row)
+
     async def _start(self, order: StartRun) -> None:
         worker = self.scheduler.workers.get(order.worker_id)
         if worker is None:
@@ -264,7 +288,8 @@
         step = self.scheduler.find_step(order.step)
         if step is None:
             return
-        cost_ms = step.job.queue.approval.decision_ms
+        approval = step.job.queue.approval
+        cost_ms = approval.decision_ms + len(order.worker_ids) * approval.per_worker_ms
         granted = await self._approvals.ask(order.step, order.worker_ids, cost_ms)
         if granted is None:
             self.observe(ApprovalFailed(order.step))
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -0,0 +1,160 @@
+"""Requests for approval that the scheduler hands to other VMs."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Mapping, Sequence
+
+import attrs
+import msgspec
+from aiohttp import web
+
+from fireflywharf_core.workflows import StepName
+
+from ._approvals import ApprovalQueue
+from ._http import Answer, HttpClient
+from ._interfaces import ApprovalGranted
+
+_LOG = logging.getLogger(__name__)
+
+_PATH = "/approvals"
+_TIMEOUT_S = 4.0
+"""Longest wait for a peer: its queue, one request and the way."""
+_SUSPECT_S = 5.0
+"""Time for which a peer that did not answer is not asked."""
+_REMOTE_MS = 25.0
+"""Cost of the way to another region and back, against which local requests are weighed."""
+MESSAGE_MAX_BYTES = 1 << 16
+
+
+@attrs.frozen(slots=True)
+class ApprovalRequest:
+    """What a peer is asked."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    worker_ids: list[str]
+    cost_ms: float
+
+
+@attrs.frozen(slots=True)
+class ApprovalReply:
+    """What a peer answers; no tickets and no validity without an answer of the service."""
+
+    tickets: dict[str, str]
+    validity_s: float
+
+
+class PeerServer:
+    """Serves the requests of the scheduler at this VM.
+
+    Args:
+        queue: requests of this VM.
+    """
+
+    def __init__(self, queue: ApprovalQueue) -> None:
+        self._queue = queue
+        self._runner: web.ServerRunner | None = None
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen."""
+        self._runner = web.ServerRunner(web.Server(self._serve, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        try:
+            order = msgspec.msgpack.decode(await request.read(), type=ApprovalRequest)
+        except msgspec.DecodeError as error:
+            return web.Response(status=400, text=str(error))
+        step = StepName(order.job_id, order.occurrence, order.step)
+        granted = await self._queue.ask(step, order.worker_ids, order.cost_ms)
+        if granted is None:
+            return web.Response(status=503)
+        reply = ApprovalReply(dict(granted.tickets), granted.validity_s)
+        return web.Response(body=msgspec.msgpack.encode(reply))
+
+
+class ApprovalPool:
+    """Spreads requests for approval over all VMs.
+
+    Pattern: after a take-over every waiting step needs new tickets at once, and the service answers
+    the requests of one VM one after the other.
+
+    Args:
+        local: requests of this VM.
+        http: client for the other VMs.
+        own_name: name of this VM.
+        addresses: returns the address of each VM.
+    """
+
+    def __init__(self, local: ApprovalQueue, http: HttpClient, own_name: str, addresses) -> None:
+        self._local = local
+        self._http = http
+        self._own_name = own_name
+        self._addresses = addresses
+        self._outstanding_ms: dict[str, float] = {}
+        self._suspect_until_s: dict[str, float] = {}
+
+    async def ask(
+        self, step: StepName, worker_ids: Sequence[str], cost_ms: float
+    ) -> ApprovalGranted | None:
+        """Ask through the VM with the least work; None without a usable answer."""
+        addresses: Mapping[str, str] = self._addresses()
+        now_s = time.monotonic()
+        names = [
+            name
+            for name in addresses
+            if name != self._own_name and self._suspect_until_s.get(name, 0.0) <= now_s
+        ]
+        name = min([self._own_name, *names], key=self._load_ms)
+        self._outstanding_ms[name] = self._outstanding_ms.get(name, 0.0) + cost_ms
+        try:
+            if name == self._own_name:
+                return await self._local.ask(step, worker_ids, cost_ms)
+            granted = await self._ask_peer(name, addresses[name], step, worker_ids, cost_ms)
+        finally:
+            self._outstanding_ms[name] -= cost_ms
+        if granted is None:
+            return await self._local.ask(step, worker_ids, cost_ms)
+        return granted
+
+    def _load_ms(self, name: str) -> float:
+        remote_ms = 0.0 if name == self._own_name else _REMOTE_MS
+        return self._outstanding_ms.get(name, 0.0) + remote_ms
+
+    async def _ask_peer(
+        self, name: str, address: str, step: StepName, worker_ids: Sequence[str], cost_ms: float
+    ) -> ApprovalGranted | None:
+        order = ApprovalRequest(step.job_id, step.occurrence, step.step, list(worker_ids), cost_ms)
+        sent_s = time.monotonic()
+        result = await self._http.call(
+            "POST",
+            f"http://{address}{_PATH}",
+            timeout_s=_TIMEOUT_S,
+            body=msgspec.msgpack.encode(order),
+        )
+        if isinstance(result, Answer) and result.status == 200:
+            try:
+                reply = msgspec.msgpack.decode(result.body, type=ApprovalReply)
+                return ApprovalGranted(tickets=reply.tickets, validity_s=reply.validity_s)
+            except msgspec.DecodeError as error:
+                _LOG.warning("answer of a peer cannot be read", extra={"reason": str(error)})
+        if not isinstance(result, Answer):
+            self._suspect_until_s[name] = time.monotonic() + _SUSPECT_S
+            _LOG.info(
+                "peer did not answer",
+                extra={
+                    "peer": name,
+                    "reason": result.reason,
+                    "waited_ms": round((time.monotonic() - sent_s) * 1000),
+                },
+            )
+        return None
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -123,6 +123,18 @@
     async def _acknowledge(self, lists: Lists) -> None:
         if not lists.ended:
             return
+        for end in lists.ended:
+            name = end.task.step_name
+            _LOG.info(
+                "run ended",
+                extra={
+                    "run": f"{name.job_id}.{name.occurrence}.{name.step}.{end.task.index}"
+                    f"#{end.number}",
+                    "worker": self.info.worker_id,
+                    "how": end.kind.value,
+                    "serial": end.serial,
+                },
+            )
         highest = max(end.serial for end in lists.ended)
         try:
             async with asyncio.timeout(_FLUSH_S):
