Charge runs of ended jobs that an earlier scheduler left running

Cause: after a take-over a worker listed a run of a cancelled job. Ruled out: late starts; the worker had answered every order of the earlier scheduler.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -319,6 +319,11 @@
         else:
             waiting.discard(job_id)
 
+    def find_spec(self, job_id: str) -> WorkflowSpec | None:
+        """Return what was submitted as a job, or None if the job is not known."""
+        job = self.jobs.get(job_id)
+        return None if job is None or job.accepted is None else job.accepted.spec
+
     def pending_count(self, queue_name: str) -> int:
         """Return the number of accepted jobs of a queue of which no task has started."""
         return len(self._pending.get(queue_name, ()))
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from ..resources import ResourceVector
 from ._estimates import RunTimes
@@ -18,6 +18,7 @@
 )
 from ._journal import WorkflowState
 from ._names import TaskName
+from ._specs import WorkflowSpec
 from ._state import GANG_INDEX, Job, Run, RunPhase, Step, Worker
 
 _FAILURE_WEIGHT = 0.3
@@ -40,6 +41,7 @@
         outbox: list[Action],
         run_times: RunTimes,
         timing,
+        find_spec: Callable[[str], WorkflowSpec | None],
     ) -> None:
         self.first_number = 1
         self.room_version = 0
@@ -49,6 +51,7 @@
         self._outbox = outbox
         self._run_times = run_times
         self._timing = timing
+        self._find_spec = find_spec
 
     def next_number(self, step: Step, indices: list[int]) -> int:
         """Return a run number above all earlier ones of the tasks."""
@@ -179,7 +182,7 @@
         if job is not None:
             job.open_occurrence(row.task.step_name.occurrence)
             step = job.steps.get((row.task.step_name.occurrence, row.task.step_name.step))
-        charged = ResourceVector() if step is None else step.spec.charged
+        charged = self._size_of(row.task, worker)
         wanted = (
             step is not None
             and not step.job.state.final
@@ -204,6 +207,16 @@
             self.stop(run, now_s)
         return run
 
+    def _size_of(self, task: TaskName, worker: Worker) -> ResourceVector:
+        """Return what a listed run takes, also when its job needs no further runs.
+
+        A run of a job that is not known at all takes the whole worker.
+        """
+        spec = self._find_spec(task.step_name.job_id)
+        if spec is None or task.step_name.step >= len(spec.steps):
+            return worker.info.capacity
+        return spec.steps[task.step_name.step].charged
+
     def _ended(self, worker: Worker, end: ListedEnd, now_s: float) -> None:
         run = worker.runs.get((end.task, end.number))
         step = run.step if run is not None else self._find(end.task)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -27,6 +27,7 @@
 from ._order import order_key
 from ._placement import assign_gang, assign_singles
 from ._runs import RunTable
+from ._specs import WorkflowSpec
 from ._state import Job, Run, RunPhase, Step, Worker
 
 HOLD_MARGIN_S = 0.3
@@ -68,6 +69,7 @@
         first_number: lowest run number of this tenure; higher than those of earlier tenures.
         workers_in_use: workers on which an earlier tenure may have started runs.
         started_s: start of the tenure.
+        find_spec: returns what was submitted as a job, also for one that has ended.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         first_number: int = 1,
         workers_in_use: Iterable[str] = (),
         started_s: float = 0.0,
+        find_spec: Callable[[str], WorkflowSpec | None],
     ) -> None:
         self.timing = timing
         self.started_s = started_s
@@ -85,7 +88,9 @@
         self.run_times = RunTimes()
         self.outbox: list[Action] = []
         self._unaccounted = set(workers_in_use)
-        self.runs = RunTable(self.jobs, self.workers, self.outbox, self.run_times, timing)
+        self.runs = RunTable(
+            self.jobs, self.workers, self.outbox, self.run_times, timing, find_spec
+        )
         self.runs.first_number = first_number
         self.approvals = Approvals(self.workers, self.outbox)
         self._accounted = False
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -92,6 +92,7 @@
             first_number=(record.ordinal - 1) * _NUMBERS_PER_TENURE + 1,
             workers_in_use=fold.workers_in_use,
             started_s=self._now(),
+            find_spec=fold.find_spec,
         )
         for job_id, folded in fold.jobs.items():
             self.scheduler.observe(
