Test the scheduler of workflows in virtual time, and stop gangs that lost a member

Ruled out: waiting for room; the workers were empty. Change: a gang with both runs and waiting members is stopped and placed anew.

--- /dev/null
+++ b/features/steps/workflow_steps.py
@@ -0,0 +1,253 @@
+"""Steps for the scheduler of jobs with steps."""
+
+from behave import given, then, when
+from workflow_world import WorkflowWorld, tasks
+
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.workflows import (
+    EndKind,
+    JournalFold,
+    ListedEnd,
+    StepName,
+    TaskName,
+    WorkerListed,
+    WorkflowCancelled,
+    WorkflowProgress,
+    WorkflowState,
+    encode_record,
+)
+
+FIRST_TASK = TaskName(StepName("a", 0, 0), 0)
+
+
+def random_history(seed):
+    """Run jobs under random faults and return the world."""
+    world = WorkflowWorld(seed=seed, workers_count=4, approval=seed % 2 == 0)
+    rng = world.rng
+    world.failing_share = rng.choice([0.0, 0.05])
+    world.lossy_share = rng.choice([0.0, 0.2])
+    for number in range(12):
+        steps = [tasks(rng.randint(1, 5), rng.choice([500, 1500]), gang=rng.random() < 0.3)]
+        if rng.random() < 0.5:
+            steps.append(tasks(rng.randint(1, 3), after=(0,)))
+        world.submit(f"j{number}", steps)
+        world.run(rng.random())
+        fault = rng.choice(["none", "cut", "heal", "take over", "cancel"])
+        worker = world.workers[rng.choice(list(world.workers))]
+        match fault:
+            case "cut":
+                worker.reachable = False
+            case "heal":
+                worker.reachable = True
+            case "take over":
+                world.take_over()
+            case "cancel":
+                world.cancel(f"j{rng.randint(0, number)}")
+    world.lossy_share = 0.0
+    for worker in world.workers.values():
+        worker.reachable = True
+    world.run(25.0)
+    return world
+
+
+@when("{count:d} random histories of jobs with steps run")
+def run_histories(context, count):
+    context.worlds = {seed: random_history(seed) for seed in range(count)}
+
+
+@then("no promise of a job with steps was broken")
+def check_promises(context):
+    broken = {seed: world.violations for seed, world in context.worlds.items() if world.violations}
+    assert not broken, broken
+
+
+@then("every job with steps has ended")
+def check_ended(context):
+    open_jobs = {
+        seed: [job_id for job_id in world.fold.jobs if not world.state(job_id).final]
+        for seed, world in context.worlds.items()
+    }
+    assert not any(open_jobs.values()), {s: jobs for s, jobs in open_jobs.items() if jobs}
+
+
+@given("a job with one task that may fail {count:d} times")
+def one_task(context, count):
+    context.world = WorkflowWorld(workers_count=1, max_attempts=count)
+    context.world.submit("a", [tasks(1)])
+    context.world.step()
+    context.world.step()
+
+
+def list_end(world, serial, number, kind):
+    """Let the first worker list an end and nothing that runs."""
+    world.now_s += 0.01
+    end = ListedEnd(serial, FIRST_TASK, number, kind, "")
+    world.scheduler.observe(
+        WorkerListed(worker_id="w0", incarnation=1, sent_s=world.now_s, running=(), ended=(end,)),
+        world.now_s,
+    )
+
+
+@when("its first run fails and the worker lists that end {count:d} times")
+def repeat_end(context, count):
+    for _ in range(count):
+        list_end(context.world, 1, 1, EndKind.FAILED)
+    for progress in context.world.scheduler.take_progress():
+        context.world.append(progress)
+
+
+def count_failures(world):
+    """Return the number of failed runs that the scheduler counts."""
+    return len(world.scheduler.jobs["a"].steps[0, 0].failures.get(0, ()))
+
+
+@then("{count:d} failed run is counted")
+def check_failures(context, count):
+    assert count_failures(context.world) == count
+
+
+@then("the next scheduler counts {count:d} failed run after the worker lists the end again")
+def check_next_scheduler(context, count):
+    context.world.take_over()
+    list_end(context.world, 1, 1, EndKind.FAILED)
+    assert count_failures(context.world) == count
+
+
+@given("a worker that is full with a run of a job")
+def full_worker(context):
+    context.world = WorkflowWorld(workers_count=1)
+    context.world.submit("a", [tasks(1, 4000)])
+    context.world.run(0.2)
+    assert context.world.workers["w0"].processes
+
+
+@when("the job is cancelled while its scheduler cannot read the journal")
+def cancel_unread(context):
+    context.world.cancel("a", told=False)
+
+
+@when("another scheduler takes over with a job that waits")
+def take_over_waiting(context):
+    context.world.submit("b", [tasks(1, 4000)])
+    context.world.take_over()
+    context.world.run(5.0)
+
+
+@then("the waiting job starts only after the first run has ended")
+def check_room(context):
+    assert not context.world.violations, context.world.violations
+    assert context.world.state("b") is WorkflowState.COMPLETE
+
+
+@given("a job whose queue needs approval and a service that does not answer")
+def silent_service(context):
+    context.world = WorkflowWorld(approval=True)
+    context.world.answers_approvals = False
+    context.world.submit("a", [tasks(1)])
+
+
+@when("{seconds:d} s pass")
+def pass_time(context, seconds):
+    context.world.run(seconds)
+
+
+@then("the service was asked once")
+def check_asked(context):
+    assert len(context.world.asked) == 1, context.world.asked
+
+
+@given("a job whose queue needs approval and one worker that is not listed yet")
+def hidden_worker(context):
+    context.world = WorkflowWorld(approval=True)
+    context.world.answers_approvals = False
+    context.world.workers["w2"].reachable = False
+    context.world.submit("a", [tasks(1)])
+
+
+@when("the service refuses the other workers and the worker comes back")
+def refuse_others(context):
+    world = context.world
+    world.run(1.0)
+    world.answer_approval(world.asked[0], allowed=set())
+    world.answers_approvals = True
+    world.workers["w2"].reachable = True
+    world.run(3.0)
+
+
+@then("the service is asked about that worker and the job completes")
+def check_asked_again(context):
+    assert context.world.asked[-1].worker_ids == ("w2",), context.world.asked
+    assert context.world.state("a") is WorkflowState.COMPLETE
+
+
+@given("a task whose start order gets no answer")
+def unanswered(context):
+    context.world = WorkflowWorld(workers_count=2)
+    context.world.lossy_share = 1.0
+    context.world.submit("a", [tasks(1)])
+    context.world.run(0.2)
+    context.world.late_orders.clear()
+    run = next(iter(context.world.scheduler.jobs["a"].steps[0, 0].runs.values()))
+    context.worker = context.world.workers[run.worker.worker_id]
+
+
+@when("the order is carried out {seconds:d} s later")
+def carry_out_late(context, seconds):
+    world = context.world
+    for _ in range(seconds * 20):
+        world.step()
+        world.late_orders.clear()
+    run = next(iter(world.scheduler.jobs["a"].steps[0, 0].runs.values()))
+    assert run.worker.worker_id == context.worker.info.worker_id
+    world.lossy_share = 0.0
+    world.run(8.0)
+
+
+@then("the task has run in one place only")
+def check_once(context):
+    assert not context.world.violations, context.world.violations
+    assert context.world.state("a") is WorkflowState.COMPLETE
+
+
+@given("a gang of {count:d} tasks and room for {room:d}")
+def large_gang(context, count, room):
+    context.world = WorkflowWorld(workers_count=2, capacity=ResourceVector(room * 500, 8000))
+    context.world.submit("a", [tasks(count, gang=True)])
+
+
+@then("no task of the gang has started")
+def check_no_gang(context):
+    assert not any(context.world.all_processes())
+    assert context.world.state("a") is WorkflowState.QUEUED
+
+
+@when("progress with offset {first:d} is read before progress with offset {second:d}")
+def read_out_of_order(context, first, second):
+    context.fold = JournalFold()
+    newer = WorkflowProgress(job_id="a", state=WorkflowState.COMPLETE)
+    older = WorkflowProgress(job_id="a", state=WorkflowState.RUNNING)
+    for offset, record in [(first, newer), (second, older)]:
+        key, value = encode_record(record)
+        context.fold.apply(offset, key, value, now_s=0.0)
+
+
+@then("the state is that of offset 7")
+def check_newest(context):
+    assert context.fold.jobs["a"].state is WorkflowState.COMPLETE
+
+
+@when("a job is cancelled before its last end is recorded")
+def cancel_then_end(context):
+    context.fold = JournalFold()
+    records = [
+        WorkflowCancelled(job_id="a"),
+        WorkflowProgress(job_id="a", state=WorkflowState.COMPLETE),
+    ]
+    for offset, record in enumerate(records):
+        key, value = encode_record(record)
+        context.fold.apply(offset, key, value, now_s=0.0)
+
+
+@then("callers see it as cancelled")
+def check_cancelled(context):
+    assert context.fold.jobs["a"].state is WorkflowState.CANCELLED
--- /dev/null
+++ b/features/workflows.feature
@@ -0,0 +1,66 @@
+Feature: Scheduling of jobs with steps
+  The scheduler must keep its promises while orders are lost or late and schedulers change.
+
+  Scenario: promises hold under random faults
+    Guards against overfull workers, a task in two places, a start before earlier steps are done, a
+    start after a recorded end, and jobs that never end.
+
+    When 120 random histories of jobs with steps run
+    Then no promise of a job with steps was broken
+    And every job with steps has ended
+
+  Scenario: an end that a worker repeats is counted once
+    Guards against a job that fails before its last attempt because the log was slow.
+
+    Given a job with one task that may fail 3 times
+    When its first run fails and the worker lists that end 5 times
+    Then 1 failed run is counted
+    And the next scheduler counts 1 failed run after the worker lists the end again
+
+  Scenario: a run of a cancelled job keeps its room at the next scheduler
+    Guards against a start over the capacity of a worker after a take-over.
+
+    Given a worker that is full with a run of a job
+    When the job is cancelled while its scheduler cannot read the journal
+    And another scheduler takes over with a job that waits
+    Then the waiting job starts only after the first run has ended
+
+  Scenario: requests for approval are not repeated while they wait
+    Guards against a queue of requests that grows faster than the service answers.
+
+    Given a job whose queue needs approval and a service that does not answer
+    When 10 s pass
+    Then the service was asked once
+
+  Scenario: workers that come back are asked about
+    Guards against a step that waits for ever because few workers were known when it asked.
+
+    Given a job whose queue needs approval and one worker that is not listed yet
+    When the service refuses the other workers and the worker comes back
+    Then the service is asked about that worker and the job completes
+
+  Scenario: a task whose start has no answer is not started elsewhere too early
+    Guards against two runs of a task when an order is carried out late.
+
+    Given a task whose start order gets no answer
+    When the order is carried out 3 s later
+    Then the task has run in one place only
+
+  Scenario: a gang starts whole or not at all
+    Guards against members that wait in vain and waste their room.
+
+    Given a gang of 6 tasks and room for 4
+    When 3 s pass
+    Then no task of the gang has started
+
+  Scenario: the journal keeps the newest record of a key
+    Guards against an older state that replaces a newer one when pages of records overlap.
+
+    When progress with offset 7 is read before progress with offset 5
+    Then the state is that of offset 7
+
+  Scenario: a cancelled job stays cancelled
+    Guards against a state that changes after it was shown as final.
+
+    When a job is cancelled before its last end is recorded
+    Then callers see it as cancelled
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -315,6 +315,9 @@
 
     def _place(self, step: Step, workers: list[Worker], now_s: float) -> None:
         if step.spec.gang and step.runs:
+            # A member has ended or never started, so the others would wait in vain.
+            for run in step.runs.values():
+                self.runs.stop(run, now_s)
             return
         if not self.approvals.prepare(step, workers, now_s):
             return
