Tell the scheduler of jobs and tickets directly

In calm times each job cost two appends and two reads on the way to the scheduler. Ruled out: room and approval; the tickets were there 30 ms after acceptance. Change: the daemon that stored a record tells the scheduler, which counts it once all records before it are known; tickets go the same way instead of through a topic of their own.

--- /dev/null
+++ b/features/steps/workflow_daemon_steps.py
@@ -0,0 +1,248 @@
+"""Steps for the journal, the election and the approvals of the daemon of workflows."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from fireflywharf_core.workflows import (
+    Queue,
+    StepName,
+    TenureRecord,
+    VmPresent,
+    WorkflowAccepted,
+    WorkflowSpec,
+    encode_record,
+)
+from fireflywharf_daemon.workflows import (
+    Appended,
+    AppendUncertain,
+    ApprovalGranted,
+    LogRecord,
+    ReadRecords,
+)
+from fireflywharf_daemon.workflows._approvals import ApprovalQueue
+from fireflywharf_daemon.workflows._journal import JournalReader
+from fireflywharf_daemon.workflows._tenure import Election, JournalWriter
+
+STEP_S = 0.05
+
+
+def job_record(job_id):
+    """Return the journal record of a job."""
+    queue = Queue(name="q", host="h", path_prefix="/", service="s")
+    spec = WorkflowSpec(payload="", steps=())
+    return WorkflowAccepted(job_id=job_id, queue=queue, spec=spec, accepted_utc_s=0.0)
+
+
+def stored(record):
+    """Return the stored form of a record."""
+    return LogRecord(*encode_record(record))
+
+
+class ScriptedLog:
+    """A log whose reads return what a scenario has set."""
+
+    def __init__(self):
+        self.rows = ()
+
+    async def read(self, topic, offset, *, wait_s):
+        """Return the rows from an offset on."""
+        return ReadRecords(9, tuple(row for row in self.rows if row[0] >= offset))
+
+
+@given("a daemon that has read the journal up to offset {offset:d}")
+def reader_at(context, offset):
+    context.heard = []
+    context.log = ScriptedLog()
+    context.reader = JournalReader(context.log, lambda *row: context.heard.append(row))
+    context.reader.loaded = True
+    context.reader.offset = offset
+
+
+@when("it is told of a job with offset {offset:d}")
+def told(context, offset):
+    context.record = stored(job_record("a"))
+    context.reader.inject(offset, context.record)
+
+
+@then("it does not know the job")
+def check_unknown(context):
+    assert not context.reader.fold.jobs
+
+
+@when("the record with offset {offset:d} is a tenure of another daemon and is read")
+def read_tenure(context, offset):
+    tenure = TenureRecord(holder="b#1", epoch=5, ordinal=1)
+    context.log.rows = ((offset, stored(tenure)),)
+    asyncio.run(context.reader._read(0.0))
+
+
+@then("it knows the other tenure and the job")
+def check_order(context):
+    kinds = [type(record).__name__ for record, _ in context.heard]
+    assert kinds == ["TenureRecord", "WorkflowAccepted"], kinds
+
+
+@when("the record with offset {offset:d} is read")
+def read_again(context, offset):
+    context.log.rows = ((offset, context.record),)
+    asyncio.run(context.reader._read(0.0))
+
+
+@then("its listener was called once")
+def check_once(context):
+    assert len(context.heard) == 1, context.heard
+
+
+@given("a daemon that heard the scheduler every {gap_s:g} s")
+def heard_every(context, gap_s):
+    context.now_s = 10.0
+    context.election = Election("vm-1#2", "vm-1", random.Random(1))
+    for renewal in range(8):
+        record = TenureRecord(holder="vm-2#1", epoch=70000, ordinal=1, renewal=renewal)
+        context.election.observe(record, context.now_s)
+        context.now_s += gap_s
+    context.now_s -= gap_s
+
+
+@when("the scheduler is silent for {silence_s:g} s while the log {state}")
+def silent(context, silence_s, state):
+    end_s = context.now_s + silence_s
+    context.stood = False
+    while context.now_s < end_s:
+        context.now_s += STEP_S
+        if state == "cannot be read":
+            context.election.unavailable(context.now_s)
+        context.stood = context.stood or context.election.due(context.now_s)
+
+
+@then("the daemon stands")
+def check_stands(context):
+    assert context.stood
+
+
+@then("the daemon does not stand")
+def check_not(context):
+    assert not context.stood
+
+
+@when("a daemon starts on the VM of the scheduler")
+def same_vm(context):
+    context.election = Election("vm-1#2", "vm-1", random.Random(1))
+    context.election.observe(TenureRecord(holder="vm-1#1", epoch=70000, ordinal=1), 1.0)
+
+
+@then("it stands at once")
+def check_at_once(context):
+    assert context.election.due(1.0)
+
+
+@when("the scheduler resigns")
+def resign(context):
+    record = TenureRecord(holder="vm-2#1", epoch=70000, ordinal=1, resigned=True)
+    context.election.observe(record, context.now_s)
+
+
+@then("the daemon stands within {seconds:g} s")
+def check_soon(context, seconds):
+    assert context.election.due(context.now_s + seconds)
+
+
+@when("{count:d} daemons stand after the same tenure")
+def many_stand(context, count):
+    context.epochs = []
+    for number in range(count):
+        election = Election(f"vm-{number}#1", f"vm-{number}", random.Random(number))
+        election.observe(TenureRecord(holder="vm-x#1", epoch=70000, ordinal=1), 1.0)
+        context.epochs.append(election.next_tenure().epoch)
+
+
+@then("all their epochs are higher than that tenure's and no two are equal")
+def check_epochs(context):
+    assert min(context.epochs) > 70000
+    assert len(set(context.epochs)) == len(context.epochs)
+
+
+class ForgetfulLog:
+    """A log that keeps writers apart and loses the first answer to each append."""
+
+    def __init__(self):
+        self.records = []
+        self.seen = {}
+
+    async def append(self, topic, records, *, timeout_s, writer=None):
+        """Append once for each sequence."""
+        if writer.sequence not in self.seen:
+            self.seen[writer.sequence] = len(self.records)
+            self.records += records
+            return AppendUncertain("answer lost")
+        return Appended(self.seen[writer.sequence])
+
+
+@given("a log that loses the first answer to each append")
+def forgetful(context):
+    context.log = ForgetfulLog()
+    context.told = []
+
+
+@when("the scheduler appends {count:d} groups of records")
+def append_groups(context, count):
+    writer = JournalWriter(context.log, 70000, lambda *row: context.told.append(row))
+
+    async def append():
+        for number in range(count):
+            records = [
+                VmPresent(vm=f"{number}{letter}", incarnation="", address="") for letter in "ab"
+            ]
+            await writer.append(records)
+
+    asyncio.run(append())
+
+
+@then("every record is in the log once and in order")
+def check_log(context):
+    keys = [record.key for record in context.log.records]
+    assert keys == ["v0a", "v0b", "v1a", "v1b", "v2a", "v2b"], keys
+    assert [(offset, record.key) for offset, record in context.told] == list(enumerate(keys))
+
+
+class SlowService:
+    """An approval service that serves one request at a time."""
+
+    def __init__(self, scale):
+        self.scale = scale
+        self.order = []
+        self.lock = asyncio.Lock()
+
+    async def ask(self, step, worker_ids, *, timeout_s):
+        """Answer after a time that depends on the step."""
+        async with self.lock:
+            wide = step.step == 1
+            await asyncio.sleep((0.4 if wide else 0.008) * self.scale)
+            self.order.append("wide" if wide else "small")
+        return ApprovalGranted(tickets={}, validity_s=1.0)
+
+
+@given("an approval service that needs 400 ms for wide steps and 8 ms for small ones")
+def slow_service(context):
+    context.service = None
+
+
+@when("{wide:d} wide and {small:d} small requests wait")
+def ask_all(context, wide, small):
+    async def ask():
+        context.service = SlowService(scale=0.1)
+        queue = ApprovalQueue(context.service)
+        running = asyncio.create_task(queue.run())
+        requests = [queue.ask(StepName("a", 0, 1), (), 400.0) for _ in range(wide + 1)]
+        requests += [queue.ask(StepName("a", 0, 0), (), 8.0) for _ in range(small)]
+        await asyncio.gather(*requests)
+        running.cancel()
+
+    asyncio.run(ask())
+
+
+@then("every small request is answered before the last wide one")
+def check_service_order(context):
+    assert context.service.order[-1] == "wide", context.service.order
--- /dev/null
+++ b/features/workflow_daemon.feature
@@ -0,0 +1,67 @@
+Feature: Journal and election of the daemon of workflows
+  Every daemon folds one journal, and the scheduler is elected through it.
+
+  Scenario: a record that is told early waits for the records before it
+    Guards against a scheduler that starts a job behind the tenure record of its successor.
+
+    Given a daemon that has read the journal up to offset 3
+    When it is told of a job with offset 4
+    Then it does not know the job
+    When the record with offset 3 is a tenure of another daemon and is read
+    Then it knows the other tenure and the job
+
+  Scenario: records that were told are not applied again when they are read
+    Guards against a job that is added twice.
+
+    Given a daemon that has read the journal up to offset 3
+    When it is told of a job with offset 3
+    And the record with offset 3 is read
+    Then its listener was called once
+
+  Scenario Outline: silence of the scheduler
+    Guards against take-overs during an outage of the log, and against long waits after a death.
+
+    Given a daemon that heard the scheduler every <gap> s
+    When the scheduler is silent for <silence> s while the log <log>
+    Then the daemon <stands>
+
+    Examples:
+      | gap  | silence | log            | stands         |
+      | 0.25 | 0.8     | can be read    | does not stand |
+      | 0.25 | 1.4     | can be read    | stands         |
+      | 0.8  | 1.8     | can be read    | does not stand |
+      | 0.8  | 2.5     | can be read    | stands         |
+      | 0.25 | 5       | cannot be read | does not stand |
+
+  Scenario: the earlier process of the same VM was scheduler
+    Guards against waiting for the silence of a process that has ended for certain.
+
+    When a daemon starts on the VM of the scheduler
+    Then it stands at once
+
+  Scenario: a resignation frees the office
+    Guards against waiting for silence after a graceful shutdown.
+
+    Given a daemon that heard the scheduler every 0.25 s
+    When the scheduler resigns
+    Then the daemon stands within 0.3 s
+
+  Scenario: two candidates of one tenure get different epochs
+    Guards against two schedulers with one fencing token.
+
+    When 50 daemons stand after the same tenure
+    Then all their epochs are higher than that tenure's and no two are equal
+
+  Scenario: a slow append does not make the scheduler count as new writer
+    Guards against records that are appended twice after a lost answer.
+
+    Given a log that loses the first answer to each append
+    When the scheduler appends 3 groups of records
+    Then every record is in the log once and in order
+
+  Scenario: requests for approval
+    Guards against long requests that wait for ever behind short ones, and the reverse.
+
+    Given an approval service that needs 400 ms for wide steps and 8 ms for small ones
+    When 2 wide and 20 small requests wait
+    Then every small request is answered before the last wide one
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -9,6 +9,7 @@
 from collections.abc import Coroutine, Mapping
 
 from fireflywharf_core.workflows import (
+    ApprovalReceived,
     Configuration,
     JournalRecord,
     StepName,
@@ -19,15 +20,16 @@
     WorkersInUse,
     WorkflowAccepted,
     WorkflowProgress,
+    encode_record,
 )
 
-from ._approvals import ApprovalQueue, ApprovalReader, encode_approval
+from ._approvals import ApprovalQueue
 from ._desk import Desk
 from ._http import HttpClient
-from ._interfaces import Appended, Surroundings, Topic
+from ._interfaces import Appended, LogRecord, Surroundings, Topic
 from ._journal import FOLLOWER_PAUSE_S, HOLDER_PAUSE_S, GroupAppender, JournalReader
 from ._office import Office
-from ._peers import ApprovalPool, PeerServer
+from ._peers import ApprovalPool, PeerSender, PeerServer, RecordMessage
 from ._tenure import Election, JournalWriter
 
 _LOG = logging.getLogger(__name__)
@@ -45,8 +47,6 @@
 """Most connections to one peer; requests beyond that would only wait in its queue."""
 _ANNOUNCE_S = 2.0
 """Time for one try to record the address of this VM."""
-_SHARE_S = 1.0
-"""Longest time to share an approval; after that the scheduler asks itself."""
 
 
 class WorkflowDaemon:
@@ -77,12 +77,12 @@
         self._rng = random.Random(name)
         self.reader = JournalReader(surroundings.log, self._journal_changed)
         self._appender = GroupAppender(surroundings.log, Topic.JOURNAL)
-        self._sharer = GroupAppender(surroundings.log, Topic.APPROVALS)
         self._approvals = ApprovalQueue(surroundings.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
-        self._peer_server = PeerServer(self._approvals)
+        self._peer_server = PeerServer(self._approvals, self._told_record, self._told_tickets)
+        self._sender = PeerSender(self._peer_http)
         self._pool = ApprovalPool(self._approvals, self._peer_http, vm, self._peer_addresses)
-        self.desk = Desk(self.reader, self._appender, self._accepting)
+        self.desk = Desk(self.reader, self._appender, self._accepting, self._stored)
         self._election = Election(name, vm, self._rng)
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
@@ -97,7 +97,6 @@
         self._spawn(self._announce())
         self._spawn(self.reader.run())
         self._spawn(self._appender.run())
-        self._spawn(self._sharer.run())
         self._spawn(self._approvals.run())
         self._spawn(self._configuration_loop())
         self._spawn(self._directory_loop())
@@ -209,11 +208,44 @@
         granted = await self._approvals.ask(step, workers, cost_ms)
         if granted is None:
             return
-        received_s = time.monotonic()
-        record = encode_approval(step, granted, workers, granted.validity_s)
-        result = await self._sharer.put(record, received_s + _SHARE_S)
-        if not isinstance(result, Appended):
-            _LOG.warning("approval was not shared", extra={"job_id": step.job_id})
+        if self.office is not None:
+            self.office.observe(
+                ApprovalReceived(
+                    step=step,
+                    tickets=granted.tickets,
+                    asked=tuple(workers),
+                    expires_s=time.monotonic() + granted.validity_s,
+                )
+            )
+            return
+        address = self._scheduler_address()
+        if address is not None:
+            await self._sender.tell_tickets(address, step, granted, workers)
+
+    def _scheduler_address(self) -> str | None:
+        """Return where the scheduler in office is reached, if it is another daemon."""
+        tenure = self.reader.fold.tenure
+        if tenure is None or tenure.resigned or tenure.holder == self.name:
+            return None
+        vm = self.reader.fold.vms.get(tenure.holder.partition("#")[0])
+        return None if vm is None or vm.incarnation != tenure.holder else vm.address
+
+    def _stored(self, record: JournalRecord, offset: int) -> None:
+        """Take up a record that this daemon stored, and tell the scheduler."""
+        if offset < 0:
+            return
+        stored = LogRecord(*encode_record(record))
+        self.reader.inject(offset, stored)
+        address = self._scheduler_address()
+        if address is not None:
+            self._spawn(self._sender.tell_record(address, offset, stored))
+
+    def _told_record(self, message: RecordMessage) -> None:
+        self.reader.inject(message.offset, LogRecord(message.key, message.value))
+
+    def _told_tickets(self, event: ApprovalReceived) -> None:
+        if self.office is not None:
+            self.office.observe(event)
 
     async def _election_loop(self) -> None:
         while True:
@@ -228,7 +260,7 @@
     async def _stand(self) -> None:
         """Append a tenure record and take office if it was accepted."""
         tenure = self._election.next_tenure()
-        writer = JournalWriter(self._outside.log, tenure.epoch)
+        writer = JournalWriter(self._outside.log, tenure.epoch, self.reader.inject)
         _LOG.info("standing for scheduler", extra={"epoch": tenure.epoch})
         result = await writer.append([tenure])
         self._election.heard(time.monotonic())
@@ -255,19 +287,11 @@
         self.reader.pause_s = HOLDER_PAUSE_S
         self.office.begin()
         self._directory_wake.set()
-        self._spawn(self._feed_approvals(self.office))
         _LOG.info(
             "scheduler in office",
             extra={"epoch": tenure.epoch, "jobs": len(self.office.scheduler.jobs)},
         )
 
-    async def _feed_approvals(self, office: Office) -> None:
-        reader = ApprovalReader(self._outside.log)
-        await reader.skip()
-        while self.office is office:
-            for event in await reader.next():
-                office.observe(event)
-
     def _resigned(self, reason: str) -> None:
         office, self.office = self.office, None
         self.reader.pause_s = FOLLOWER_PAUSE_S
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 import attrs
 
 from fireflywharf_core.workflows import (
     Configuration,
+    JournalRecord,
     Queue,
     WorkflowAccepted,
     WorkflowCancelled,
@@ -81,12 +83,20 @@
         reader: reads the journal.
         appender: appends to the journal.
         on_accept: called with each job while it is being stored.
+        on_stored: called with each record that has become durable, and its offset.
     """
 
-    def __init__(self, reader: JournalReader, appender: GroupAppender, on_accept) -> None:
+    def __init__(
+        self,
+        reader: JournalReader,
+        appender: GroupAppender,
+        on_accept: Callable[[WorkflowAccepted], None],
+        on_stored: Callable[[JournalRecord, int], None],
+    ) -> None:
         self._reader = reader
         self._appender = appender
         self._on_accept = on_accept
+        self._on_stored = on_stored
         self.configuration: Configuration | None = None
 
     @property
@@ -113,6 +123,7 @@
         took_ms = round((time.monotonic() - started_s) * 1000)
         match result:
             case Appended(offset):
+                self._on_stored(record, offset)
                 _LOG.info(
                     "job accepted",
                     extra={"job_id": job_id, "queue": queue.name, "offset": offset, "ms": took_ms},
@@ -163,6 +174,7 @@
         record = WorkflowCancelled(job_id=job_id)
         match await asyncio.shield(self._appender.put_record(record, deadline_s)):
             case Appended(offset):
+                self._on_stored(record, offset)
                 _LOG.info("job cancelled", extra={"job_id": job_id, "offset": offset})
                 return Accepted()
             case AppendRejected(reason):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -24,7 +24,6 @@
     """Logs of the daemon."""
 
     JOURNAL = "journal"
-    APPROVALS = "approvals"
 
 
 @attrs.frozen(slots=True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -35,8 +35,8 @@
 """Pause after a failed read."""
 FOLLOWER_PAUSE_S = 0.2
 """Pause between reads of a daemon that does not schedule; callers' questions cut it short."""
-HOLDER_PAUSE_S = 0.003
-"""Pause between reads of the scheduler in office."""
+HOLDER_PAUSE_S = 0.08
+"""Pause between reads of the scheduler in office, which other daemons tell of new records."""
 
 
 class JournalReader:
@@ -53,6 +53,7 @@
         self.loaded = False
         self.read_s = float("-inf")
         self.pause_s = FOLLOWER_PAUSE_S
+        self._early: dict[int, LogRecord] = {}
         self._log = log
         self._listener = listener
         self._poke = asyncio.Event()
@@ -104,6 +105,26 @@
             return False
         return True
 
+    def inject(self, offset: int, record: LogRecord) -> None:
+        """Take up a durable record that was told before it was read.
+
+        It counts once all records before it are known, so that a scheduler never sees a job behind
+        the tenure record of its successor without having seen that record.
+        """
+        if offset < self.offset or not self.loaded:
+            return
+        self._early[offset] = record
+        self._apply_early()
+        if self._early and self.pause_s == HOLDER_PAUSE_S:
+            self._poke.set()
+
+    def _apply_early(self) -> None:
+        while (record := self._early.pop(self.offset, None)) is not None:
+            self._apply([(self.offset, record)])
+            self.offset += 1
+        for offset in [offset for offset in self._early if offset < self.offset]:
+            del self._early[offset]
+
     async def _load(self) -> bool:
         started_s = time.monotonic()
         match await self._log.newest(Topic.JOURNAL):
@@ -124,12 +145,11 @@
         result = await self._log.read(Topic.JOURNAL, self.offset, wait_s=wait_s)
         self._waiting = False
         match result:
-            case ReadRecords(end, rows):
+            case ReadRecords(_, rows):
                 self._apply(rows)
                 if rows:
-                    self.offset = rows[-1][0] + 1
-                elif end < self.offset:
-                    _LOG.error("journal is shorter than before", extra={"end": end})
+                    self.offset = max(self.offset, rows[-1][0] + 1)
+                    self._apply_early()
                 self._note(True, started_s, "")
             case ReadExpired(first):
                 _LOG.warning("journal history expired", extra={"first": first})
@@ -203,9 +223,12 @@
             batch, self._queue = self._queue, []
             if batch:
                 result = await self._append(batch)
-                for _, future, _ in batch:
+                for index, (_, future, _) in enumerate(batch):
+                    own = result
+                    if isinstance(result, Appended) and result.offset >= 0:
+                        own = Appended(result.offset + index)
                     if not future.done():
-                        future.set_result(result)
+                        future.set_result(own)
 
     async def _append(self, batch: list[tuple[LogRecord, asyncio.Future, float]]) -> AppendResult:
         records = [record for record, _, _ in batch]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -1,24 +1,32 @@
-"""Requests for approval that the scheduler hands to other VMs."""
+"""Messages between the daemons of different VMs.
+
+They save time and never carry state that matters: what they tell stands in the journal too, or is
+asked again.
+"""
 
 from __future__ import annotations
 
 import logging
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 import msgspec
 from aiohttp import web
 
-from fireflywharf_core.workflows import StepName
+from fireflywharf_core.workflows import ApprovalReceived, StepName
 
 from ._approvals import ApprovalQueue
 from ._http import Answer, HttpClient
-from ._interfaces import ApprovalGranted
+from ._interfaces import ApprovalGranted, LogRecord
 
 _LOG = logging.getLogger(__name__)
 
-_PATH = "/approvals"
+_ASK_PATH = "/approvals"
+_RECORD_PATH = "/journal"
+_TICKETS_PATH = "/tickets"
+_TELL_S = 1.0
+"""Longest wait for a message that needs no answer; after that it is of no use."""
 _TIMEOUT_S = 4.0
 """Longest wait for a peer: its queue, one request and the way."""
 _SUSPECT_S = 5.0
@@ -47,15 +55,45 @@
     validity_s: float
 
 
+@attrs.frozen(slots=True)
+class RecordMessage:
+    """A record that has just become durable."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+@attrs.frozen(slots=True)
+class TicketsMessage:
+    """Tickets for a step; `validity_s` counts from the message."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    tickets: dict[str, str]
+    asked: list[str]
+    validity_s: float
+
+
 class PeerServer:
-    """Serves the requests of the scheduler at this VM.
+    """Serves the messages of other daemons.
 
     Args:
-        queue: requests of this VM.
+        queue: requests for approval of this VM.
+        on_record: receives records that have just become durable.
+        on_tickets: receives tickets.
     """
 
-    def __init__(self, queue: ApprovalQueue) -> None:
+    def __init__(
+        self,
+        queue: ApprovalQueue,
+        on_record: Callable[[RecordMessage], None],
+        on_tickets: Callable[[ApprovalReceived], None],
+    ) -> None:
         self._queue = queue
+        self._on_record = on_record
+        self._on_tickets = on_tickets
         self._runner: web.ServerRunner | None = None
 
     async def open(self, host: str, port: int) -> None:
@@ -70,10 +108,22 @@
             await self._runner.cleanup()
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
         try:
-            order = msgspec.msgpack.decode(await request.read(), type=ApprovalRequest)
+            match request.path:
+                case path if path == _ASK_PATH:
+                    return await self._serve_ask(_decode(body, ApprovalRequest))
+                case path if path == _RECORD_PATH:
+                    self._on_record(_decode(body, RecordMessage))
+                case path if path == _TICKETS_PATH:
+                    self._on_tickets(_received(_decode(body, TicketsMessage)))
+                case _:
+                    return web.Response(status=404)
         except msgspec.DecodeError as error:
             return web.Response(status=400, text=str(error))
+        return web.Response(status=204)
+
+    async def _serve_ask(self, order: ApprovalRequest) -> web.Response:
         step = StepName(order.job_id, order.occurrence, order.step)
         granted = await self._queue.ask(step, order.worker_ids, order.cost_ms)
         if granted is None:
@@ -82,6 +132,59 @@
         return web.Response(body=msgspec.msgpack.encode(reply))
 
 
+def _decode(body: bytes, cls: type) -> object:
+    return msgspec.msgpack.decode(body, type=cls)
+
+
+def _received(message: TicketsMessage) -> ApprovalReceived:
+    return ApprovalReceived(
+        step=StepName(message.job_id, message.occurrence, message.step),
+        tickets=message.tickets,
+        asked=tuple(message.asked),
+        expires_s=time.monotonic() + message.validity_s,
+    )
+
+
+class PeerSender:
+    """Tells other daemons what they would otherwise learn later.
+
+    Args:
+        http: client for the other VMs.
+    """
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def tell_record(self, address: str, offset: int, record: LogRecord) -> None:
+        """Tell of a record that has just become durable."""
+        message = RecordMessage(offset, record.key, record.value)
+        await self._tell(address, _RECORD_PATH, message)
+
+    async def tell_tickets(
+        self, address: str, step: StepName, granted: ApprovalGranted, asked: Sequence[str]
+    ) -> None:
+        """Tell of tickets."""
+        message = TicketsMessage(
+            step.job_id,
+            step.occurrence,
+            step.step,
+            dict(granted.tickets),
+            list(asked),
+            granted.validity_s,
+        )
+        await self._tell(address, _TICKETS_PATH, message)
+
+    async def _tell(self, address: str, path: str, message: object) -> None:
+        result = await self._http.call(
+            "POST",
+            f"http://{address}{path}",
+            timeout_s=_TELL_S,
+            body=msgspec.msgpack.encode(message),
+        )
+        if not isinstance(result, Answer):
+            _LOG.info("peer was not told", extra={"peer": address, "reason": result.reason})
+
+
 class ApprovalPool:
     """Spreads requests for approval over all VMs.
 
@@ -137,7 +240,7 @@
         sent_s = time.monotonic()
         result = await self._http.call(
             "POST",
-            f"http://{address}{_PATH}",
+            f"http://{address}{_ASK_PATH}",
             timeout_s=_TIMEOUT_S,
             body=msgspec.msgpack.encode(order),
         )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
@@ -11,6 +11,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 from fireflywharf_core.workflows import JournalRecord, TenureRecord, encode_record
 
@@ -59,12 +60,16 @@
     Args:
         log: the shared log.
         epoch: fencing token of the tenure.
+        on_appended: called with the offset of each record that has become durable.
     """
 
-    def __init__(self, log: SharedLog, epoch: int) -> None:
+    def __init__(
+        self, log: SharedLog, epoch: int, on_appended: Callable[[int, LogRecord], None]
+    ) -> None:
         self.epoch = epoch
         self.confirmed_s = time.monotonic()
         self._log = log
+        self._on_appended = on_appended
         self._sequence = 0
 
     async def append(self, records: list[JournalRecord | LogRecord]) -> Appended | AppendFenced:
@@ -81,8 +86,10 @@
                 Topic.JOURNAL, encoded, timeout_s=_APPEND_S, writer=writer
             )
             match result:
-                case Appended():
+                case Appended(offset):
                     self.confirmed_s = time.monotonic()
+                    for index, record in enumerate(encoded if offset >= 0 else ()):
+                        self._on_appended(offset + index, record)
                     return result
                 case AppendFenced():
                     return result
