--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -5,6 +5,7 @@
 
 from fireflywharf_core.resources import ResourceVector
 from fireflywharf_core.workflows import (
+    AskApproval,
     EndKind,
     JournalFold,
     ListedEnd,
@@ -251,3 +252,23 @@
 @then("callers see it as cancelled")
 def check_cancelled(context):
     assert context.fold.jobs["a"].state is WorkflowState.CANCELLED
+
+
+@given("tickets for a job that the scheduler has not read yet")
+def early_tickets(context):
+    context.world = WorkflowWorld(approval=True)
+    context.world.run(0.2)
+    request = AskApproval(step=StepName("a", 0, 0), worker_ids=tuple(context.world.workers))
+    context.world.answer_approval(request)
+
+
+@when("the job is read")
+def read_job(context):
+    context.world.submit("a", [tasks(1)])
+    context.world.run(0.1)
+
+
+@then("its task starts without a further request")
+def check_no_request(context):
+    assert any(context.world.all_processes())
+    assert not context.world.asked
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -64,3 +64,10 @@
 
     When a job is cancelled before its last end is recorded
     Then callers see it as cancelled
+
+  Scenario: tickets that come before their job
+    Guards against urgent jobs that wait for a second request because the first answer was dropped.
+
+    Given tickets for a job that the scheduler has not read yet
+    When the job is read
+    Then its task starts without a further request
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from ._events import Action, ApprovalReceived, AskApproval
+from ._names import StepName
 from ._state import Step, Worker
 
 _TICKET_MARGIN_S = 0.15
@@ -28,6 +29,7 @@
     def __init__(self, workers: Mapping[str, Worker], outbox: list[Action]) -> None:
         self._workers = workers
         self._outbox = outbox
+        self._early: dict[StepName, list[ApprovalReceived]] = {}
 
     def valid(self, step: Step, worker_id: str, now_s: float) -> bool:
         """Return whether a start on the worker carries a ticket that is still valid."""
@@ -48,9 +50,13 @@
         entry = step.tickets.get(worker_id)
         return "" if entry is None else entry[0]
 
-    def received(self, step: Step | None, event: ApprovalReceived) -> None:
-        """Keep tickets."""
+    def received(self, step: Step | None, event: ApprovalReceived, now_s: float) -> None:
+        """Keep tickets, also when they come before the job that they are for."""
         if step is None:
+            for name, events in list(self._early.items()):
+                if all(now_s >= kept.expires_s for kept in events):
+                    del self._early[name]
+            self._early.setdefault(event.step, []).append(event)
             return
         step.asked.update(event.asked)
         step.approval_s = None
@@ -58,6 +64,12 @@
         for worker_id, ticket in event.tickets.items():
             step.tickets[worker_id] = (ticket, event.expires_s)
 
+    def job_added(self, steps: Iterable[Step], now_s: float) -> None:
+        """Use the tickets that came before the job."""
+        for step in steps:
+            for event in self._early.pop(step.name, ()):
+                self.received(step, event, now_s)
+
     def failed(self, step: Step | None, now_s: float) -> None:
         """Allow the next request at once."""
         if step is not None:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -108,7 +108,7 @@
             case StartAnswered(worker_id, task, number, result):
                 self.runs.start_answered(worker_id, task, number, result, now_s)
             case ApprovalReceived():
-                self.approvals.received(self.find_step(event.step), event)
+                self.approvals.received(self.find_step(event.step), event, now_s)
             case ApprovalFailed(step):
                 self.approvals.failed(self.find_step(step), now_s)
             case JobAdded():
@@ -221,6 +221,7 @@
         if not accepted.spec.times_count:
             job.open_occurrence(0)
         self.jobs[event.job_id] = job
+        self.approvals.job_added(job.steps.values(), now_s)
 
     def _open_due(self, job: Job, utc_s: float) -> None:
         spec = job.spec
