Set unfit workers aside, serve metrics, and never block on logs

Ruled out for the unfit workers: lost lists; the workers had listed every run. Change: two failures of different jobs set a worker aside for 1.5 to 8 s, then it gets one run at a time and no gang or last attempt; a run without progress for 2.2 s is stopped; slow workers are chosen last. Counters and histograms, and log lines written without blocking.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -68,6 +68,20 @@
     Then every daemon shows it as complete within 20 s
     And every task has run once
 
+  Scenario: metrics
+    Guards against a daemon that cannot be watched.
+
+    Given 1 daemon on the platform
+    When a caller submits a job with 2 steps at the first daemon
+    Then every daemon shows it as complete within 10 s
+    And the metrics address shows these samples
+      | sample                                              | least |
+      | fireflywharf_submissions_total{outcome="accepted"}  | 1     |
+      | fireflywharf_run_starts_total{result="started"}     | 5     |
+      | fireflywharf_run_ends_total{how="done"}             | 5     |
+      | fireflywharf_first_start_seconds_count              | 1     |
+      | fireflywharf_take_over_seconds_count                | 1     |
+
   Scenario: bad input
     Guards against a daemon that fails on what a caller sends.
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -53,6 +53,7 @@
 @when("a caller submits a job with 2 steps at the first daemon")
 def submit_first(context):
     context.path = f"/jobs/{JOB}"
+    wait_for(context.deployment.scheduler, 5.0, "no scheduler")
     status, _, _ = submit(context.deployment.daemons[0], "/jobs/", TWO_STEPS)
     assert status == 200, status
 
@@ -236,3 +237,14 @@
 def check_message(context):
     for name in ("listen.frontend_address", "platform.address"):
         assert name in context.message, context.message
+
+
+@then("the metrics address shows these samples")
+def check_metrics(context):
+    url = f"http://127.0.0.1:{context.deployment.daemons[0].metrics}/metrics"
+    with urllib3.PoolManager(retries=False) as pool:
+        text = pool.request("GET", url, timeout=5.0).data.decode()
+    values = dict(line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))
+    for row in context.table:
+        value = float(values.get(row["sample"], 0))
+        assert value >= float(row["least"]), (row["sample"], value)
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -38,6 +38,7 @@
         self.name = name
         self.folder = pathlib.Path(folder)
         self.callers, self.readiness, first = self._ports()
+        self.metrics = first
         self.path = self.folder / f"{name}.json"
         self.path.write_text(json.dumps(self._settings(world, first)))
         self.log = self.folder / f"{name}.log"
--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -1,9 +1,12 @@
 """Steps for the journal, the election and the approvals of the daemon of workflows."""
 
 import asyncio
+import os
 import random
+import time
 
 from behave import given, then, when
+from prometheus_client import CollectorRegistry
 
 from fireflywharf_core.workflows import (
     Queue,
@@ -14,12 +17,14 @@
     WorkflowSpec,
     encode_record,
 )
+from fireflywharf_daemon.logs import BoundedStream
 from fireflywharf_daemon.workflows import (
     Appended,
     AppendUncertain,
     ApprovalGranted,
     LogRecord,
     ReadRecords,
+    WorkflowMetrics,
 )
 from fireflywharf_daemon.workflows._approvals import ApprovalQueue
 from fireflywharf_daemon.workflows._journal import JournalReader
@@ -188,7 +193,8 @@
 
 @when("the scheduler appends {count:d} groups of records")
 def append_groups(context, count):
-    writer = JournalWriter(context.log, 70000, lambda *row: context.told.append(row))
+    metrics = WorkflowMetrics(CollectorRegistry())
+    writer = JournalWriter(context.log, 70000, lambda *row: context.told.append(row), metrics)
 
     async def append():
         for number in range(count):
@@ -246,3 +252,37 @@
 @then("every small request is answered before the last wide one")
 def check_service_order(context):
     assert context.service.order[-1] == "wide", context.service.order
+
+
+@given("a stream for log lines that nobody reads")
+def unread_stream(context):
+    context.read_end, write_end = os.pipe()
+    context.add_cleanup(os.close, context.read_end)
+    context.add_cleanup(os.close, write_end)
+    context.stream = BoundedStream(write_end)
+
+
+@when("{count:d} lines of {length:d} characters are logged")
+def log_lines(context, count, length):
+    started_s = time.monotonic()
+    for _ in range(count):
+        context.stream.write("x" * length + "\n")
+        context.stream.pump()
+    context.took_s = time.monotonic() - started_s
+
+
+@then("no call has blocked and the lines left out are counted")
+def check_not_blocked(context):
+    assert context.took_s < 20.0, context.took_s
+    assert context.stream.left_out_count > 0
+
+
+@then("after the reader comes back the count is written")
+def check_count_written(context):
+    text = b""
+    for _ in range(100):
+        text += os.read(context.read_end, 1 << 16)
+        context.stream.pump()
+        if b"log lines left out" in text:
+            return
+    raise AssertionError(text[-200:])
--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -272,3 +272,37 @@
 def check_no_request(context):
     assert any(context.world.all_processes())
     assert not context.world.asked
+
+
+@given("{count:d} workers of which one fails every run at once")
+def failing_worker(context, count):
+    context.world = WorkflowWorld(workers_count=count, capacity=ResourceVector(2000, 8000))
+    context.faulty = context.world.workers["w0"]
+    context.faulty.fails_all = True
+    context.faulty.work_s = 0.0
+
+
+@given("{count:d} workers of which one makes no progress")
+def stalled_worker(context, count):
+    context.world = WorkflowWorld(workers_count=count)
+    context.faulty = context.world.workers["w0"]
+    context.faulty.work_s = 1000.0
+
+
+@when("{count:d} jobs with single tasks arrive within {seconds:d} s")
+def arrive(context, count, seconds):
+    for number in range(count):
+        context.world.submit(f"j{number}", [tasks(1)])
+        context.world.run(seconds / count)
+    context.world.run(12.0)
+
+
+@then("every job is complete")
+def check_all_complete(context):
+    states = {job_id: context.world.state(job_id) for job_id in context.world.fold.jobs}
+    assert set(states.values()) == {WorkflowState.COMPLETE}, states
+
+
+@then("the faulty worker got at most {count:d} runs")
+def check_probes(context, count):
+    assert context.faulty.serial <= count, context.faulty.serial
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -69,6 +69,7 @@
     finished_numbers: dict = attrs.field(factory=dict)
     reachable: bool = True
     fails_all: bool = False
+    work_s: float = TASK_S
 
     def end(self, key, kind):
         """End a run and keep its end."""
@@ -115,7 +116,7 @@
         spec = self.world.spec_of(order.task)
         self.world.check_start(self, order, spec)
         fails = self.fails_all or self.world.rng.random() < self.world.failing_share
-        self.processes[key] = Process(order, spec, now_s + TASK_S, fails)
+        self.processes[key] = Process(order, spec, now_s + self.work_s, fails)
         return StartResult.STARTED
 
     def stop(self, order, epoch, now_s):
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -65,3 +65,11 @@
     Given an approval service that needs 400 ms for wide steps and 8 ms for small ones
     When 2 wide and 20 small requests wait
     Then every small request is answered before the last wide one
+
+  Scenario: a reader of log lines that does not keep up
+    Guards against a daemon that waits for whoever reads its log.
+
+    Given a stream for log lines that nobody reads
+    When 3000 lines of 1000 characters are logged
+    Then no call has blocked and the lines left out are counted
+    And after the reader comes back the count is written
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -71,3 +71,18 @@
     Given tickets for a job that the scheduler has not read yet
     When the job is read
     Then its task starts without a further request
+
+  Scenario: a worker that fails everything at once
+    Guards against a faulty worker that looks free and fails the tasks of all jobs.
+
+    Given 3 workers of which one fails every run at once
+    When 30 jobs with single tasks arrive within 6 s
+    Then every job is complete
+    And the faulty worker got at most 12 runs
+
+  Scenario: a worker on which nothing moves
+    Guards against tasks that stay for ever on a worker that answers and does no work.
+
+    Given 2 workers of which one makes no progress
+    When 6 jobs with single tasks arrive within 3 s
+    Then every job is complete
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -6,10 +6,9 @@
 
 from ..resources import ResourceVector
 from ._state import Step, Worker
+from ._suspicion import is_probed
 
 _UNLIMITED = 1 << 30
-SUSPICIOUS_FAILURES = 0.5
-"""Decayed share of failed runs above which a worker is chosen last."""
 
 
 def fit_count(free: ResourceVector, size: ResourceVector) -> int:
@@ -30,26 +29,35 @@
     if spec.required_label and spec.required_label not in worker.info.labels:
         return 0
     count = fit_count(free, spec.charged)
+    if is_probed(worker):
+        # A gang would lose all its members with the probe, a last attempt the whole job.
+        risky = spec.gang or any(
+            len(numbers) + 1 >= step.job.queue.max_attempts for numbers in step.failures.values()
+        )
+        count = 0 if risky else min(count, 1 - len(worker.runs))
     if spec.max_per_worker > 0 and count > 0:
         present = sum(1 for task, _ in worker.runs if task.step_name == step.name)
         count = min(count, spec.max_per_worker - present)
     return max(0, count)
 
 
-def rank(step: Step, worker: Worker, free: ResourceVector) -> tuple:
+def rank(step: Step, worker: Worker, free: ResourceVector, now_s: float) -> tuple:
     """Return the sort key of a worker for single tasks; the lowest is best.
 
     The fullest worker that fits comes first, so that room for wide steps stays in one piece.
     """
     return (
-        worker.failures > SUSPICIOUS_FAILURES,
+        now_s < worker.slow_until_s,
         bool(step.spec.data_rack) and worker.info.rack != step.spec.data_rack,
         free.processors_millicores,
     )
 
 
 def assign_singles(
-    step: Step, rooms: Mapping[Worker, ResourceVector], indices: Iterable[int]
+    step: Step,
+    rooms: Mapping[Worker, ResourceVector],
+    indices: Iterable[int],
+    now_s: float,
 ) -> list[tuple[int, Worker]]:
     """Assign tasks that need not run together.
 
@@ -57,12 +65,13 @@
         step: their step.
         rooms: free room of the workers that may be used.
         indices: the tasks.
+        now_s: present time.
 
     Returns:
         Pairs of task index and worker, for as many tasks as fit.
     """
     counts = [
-        (rank(step, worker, free), worker, room_for(step, worker, free))
+        (rank(step, worker, free, now_s), worker, room_for(step, worker, free))
         for worker, free in rooms.items()
     ]
     counts = [row for row in counts if row[2] > 0]
@@ -95,7 +104,7 @@
 
 
 def assign_gang(
-    step: Step, rooms: Mapping[Worker, ResourceVector], indices: list[int]
+    step: Step, rooms: Mapping[Worker, ResourceVector], indices: list[int], now_s: float
 ) -> list[tuple[int, Worker]] | None:
     """Assign all tasks of a gang, or none.
 
@@ -109,7 +118,7 @@
     counts = [row for row in counts if row[1] > 0]
     if sum(count for _, count in counts) < len(indices):
         return None
-    counts.sort(key=lambda row: (row[0].failures > SUSPICIOUS_FAILURES, -row[1]))
+    counts.sort(key=lambda row: (now_s < row[0].slow_until_s, -row[1]))
     preferred = step.spec.data_rack
     racks = [preferred] if preferred else []
     if step.spec.rack_sensitive:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -20,13 +20,8 @@
 from ._names import TaskName
 from ._specs import WorkflowSpec
 from ._state import GANG_INDEX, Job, Run, RunPhase, Step, Worker
+from ._suspicion import Suspicion
 
-_FAILURE_WEIGHT = 0.3
-"""Weight of the latest end in the decayed share of failures of a worker."""
-_FAILURES_TO_SUSPECT = 0.75
-"""Decayed share of failures at which a worker gets no work for a while (four failures in a row)."""
-_SUSPECT_S = 4.0
-"""Time without work after which a suspect worker is tried again."""
 _UNHEALTHY_S = 1.0
 """Time without work after a worker refused a start as unhealthy."""
 
@@ -51,6 +46,7 @@
         self._outbox = outbox
         self._run_times = run_times
         self._timing = timing
+        self.suspicion = Suspicion(run_times)
         self._find_spec = find_spec
 
     def next_number(self, step: Step, indices: list[int]) -> int:
@@ -154,6 +150,7 @@
         for row in event.running:
             alive.add((row.task, row.number))
             self._running(worker, row, now_s)
+        self.suspicion.judge_speed(worker, now_s)
         for key, run in list(worker.runs.items()):
             if key in alive or event.sent_s <= run.since_s:
                 continue
@@ -174,6 +171,12 @@
         run.checkpoint = row.checkpoint or run.checkpoint
         if row.percent != run.percent:
             run.percent, run.progressed_s = row.percent, now_s
+        self.suspicion.progressed(run, row.percent, now_s)
+        if self.suspicion.stalled(run, now_s):
+            run.step.avoided[run.task.index] = worker.worker_id
+            self.suspicion.failed(worker, run.step.job.job_id, now_s)
+            self.stop(run, now_s)
+            self._abort_gang(run, now_s)
 
     def _adopt(self, worker: Worker, row: ListedRun, now_s: float) -> Run:
         """Enter a run that an earlier tenure started."""
@@ -199,6 +202,8 @@
             since_s=now_s,
             started_s=now_s,
             progressed_s=now_s,
+            read_s=now_s,
+            read_percent=row.percent,
         )
         self.add(run)
         if wanted:
@@ -252,7 +257,7 @@
         step.job.dirty = True
 
     def _done(self, worker: Worker, step: Step, index: int, run: Run | None, now_s: float) -> None:
-        worker.failures *= 1 - _FAILURE_WEIGHT
+        self.suspicion.done(worker)
         if step.is_done(index):
             return
         if run is not None:
@@ -275,9 +280,7 @@
         counted = step.failures.get(index, ())
         if end.number in counted:
             return
-        worker.failures += _FAILURE_WEIGHT * (1 - worker.failures)
-        if worker.failures > _FAILURES_TO_SUSPECT:
-            worker.suspect_until_s = now_s + _SUSPECT_S
+        self.suspicion.failed(worker, step.job.job_id, now_s)
         step.failures[index] = (*counted, end.number)
         if len(step.failures[index]) >= step.job.queue.max_attempts:
             step.job.state = WorkflowState.FAILED
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -323,7 +323,7 @@
         if not self.approvals.prepare(step, workers, now_s):
             return
         indices = sorted(step.waiting)
-        pairs = self._assign(step, self._rooms(step, workers, now_s), indices)
+        pairs = self._assign(step, self._rooms(step, workers, now_s), indices, now_s)
         number = self.runs.next_number(step, indices) if step.spec.gang else 0
         for index, worker in pairs:
             self._start(step, index, worker, number, now_s)
@@ -332,18 +332,18 @@
             self._renew_tickets(step, workers, now_s)
 
     def _assign(
-        self, step: Step, rooms: dict[Worker, ResourceVector], indices: list[int]
+        self, step: Step, rooms: dict[Worker, ResourceVector], indices: list[int], now_s: float
     ) -> list[tuple[int, Worker]]:
         if step.spec.gang:
-            return assign_gang(step, rooms, indices) or []
-        return assign_singles(step, rooms, indices)
+            return assign_gang(step, rooms, indices, now_s) or []
+        return assign_singles(step, rooms, indices, now_s)
 
     def _renew_tickets(self, step: Step, workers: list[Worker], now_s: float) -> None:
         """Ask for new tickets where the step would fit, and keep the room of a gang meanwhile."""
         if step.job.queue.approval is None:
             return
         rooms = self._rooms(step, workers, now_s, lapsed=True)
-        pairs = self._assign(step, rooms, sorted(step.waiting))
+        pairs = self._assign(step, rooms, sorted(step.waiting), now_s)
         chosen = dict.fromkeys(worker for _, worker in pairs)
         if not chosen or not self.approvals.renew(step, list(chosen), now_s):
             return
@@ -366,6 +366,7 @@
             since_s=now_s,
             started_s=now_s,
             progressed_s=now_s,
+            read_s=now_s,
         )
         worker.holds.pop(step, None)
         self.runs.add(run)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -41,6 +41,9 @@
         progressed_s: time at which `percent` rose last.
         late_start_until_s: time after which an unanswered start cannot take effect any more.
         checkpoint: newest checkpoint that the worker reported.
+        read_s: time of the reading of progress from which speed is measured.
+        read_percent: progress at that time.
+        projected_s: run time that the latest speed leads to; 0 if not known.
     """
 
     task: TaskName
@@ -56,6 +59,9 @@
     progressed_s: float = 0.0
     late_start_until_s: float = 0.0
     checkpoint: str = ""
+    read_s: float = 0.0
+    read_percent: float = 0.0
+    projected_s: float = 0.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -71,7 +77,10 @@
         present: whether the directory names it.
         runs_end_s: time by which every run there has ended if no order reaches it any more.
         failures: recent share of runs that failed, decaying.
+        failed_job: job of the latest failed run.
+        asides_count: times that it was set aside since it last ended a run well.
         suspect_until_s: time until which it gets no work.
+        slow_until_s: time until which it counts as slow.
         holds: room kept for a gang that waits for its tickets, with the time at which that ends.
     """
 
@@ -83,7 +92,10 @@
     present: bool = True
     runs_end_s: float = 0.0
     failures: float = 0.0
+    failed_job: str = ""
+    asides_count: int = 0
     suspect_until_s: float = 0.0
+    slow_until_s: float = 0.0
     holds: dict[Step, tuple[ResourceVector, float]] = attrs.field(factory=dict)
 
     @property
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/logs/_bounded.py
@@ -0,0 +1,64 @@
+"""Stream for log lines that never blocks and holds a bounded amount."""
+
+import contextlib
+import os
+from collections import deque
+
+HELD_MAX_BYTES = 1 << 20
+"""Most bytes that wait for a reader; about ten seconds of the scheduler's lines at high load."""
+
+
+class BoundedStream:
+    r"""Collects log lines and writes them when `pump` is called.
+
+    A reader that does not keep up costs lines, never time. The number of lines left out is written
+    as a line of its own.
+
+    Args:
+        descriptor: file descriptor to write to; it is made non-blocking.
+
+    Example:
+        >>> read_end, write_end = os.pipe()
+        >>> stream = BoundedStream(write_end)
+        >>> stream.write("a line\n")
+        7
+        >>> stream.pump()
+        >>> os.read(read_end, 100)
+        b'a line\\n'
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self.left_out_count = 0
+        self._descriptor = descriptor
+        self._held: deque[bytes] = deque()
+        self._held_bytes = 0
+        self._rest = b""
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Hold a line, or count it as left out."""
+        line = text.encode(errors="replace")
+        if self._held_bytes + len(line) > HELD_MAX_BYTES:
+            self.left_out_count += 1
+        else:
+            self._held.append(line)
+            self._held_bytes += len(line)
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing; `pump` writes."""
+
+    def pump(self) -> None:
+        """Write as much as the reader takes at once."""
+        if self.left_out_count and self._held_bytes < HELD_MAX_BYTES // 2:
+            count, self.left_out_count = self.left_out_count, 0
+            self.write(f'{{"message": "log lines left out", "count": {count}}}\n')
+        data = self._rest + b"".join(self._held)
+        self._held.clear()
+        if not data:
+            return
+        written = 0
+        with contextlib.suppress(BlockingIOError):
+            written = os.write(self._descriptor, data)
+        self._rest = data[written:]
+        self._held_bytes = len(self._rest)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
@@ -33,6 +33,7 @@
     Topic,
     Writer,
 )
+from ._metrics import WorkflowMetrics
 
 __all__ = [
     "Accepted",
@@ -66,5 +67,6 @@
     "Uncertain",
     "UnknownJob",
     "WorkflowDaemon",
+    "WorkflowMetrics",
     "Writer",
 ]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -28,6 +28,7 @@
 from ._http import HttpClient
 from ._interfaces import Appended, LogRecord, Surroundings, Topic
 from ._journal import FOLLOWER_PAUSE_S, HOLDER_PAUSE_S, GroupAppender, JournalReader
+from ._metrics import WorkflowMetrics
 from ._office import Office
 from ._peers import ApprovalPool, PeerSender, PeerServer, RecordMessage
 from ._tenure import Election, JournalWriter
@@ -58,6 +59,7 @@
         timing: times that depend on the deployment.
         vm: name of the VM.
         peer_address: address and port at which other daemons reach this one.
+        metrics: counters and histograms.
     """
 
     def __init__(
@@ -68,10 +70,12 @@
         *,
         vm: str,
         peer_address: tuple[str, int],
+        metrics: WorkflowMetrics,
     ) -> None:
         self.name = name
         self.vm = vm
         self._peer_address = peer_address
+        self._metrics = metrics
         self._outside = surroundings
         self._timing = timing
         self._rng = random.Random(name)
@@ -82,7 +86,7 @@
         self._peer_server = PeerServer(self._approvals, self._told_record, self._told_tickets)
         self._sender = PeerSender(self._peer_http)
         self._pool = ApprovalPool(self._approvals, self._peer_http, vm, self._peer_addresses)
-        self.desk = Desk(self.reader, self._appender, self._accepting, self._stored)
+        self.desk = Desk(self.reader, self._appender, self._accepting, self._stored, metrics)
         self._election = Election(name, vm, self._rng)
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
@@ -259,8 +263,9 @@
 
     async def _stand(self) -> None:
         """Append a tenure record and take office if it was accepted."""
+        stood_s = time.monotonic()
         tenure = self._election.next_tenure()
-        writer = JournalWriter(self._outside.log, tenure.epoch, self.reader.inject)
+        writer = JournalWriter(self._outside.log, tenure.epoch, self.reader.inject, self._metrics)
         _LOG.info("standing for scheduler", extra={"epoch": tenure.epoch})
         result = await writer.append([tenure])
         self._election.heard(time.monotonic())
@@ -283,10 +288,13 @@
             self._timing,
             self._resigned,
             self._pool,
+            self._metrics,
         )
         self.reader.pause_s = HOLDER_PAUSE_S
         self.office.begin()
         self._directory_wake.set()
+        self._metrics.tenures.labels("began").inc()
+        self._metrics.take_over_s.observe(time.monotonic() - stood_s)
         _LOG.info(
             "scheduler in office",
             extra={"epoch": tenure.epoch, "jobs": len(self.office.scheduler.jobs)},
@@ -296,6 +304,7 @@
         office, self.office = self.office, None
         self.reader.pause_s = FOLLOWER_PAUSE_S
         if office is not None:
+            self._metrics.tenures.labels("lost").inc()
             _LOG.warning("tenure ended", extra={"epoch": office.record.epoch, "reason": reason})
             self._election.heard(time.monotonic())
             self._spawn(office.close())
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
@@ -21,6 +21,7 @@
 
 from ._interfaces import Appended, AppendRejected
 from ._journal import GroupAppender, JournalReader
+from ._metrics import WorkflowMetrics
 
 _LOG = logging.getLogger(__name__)
 
@@ -84,6 +85,7 @@
         appender: appends to the journal.
         on_accept: called with each job while it is being stored.
         on_stored: called with each record that has become durable, and its offset.
+        metrics: counts outcomes and times.
     """
 
     def __init__(
@@ -92,11 +94,13 @@
         appender: GroupAppender,
         on_accept: Callable[[WorkflowAccepted], None],
         on_stored: Callable[[JournalRecord, int], None],
+        metrics: WorkflowMetrics,
     ) -> None:
         self._reader = reader
         self._appender = appender
         self._on_accept = on_accept
         self._on_stored = on_stored
+        self._metrics = metrics
         self.configuration: Configuration | None = None
 
     @property
@@ -111,6 +115,14 @@
     async def submit(self, queue: Queue, job_id: str, spec: WorkflowSpec) -> Reply:
         """Accept a job; a repeated one is the same job."""
         started_s = time.monotonic()
+        reply = await self._submit(queue, job_id, spec, started_s)
+        self._metrics.submissions.labels(type(reply).__name__.lower()).inc()
+        self._metrics.submission_s.observe(time.monotonic() - started_s)
+        return reply
+
+    async def _submit(
+        self, queue: Queue, job_id: str, spec: WorkflowSpec, started_s: float
+    ) -> Reply:
         known = self._reader.fold.jobs.get(job_id)
         if known is not None and known.accepted is not None:
             return Accepted()
@@ -135,6 +147,7 @@
         return Uncertain("the log did not answer")
 
     def _reject(self, queue: Queue, job_id: str, reason: str) -> Rejected:
+        self._metrics.rejections.labels(reason).inc()
         _LOG.info(
             "job rejected",
             extra={
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -0,0 +1,47 @@
+"""Counters and latency histograms of the daemon of workflows."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class WorkflowMetrics:
+    """Metrics in a registry of their own.
+
+    Args:
+        registry: where they are registered.
+
+    Example:
+        >>> metrics = WorkflowMetrics(CollectorRegistry())
+        >>> metrics.submissions.labels("accepted").inc()
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.registry = registry
+
+        def counter(name: str, text: str, label: str) -> Counter:
+            return Counter(f"fireflywharf_{name}", text, [label], registry=registry)
+
+        def histogram(name: str, text: str) -> Histogram:
+            return Histogram(
+                f"fireflywharf_{name}_seconds", text, buckets=LATENCY_BUCKETS_S, registry=registry
+            )
+
+        self.submissions = counter("submissions_total", "Submissions by outcome.", "outcome")
+        self.rejections = counter("rejections_total", "Rejected submissions.", "reason")
+        self.starts = counter("run_starts_total", "Orders to start a run by result.", "result")
+        self.ends = counter("run_ends_total", "Ends of runs as workers listed them.", "how")
+        self.appends = counter(
+            "scheduler_appends_total", "Appends of the scheduler by result.", "result"
+        )
+        self.tenures = counter("tenures_total", "Tenures of this daemon by event.", "event")
+        self.submission_s = histogram("submission", "Time to answer a submission.")
+        self.append_s = histogram("scheduler_append", "Time of an append of the scheduler.")
+        self.first_start_s = histogram(
+            "first_start", "Time from reading a job to the start of its first run."
+        )
+        self.take_over_s = histogram(
+            "take_over", "Time from standing for scheduler to the first decision."
+        )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -33,6 +33,7 @@
 )
 
 from ._interfaces import AppendFenced, LogRecord, Surroundings
+from ._metrics import WorkflowMetrics
 from ._peers import ApprovalPool
 from ._sessions import WorkerSession
 from ._tenure import CONFIRMATION_S, RENEWAL_S, JournalWriter
@@ -69,6 +70,7 @@
         timing: times that depend on the deployment.
         resigned: called once when the tenure has ended.
         approvals: sends requests for approval.
+        metrics: counts starts and times.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         timing: Timing,
         resigned: Callable[[str], None],
         approvals: ApprovalPool,
+        metrics: WorkflowMetrics,
     ) -> None:
         self.record = record
         self._writer = writer
@@ -110,6 +113,8 @@
         self._reported_s = self._now()
         self._tasks: set[asyncio.Task] = set()
         self._approvals = approvals
+        self._metrics = metrics
+        self._unstarted: dict[str, float] = {}
 
     def begin(self) -> None:
         """Start the loops."""
@@ -169,8 +174,10 @@
         """Take up a record that was read from the journal."""
         match record:
             case WorkflowAccepted(job_id=job_id):
+                self._unstarted[job_id] = self._now()
                 self.observe(JobAdded(job_id=job_id, folded=fold.jobs[job_id], inherited=False))
             case WorkflowCancelled(job_id=job_id):
+                self._unstarted.pop(job_id, None)
                 self.observe(JobCancelled(job_id))
             case TenureRecord() if record.epoch > self.record.epoch:
                 self._give_up(f"tenure {record.epoch} of {record.holder} began")
@@ -206,6 +213,7 @@
             flush=self.flush,
             stale=lambda worker_id: self._give_up(f"{worker_id} has seen a higher epoch"),
             may_renew=self._may_renew,
+            metrics=self._metrics,
         )
         task = self._spawn(session.run())
         self._sessions[info.worker_id] = (session, task)
@@ -240,6 +248,9 @@
             for action in self.scheduler.decide(self._now(), time.time()):
                 match action:
                     case StartRun():
+                        read_s = self._unstarted.pop(action.task.step_name.job_id, None)
+                        if read_s is not None:
+                            self._metrics.first_start_s.observe(self._now() - read_s)
                         _LOG.info(
                             "run placed",
                             extra={"run": run_name(action), "worker": action.worker_id},
@@ -270,6 +281,7 @@
         if worker is None:
             return
         result = await self._outside.workers.start(worker.info, order, self.record.epoch)
+        self._metrics.starts.labels(result.value).inc()
         if result is not StartResult.STARTED:
             _LOG.info(
                 "run was not started",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -16,6 +16,7 @@
 )
 
 from ._interfaces import HoldFailed, HoldLifeEnded, HoldStale, Lists, WorkerGateway
+from ._metrics import WorkflowMetrics
 
 _LOG = logging.getLogger(__name__)
 
@@ -40,6 +41,7 @@
         flush: returns when all ends observed so far are durable.
         stale: called when the worker has seen a higher epoch.
         may_renew: whether the tenure is confirmed recently enough to renew leases.
+        metrics: counts ends.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         flush: Callable[[], Awaitable[bool]],
         stale: Callable[[str], None],
         may_renew: Callable[[], bool],
+        metrics: WorkflowMetrics,
     ) -> None:
         self.info = info
         self._epoch = epoch
@@ -60,6 +63,7 @@
         self._flush = flush
         self._stale = stale
         self._may_renew = may_renew
+        self._metrics = metrics
         self._acknowledged = 0
         self._incarnation = 0
         self._silent = False
@@ -124,6 +128,7 @@
         if not lists.ended:
             return
         for end in lists.ended:
+            self._metrics.ends.labels(end.kind.value).inc()
             name = end.task.step_name
             _LOG.info(
                 "run ended",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
@@ -25,6 +25,7 @@
     Topic,
     Writer,
 )
+from ._metrics import WorkflowMetrics
 
 _LOG = logging.getLogger(__name__)
 
@@ -61,15 +62,21 @@
         log: the shared log.
         epoch: fencing token of the tenure.
         on_appended: called with the offset of each record that has become durable.
+        metrics: counts results and times.
     """
 
     def __init__(
-        self, log: SharedLog, epoch: int, on_appended: Callable[[int, LogRecord], None]
+        self,
+        log: SharedLog,
+        epoch: int,
+        on_appended: Callable[[int, LogRecord], None],
+        metrics: WorkflowMetrics,
     ) -> None:
         self.epoch = epoch
         self.confirmed_s = time.monotonic()
         self._log = log
         self._on_appended = on_appended
+        self._metrics = metrics
         self._sequence = 0
 
     async def append(self, records: list[JournalRecord | LogRecord]) -> Appended | AppendFenced:
@@ -82,9 +89,12 @@
         self._sequence += 1
         pause_s = 0.05
         while True:
+            sent_s = time.monotonic()
             result = await self._log.append(
                 Topic.JOURNAL, encoded, timeout_s=_APPEND_S, writer=writer
             )
+            self._metrics.appends.labels(type(result).__name__).inc()
+            self._metrics.append_s.observe(time.monotonic() - sent_s)
             match result:
                 case Appended(offset):
                     self.confirmed_s = time.monotonic()
