--- a/features/documentation.feature
+++ b/features/documentation.feature
@@ -21,4 +21,4 @@
 
   # Guards against alarms on metrics that do not exist, and against metrics that no page explains.
   Scenario: the page for operators lists the metrics of the daemon
-    Then docs/operations.md names every metric of the daemon and no other
+    Then docs/OPERATIONS.md names every metric of the daemon and no other
--- a/features/steps/documentation_steps.py
+++ b/features/steps/documentation_steps.py
@@ -9,10 +9,12 @@
 
 import urllib3
 from behave import then
+from prometheus_client import CollectorRegistry
 
 from fireflywharf_core.contracts import parse_contract
 from fireflywharf_core.jobs import parse_job
 from fireflywharf_daemon.metrics import Metrics
+from fireflywharf_daemon.workflows import WorkflowMetrics
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CURL_BLOCK = re.compile(r"^```sh\n(.*?)^```", re.S | re.M)
@@ -90,11 +92,14 @@
         job_id = document.get("job_id", job_id)
 
 
-@then("docs/operations.md names every metric of the daemon and no other")
+@then("docs/OPERATIONS.md names every metric of the daemon and no other")
 def check_metrics(context):
-    page = (ROOT / "docs" / "operations.md").read_text()
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
     named = set(re.findall(r"\bfireflywharf_[a-z_]+", page))
-    families = Metrics().registry.collect()
+    families = [
+        *Metrics().registry.collect(),
+        *WorkflowMetrics(CollectorRegistry()).registry.collect(),
+    ]
     exported = {
         family.name + ("_total" if family.type == "counter" else "")
         for family in families
--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -20,9 +20,11 @@
 from fireflywharf_daemon.logs import BoundedStream
 from fireflywharf_daemon.workflows import (
     Appended,
+    AppendRejected,
     AppendUncertain,
     ApprovalGranted,
     LogRecord,
+    ReadFailed,
     ReadRecords,
     WorkflowMetrics,
 )
@@ -286,3 +288,52 @@
         if b"log lines left out" in text:
             return
     raise AssertionError(text[-200:])
+
+
+class RejectingLog:
+    """A log that rejects appends and counts them."""
+
+    def __init__(self):
+        self.appends_count = 0
+
+    async def append(self, topic, records, *, timeout_s, writer=None):
+        """Reject."""
+        self.appends_count += 1
+        return AppendRejected("down")
+
+
+@given("a log that rejects appends")
+def rejecting(context):
+    context.log = RejectingLog()
+
+
+@when("a daemon stands for scheduler")
+def stand(context):
+    metrics = WorkflowMetrics(CollectorRegistry())
+    writer = JournalWriter(context.log, 70000, lambda *row: None, metrics)
+    tenure = TenureRecord(holder="vm-1#1", epoch=70000, ordinal=1)
+    append = writer.append([tenure], give_up=True)
+    context.result = asyncio.run(asyncio.wait_for(append, 5.0))
+
+
+@then("its try ends with the rejection after one append")
+def check_gave_up(context):
+    assert isinstance(context.result, AppendRejected)
+    assert context.log.appends_count == 1
+
+
+@when("its reads succeed and then fail")
+def read_then_fail(context):
+    async def fail(topic, offset, *, wait_s):
+        return ReadFailed("down")
+
+    asyncio.run(context.reader._read(0.0))
+    context.followed = [context.reader.follows]
+    context.log.read = fail
+    asyncio.run(context.reader._read(0.0))
+    context.followed.append(context.reader.follows)
+
+
+@then("it follows the journal after the first read only")
+def check_follows(context):
+    assert context.followed == [True, False], context.followed
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -39,6 +39,20 @@
     When a daemon starts on the VM of the scheduler
     Then it stands at once
 
+  Scenario: a candidate whose append is rejected
+    Guards against candidates that wait through an outage of the log and then all take over at once.
+
+    Given a log that rejects appends
+    When a daemon stands for scheduler
+    Then its try ends with the rejection after one append
+
+  Scenario: a journal that cannot be read is not silent
+    Guards against candidates during an outage that began after the latest read.
+
+    Given a daemon that has read the journal up to offset 3
+    When its reads succeed and then fail
+    Then it follows the journal after the first read only
+
   Scenario: a resignation frees the office
     Guards against waiting for silence after a graceful shutdown.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import time
-from collections.abc import Coroutine, Mapping
+from collections.abc import Mapping
 
 from fireflywharf_core.workflows import (
     ApprovalReceived,
@@ -24,6 +24,7 @@
 )
 
 from ._approvals import ApprovalQueue
+from ._background import BackgroundTasks
 from ._desk import Desk
 from ._http import HttpClient
 from ._interfaces import Appended, LogRecord, Surroundings, Topic
@@ -91,20 +92,20 @@
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
         self.office: Office | None = None
-        self._tasks: set[asyncio.Task] = set()
+        self._background = BackgroundTasks("daemon")
         self._stopping = False
 
     async def begin(self) -> None:
         """Start all loops."""
         await self._peer_http.open()
         await self._peer_server.open(*self._peer_address)
-        self._spawn(self._announce())
-        self._spawn(self.reader.run())
-        self._spawn(self._appender.run())
-        self._spawn(self._approvals.run())
-        self._spawn(self._configuration_loop())
-        self._spawn(self._directory_loop())
-        self._spawn(self._election_loop())
+        self._background.spawn(self._announce())
+        self._background.spawn(self.reader.run())
+        self._background.spawn(self._appender.run())
+        self._background.spawn(self._approvals.run())
+        self._background.spawn(self._configuration_loop())
+        self._background.spawn(self._directory_loop())
+        self._background.spawn(self._election_loop())
 
     async def resign(self) -> None:
         """Give up the office, so that another daemon takes over at once."""
@@ -116,9 +117,7 @@
 
     async def close(self) -> None:
         """End all loops."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.close()
         await self._peer_server.close()
         await self._peer_http.close()
 
@@ -135,17 +134,6 @@
                 return
             await asyncio.sleep(_ANNOUNCE_S)
 
-    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._done)
-        return task
-
-    def _done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _LOG.error("task of the daemon failed", exc_info=task.exception())
-
     def _journal_changed(self, record: JournalRecord, offset: int) -> None:
         now_s = time.monotonic()
         match record:
@@ -202,7 +190,7 @@
         for index, step in enumerate(accepted.spec.steps):
             if not step.after:
                 name = StepName(accepted.job_id, 0, index)
-                self._spawn(self._share_approval(name, accepted, workers))
+                self._background.spawn(self._share_approval(name, accepted, workers))
 
     async def _share_approval(
         self, step: StepName, accepted: WorkflowAccepted, workers: list[str]
@@ -242,7 +230,7 @@
         self.reader.inject(offset, stored)
         address = self._scheduler_address()
         if address is not None:
-            self._spawn(self._sender.tell_record(address, offset, stored))
+            self._background.spawn(self._sender.tell_record(address, offset, stored))
 
     def _told_record(self, message: RecordMessage) -> None:
         self.reader.inject(message.offset, LogRecord(message.key, message.value))
@@ -255,7 +243,7 @@
         while True:
             await asyncio.sleep(_ELECTION_TICK_S)
             now_s = time.monotonic()
-            if not self.reader.current:
+            if not self.reader.follows:
                 self._election.unavailable(now_s)
                 continue
             if self.office is None and not self._stopping and self._election.due(now_s):
@@ -267,7 +255,7 @@
         tenure = self._election.next_tenure()
         writer = JournalWriter(self._outside.log, tenure.epoch, self.reader.inject, self._metrics)
         _LOG.info("standing for scheduler", extra={"epoch": tenure.epoch})
-        result = await writer.append([tenure])
+        result = await writer.append([tenure], give_up=True)
         self._election.heard(time.monotonic())
         if not isinstance(result, Appended):
             _LOG.info("another daemon became scheduler", extra={"epoch": tenure.epoch})
@@ -307,4 +295,4 @@
             self._metrics.tenures.labels("lost").inc()
             _LOG.warning("tenure ended", extra={"epoch": office.record.epoch, "reason": reason})
             self._election.heard(time.monotonic())
-            self._spawn(office.close())
+            self._background.spawn(office.close())
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -66,6 +66,11 @@
         """Age of the state."""
         return time.monotonic() - self.read_s
 
+    @property
+    def follows(self) -> bool:
+        """Whether the latest read succeeded, so that silence in the journal means something."""
+        return self.loaded and self._available and self.age_s < LONG_READ_S + FOLLOWER_PAUSE_S + 0.3
+
     @property
     def current(self) -> bool:
         """Whether the state is recent enough to deny that a job exists."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Mapping
 
 from fireflywharf_core.workflows import (
     ApprovalFailed,
@@ -32,6 +32,7 @@
     job_keys,
 )
 
+from ._background import BackgroundTasks
 from ._interfaces import AppendFenced, LogRecord, Surroundings
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalPool
@@ -111,23 +112,22 @@
         self._extra: list[JournalRecord | LogRecord] = []
         self._fold = fold
         self._reported_s = self._now()
-        self._tasks: set[asyncio.Task] = set()
+        self._background = BackgroundTasks(
+            "scheduler", lambda: self._give_up("a task of the scheduler failed")
+        )
         self._approvals = approvals
         self._metrics = metrics
         self._unstarted: dict[str, float] = {}
 
     def begin(self) -> None:
         """Start the loops."""
-        self._spawn(self._decide_loop())
-        self._spawn(self._record_loop())
+        self._background.spawn(self._decide_loop())
+        self._background.spawn(self._record_loop())
 
     async def close(self) -> None:
         """End all loops and sessions."""
         self._closing = True
-        tasks = [*self._tasks, *(task for _, task in self._sessions.values())]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._background.close()
         for future in self._flushes:
             if not future.done():
                 future.set_result(False)
@@ -148,18 +148,6 @@
             _LOG.warning("resignation was not recorded", extra={"epoch": self.record.epoch})
         await self.close()
 
-    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._done)
-        return task
-
-    def _done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _LOG.error("task of the scheduler failed", exc_info=task.exception())
-            self._give_up("internal error")
-
     def _give_up(self, reason: str) -> None:
         if not self._closing:
             self._closing = True
@@ -201,7 +189,7 @@
         for worker_id in set(self._sessions) - set(self.scheduler.workers) - set(directory):
             _, task = self._sessions.pop(worker_id)
             task.cancel()
-            self._spawn(self._outside.workers.forget(worker_id))
+            self._background.spawn(self._outside.workers.forget(worker_id))
             _LOG.info("worker is gone", extra={"worker": worker_id})
 
     def _open_session(self, info: WorkerInfo) -> None:
@@ -215,7 +203,7 @@
             may_renew=self._may_renew,
             metrics=self._metrics,
         )
-        task = self._spawn(session.run())
+        task = self._background.spawn(session.run())
         self._sessions[info.worker_id] = (session, task)
 
     def _may_renew(self) -> bool:
@@ -255,15 +243,15 @@
                             "run placed",
                             extra={"run": run_name(action), "worker": action.worker_id},
                         )
-                        self._spawn(self._start(action))
+                        self._background.spawn(self._start(action))
                     case StopRun():
                         _LOG.info(
                             "run stopped",
                             extra={"run": run_name(action), "worker": action.worker_id},
                         )
-                        self._spawn(self._stop(action))
+                        self._background.spawn(self._stop(action))
                     case AskApproval():
-                        self._spawn(self._ask(action))
+                        self._background.spawn(self._ask(action))
             self._report_waiting()
             if any(job.dirty for job in self.scheduler.jobs.values()):
                 self._dirty.set()
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
@@ -79,8 +79,16 @@
         self._metrics = metrics
         self._sequence = 0
 
-    async def append(self, records: list[JournalRecord | LogRecord]) -> Appended | AppendFenced:
-        """Append until the outcome is known."""
+    async def append(
+        self, records: list[JournalRecord | LogRecord], give_up: bool = False
+    ) -> Appended | AppendFenced | AppendRejected:
+        """Append until the outcome is known.
+
+        Args:
+            records: records of one append.
+            give_up: return a rejection instead of trying again, unless an earlier try may have
+                taken effect.
+        """
         encoded = [
             record if isinstance(record, LogRecord) else LogRecord(*encode_record(record))
             for record in records
@@ -88,6 +96,7 @@
         writer = Writer(WRITER_NAME, self.epoch, self._sequence)
         self._sequence += 1
         pause_s = 0.05
+        uncertain = False
         while True:
             sent_s = time.monotonic()
             result = await self._log.append(
@@ -103,7 +112,10 @@
                     return result
                 case AppendFenced():
                     return result
+                case AppendRejected() if give_up and not uncertain:
+                    return result
                 case AppendRejected(reason) | AppendUncertain(reason):
+                    uncertain = uncertain or isinstance(result, AppendUncertain)
                     _LOG.warning(
                         "append of the scheduler is repeated",
                         extra={"reason": reason, "epoch": self.epoch, "sequence": writer.sequence},
