Count repeated failures of one job on one worker once as evidence against its workload

Cause: a worker that fails at once and has the tightest room gets the same task again and again. Each of these failures counted against the workload, which soon failed in more than half of its ends, and failures of a workload with that record are no evidence against a worker. Change: further failures of a job on a worker where it has failed already do not count for the workload.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -25,6 +25,13 @@
     When one of two workers fails every task of ten jobs
     Then that worker is set aside, gets one probe at a time, and every job is done
 
+  Scenario: a worker that fails one job many times in a row is set aside all the same
+    Guards against repeated failures of one job that count as evidence against all work of its kind,
+    so that the worker goes on failing the next jobs.
+
+    When one of two workers fails every task and jobs of one task come 4 s apart
+    Then that worker is set aside before the fifth job
+
   Scenario: a job that misses its deadline is reported late once
     Guards against silent lateness and against repeated reports.
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from scheduling_world import World
+from scheduling_world import STEP_S, World
 
 from fireflywharf_core.jobs import AttemptEnd, AttemptId, JobKind, TaskId
 from fireflywharf_core.platform import RunningAttempt, VmInfo, VmRole
@@ -134,10 +134,9 @@
     assert ends == [AttemptEnd.CHECKPOINTED], ends
 
 
-@when("one of two workers fails every task of ten jobs")
-def fail_on_one_worker(context):
-    world = context.world = World(FairShare(), 1, 2)
-    context.aside, context.most_running = [], 0
+def failing_world():
+    """Return a world of two workers of which w0 fails every task."""
+    world = World(FairShare(), 1, 2)
 
     def pass_time(worker):
         for ident in list(worker.running):
@@ -145,6 +144,13 @@
             world.end(worker, ident, AttemptEnd.FAILED if bad else AttemptEnd.SUCCEEDED)
 
     world.pass_time = pass_time
+    return world
+
+
+@when("one of two workers fails every task of ten jobs")
+def fail_on_one_worker(context):
+    world = context.world = failing_world()
+    context.aside, context.most_running = [], 0
     for _ in range(10):
         submit_batch(world, 6)
     for _ in range(60):
@@ -153,6 +159,22 @@
             context.aside.append(len(world.workers["w0"].running))
 
 
+@when("one of two workers fails every task and jobs of one task come {pause_s:g} s apart")
+def fail_one_by_one(context, pause_s):
+    world = context.world = failing_world()
+    context.aside = []
+    for _ in range(10):
+        submit_batch(world, 1)
+        for _ in range(int(pause_s / STEP_S)):
+            world.step()
+        context.aside.append(world.scheduler.set_aside_count)
+
+
+@then("that worker is set aside before the fifth job")
+def check_set_aside_soon(context):
+    assert context.aside[3] == 1, context.aside
+
+
 @then("that worker is set aside, gets one probe at a time, and every job is done")
 def check_set_aside(context):
     assert context.aside, "the worker was never set aside"
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_health.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_health.py
@@ -45,8 +45,10 @@
         key = (spec.customer, spec.workload)
         ends, failures = self.workloads_.get(key, (0.0, 0.0))
         suspect = failures > WORKLOAD_FAILURE_PART * ends and ends >= FAILURES_TO_SET_ASIDE
-        if not worker.set_aside:
-            # Ends on a worker that was set aside say nothing about the workload.
+        repeated = not succeeded and self._failed_before(attempt)
+        if not worker.set_aside and not repeated:
+            # Ends on a worker that was set aside say nothing about the workload, and neither do
+            # repeated failures of one job there.
             ends, failures = ends * EVIDENCE_DECAY + 1, failures * EVIDENCE_DECAY
             self.workloads_[key] = (ends, failures + (not succeeded))
         if succeeded:
@@ -66,6 +68,11 @@
             return True
         return False
 
+    def _failed_before(self, attempt: Attempt) -> bool:
+        """Return whether the job of an attempt has failed on its worker already."""
+        record = self.records_.get(attempt.worker.name)
+        return record is not None and any(job is attempt.job for job, _ in record.failures)
+
     def _observe_success(self, worker: Worker, now_s: float) -> None:
         record = self.records_.pop(worker.name, None)
         if record is not None and worker.set_aside:
