Start a task elsewhere only after every order of its last run is settled

Cause: an order to start a run is repeated while it has no answer. When a repeated order was refused for certain (no connection, no ticket), the run counted as not started, although the first order could still be carried out up to 12 s later. Ruled out: late orders that outlive their validity; run 1001 began 0.3 s before run 1002 was ordered by the same scheduler. Change: orders and certain refusals are counted. While one has no answer, the worker is told to stop the run; once it has taken up the stop it refuses the run for good, so the task also waits no longer for the validity of the lost order. A worker without an answer is avoided for the next run of the task. The stand-in workers of the virtual world report true progress; with a constant 50 percent, runs longer than 2.2 s counted as stalled. Result: two new scenarios failed before ('runs twice, on the same worker'; not complete within 3.5 s) and pass.

--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -9,6 +9,9 @@
     EndKind,
     JournalFold,
     ListedEnd,
+    StartAnswered,
+    StartResult,
+    StartRun,
     StepName,
     TaskName,
     WorkerListed,
@@ -204,6 +207,42 @@
     world.run(8.0)
 
 
+@when("a repeated order is refused and the first one is carried out {seconds:d} s later")
+def refuse_repeated(context, seconds):
+    world = context.world
+    run = next(iter(world.scheduler.jobs["a"].steps[0, 0].runs.values()))
+    order = StartRun(
+        worker_id=run.worker.worker_id,
+        task=run.task,
+        number=run.number,
+        payload="p",
+        checkpoint="",
+        ticket="",
+    )
+    world.late_orders.append((world.now_s + seconds, context.worker, order, world.epoch))
+    world.run(0.5)
+    answer = StartAnswered(order.worker_id, order.task, order.number, StartResult.NOT_SENT)
+    world.scheduler.observe(answer, world.now_s)
+    world.lossy_share = 0.0
+    for worker in world.workers.values():
+        worker.work_s = 2.0
+    world.run(15.0)
+
+
+@when("the worker takes up orders to stop and loses those to start")
+def lose_starts(context):
+    context.world.lossy_share = 0.0
+    context.worker.loses_starts = True
+
+
+@then("the task is complete within {seconds:g} s")
+def check_complete_soon(context, seconds):
+    world = context.world
+    world.run(seconds)
+    assert not world.violations, world.violations
+    assert world.state("a") is WorkflowState.COMPLETE
+
+
 @then("the task has run in one place only")
 def check_once(context):
     assert not context.world.violations, context.world.violations
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -4,6 +4,7 @@
 the scheduler believes.
 """
 
+import math
 import random
 
 import attrs
@@ -25,6 +26,7 @@
     StartResult,
     StartRun,
     StepSpec,
+    StopAnswered,
     StopRun,
     Timing,
     WorkerInfo,
@@ -50,10 +52,16 @@
 
     order: StartRun
     spec: StepSpec
+    started_s: float
     ends_s: float
     fails: bool
     stops_s: float | None = None
 
+    def percent(self, now_s):
+        """Return the progress in whole percent."""
+        elapsed = (now_s - self.started_s) / max(STEP_S, self.ends_s - self.started_s)
+        return math.floor(100 * min(1.0, elapsed))
+
 
 @attrs.define(slots=True, eq=False)
 class FakeWorker:
@@ -69,6 +77,7 @@
     finished_numbers: dict = attrs.field(factory=dict)
     reachable: bool = True
     fails_all: bool = False
+    loses_starts: bool = False
     work_s: float = TASK_S
 
     def end(self, key, kind):
@@ -116,7 +125,10 @@
         spec = self.world.spec_of(order.task)
         self.world.check_start(self, order, spec)
         fails = self.fails_all or self.world.rng.random() < self.world.failing_share
-        self.processes[key] = Process(order, spec, now_s + self.work_s, fails)
+        work_s = self.work_s
+        if self.world.work_spread:
+            work_s *= 0.5 + self.world.rng.random()
+        self.processes[key] = Process(order, spec, now_s, now_s + work_s, fails)
         return StartResult.STARTED
 
     def stop(self, order, epoch, now_s):
@@ -137,7 +149,10 @@
         self.epoch = epoch
         self.lease_end_s = max(self.lease_end_s, now_s + LEASE_S)
         self.ends = [end for end in self.ends if end.serial > acknowledged]
-        running = tuple(ListedRun(task, number, "", 50.0) for task, number in self.processes)
+        running = tuple(
+            ListedRun(task, number, "", process.percent(now_s))
+            for (task, number), process in self.processes.items()
+        )
         return running, tuple(self.ends)
 
 
@@ -156,6 +171,8 @@
         self.done = set()
         self.asked = []
         self.answers_approvals = True
+        self.allowed_share = 1.0
+        self.work_spread = False
         capacity = capacity or ResourceVector(4000, 8000)
         self.workers = {}
         for index in range(workers_count):
@@ -299,14 +316,18 @@
                 worker = self.workers[action.worker_id]
                 if worker.reachable and self.rng.random() >= self.lossy_share:
                     worker.stop(action, self.epoch, self.now_s)
+                    event = StopAnswered(action.worker_id, action.task, action.number)
+                    self.scheduler.observe(event, self.now_s)
             case AskApproval():
                 self.asked.append(action)
                 if self.answers_approvals:
                     self.answer_approval(action)
 
     def answer_approval(self, action, allowed=None):
-        """Allow the given workers, or all that were named."""
-        tickets = {n: "t" for n in action.worker_ids if allowed is None or n in allowed}
+        """Allow the given workers, or a share of those that were named."""
+        if allowed is None:
+            allowed = [n for n in action.worker_ids if self._allows(action.step, n)]
+        tickets = {n: "t" for n in action.worker_ids if n in allowed}
         event = ApprovalReceived(
             step=action.step,
             tickets=tickets,
@@ -315,13 +336,16 @@
         )
         self.scheduler.observe(event, self.now_s)
 
+    def _allows(self, step, worker_id):
+        return random.Random(f"{step}{worker_id}").random() < self.allowed_share
+
     def _send_start(self, order):
         worker = self.workers[order.worker_id]
         result = StartResult.UNKNOWN
         lost = self.rng.random() < self.lossy_share
-        if worker.reachable and not lost:
+        if worker.reachable and not lost and not worker.loses_starts:
             result = worker.start(order, self.epoch, self.now_s)
-        elif worker.reachable:
+        elif worker.reachable and not worker.loses_starts:
             delay_s = self.rng.random() * 8.0
             if delay_s < 4.0:
                 self.late_orders.append((self.now_s + delay_s, worker, order, self.epoch))
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -46,6 +46,20 @@
     When the order is carried out 3 s later
     Then the task has run in one place only
 
+  Scenario: a repeated start is refused while the first one has no answer
+    Guards against two runs of a task when the first order is carried out late after all.
+
+    Given a task whose start order gets no answer
+    When a repeated order is refused and the first one is carried out 3 s later
+    Then the task has run in one place only
+
+  Scenario: a task whose start has no answer waits for a stop only
+    Guards against urgent tasks that wait for the validity of a lost order.
+
+    Given a task whose start order gets no answer
+    When the worker takes up orders to stop and loses those to start
+    Then the task is complete within 3.5 s
+
   Scenario: a gang starts whole or not at all
     Guards against members that wait in vain and waste their room.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -133,6 +133,15 @@
     result: StartResult
 
 
+@attrs.frozen(slots=True)
+class StopAnswered:
+    """A worker has taken up an order to stop a run; it refuses a start of that run from now on."""
+
+    worker_id: str
+    task: TaskName
+    number: int
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class ApprovalReceived:
     """Tickets for the workers that may run a step.
@@ -165,6 +174,7 @@
     | WorkerSilent
     | WorkerLifeEnded
     | StartAnswered
+    | StopAnswered
     | ApprovalReceived
     | ApprovalFailed
 )
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -108,9 +108,24 @@
                 worker.reachable = False
             case StartResult.NO_TICKET if run.step is not None:
                 run.step.tickets.pop(worker_id, None)
-        self._release(run)
+        run.refusals_count += 1
+        if run.refusals_count < run.starts_count:
+            # Another order for this run has no answer and may still be carried out, so the task
+            # waits until the worker has taken up a stop.
+            self.stop(run, now_s)
+        else:
+            self._release(run)
         self._abort_gang(run, now_s)
 
+    def stop_answered(self, worker_id: str, task: TaskName, number: int, now_s: float) -> None:
+        """Take up that a worker refuses a run from now on and stops it if it is there."""
+        worker = self._workers.get(worker_id)
+        run = None if worker is None else worker.runs.get((task, number))
+        if run is not None and run.phase is RunPhase.STOPPING and not run.stop_answered:
+            run.stop_answered = True
+            run.since_s = now_s
+            run.late_start_until_s = 0.0
+
     def _begin(self, run: Run) -> None:
         job = None if run.step is None else run.step.job
         if job is not None and job.state is WorkflowState.QUEUED:
@@ -290,6 +305,7 @@
         """Order the start of a run, or repeat the order."""
         timing, step = self._timing, run.step
         run.ordered_s = now_s
+        run.starts_count += 1
         run.late_start_until_s = (
             now_s + timing.start_validity_s * (1 + timing.clock_drift) + timing.network_margin_s
         )
@@ -314,7 +330,12 @@
                 if run.phase is RunPhase.RUNNING or now_s < run.ordered_s + repeat_s:
                     continue
                 if run.phase is RunPhase.STOPPING:
-                    self._send_stop(run, now_s)
+                    if not run.stop_answered:
+                        self._send_stop(run, now_s)
                 elif now_s < run.since_s + self._timing.start_repeats_s:
                     ticket = run.step.tickets.get(worker.worker_id, ("", 0.0))[0]
                     self.start(run, ticket, now_s)
+                else:
+                    run.step.avoided[run.task.index] = worker.worker_id
+                    self.stop(run, now_s)
+                    self._abort_gang(run, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -18,6 +18,7 @@
     JobAdded,
     JobCancelled,
     StartAnswered,
+    StopAnswered,
     WorkerLifeEnded,
     WorkerListed,
     WorkerSilent,
@@ -107,6 +108,8 @@
                 self._worker_listed(event, now_s)
             case StartAnswered(worker_id, task, number, result):
                 self.runs.start_answered(worker_id, task, number, result, now_s)
+            case StopAnswered(worker_id, task, number):
+                self.runs.stop_answered(worker_id, task, number, now_s)
             case ApprovalReceived():
                 self.approvals.received(self.find_step(event.step), event, now_s)
             case ApprovalFailed(step):
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -40,6 +40,9 @@
         percent: progress that the worker reported last.
         progressed_s: time at which `percent` rose last.
         late_start_until_s: time after which an unanswered start cannot take effect any more.
+        starts_count: orders to start it that were sent.
+        refusals_count: orders to start it that were refused for certain.
+        stop_answered: whether the worker has taken up an order to stop it.
         checkpoint: newest checkpoint that the worker reported.
         read_s: time of the reading of progress from which speed is measured.
         read_percent: progress at that time.
@@ -58,6 +61,9 @@
     percent: float = 0.0
     progressed_s: float = 0.0
     late_start_until_s: float = 0.0
+    starts_count: int = 0
+    refusals_count: int = 0
+    stop_answered: bool = False
     checkpoint: str = ""
     read_s: float = 0.0
     read_percent: float = 0.0
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -20,6 +20,7 @@
     StartAnswered,
     StartResult,
     StartRun,
+    StopAnswered,
     StopRun,
     TenureRecord,
     Timing,
@@ -284,8 +285,10 @@
 
     async def _stop(self, order: StopRun) -> None:
         worker = self.scheduler.workers.get(order.worker_id)
-        if worker is not None:
-            await self._outside.workers.stop(worker.info, order, self.record.epoch)
+        if worker is None:
+            return
+        if await self._outside.workers.stop(worker.info, order, self.record.epoch):
+            self.observe(StopAnswered(order.worker_id, order.task, order.number))
 
     async def _ask(self, order: AskApproval) -> None:
         step = self.scheduler.find_step(order.step)
