Run the feature files four at a time

Change: each feature file is a behave process of its own, four at a time, the longest first; the verdict and the list of known red scenarios are unchanged, each file's count and time are printed.

--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -10,10 +10,16 @@
 import subprocess
 import sys
 import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SOURCES = ["packages", "platform", "benchmarks", "features", "tools", "examples"]
 MESSAGE_MAX_CHARACTERS = 2000
+PARALLEL_FEATURES = 4
+"""Feature files that run at a time; most of them wait for timers of daemons."""
+SLOW_FEATURES = frozenset({"daemon_platform.feature"})
+"""Feature files that take longest."""
 BIN = pathlib.Path(sys.executable).parent
 
 
@@ -36,32 +42,48 @@
             print(f"\n{element['name']}\n  {step['name']}\n{text[:MESSAGE_MAX_CHARACTERS]}")
 
 
-def run_features(tag_options: list[str]) -> list[tuple[str, str]]:
-    """Run behave and return the name and status of each scenario."""
+def run_feature(path: pathlib.Path, tag_options: list[str]) -> list[tuple[str, str]]:
+    """Run one feature file with behave and return the name and status of each scenario."""
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-capture", "--no-summary", *tag_options]
-        command += ["-f", "json", "-o", str(report), "-f", "progress", "features"]
+        command += ["-f", "json", "-o", str(report), str(path)]
         environment = dict(os.environ, PATH=f"{BIN}{os.pathsep}{os.environ.get('PATH', '')}")
-        done = subprocess.run(command, cwd=ROOT, env=environment, check=False)
+        started_s = time.monotonic()
+        done = subprocess.run(
+            command, cwd=ROOT, env=environment, capture_output=True, text=True, check=False
+        )
         try:
             features = json.loads(report.read_text())
         except (OSError, ValueError):
-            return [(f"behave exited with status {done.returncode}", "failed")]
-    for feature in features:
-        for element in feature.get("elements", []):
-            print_failure(element)
+            print(done.stdout[-MESSAGE_MAX_CHARACTERS:], done.stderr[-MESSAGE_MAX_CHARACTERS:])
+            return [(f"{path.name}: behave exited with status {done.returncode}", "failed")]
+    elements = [element for feature in features for element in feature.get("elements", [])]
+    for element in elements:
+        print_failure(element)
     rows = [
-        (f"{feature['name']}: {element['name']}", element["status"])
-        for feature in features
-        for element in feature.get("elements", [])
+        (f"{path.name}: {element['name']}", element["status"])
+        for element in elements
         if element["type"] == "scenario" and element["status"] != "skipped"
     ]
-    if done.returncode != 0 and not any(status != "passed" for _, status in rows):
-        rows.append((f"behave exited with status {done.returncode}", "failed"))
+    if done.returncode != 0 and all(status == "passed" for _, status in rows):
+        rows.append((f"{path.name}: behave exited with status {done.returncode}", "failed"))
+    if rows:
+        elapsed_s = time.monotonic() - started_s
+        print(f"{path.name}: {len(rows)} scenarios in {elapsed_s:.0f} s", flush=True)
     return rows
 
 
+def run_features(tag_options: list[str]) -> list[tuple[str, str]]:
+    """Run all feature files, several at a time, and return all scenarios in order of the files."""
+    paths = sorted((ROOT / "features").glob("*.feature"))
+    # The longest files start first, so that none of them runs alone at the end.
+    order = sorted(paths, key=lambda path: (path.name not in SLOW_FEATURES, path.name))
+    with ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+        running = {path: pool.submit(run_feature, path, tag_options) for path in order}
+        return [row for path in paths for row in running[path].result()]
+
+
 def main() -> int:
     """Run every check and return the exit status."""
     results = [
