Ask about fewer workers, short and long requests apart, and keep room for gangs

Ruled out: processor time (0.39 of 2.15 cores at most), free room (63% of the processors used on average). Change: a request names the workers that are expected to be needed, by room and by the learned share of allowed ones, and spare ones by what a second request would cost; the VM that takes a job asks only short ones; one VM of a failure domain takes short requests, the others long ones; gangs keep room on few workers until they fit, firmly once they fit; steps that wait are tried every 30 ms.

--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -30,6 +30,7 @@
 )
 from fireflywharf_daemon.workflows._approvals import ApprovalQueue
 from fireflywharf_daemon.workflows._journal import JournalReader
+from fireflywharf_daemon.workflows._peers import ApprovalPool, lane
 from fireflywharf_daemon.workflows._tenure import Election, JournalWriter
 
 STEP_S = 0.05
@@ -256,6 +257,53 @@
     assert context.service.order[-1] == "wide", context.service.order
 
 
+@given('VMs "{first}" in one failure domain and "{second}" in another')
+def vms_in_domains(context, first, second):
+    context.vms = {
+        vm: VmPresent(vm=vm, incarnation="", address=vm, domain=vm[0])
+        for vm in [*first.split(), *second.split()]
+    }
+
+
+@then('"{short}" take short requests and "{long}" take long ones')
+def check_lanes(context, short, long):
+    assert sorted(lane(context.vms, short=True)) == short.split()
+    assert sorted(lane(context.vms, short=False)) == long.split()
+
+
+class RecordingPool(ApprovalPool):
+    """A pool that records which VM gets a request."""
+
+    def __init__(self, own_name, vms):
+        super().__init__(None, None, own_name, lambda: vms)
+        self.sent = []
+
+    async def _ask_peer(self, name, address, step, worker_ids, cost_ms):
+        self.sent.append((name, cost_ms))
+        return ApprovalGranted(tickets={}, validity_s=1.0)
+
+
+@when("a VM of each failure domain sends a short request and a long one")
+def send_both(context):
+    context.sent = []
+    for own_name in ("a3", "b1"):
+        pool = RecordingPool(own_name, context.vms)
+        pool._local = SlowService(scale=0.0)
+        pool._local.ask = lambda *_, p=pool: p._ask_peer(p._own_name, "", *_)
+        for short, cost_ms in ((True, 10.0), (False, 500.0)):
+            asyncio.run(pool.ask(StepName("a", 0, 0), ("w",), cost_ms, short=short))
+        context.sent += pool.sent
+
+
+@then("no VM with others in its domain gets both")
+def check_apart(context):
+    costs = {}
+    for name, cost_ms in context.sent:
+        costs.setdefault(name, set()).add(cost_ms)
+    assert len(context.sent) == 4, context.sent
+    assert all(len(kinds) == 1 for name, kinds in costs.items() if name != "b1"), costs
+
+
 @given("a stream for log lines that nobody reads")
 def unread_stream(context):
     context.read_end, write_end = os.pipe()
--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -1,5 +1,6 @@
 """Steps for the scheduler of jobs with steps."""
 
+import attrs
 from behave import given, then, when
 from workflow_world import WorkflowWorld, tasks
 
@@ -20,6 +21,7 @@
     WorkflowState,
     encode_record,
 )
+from fireflywharf_core.workflows._reservations import Reservations
 
 FIRST_TASK = TaskName(StepName("a", 0, 0), 0)
 
@@ -313,6 +315,63 @@
     assert not context.world.asked
 
 
+@given("{count:d} workers of which a queue allows {percent:d} in 100")
+def choosy_service(context, count, percent):
+    context.world = WorkflowWorld(workers_count=count, approval=True)
+    context.world.run(0.2)
+    context.world.allowed_share = percent / 100
+
+
+@when("a step of {count:d} tasks arrives")
+def wide_step(context, count):
+    context.world.submit("a", [tasks(count)])
+    context.world.run(2.0)
+
+
+@then("it has started after at most {requests:d} requests that name {named:d} workers at most")
+def check_named(context, requests, named):
+    asked = context.world.asked
+    assert not context.world.scheduler.jobs.get("a") or not any(
+        step.waiting for step in context.world.scheduler.jobs["a"].steps.values()
+    )
+    assert 1 <= len(asked) <= requests, len(asked)
+    assert sum(len(action.worker_ids) for action in asked) <= named, asked
+
+
+@given("{count:d} workers that are full of single tasks, and more of them wait")
+def full_of_singles(context, count):
+    world = context.world = WorkflowWorld(workers_count=count, seed=5)
+    world.work_spread = True
+    for number in range(150):
+        world.submit(f"s{number}", [tasks(8)])
+    world.run(1.0)
+
+
+@when("a gang of {count:d} tasks arrives and {room} is kept for it")
+def gang_arrives(context, count, room):
+    world = context.world
+    if room == "no room":
+        world.scheduler.reservations = NoReservations(world.scheduler.workers)
+    world.queue = attrs.evolve(world.queue, priority=0)
+    world.submit("a", [tasks(count, gang=True)])
+
+
+class NoReservations(Reservations):
+    """Baseline that keeps no room."""
+
+    def keep(self, step, allowed, now_s):
+        """Keep nothing."""
+        return []
+
+
+@then("the gang has {outcome} within {seconds:g} s")
+def check_gang(context, outcome, seconds):
+    context.world.run(seconds)
+    started = context.world.state("a") is not WorkflowState.QUEUED
+    assert started == (outcome == "started"), context.world.state("a")
+    assert not context.world.violations, context.world.violations
+
+
 @given("{count:d} workers of which one fails every run at once")
 def failing_worker(context, count):
     context.world = WorkflowWorld(workers_count=count, capacity=ResourceVector(2000, 8000))
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -80,6 +80,14 @@
     When 2 wide and 20 small requests wait
     Then every small request is answered before the last wide one
 
+  Scenario: short and long requests for approval go to different VMs
+    Guards against urgent steps that wait behind a request for a wide step.
+
+    Given VMs "a1 a2 a3" in one failure domain and "b1" in another
+    Then "a1 b1" take short requests and "a2 a3 b1" take long ones
+    When a VM of each failure domain sends a short request and a long one
+    Then no VM with others in its domain gets both
+
   Scenario: a reader of log lines that does not keep up
     Guards against a daemon that waits for whoever reads its log.
 
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -79,6 +79,32 @@
     When a job is cancelled before its last end is recorded
     Then callers see it as cancelled
 
+  Scenario Outline: a step asks about as many workers as it needs
+    Guards against requests that name every worker, so that the service is busy all the time and
+    urgent steps wait behind wide ones.
+
+    Given 100 workers of which a queue allows <allowed> in 100
+    When a step of <tasks> tasks arrives
+    Then it has started after at most <requests> requests that name <named> workers at most
+
+    Examples:
+      | allowed | tasks | requests | named |
+      | 70      | 2     | 1        | 16    |
+      | 30      | 40    | 2        | 90    |
+
+  Scenario Outline: a gang among single tasks
+    Guards against wide gangs that never find all of their room free, because single tasks take each
+    piece of it.
+
+    Given 8 workers that are full of single tasks, and more of them wait
+    When a gang of 12 tasks arrives and <room> is kept for it
+    Then the gang has <started> within 4 s
+
+    Examples:
+      | room    | started     |
+      | no room | not started |
+      | room    | started     |
+
   Scenario: tickets that come before their job
     Guards against urgent jobs that wait for a second request because the first answer was dropped.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -1,5 +1,6 @@
 """Jobs of several steps: the journal, and the scheduler that places their tasks on workers."""
 
+from ._approvals import GrantShares, choose_unseen, is_short, request_ms
 from ._events import (
     Action,
     ApprovalFailed,
@@ -62,6 +63,7 @@
     "EndKind",
     "Event",
     "FoldedWorkflow",
+    "GrantShares",
     "JobAdded",
     "JobCancelled",
     "JournalFold",
@@ -92,8 +94,11 @@
     "WorkflowScheduler",
     "WorkflowSpec",
     "WorkflowState",
+    "choose_unseen",
     "decode_record",
     "encode_record",
+    "is_short",
     "job_keys",
+    "request_ms",
     "vm_key",
 ]
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+import math
+import random
+from collections.abc import Iterable, Mapping, Sequence
 
 from ._events import Action, ApprovalReceived, AskApproval
 from ._names import StepName
+from ._placement import fit_count, room_for
+from ._reservations import potential_count
+from ._specs import Approval, StepSpec, WorkerInfo
 from ._state import Step, Worker
 
 _TICKET_MARGIN_S = 0.15
@@ -17,16 +22,123 @@
 their turn are not repeated, because each repetition would make all of them wait longer."""
 _NAMED_MAX = 100
 """Workers that one request may name (protocol of the approval service)."""
+_USUAL_NAMED = 30
+"""Workers of one request for which objectives allow (rules of the deployment)."""
+SHORT_MS = 50.0
+"""Longest time of a short request: about what it takes to store a job and tell the scheduler, so
+that its answer delays no start when it is sent meanwhile."""
+_FIRST_SHARE = 0.4
+"""Share of the named workers that a queue is expected to allow before it was asked."""
+_SHARE_MIN = 0.1
+_SHARE_WEIGHT = 0.2
+"""Weight of a new answer in the learned share; about the last ten answers count."""
+_COLLECT_S = 0.5
+"""Time between two long requests for further tickets of one step; half the time of a short task."""
+_SPARE_SHARE = 0.5
+"""Workers named beyond the expected need, as a share of what a second request would cost."""
+_FREE_SHARE = 0.5
+"""Free share of a worker that is assumed without knowledge of it."""
+
+
+def request_ms(approval: Approval, workers_count: int) -> float:
+    """Return how long the service works on a request that names so many workers."""
+    return approval.decision_ms + workers_count * approval.per_worker_ms
+
+
+def spare_count(approval: Approval) -> int:
+    """Return how many workers to name beyond the expected need.
+
+    Answers vary around the learned share, and each further request costs the fixed time again.
+    """
+    return math.ceil(_SPARE_SHARE * approval.decision_ms / max(0.01, approval.per_worker_ms))
+
+
+def is_short(approval: Approval) -> bool:
+    """Return whether requests of a queue are answered while a job is being stored."""
+    return request_ms(approval, _USUAL_NAMED) <= SHORT_MS
+
+
+class GrantShares:
+    """Learns which share of the named workers each queue allows.
+
+    Attributes:
+        shares_: learned share by name of the queue.
+    """
+
+    def __init__(self) -> None:
+        self.shares_: dict[str, float] = {}
+
+    def observe(self, queue: str, named_count: int, allowed_count: int) -> None:
+        """Take up an answer."""
+        if named_count:
+            share = self.predict(queue)
+            share += _SHARE_WEIGHT * (allowed_count / named_count - share)
+            self.shares_[queue] = max(_SHARE_MIN, share)
+
+    def predict(self, queue: str) -> float:
+        """Return the share that is expected to be allowed."""
+        return self.shares_.get(queue, _FIRST_SHARE)
+
+
+def choose_unseen(
+    spec: StepSpec,
+    approval: Approval,
+    workers: Sequence[WorkerInfo],
+    share: float,
+    rng: random.Random,
+) -> list[str]:
+    """Choose workers to ask about without knowledge of their free room.
+
+    Pattern: many short steps arrive at all VMs. Each names a few workers at random, so that
+    requests stay short and the steps spread.
+
+    Args:
+        spec: the step.
+        approval: cost of a request.
+        workers: the workers of its service.
+        share: share of them that is expected to be allowed.
+        rng: source of randomness.
+    """
+    fitting = [
+        (worker.worker_id, count)
+        for worker in workers
+        if not worker.draining
+        and (not spec.required_label or spec.required_label in worker.labels)
+        and (count := fit_count(worker.capacity, spec.charged)) > 0
+    ]
+    if not fitting:
+        return []
+    places = sum(count for _, count in fitting) / len(fitting) * _FREE_SHARE
+    if spec.max_per_worker:
+        places = min(places, spec.max_per_worker)
+    wanted = math.ceil(spec.tasks_count / max(1.0, places) / share) + spare_count(approval)
+    wanted = min(len(fitting), _NAMED_MAX, wanted)
+    return [worker_id for worker_id, _ in rng.sample(fitting, wanted)]
 
 
 class Approvals:
     """Keeps the tickets of steps and asks for new ones.
 
-    The set of workers that may run a step never changes, only tickets lapse. A step that waits for
-    room asks again for the workers that have room now.
+    Pattern: the service works on one request of a VM at a time, and each worker named makes a
+    request longer. A step asks about the workers that have most room now, as many as it is expected
+    to need, and about further ones when these do not suffice. The set of workers that may run a
+    step never changes, only tickets lapse; a step that waits for room asks again for workers that
+    have room.
+
+    Args:
+        workers: all workers.
+        outbox: receives requests.
+
+    Attributes:
+        shares: learned shares of allowed workers.
+        parallel_max: most long requests under way; more would only wait for their turn, with a
+            choice of workers that grows old meanwhile.
     """
 
     def __init__(self, workers: Mapping[str, Worker], outbox: list[Action]) -> None:
+        self.shares = GrantShares()
+        self.parallel_max = 1
+        self._long: set[StepName] = set()
         self._workers = workers
         self._outbox = outbox
         self._early: dict[StepName, list[ApprovalReceived]] = {}
@@ -42,8 +154,7 @@
 
     def expected_s(self, step: Step, workers_count: int) -> float:
         """Return how long a request that names so many workers takes."""
-        approval = step.job.queue.approval
-        return (approval.decision_ms + workers_count * approval.per_worker_ms) / 1000.0
+        return request_ms(step.job.queue.approval, workers_count) / 1000.0
 
     def ticket(self, step: Step, worker_id: str) -> str:
         """Return the ticket for a worker; empty where the queue needs none."""
@@ -52,12 +163,14 @@
 
     def received(self, step: Step | None, event: ApprovalReceived, now_s: float) -> None:
         """Keep tickets, also when they come before the job that they are for."""
+        self._long.discard(event.step)
         if step is None:
             for name, events in list(self._early.items()):
                 if all(now_s >= kept.expires_s for kept in events):
                     del self._early[name]
             self._early.setdefault(event.step, []).append(event)
             return
+        self.shares.observe(step.job.queue.name, len(event.asked), len(event.tickets))
         step.asked.update(event.asked)
         step.approval_s = None
         step.blocked_room = -1
@@ -70,48 +183,102 @@
             for event in self._early.pop(step.name, ()):
                 self.received(step, event, now_s)
 
-    def failed(self, step: Step | None, now_s: float) -> None:
+    def failed(self, name: StepName, step: Step | None) -> None:
         """Allow the next request at once."""
+        self._long.discard(name)
         if step is not None:
             step.approval_s = None
 
-    def prepare(self, step: Step, workers: list[Worker], now_s: float) -> bool:
-        """Ask about workers that no request has named yet, if nobody else does.
+    def prepare(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> bool:
+        """Ask about further workers where those that allow the step have too little room.
 
         Workers that join or come back later are asked about too, because a step may be allowed on
         few workers only.
 
         Returns:
-            Whether the step has an answer, or needs none.
+            Whether the step has a ticket, or needs none.
         """
         approval = step.job.queue.approval
         if approval is None:
             return True
-        unasked = [w.worker_id for w in workers if w.worker_id not in step.asked]
-        if not unasked:
-            return bool(workers)
-        expected_s = self.expected_s(step, len(unasked))
-        first = not step.spec.after and step.name.occurrence == 0
-        waited_s = now_s - step.job.accepted_s
-        if first and not step.job.inherited and waited_s < expected_s + _FIRST_WAIT_S:
-            return bool(step.asked)
-        self._ask(step, unasked, expected_s, now_s)
-        return bool(step.asked)
+        first = not step.spec.after and step.name.occurrence == 0 and not step.job.inherited
+        if first and not step.asked and is_short(approval):
+            answer_s = self.expected_s(step, _USUAL_NAMED) + _FIRST_WAIT_S
+            if now_s < step.job.accepted_s + answer_s:
+                return False
+        if step.approval_s is None and self._may_ask(step):
+            named = self._choose(step, workers, now_s)
+            if named:
+                self._ask(step, named, now_s)
+        return bool(step.tickets)
+
+    def _may_ask(self, step: Step) -> bool:
+        return is_short(step.job.queue.approval) or len(self._long) < self.parallel_max
+
+    def _choose(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> list[str]:
+        """Return the workers to ask about next; none where that could not help now."""
+        missing = float(len(step.waiting))
+        for worker_id in step.tickets:
+            worker = workers.get(worker_id)
+            missing -= 0 if worker is None else self._count(step, worker, now_s)
+            if missing <= 0:
+                return []
+        candidates = []
+        for worker_id, worker in workers.items():
+            if worker_id not in step.asked:
+                count = self._count(step, worker, now_s)
+                if count > 0:
+                    candidates.append((count, worker_id))
+        if not candidates:
+            return []
+        share = self.shares.predict(step.job.queue.name)
+        candidates.sort(reverse=True)
+        places = missing / share
+        wanted = 0
+        while wanted < len(candidates) and places > 0:
+            places -= candidates[wanted][0]
+            wanted += 1
+        wanted = min(_NAMED_MAX, wanted + spare_count(step.job.queue.approval))
+        return [worker_id for _, worker_id in candidates[:wanted]]
+
+    @staticmethod
+    def _count(step: Step, worker: Worker, now_s: float) -> float:
+        """Return the number of tasks of a step that a worker can be expected to take soon.
+
+        A gang waits until runs on its workers have ended, single tasks go elsewhere.
+        """
+        count = room_for(step, worker, worker.room(step, now_s))
+        if step.spec.gang:
+            count = (count + potential_count(step, worker, now_s)) / 2
+        return min(count, len(step.waiting))
 
     def renew(self, step: Step, chosen: list[Worker], now_s: float) -> bool:
         """Ask again for workers whose tickets have lapsed.
 
+        Pattern: at full load many steps of single tasks wait, and each end makes room for one task.
+        A step collects room for a while before it spends a long request on it.
+
         Returns:
             Whether a request was sent.
         """
-        lapsed = [w.worker_id for w in chosen if not self.valid(step, w.worker_id, now_s)]
-        if not lapsed:
+        if not step.spec.gang and not is_short(step.job.queue.approval):
+            if now_s < step.renewed_s + _COLLECT_S:
+                return False
+            step.renewed_s = now_s
+        if all(self.valid(step, w.worker_id, now_s) for w in chosen):
             return False
-        return self._ask(step, lapsed, self.expected_s(step, len(lapsed)), now_s)
+        # Tickets that lapse before the answer comes are asked for too, or the next ones would lapse
+        # while these are renewed.
+        answer_s = now_s + self.expected_s(step, len(chosen))
+        lapsed = [w.worker_id for w in chosen if not self.valid(step, w.worker_id, answer_s)]
+        return bool(lapsed) and self._may_ask(step) and self._ask(step, lapsed, now_s)
 
-    def _ask(self, step: Step, worker_ids: list[str], expected_s: float, now_s: float) -> bool:
+    def _ask(self, step: Step, worker_ids: list[str], now_s: float) -> bool:
+        expected_s = self.expected_s(step, len(worker_ids))
         if step.approval_s is not None and now_s < step.approval_s + expected_s + _GIVE_UP_S:
             return False
         step.approval_s = now_s
+        if not is_short(step.job.queue.approval):
+            self._long.add(step.name)
         self._outbox.append(AskApproval(step=step.name, worker_ids=tuple(worker_ids[:_NAMED_MAX])))
         return True
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -108,11 +108,19 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class VmPresent:
-    """A VM that runs the daemon, and where other daemons reach it."""
+    """A VM that runs the daemon, and where other daemons reach it.
+
+    Args:
+        vm: name of the VM.
+        incarnation: name of the process.
+        address: address and port for other daemons.
+        domain: failure domain of the VM.
+    """
 
     vm: str
     incarnation: str
     address: str
+    domain: str = ""
 
 
 JournalRecord = (
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -23,12 +23,11 @@
     return max(0, count)
 
 
-def room_for(step: Step, worker: Worker, free: ResourceVector) -> int:
-    """Return how many further tasks of the step the worker may take."""
+def limit_count(step: Step, worker: Worker, count: int) -> int:
+    """Limit the number of further tasks of a step on a worker by what the step requires."""
     spec = step.spec
     if spec.required_label and spec.required_label not in worker.info.labels:
         return 0
-    count = fit_count(free, spec.charged)
     if is_probed(worker):
         # A gang would lose all its members with the probe, a last attempt the whole job.
         risky = spec.gang or any(
@@ -41,14 +40,21 @@
     return max(0, count)
 
 
+def room_for(step: Step, worker: Worker, free: ResourceVector) -> int:
+    """Return how many further tasks of the step the worker may take."""
+    return limit_count(step, worker, fit_count(free, step.spec.charged))
+
+
 def rank(step: Step, worker: Worker, free: ResourceVector, now_s: float) -> tuple:
     """Return the sort key of a worker for single tasks; the lowest is best.
 
-    The fullest worker that fits comes first, so that room for wide steps stays in one piece.
+    The fullest worker that fits comes first, so that room for wide steps stays in one piece, and
+    room that is kept for a gang comes last.
     """
     return (
         now_s < worker.slow_until_s,
         bool(step.spec.data_rack) and worker.info.rack != step.spec.data_rack,
+        any(holder is not step for holder in worker.holds),
         free.processors_millicores,
     )
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -26,13 +26,14 @@
 from ._journal import WorkflowProgress, WorkflowState
 from ._names import TaskName
 from ._order import order_key
-from ._placement import assign_gang, assign_singles
+from ._placement import assign_gang, assign_singles, room_for
+from ._reservations import Reservations, potential_count
 from ._runs import RunTable
 from ._specs import WorkflowSpec
 from ._state import Job, Run, RunPhase, Step, Worker
 
-HOLD_MARGIN_S = 0.3
-"""Time beyond the expected answer for which the room of a gang is kept; covers the way back."""
+RETRY_S = 0.03
+"""Least time between two tries to place a step; a tenth of the slack of the most urgent jobs."""
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -94,6 +95,7 @@
         )
         self.runs.first_number = first_number
         self.approvals = Approvals(self.workers, self.outbox)
+        self.reservations = Reservations(self.workers)
         self._accounted = False
 
     def observe(self, event: Event, now_s: float) -> None:
@@ -113,7 +115,7 @@
             case ApprovalReceived():
                 self.approvals.received(self.find_step(event.step), event, now_s)
             case ApprovalFailed(step):
-                self.approvals.failed(self.find_step(step), now_s)
+                self.approvals.failed(step, self.find_step(step))
             case JobAdded():
                 self._add_job(event, now_s)
             case JobCancelled(job_id):
@@ -143,17 +145,30 @@
             ready += [step for step in job.steps.values() if step.waiting and job.ready(step)]
         ready.sort(key=lambda step: order_key(step, self.run_times, now_s))
         usable = {
-            service: [
-                w for w in self.workers.values() if w.info.service == service and w.usable(now_s)
-            ]
+            service: {
+                worker.worker_id: worker
+                for worker in self.workers.values()
+                if worker.info.service == service and worker.usable(now_s)
+            }
             for service in {step.job.queue.service for step in ready}
         }
         for step in ready:
-            if step.blocked_room != self.runs.room_version or step.job.queue.approval is not None:
+            if self._worth_trying(step, now_s):
                 self._place(step, usable[step.job.queue.service], now_s)
         actions, self.outbox[:] = list(self.outbox), []
         return actions
 
+    def _worth_trying(self, step: Step, now_s: float) -> bool:
+        """Return whether something has changed since a step could not be placed.
+
+        Pattern: hundreds of steps wait at full load, and every end of a run calls for a decision.
+        """
+        if step.blocked_room == -1:
+            return True
+        if now_s < step.tried_s + RETRY_S:
+            return False
+        return step.blocked_room != self.runs.room_version or step.job.queue.approval is not None
+
     def accounted(self, now_s: float) -> bool:
         """Return whether runs of earlier tenures are all known or have ended."""
         if not self._accounted:
@@ -192,10 +207,26 @@
                     None if step.approval_s is None else round(now_s - step.approval_s, 2)
                 ),
                 "accounted": self.accounted(now_s),
+                **self._explain_room(step, now_s),
             }
             for step in steps[:rows_max]
         ]
 
+    def _explain_room(self, step: Step, now_s: float) -> dict:
+        service = step.job.queue.service
+        usable = [w for w in self.workers.values() if w.info.service == service]
+        usable = [w for w in usable if w.usable(now_s)]
+        if step.job.queue.approval is None:
+            allowed = usable
+        else:
+            allowed = [worker for worker in usable if worker.worker_id in step.tickets]
+        return {
+            "usable": len(usable),
+            "places": sum(room_for(step, w, w.room(step, now_s)) for w in allowed),
+            "places_later": sum(potential_count(step, w, now_s) for w in allowed),
+            "reserved": sum(step.reserved.values()),
+        }
+
     def take_progress(self) -> list[WorkflowProgress]:
         """Return the progress of jobs that changed since the last call."""
         changed = [job for job in self.jobs.values() if job.dirty]
@@ -307,17 +338,20 @@
         self.runs.listed(worker, event, now_s)
 
     def _rooms(
-        self, step: Step, workers: list[Worker], now_s: float, lapsed: bool = False
+        self, step: Step, workers: Mapping[str, Worker], now_s: float, lapsed: bool = False
     ) -> dict[Worker, ResourceVector]:
+        """Return the free room of the workers that may run a step."""
         if step.job.queue.approval is None:
-            return {worker: worker.room(step, now_s) for worker in workers}
-        return {
-            worker: worker.room(step, now_s)
-            for worker in workers
-            if self.approvals.allows(step, worker.worker_id, now_s, lapsed)
-        }
+            return {worker: worker.room(step, now_s) for worker in workers.values()}
+        allowed = [
+            workers[worker_id]
+            for worker_id in step.tickets
+            if worker_id in workers and self.approvals.allows(step, worker_id, now_s, lapsed)
+        ]
+        return {worker: worker.room(step, now_s) for worker in allowed}
 
-    def _place(self, step: Step, workers: list[Worker], now_s: float) -> None:
+    def _place(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
+        step.blocked_room, step.tried_s = self.runs.room_version, now_s
         if step.spec.gang and step.runs:
             # A member has ended or never started, so the others would wait in vain.
             for run in step.runs.values():
@@ -330,10 +364,20 @@
         number = self.runs.next_number(step, indices) if step.spec.gang else 0
         for index, worker in pairs:
             self._start(step, index, worker, number, now_s)
-        if step.waiting:
-            step.blocked_room = self.runs.room_version
+        if not step.waiting:
+            self.reservations.release(step)
+        elif step.spec.gang:
+            self._reserve(step, workers, now_s)
+        else:
             self._renew_tickets(step, workers, now_s)
 
+    def _reserve(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
+        """Keep room for a gang and renew its tickets there."""
+        allowed = self._rooms(step, workers, now_s, lapsed=True)
+        kept = self.reservations.keep(step, allowed, now_s)
+        if kept and step.job.queue.approval is not None:
+            self.approvals.renew(step, kept, now_s)
+
     def _assign(
         self, step: Step, rooms: dict[Worker, ResourceVector], indices: list[int], now_s: float
     ) -> list[tuple[int, Worker]]:
@@ -341,20 +385,14 @@
             return assign_gang(step, rooms, indices, now_s) or []
         return assign_singles(step, rooms, indices, now_s)
 
-    def _renew_tickets(self, step: Step, workers: list[Worker], now_s: float) -> None:
-        """Ask for new tickets where the step would fit, and keep the room of a gang meanwhile."""
+    def _renew_tickets(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
+        """Ask for new tickets where tasks would fit."""
         if step.job.queue.approval is None:
             return
         rooms = self._rooms(step, workers, now_s, lapsed=True)
-        pairs = self._assign(step, rooms, sorted(step.waiting), now_s)
+        pairs = assign_singles(step, rooms, sorted(step.waiting), now_s)
         chosen = dict.fromkeys(worker for _, worker in pairs)
-        if not chosen or not self.approvals.renew(step, list(chosen), now_s):
-            return
-        if step.spec.gang:
-            until_s = now_s + self.approvals.expected_s(step, len(chosen)) + HOLD_MARGIN_S
-            for worker in chosen:
-                count = sum(1 for _, other in pairs if other is worker)
-                worker.holds[step] = (step.spec.charged.scaled(count), until_s)
+        self.approvals.renew(step, list(chosen), now_s)
 
     def _start(self, step: Step, index: int, worker: Worker, number: int, now_s: float) -> None:
         number = number or self.runs.next_number(step, [index])
@@ -371,6 +409,5 @@
             progressed_s=now_s,
             read_s=now_s,
         )
-        worker.holds.pop(step, None)
         self.runs.add(run)
         self.runs.start(run, self.approvals.ticket(step, worker.worker_id), now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -69,6 +69,27 @@
     read_percent: float = 0.0
     projected_s: float = 0.0
 
+    @property
+    def ends_by_itself(self) -> bool:
+        """Whether the run ends without an order to stop it."""
+        return self.step is None or not self.step.spec.long_running
+
+
+@attrs.frozen(slots=True)
+class Hold:
+    """Room that a worker keeps for a gang.
+
+    Args:
+        size: the room.
+        until_s: time at which this ends.
+        firm: whether work of a higher priority may not use it either, because the gang starts there
+            as soon as its tickets come.
+    """
+
+    size: ResourceVector
+    until_s: float
+    firm: bool
+
 
 @attrs.define(slots=True, eq=False)
 class Worker:
@@ -78,6 +99,7 @@
         info: what the directory says.
         free: capacity less the room of all runs.
         runs: its runs by task and number.
+        ending: room of the runs that end by themselves.
         listed: whether it has answered with its lists in this tenure.
         reachable: whether its latest answer came in time.
         present: whether the directory names it.
@@ -87,12 +109,13 @@
         asides_count: times that it was set aside since it last ended a run well.
         suspect_until_s: time until which it gets no work.
         slow_until_s: time until which it counts as slow.
-        holds: room kept for a gang that waits for its tickets, with the time at which that ends.
+        holds: room kept for gangs.
     """
 
     info: WorkerInfo
     free: ResourceVector
     runs: dict[tuple[TaskName, int], Run] = attrs.field(factory=dict)
+    ending: ResourceVector = ResourceVector()
     listed: bool = False
     reachable: bool = False
     present: bool = True
@@ -102,7 +125,7 @@
     asides_count: int = 0
     suspect_until_s: float = 0.0
     slow_until_s: float = 0.0
-    holds: dict[Step, tuple[ResourceVector, float]] = attrs.field(factory=dict)
+    holds: dict[Step, Hold] = attrs.field(factory=dict)
 
     @property
     def worker_id(self) -> str:
@@ -122,22 +145,28 @@
     def room(self, step: Step, now_s: float) -> ResourceVector:
         """Return the free room that is not held for other steps."""
         free = self.free
-        for holder, (size, until_s) in list(self.holds.items()):
-            if now_s >= until_s:
+        for holder, hold in list(self.holds.items()):
+            if now_s >= hold.until_s:
                 del self.holds[holder]
-            elif holder is not step:
-                free = free - size
+            elif holder is not step and (
+                hold.firm or holder.job.queue.priority <= step.job.queue.priority
+            ):
+                free = free - hold.size
         return free
 
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.task, run.number] = run
         self.free = self.free - run.charged
+        if run.ends_by_itself:
+            self.ending = self.ending + run.charged
 
     def remove(self, run: Run) -> None:
         """Give the room of a run back."""
         if self.runs.pop((run.task, run.number), None) is not None:
             self.free = self.free + run.charged
+            if run.ends_by_itself:
+                self.ending = self.ending - run.charged
 
 
 @attrs.define(slots=True, eq=False)
@@ -159,6 +188,9 @@
         approval_s: time of the latest request for approval; None before the first.
         asked: workers about which an answer has been received.
         blocked_room: version of the free room at which it could not be placed.
+        renewed_s: time of the latest request for tickets that had lapsed.
+        tried_s: time at which it could not be placed last.
+        reserved: workers whose room is kept for it, with the number of tasks.
     """
 
     name: StepName
@@ -175,6 +207,9 @@
     approval_s: float | None = None
     asked: set[str] = attrs.field(factory=set)
     blocked_room: int = -1
+    renewed_s: float = float("-inf")
+    tried_s: float = float("-inf")
+    reserved: dict[Worker, int] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.waiting = {
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -11,6 +11,7 @@
 from fireflywharf_core.workflows import (
     ApprovalReceived,
     Configuration,
+    GrantShares,
     JournalRecord,
     StepName,
     TenureRecord,
@@ -20,7 +21,10 @@
     WorkersInUse,
     WorkflowAccepted,
     WorkflowProgress,
+    choose_unseen,
     encode_record,
+    is_short,
+    request_ms,
 )
 
 from ._approvals import ApprovalQueue
@@ -59,6 +63,7 @@
         surroundings: what it talks to.
         timing: times that depend on the deployment.
         vm: name of the VM.
+        domain: failure domain of the VM.
         peer_address: address and port at which other daemons reach this one.
         metrics: counters and histograms.
     """
@@ -70,11 +75,13 @@
         timing: Timing,
         *,
         vm: str,
+        domain: str,
         peer_address: tuple[str, int],
         metrics: WorkflowMetrics,
     ) -> None:
         self.name = name
         self.vm = vm
+        self._domain = domain
         self._peer_address = peer_address
         self._metrics = metrics
         self._outside = surroundings
@@ -86,7 +93,10 @@
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
         self._peer_server = PeerServer(self._approvals, self._told_record, self._told_tickets)
         self._sender = PeerSender(self._peer_http)
-        self._pool = ApprovalPool(self._approvals, self._peer_http, vm, self._peer_addresses)
+        self._pool = ApprovalPool(
+            self._approvals, self._peer_http, vm, lambda: self.reader.fold.vms
+        )
+        self._grant_shares = GrantShares()
         self.desk = Desk(self.reader, self._appender, self._accepting, self._stored, metrics)
         self._election = Election(name, vm, self._rng)
         self._directory: Mapping[str, WorkerInfo] = {}
@@ -121,13 +131,15 @@
         await self._peer_server.close()
         await self._peer_http.close()
 
-    def _peer_addresses(self) -> dict[str, str]:
-        return {vm: record.address for vm, record in self.reader.fold.vms.items()}
-
     async def _announce(self) -> None:
         """Record where this VM is reached."""
         host, port = self._peer_address
-        record = VmPresent(vm=self.vm, incarnation=self.name, address=f"{host}:{port}")
+        record = VmPresent(
+            vm=self.vm,
+            incarnation=self.name,
+            address=f"{host}:{port}",
+            domain=self._domain,
+        )
         while True:
             deadline_s = time.monotonic() + _ANNOUNCE_S
             if isinstance(await self._appender.put_record(record, deadline_s), Appended):
@@ -180,26 +192,32 @@
             self._directory_wake.clear()
 
     def _accepting(self, accepted: WorkflowAccepted) -> None:
-        """Ask for the tickets of the first steps of a job while it is being stored."""
-        if accepted.queue.approval is None or accepted.spec.times_count:
-            return
-        service = accepted.queue.service
-        workers = [w.worker_id for w in self._directory.values() if w.service == service]
-        if not workers:
+        """Ask for the tickets of the first steps of a job while it is being stored.
+
+        Only short requests are sent from here. The scheduler knows the free room, and a long one
+        should name no worker in vain.
+        """
+        approval = accepted.queue.approval
+        if approval is None or accepted.spec.times_count or not is_short(approval):
             return
+        workers = [w for w in self._directory.values() if w.service == accepted.queue.service]
+        share = self._grant_shares.predict(accepted.queue.name)
         for index, step in enumerate(accepted.spec.steps):
-            if not step.after:
+            if step.after:
+                continue
+            named = choose_unseen(step, approval, workers, share, self._rng)
+            if named:
                 name = StepName(accepted.job_id, 0, index)
-                self._background.spawn(self._share_approval(name, accepted, workers))
+                self._background.spawn(self._share_approval(name, accepted, named))
 
     async def _share_approval(
         self, step: StepName, accepted: WorkflowAccepted, workers: list[str]
     ) -> None:
-        approval = accepted.queue.approval
-        cost_ms = approval.decision_ms + len(workers) * approval.per_worker_ms
-        granted = await self._approvals.ask(step, workers, cost_ms)
+        cost_ms = request_ms(accepted.queue.approval, len(workers))
+        granted = await self._pool.ask(step, workers, cost_ms, short=True)
         if granted is None:
             return
+        self._grant_shares.observe(accepted.queue.name, len(workers), len(granted.tickets))
         if self.office is not None:
             self.office.observe(
                 ApprovalReceived(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -30,7 +30,9 @@
     WorkflowAccepted,
     WorkflowCancelled,
     WorkflowScheduler,
+    is_short,
     job_keys,
+    request_ms,
 )
 
 from ._background import BackgroundTasks
@@ -234,6 +236,7 @@
             self._wake.clear()
             if not self._may_renew():
                 continue
+            self.scheduler.approvals.parallel_max = self._approvals.long_count
             for action in self.scheduler.decide(self._now(), time.time()):
                 match action:
                     case StartRun():
@@ -295,8 +298,22 @@
         if step is None:
             return
         approval = step.job.queue.approval
-        cost_ms = approval.decision_ms + len(order.worker_ids) * approval.per_worker_ms
-        granted = await self._approvals.ask(order.step, order.worker_ids, cost_ms)
+        cost_ms = request_ms(approval, len(order.worker_ids))
+        asked_s = self._now()
+        granted = await self._approvals.ask(
+            order.step, order.worker_ids, cost_ms, short=is_short(approval)
+        )
+        name = f"{order.step.job_id}.{order.step.occurrence}.{order.step.step}"
+        _LOG.info(
+            "approval answered",
+            extra={
+                "job_id": order.step.job_id,
+                "step": name,
+                "named": len(order.worker_ids),
+                "allowed": None if granted is None else len(granted.tickets),
+                "ms": round((self._now() - asked_s) * 1000),
+            },
+        )
         if granted is None:
             self.observe(ApprovalFailed(order.step))
             return
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -14,7 +14,7 @@
 import msgspec
 from aiohttp import web
 
-from fireflywharf_core.workflows import ApprovalReceived, StepName
+from fireflywharf_core.workflows import ApprovalReceived, StepName, VmPresent
 
 from ._approvals import ApprovalQueue
 from ._http import Answer, HttpClient
@@ -33,6 +33,8 @@
 """Time for which a peer that did not answer is not asked."""
 _REMOTE_MS = 25.0
 """Cost of the way to another region and back, against which local requests are weighed."""
+_NEAR_MS = 3.0
+"""Cost of the way to another VM of the same failure domain and back."""
 MESSAGE_MAX_BYTES = 1 << 16
 
 
@@ -185,53 +187,84 @@
             _LOG.info("peer was not told", extra={"peer": address, "reason": result.reason})
 
 
+def lane(vms: Mapping[str, VmPresent], short: bool) -> frozenset[str]:
+    """Return the VMs that take short requests for approval, or those that take long ones."""
+    domains: dict[str, list[str]] = {}
+    for name in sorted(vms):
+        domains.setdefault(vms[name].domain, []).append(name)
+    return frozenset(
+        name
+        for names in domains.values()
+        for index, name in enumerate(names)
+        if len(names) == 1 or (index == 0) == short
+    )
+
+
 class ApprovalPool:
     """Spreads requests for approval over all VMs.
 
-    Pattern: after a take-over every waiting step needs new tickets at once, and the service answers
-    the requests of one VM one after the other.
+    Pattern: the service answers the requests of one VM one after the other, and a request for a
+    wide step takes fifty times as long as one for an urgent step. The first VM of each failure
+    domain takes the short requests and the others take the long ones, so that no short request
+    waits behind a long one. Where a domain has one VM only, it takes both.
 
     Args:
         local: requests of this VM.
         http: client for the other VMs.
         own_name: name of this VM.
-        addresses: returns the address of each VM.
+        vms: returns the VMs by name.
     """
 
-    def __init__(self, local: ApprovalQueue, http: HttpClient, own_name: str, addresses) -> None:
+    def __init__(
+        self,
+        local: ApprovalQueue,
+        http: HttpClient,
+        own_name: str,
+        vms: Callable[[], Mapping[str, VmPresent]],
+    ) -> None:
         self._local = local
         self._http = http
         self._own_name = own_name
-        self._addresses = addresses
+        self._vms = vms
         self._outstanding_ms: dict[str, float] = {}
         self._suspect_until_s: dict[str, float] = {}
 
+    @property
+    def long_count(self) -> int:
+        """Number of VMs that take long requests."""
+        return max(1, len(lane(self._vms(), short=False)))
+
     async def ask(
-        self, step: StepName, worker_ids: Sequence[str], cost_ms: float
+        self, step: StepName, worker_ids: Sequence[str], cost_ms: float, *, short: bool
     ) -> ApprovalGranted | None:
         """Ask through the VM with the least work; None without a usable answer."""
-        addresses: Mapping[str, str] = self._addresses()
-        now_s = time.monotonic()
-        names = [
-            name
-            for name in addresses
-            if name != self._own_name and self._suspect_until_s.get(name, 0.0) <= now_s
-        ]
-        name = min([self._own_name, *names], key=self._load_ms)
+        vms = self._vms()
+        name = self._choose(vms, short)
         self._outstanding_ms[name] = self._outstanding_ms.get(name, 0.0) + cost_ms
         try:
             if name == self._own_name:
                 return await self._local.ask(step, worker_ids, cost_ms)
-            granted = await self._ask_peer(name, addresses[name], step, worker_ids, cost_ms)
+            address = vms[name].address
+            granted = await self._ask_peer(name, address, step, worker_ids, cost_ms)
         finally:
             self._outstanding_ms[name] -= cost_ms
         if granted is None:
             return await self._local.ask(step, worker_ids, cost_ms)
         return granted
 
-    def _load_ms(self, name: str) -> float:
-        remote_ms = 0.0 if name == self._own_name else _REMOTE_MS
-        return self._outstanding_ms.get(name, 0.0) + remote_ms
+    def _choose(self, vms: Mapping[str, VmPresent], short: bool) -> str:
+        now_s = time.monotonic()
+        own = vms.get(self._own_name)
+        usable = [name for name in vms if self._suspect_until_s.get(name, 0.0) <= now_s]
+        names = [name for name in usable if name in lane(vms, short)] or usable
+        if own is None or not names:
+            return self._own_name
+
+        def load_ms(name: str) -> float:
+            distance_ms = _REMOTE_MS if vms[name].domain != own.domain else _NEAR_MS
+            return self._outstanding_ms.get(name, 0.0) + distance_ms * (name != self._own_name)
+
+        return min(names, key=load_ms)
 
     async def _ask_peer(
         self, name: str, address: str, step: StepName, worker_ids: Sequence[str], cost_ms: float
