--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -108,3 +108,11 @@
 
     When the settings of the platform lack two fields
     Then the message names both fields
+
+  Scenario: a page of the newest records is cut off
+    Guards against daemons on slow links that begin again with each page that fails and never have
+    read the whole journal.
+
+    Given a store with 3 pages of records of which the second fails twice
+    When the newest records are read
+    Then all of them are returned after 5 calls
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -1,7 +1,9 @@
 """Steps for daemons on stand-ins of the platform."""
 
 import ast
+import asyncio
 import contextlib
+import json
 import re
 import signal
 import sys
@@ -11,10 +13,12 @@
 from behave import given, then, when
 from platform_processes import ROOT, PlatformDeployment, wait_for
 
+from fireflywharf_daemon.workflows import Answer, NoAnswer, ReadRecords, Topic
 from fireflywharf_testing.platform_stand_ins import StoreFault
 
 sys.path.append(str(ROOT / "platform"))
 from fireflywharf_platform._settings import SettingsError, parse_settings  # noqa: E402
+from fireflywharf_platform._store import StoreClient  # noqa: E402
 
 JOB = "00000000000000a1"
 OWN_NAMES = {"features", "benchmarks", "tools", "platform", "platform_stand_ins"}
@@ -248,3 +252,40 @@
     for row in context.table:
         value = float(values.get(row["sample"], 0))
         assert value >= float(row["least"]), (row["sample"], value)
+
+
+class PagedStore:
+    """Answers requests for pages; the second page gets no answer twice."""
+
+    def __init__(self, pages_count):
+        self.pages_count = pages_count
+        self.calls_count = 0
+
+    async def call(self, method, url, *, timeout_s, silence_s):
+        """Answer one page."""
+        self.calls_count += 1
+        after = re.search(r"after=k(\d+)", url)
+        page = int(after[1]) + 1 if after else 0
+        if page == 1 and self.calls_count < 4:
+            return NoAnswer("cut off")
+        item = {"key": f"k{page}", "value": "eA==", "offset": page}
+        body = {"items": [item], "more_pages": page + 1 < self.pages_count, "end": 9}
+        return Answer(200, json.dumps(body).encode())
+
+
+@given("a store with {count:d} pages of records of which the second fails twice")
+def paged_store(context, count):
+    context.http = PagedStore(count)
+
+
+@when("the newest records are read")
+def read_newest(context):
+    client = StoreClient(context.http, "127.0.0.1:1")
+    context.result = asyncio.run(client.newest(Topic.JOURNAL))
+
+
+@then("all of them are returned after {count:d} calls")
+def check_pages(context, count):
+    assert isinstance(context.result, ReadRecords), context.result
+    assert [record.key for _, record in context.result.rows] == ["k0", "k1", "k2"]
+    assert context.http.calls_count == count, context.http.calls_count
--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -278,6 +278,47 @@
     assert context.fold.jobs["a"].state is WorkflowState.COMPLETE
 
 
+@given("{count:d} jobs with a payload of {size:d} bytes")
+def large_jobs(context, count, size):
+    world = context.world = WorkflowWorld(workers_count=3)
+    for number in range(count):
+        world.submit(f"{number:016x}", [tasks(1)], payload="x" * size)
+
+
+@when("all of them have ended")
+def all_ended(context):
+    context.accepted = context.world.newest["a" + f"{0:016x}"]
+    context.world.run(8.0)
+
+
+@then("the newest records of the journal have less than {size:d} bytes for each job")
+def check_journal_size(context, size):
+    jobs = len(context.world.fold.jobs)
+    rows = [row for row in context.world.newest.items() if row[0][0] in "acp"]
+    total = sum(len(key) + len(value) for key, (_, value) in rows)
+    assert total < size * jobs, total / jobs
+
+
+@then("a daemon that reads them shows every job as complete")
+def check_loaded(context):
+    context.fold = JournalFold()
+    rows = sorted((offset, key, value) for key, (offset, value) in context.world.newest.items())
+    for offset, key, value in rows:
+        context.fold.apply(offset, key, value, now_s=0.0)
+    assert len(context.fold.jobs) == 20
+    for job in context.fold.jobs.values():
+        assert job.exists and job.state is WorkflowState.COMPLETE, job
+
+
+@then("an append of a job that was held up until now changes nothing")
+def check_late_append(context):
+    _, value = context.accepted
+    changed = context.fold.apply(10**6, "a" + f"{0:016x}", value, now_s=0.0)
+    job = context.fold.jobs[f"{0:016x}"]
+    assert changed is None
+    assert job.exists and job.state is WorkflowState.COMPLETE, job
+
+
 @when("a job is cancelled before its last end is recorded")
 def cancel_then_end(context):
     context.fold = JournalFold()
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -164,6 +164,8 @@
         self.now_s = 100.0
         self.fold = JournalFold()
         self.offset = 0
+        self.newest = {}
+        self.steps = {}
         self.violations = []
         self.failing_share = 0.0
         self.lossy_share = 0.0
@@ -204,6 +206,7 @@
     def append(self, record):
         """Append to the journal; the present scheduler reads it."""
         key, value = encode_record(record)
+        self.newest[key] = (self.offset, value)
         self.fold.apply(self.offset, key, value, self.now_s)
         self.offset += 1
 
@@ -232,9 +235,10 @@
         directory = {n: w.info for n, w in self.workers.items() if n not in self.hidden}
         self.scheduler.observe(DirectoryChanged(directory), self.now_s)
 
-    def submit(self, job_id, steps, cancelled=False):
+    def submit(self, job_id, steps, payload="p"):
         """Accept a job."""
-        spec = WorkflowSpec(payload="p", steps=tuple(steps))
+        spec = WorkflowSpec(payload=payload, steps=tuple(steps))
+        self.steps[job_id] = spec.steps
         self.append(
             WorkflowAccepted(job_id=job_id, queue=self.queue, spec=spec, accepted_utc_s=0.0)
         )
@@ -250,7 +254,7 @@
 
     def spec_of(self, task):
         """Return the step of a task."""
-        return self.fold.find_spec(task.step_name.job_id).steps[task.step_name.step]
+        return self.steps[task.step_name.job_id][task.step_name.step]
 
     def all_processes(self):
         """Return worker, key and process of everything that runs."""
@@ -302,7 +306,7 @@
                     self.violations.append(f"{order.task} starts after its recorded end")
         for earlier in spec.after:
             step = attrs.evolve(order.task.step_name, step=earlier)
-            count = job.accepted.spec.steps[earlier].tasks_count
+            count = self.steps[order.task.step_name.job_id][earlier].tasks_count
             for index in range(count):
                 if not self.is_done(attrs.evolve(order.task, step_name=step, index=index)):
                     self.violations.append(f"{order.task} starts before step {earlier} is done")
@@ -367,8 +371,8 @@
                 heard[name] = self._hold(name, worker)
         for action in self.scheduler.decide(self.now_s, 0.0):
             self.send(action)
-        for progress in self.scheduler.take_progress():
-            self.append(progress)
+        for record in [*self.scheduler.take_closed(), *self.scheduler.take_progress()]:
+            self.append(record)
         for name, serial in heard.items():
             self.acknowledged[name] = max(self.acknowledged[name], serial)
 
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -73,6 +73,15 @@
     When progress with offset 7 is read before progress with offset 5
     Then the state is that of offset 7
 
+  Scenario: what callers submitted is dropped once a job has ended
+    Guards against daemons that start and cannot read the journal in time because it keeps every job.
+
+    Given 20 jobs with a payload of 4000 bytes
+    When all of them have ended
+    Then the newest records of the journal have less than 300 bytes for each job
+    And a daemon that reads them shows every job as complete
+    And an append of a job that was held up until now changes nothing
+
   Scenario: a cancelled job stays cancelled
     Guards against a state that changes after it was shown as final.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -53,6 +53,17 @@
     job_id: str
 
 
+@attrs.frozen(slots=True, kw_only=True)
+class WorkflowClosed:
+    """A job that has ended and of which nothing runs any more.
+
+    It replaces the acceptance under the same key. What callers submitted makes most of the journal,
+    and a daemon that starts reads all of it.
+    """
+
+    job_id: str
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class StepProgress:
     """What is durable of a step.
@@ -126,6 +137,7 @@
 JournalRecord = (
     WorkflowAccepted
     | WorkflowCancelled
+    | WorkflowClosed
     | WorkflowProgress
     | TenureRecord
     | WorkersInUse
@@ -158,6 +170,7 @@
     [
         WorkflowAccepted,
         WorkflowCancelled,
+        WorkflowClosed,
         _PackedProgress,
         TenureRecord,
         WorkersInUse,
@@ -173,6 +186,8 @@
             return f"a{job_id}", _CODEC.encode(record)
         case WorkflowCancelled(job_id=job_id):
             return f"c{job_id}", _CODEC.encode(record)
+        case WorkflowClosed(job_id=job_id):
+            return f"a{job_id}", _CODEC.encode(record)
         case WorkflowProgress(job_id=job_id, state=state, steps=steps):
             rows = [
                 (row.occurrence, row.step, _WireBits.pack(row.done_bits), row.failures)
@@ -223,7 +238,8 @@
     """What the journal says of one job.
 
     Args:
-        accepted: its acceptance; None while only other records were read.
+        accepted: its acceptance; None while only other records were read, and once it is closed.
+        closed: whether it has ended and its acceptance was dropped.
         offset: offset of the acceptance.
         cancelled: whether it was cancelled before its last state.
         progress: newest progress; None before the first.
@@ -235,6 +251,12 @@
     cancelled: bool = False
     progress: WorkflowProgress | None = None
     final_s: float | None = None
+    closed: bool = False
+
+    @property
+    def exists(self) -> bool:
+        """Whether the job was accepted."""
+        return self.closed or self.accepted is not None
 
     @property
     def state(self) -> WorkflowState:
@@ -304,9 +326,12 @@
         before = job.state
         match record:
             case WorkflowAccepted():
-                if job.accepted is not None:
+                # An append that was held up may come after the end of the job.
+                if job.exists:
                     return False
                 job.accepted, job.offset = record, offset
+            case WorkflowClosed():
+                job.closed, job.accepted = True, None
             case WorkflowCancelled():
                 if job.cancelled or before.final:
                     return False
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -23,7 +23,7 @@
     WorkerListed,
     WorkerSilent,
 )
-from ._journal import WorkflowProgress, WorkflowState
+from ._journal import WorkflowClosed, WorkflowProgress, WorkflowState
 from ._names import TaskName
 from ._order import order_key
 from ._placement import assign_gang, assign_singles, room_for
@@ -97,6 +97,7 @@
         self.approvals = Approvals(self.workers, self.outbox)
         self.reservations = Reservations(self.workers)
         self._accounted = False
+        self._closed: list[str] = []
 
     def observe(self, event: Event, now_s: float) -> None:
         """Take up an event.
@@ -235,10 +236,19 @@
             if job.state.final and not self.runs.any_of(job):
                 self.runs.closed.append(job.job_id)
         for job_id in self.runs.closed:
-            self.jobs.pop(job_id, None)
+            if self.jobs.pop(job_id, None) is not None:
+                self._closed.append(job_id)
         self.runs.closed.clear()
         return [job.progress() for job in changed if job.state is not WorkflowState.CANCELLED]
 
+    def take_closed(self) -> list[WorkflowClosed]:
+        """Return the jobs that ended and of which nothing runs, once their ends are durable.
+
+        The progress that `take_progress` returned before must be durable.
+        """
+        closed, self._closed = self._closed, []
+        return [WorkflowClosed(job_id=job_id) for job_id in closed]
+
     def find_step(self, name) -> Step | None:
         """Return the step of that name, or None."""
         job = self.jobs.get(name.job_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -292,7 +292,9 @@
         return WorkflowProgress(
             job_id=self.job_id,
             state=self.state,
-            steps=tuple(row for row in rows if row.done_bits or row.failures),
+            steps=tuple(
+                row for row in rows if not self.state.final and (row.done_bits or row.failures)
+            ),
         )
 
     def restore(self, progress: WorkflowProgress) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -109,15 +109,27 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        silence_s: float | None = None,
     ) -> Exchange:
-        """Send one request and read the whole answer."""
+        """Send one request and read the whole answer.
+
+        Args:
+            method: HTTP method.
+            url: where to send it.
+            timeout_s: longest time for all of it.
+            body: body of the request.
+            headers: further headers.
+            silence_s: longest time without a byte of the answer; None for no limit of its own.
+        """
         try:
             async with self._session.request(
                 method,
                 url,
                 data=body,
                 headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_S),
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, sock_connect=CONNECT_S, sock_read=silence_s
+                ),
                 allow_redirects=False,
             ) as response:
                 return Answer(response.status, await response.read())
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -349,6 +349,8 @@
             self._dirty.clear()
             flushes, self._flushes = self._flushes, []
             records, self._extra = self._extra, []
+            # Closings come one append after the progress that they rely on.
+            records += self.scheduler.take_closed()
             records += self.scheduler.take_progress()
             if not self._resigning and self._now() >= renewed_s + RENEWAL_S - _BATCH_S:
                 renewal += 1
