Append through one VM of a failure domain, and do not trust a state that was read in part

Cause 1: an answer of the log holds at most a megabyte. Cause 2: the log takes one append after the other. Ruled out: the limits on calls (429 none), processor time. Change: the state is current only once a read has reached the end of the log. The first VM of a failure domain appends for the others, in groups; if it does not answer, a VM appends by itself.

--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -26,11 +26,13 @@
     LogRecord,
     ReadFailed,
     ReadRecords,
+    Topic,
     WorkflowMetrics,
 )
 from fireflywharf_daemon.workflows._approvals import ApprovalQueue
-from fireflywharf_daemon.workflows._journal import JournalReader
+from fireflywharf_daemon.workflows._journal import GroupAppender, JournalReader
 from fireflywharf_daemon.workflows._peers import ApprovalPool, lane
+from fireflywharf_daemon.workflows._relay import RelayedAppender
 from fireflywharf_daemon.workflows._tenure import Election, JournalWriter
 
 STEP_S = 0.05
@@ -304,6 +306,78 @@
     assert all(len(kinds) == 1 for name, kinds in costs.items() if name != "b1"), costs
 
 
+class SerialLog:
+    """A log that takes one append after the other."""
+
+    def __init__(self, append_s):
+        self.append_s = append_s
+        self.turn = None
+        self.end = 0
+
+    async def append(self, topic, records, *, timeout_s, writer=None):
+        """Append when it is this call's turn."""
+        self.turn = self.turn or asyncio.Lock()
+        try:
+            async with asyncio.timeout(timeout_s), self.turn:
+                await asyncio.sleep(self.append_s)
+        except TimeoutError:
+            return AppendUncertain("no answer in time")
+        self.end += len(records)
+        return Appended(self.end - len(records))
+
+
+class DirectSender:
+    """Hands appends for the first VM to its appender."""
+
+    def __init__(self, appender):
+        self.appender = appender
+
+    async def relay_append(self, address, record, wait_s):
+        """Append at the first VM."""
+        return await self.appender.put(record, time.monotonic() + wait_s)
+
+
+@given("{count:d} VMs and a log that takes {append_s:g} s for each append")
+def serial_log(context, count, append_s):
+    context.log = SerialLog(append_s)
+    context.appenders = [GroupAppender(context.log, Topic.JOURNAL) for _ in range(count)]
+
+
+@when("each VM stores a job every {pause_s:g} s for {seconds:g} s {way}")
+def store_jobs(context, pause_s, seconds, way):
+    sender = DirectSender(context.appenders[0])
+    address = "first" if way == "through one VM" else None
+
+    async def store(vm, appender):
+        relayed = RelayedAppender(appender, sender, lambda: address if vm else None)
+        waits = []
+        for number in range(round(seconds / pause_s)):
+            record = job_record(f"{vm}-{number}")
+            waits.append(asyncio.create_task(timed(relayed, record)))
+            await asyncio.sleep(pause_s)
+        return (await asyncio.gather(*waits))[-1]
+
+    async def timed(relayed, record):
+        started_s = time.monotonic()
+        result = await relayed.put_record(record, started_s + 10.0)
+        assert isinstance(result, Appended), result
+        return time.monotonic() - started_s
+
+    async def run():
+        loops = [asyncio.create_task(appender.run()) for appender in context.appenders]
+        tasks = [store(vm, appender) for vm, appender in enumerate(context.appenders)]
+        context.last_waits_s = await asyncio.gather(*tasks)
+        for loop in loops:
+            loop.cancel()
+
+    asyncio.run(run())
+
+
+@then("the last job of a VM is stored {outcome} {limit_s:g} s")
+def check_last_wait(context, outcome, limit_s):
+    assert (max(context.last_waits_s) > limit_s) == (outcome == "after"), context.last_waits_s
+
+
 @given("a stream for log lines that nobody reads")
 def unread_stream(context):
     context.read_end, write_end = os.pipe()
@@ -370,11 +444,41 @@
     assert context.log.appends_count == 1
 
 
+def tenures(offsets):
+    """Return rows with records that are always taken up."""
+    return tuple(
+        (offset, stored(TenureRecord(holder="b#1", epoch=5, ordinal=offset))) for offset in offsets
+    )
+
+
+@when("a read returns records up to offset {last:d} of a journal that ends at {end:d}")
+def read_part(context, last, end):
+    context.log.rows = tenures(range(3, last + 1))
+    asyncio.run(context.reader._read(0.0))
+
+
+@when("the rest is read")
+def read_rest(context):
+    context.log.rows = tenures(range(3, 9))
+    asyncio.run(context.reader._read(0.0))
+
+
+@then("its state is not current")
+def check_not_current(context):
+    assert not context.reader.current
+
+
+@then("its state is current")
+def check_current(context):
+    assert context.reader.current
+
+
 @when("its reads succeed and then fail")
 def read_then_fail(context):
     async def fail(topic, offset, *, wait_s):
         return ReadFailed("down")
 
+    context.log.rows = tenures(range(3, 9))
     asyncio.run(context.reader._read(0.0))
     context.followed = [context.reader.follows]
     context.log.read = fail
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -53,6 +53,15 @@
     When its reads succeed and then fail
     Then it follows the journal after the first read only
 
+  Scenario: an answer of the log that does not reach its end
+    Guards against a job that is denied because the records after a long outage come in parts.
+
+    Given a daemon that has read the journal up to offset 3
+    When a read returns records up to offset 5 of a journal that ends at 9
+    Then its state is not current
+    When the rest is read
+    Then its state is current
+
   Scenario: a resignation frees the office
     Guards against waiting for silence after a graceful shutdown.
 
@@ -88,6 +97,18 @@
     When a VM of each failure domain sends a short request and a long one
     Then no VM with others in its domain gets both
 
+  Scenario Outline: a slow log that takes one append after the other
+    Guards against submissions that wait for the appends of all other VMs.
+
+    Given 10 VMs and a log that takes 0.08 s for each append
+    When each VM stores a job every 0.1 s for 2 s <way>
+    Then the last job of a VM is stored <outcome> 0.4 s
+
+    Examples:
+      | way            | outcome |
+      | by itself      | after   |
+      | through one VM | within  |
+
   Scenario: a reader of log lines that does not keep up
     Guards against a daemon that waits for whoever reads its log.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
@@ -20,8 +20,9 @@
 )
 
 from ._interfaces import Appended, AppendRejected
-from ._journal import GroupAppender, JournalReader
+from ._journal import JournalReader
 from ._metrics import WorkflowMetrics
+from ._relay import RelayedAppender
 
 _LOG = logging.getLogger(__name__)
 
@@ -91,7 +92,7 @@
     def __init__(
         self,
         reader: JournalReader,
-        appender: GroupAppender,
+        appender: RelayedAppender,
         on_accept: Callable[[WorkflowAccepted], None],
         on_stored: Callable[[JournalRecord, int], None],
         metrics: WorkflowMetrics,
@@ -124,7 +125,7 @@
         self, queue: Queue, job_id: str, spec: WorkflowSpec, started_s: float
     ) -> Reply:
         known = self._reader.fold.jobs.get(job_id)
-        if known is not None and known.accepted is not None:
+        if known is not None and known.exists:
             return Accepted()
         if not self._reader.current:
             return self._reject(queue, job_id, "the journal cannot be read")
@@ -162,10 +163,10 @@
     async def show(self, job_id: str) -> Reply:
         """Return the state of a job."""
         known = self._reader.fold.jobs.get(job_id)
-        if known is None or known.accepted is None or not known.state.final:
+        if known is None or not known.exists or not known.state.final:
             await self._reader.refresh(_REFRESH_S)
             known = self._reader.fold.jobs.get(job_id)
-        if known is not None and known.accepted is not None:
+        if known is not None and known.exists:
             return JobShown(known.state)
         if not self._reader.current:
             return Rejected("the journal cannot be read", _RETRY_AFTER_S)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -150,12 +150,17 @@
         result = await self._log.read(Topic.JOURNAL, self.offset, wait_s=wait_s)
         self._waiting = False
         match result:
-            case ReadRecords(_, rows):
+            case ReadRecords(end, rows):
                 self._apply(rows)
                 if rows:
                     self.offset = max(self.offset, rows[-1][0] + 1)
                     self._apply_early()
-                self._note(True, started_s, "")
+                if self.offset >= end:
+                    self._note(True, started_s, "")
+                else:
+                    # One answer holds a limited number of bytes; without the rest, the state must
+                    # not be used to deny that a job exists.
+                    self._poke.set()
             case ReadExpired(first):
                 _LOG.warning("journal history expired", extra={"first": first})
                 self.loaded = False
