--- a/features/daemon_platform.feature
+++ b/features/daemon_platform.feature
@@ -45,7 +45,7 @@
 
   Scenario: a worker fails everything
     Given daemons in 2 failure domains under load
-    When a worker that runs tasks fails everything from then on
+    When the worker that gets most tasks fails everything from then on
     Then the entry VMs show that worker as set aside
     And the load ends with every promise kept
 
--- a/features/steps/daemon_platform_steps.py
+++ b/features/steps/daemon_platform_steps.py
@@ -1,5 +1,6 @@
 """Steps of the features about daemons while the platform fails."""
 
+import collections
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -8,13 +9,15 @@
 from daemon_steps import begin_load
 from daemon_world import CONTRACT, SERVICE, eventually, job_document, running_vms, start_cluster
 
-from fireflywharf_core.history import RequestEnded, RequestStarted
+from fireflywharf_core.history import AttemptStarted, RequestEnded, RequestStarted
 from fireflywharf_core.jobs import job_id_of
 from fireflywharf_core.results import ResultCode
 from fireflywharf_testing import FaultSettings, RequestPlan, TargetGroup
 
 CALLERS_COUNT = 16
 IN_FORCE_LIMIT_S = 10.0
+STARTS_MIN = 10
+"""Starts after which the worker that gets most tasks is known."""
 
 
 def log_servers(cluster):
@@ -99,20 +102,15 @@
         assert result.outcome == "completed", (vm, result)
 
 
-def busy_worker(context):
-    """Return a worker that runs tasks; others may get none, because tasks are packed."""
-    workers = context.cluster.platform.workers
+@when("a worker that runs tasks is killed")
+def step_kill_worker(context):
+    platform = context.cluster.platform
 
     def busy():
-        return max(workers, key=lambda name: len(workers[name].listing().running))
+        return next((n for n, w in platform.workers.items() if w.listing().running), None)
 
-    eventually(lambda: workers[busy()].listing().running, "a worker that runs tasks")
-    return busy()
-
-
-@when("a worker that runs tasks is killed")
-def step_kill_worker(context):
-    context.cluster.platform.kill_vm(busy_worker(context))
+    eventually(busy, "a worker that runs tasks")
+    platform.kill_vm(busy())
 
 
 @when('the connections of target "{name}" fall silent')
@@ -148,9 +146,17 @@
     platform.add_target(name.split("-")[0], TargetGroup(service=SERVICE))
 
 
-@when("a worker that runs tasks fails everything from then on")
+@when("the worker that gets most tasks fails everything from then on")
 def step_worker_fails(context):
-    context.worker = busy_worker(context)
+    recorder, load = context.cluster.recorder, context.load
+
+    def starts():
+        rows = [row for row in recorder.of(AttemptStarted) if row.time_s >= load.start_s]
+        return collections.Counter(row.worker for row in rows).most_common(1)
+
+    # Tasks are packed on the fullest worker that fits, and the others may get none at all.
+    eventually(lambda: starts() and starts()[0][1] >= STARTS_MIN, "a worker that gets tasks")
+    context.worker = starts()[0][0]
     faults = FaultSettings(fail_p=1.0, only=["/v1/commands"])
     context.cluster.platform.set_faults(context.worker, faults)
 
--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -378,6 +378,50 @@
     assert (max(context.last_waits_s) > limit_s) == (outcome == "after"), context.last_waits_s
 
 
+class RecoveringLog:
+    """A log that rejects some appends and then takes them."""
+
+    def __init__(self, rejections_count):
+        self.left = rejections_count
+        self.records = []
+
+    async def append(self, topic, records, *, timeout_s, writer=None):
+        """Reject or append."""
+        if self.left > 0:
+            self.left -= 1
+            return AppendRejected("down")
+        self.records += records
+        return Appended(len(self.records) - len(records))
+
+
+@given("a log that rejects the first {count:d} appends and takes the next one")
+def recovering_log(context, count):
+    context.log = RecoveringLog(count)
+
+
+@when("a record with {first_s:g} s and one with {second_s:g} s are appended together")
+def append_together(context, first_s, second_s):
+    async def run():
+        appender = GroupAppender(context.log, Topic.JOURNAL)
+        now_s = time.monotonic()
+        futures = [
+            appender.put_record(job_record(name), now_s + seconds)
+            for name, seconds in (("a", first_s), ("b", second_s))
+        ]
+        loop = asyncio.create_task(appender.run())
+        context.results = await asyncio.gather(*futures)
+        loop.cancel()
+
+    asyncio.run(run())
+
+
+@then("the first has an uncertain outcome and the second is stored")
+def check_uncertain(context):
+    assert len(context.log.records) == 2, context.log.records
+    assert isinstance(context.results[0], AppendUncertain), context.results
+    assert isinstance(context.results[1], Appended), context.results
+
+
 @given("a stream for log lines that nobody reads")
 def unread_stream(context):
     context.read_end, write_end = os.pipe()
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -109,6 +109,13 @@
       | by itself      | after   |
       | through one VM | within  |
 
+  Scenario: a caller whose time is over while its record waits for the log
+    Guards against a job that is said not to have been accepted and is stored with its group later.
+
+    Given a log that rejects the first 3 appends and takes the next one
+    When a record with 0.1 s and one with 2 s are appended together
+    Then the first has an uncertain outcome and the second is stored
+
   Scenario: a reader of log lines that does not keep up
     Guards against a daemon that waits for whoever reads its log.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -31,7 +31,14 @@
 from ._background import BackgroundTasks
 from ._desk import Desk
 from ._http import HttpClient
-from ._interfaces import Appended, AppendResult, LogRecord, Surroundings, Topic
+from ._interfaces import (
+    Appended,
+    AppendResult,
+    AppendUncertain,
+    LogRecord,
+    Surroundings,
+    Topic,
+)
 from ._journal import FOLLOWER_PAUSE_S, HOLDER_PAUSE_S, GroupAppender, JournalReader
 from ._metrics import WorkflowMetrics
 from ._office import Office
@@ -265,7 +272,13 @@
         self.reader.inject(message.offset, LogRecord(message.key, message.value))
 
     async def _append_for_peer(self, record: LogRecord, wait_s: float) -> AppendResult:
-        result = await asyncio.shield(self._appender.put(record, time.monotonic() + wait_s))
+        future = self._appender.put(record, time.monotonic() + wait_s)
+        try:
+            # An answer in time tells the peer that this VM lives, so that it does not append too.
+            async with asyncio.timeout(wait_s):
+                result = await asyncio.shield(future)
+        except TimeoutError:
+            return AppendUncertain("the log did not answer in time")
         if isinstance(result, Appended):
             self.reader.inject(result.offset, record)
         return result
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -197,12 +197,25 @@
     While one append is under way, further records wait for the next one. A record may be repeated,
     because the journal keeps one record for each key.
 
+    Pattern: answers of the log are lost, and at other times it is a hundred times slower. The first
+    calls for a quick repetition, which makes the queue of a slow log longer, so the time for one
+    attempt follows the time that appends take.
+
     Args:
         log: the shared log.
         topic: where to append.
+
+    Attributes:
+        took_s_: learned time of an append.
     """
 
-    _ATTEMPT_S = 1.0
+    _ATTEMPT_MIN_S = 0.5
+    _ATTEMPT_MAX_S = 2.0
+    """Longest attempt; the log rejects appends that would wait longer."""
+    _ATTEMPT_FACTOR = 4.0
+    """An attempt ends after this multiple of the learned time."""
+    _WEIGHT = 0.3
+    """Weight of a new append in the learned time."""
     _PAUSE_S = 0.05
     _REJECTIONS_MAX = 4
     """Rejected appends, 50 ms apart, after which callers are told so and may try another VM."""
@@ -213,6 +226,7 @@
         self._queue: list[tuple[LogRecord, asyncio.Future, float]] = []
         self._wake = asyncio.Event()
         self.appends_count = 0
+        self.took_s_ = 0.0
 
     def put(self, record: LogRecord, deadline_s: float) -> asyncio.Future:
         """Append a record; the future ends with an `AppendResult`."""
@@ -240,26 +254,40 @@
                     if not future.done():
                         future.set_result(own)
 
+    def _observe(self, took_s: float) -> None:
+        self.took_s_ += self._WEIGHT * (took_s - self.took_s_)
+
     async def _append(self, batch: list[tuple[LogRecord, asyncio.Future, float]]) -> AppendResult:
         records = [record for record, _, _ in batch]
-        deadline_s = min(deadline for _, _, deadline in batch)
+        deadline_s = max(deadline for _, _, deadline in batch)
+        attempt_s = max(self._ATTEMPT_MIN_S, self._ATTEMPT_FACTOR * self.took_s_)
         uncertain: AppendUncertain | None = None
         rejections = 0
         while True:
             self.appends_count += 1
-            left_s = deadline_s - time.monotonic()
-            result = await self._log.append(
-                self._topic, records, timeout_s=max(0.1, min(self._ATTEMPT_S, left_s))
-            )
+            sent_s = time.monotonic()
+            timeout_s = min(attempt_s, self._ATTEMPT_MAX_S, deadline_s - sent_s)
+            result = await self._log.append(self._topic, records, timeout_s=max(0.1, timeout_s))
             match result:
                 case Appended() | AppendFenced():
+                    self._observe(time.monotonic() - sent_s)
                     return result
                 case AppendUncertain():
                     uncertain = result
+                    attempt_s *= 2
                 case AppendRejected():
                     rejections += 1
                     if uncertain is None and rejections >= self._REJECTIONS_MAX:
                         return result
-            if time.monotonic() + self._PAUSE_S >= deadline_s:
+            now_s = time.monotonic()
+            if now_s + self._PAUSE_S >= deadline_s:
                 return uncertain or result
+            self._give_up(batch, now_s)
             await asyncio.sleep(self._PAUSE_S)
+
+    @staticmethod
+    def _give_up(batch: list[tuple[LogRecord, asyncio.Future, float]], now_s: float) -> None:
+        """Answer the callers whose time is over; their records go on with the group."""
+        for _, future, deadline_s in batch:
+            if now_s >= deadline_s and not future.done():
+                future.set_result(AppendUncertain("the log did not answer in time"))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -33,6 +33,8 @@
 _RECORD_PATH = "/journal"
 _TICKETS_PATH = "/tickets"
 _APPEND_PATH = "/append"
+_ANSWER_S = 0.2
+"""Time for the way to a peer of the same failure domain and for its decision."""
 _TELL_S = 1.0
 """Longest wait for a message that needs no answer; after that it is of no use."""
 _TIMEOUT_S = 4.0
@@ -95,6 +97,13 @@
     validity_s: float
 
 
+@attrs.frozen(slots=True)
+class PeerSilent:
+    """A peer gave no answer; the record may have been appended."""
+
+    reason: str
+
+
 class PeerServer:
     """Serves the messages of other daemons.
 
@@ -208,13 +217,15 @@
         )
         await self._tell(address, _TICKETS_PATH, message)
 
-    async def relay_append(self, address: str, record: LogRecord, wait_s: float) -> AppendResult:
+    async def relay_append(
+        self, address: str, record: LogRecord, wait_s: float
+    ) -> AppendResult | PeerSilent:
         """Have another daemon append a record."""
         message = AppendMessage(record.key, record.value, wait_s)
         result = await self._http.call(
             "POST",
             f"http://{address}{_APPEND_PATH}",
-            timeout_s=wait_s,
+            timeout_s=wait_s + _ANSWER_S,
             body=msgspec.msgpack.encode(message),
         )
         match result:
@@ -229,7 +240,7 @@
             case Answer(status):
                 return AppendUncertain(f"the peer answered {status}")
             case NoAnswer(reason):
-                return AppendUncertain(reason)
+                return PeerSilent(reason)
 
     async def _tell(self, address: str, path: str, message: object) -> None:
         result = await self._http.call(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_relay.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_relay.py
@@ -9,15 +9,15 @@
 
 from fireflywharf_core.workflows import JournalRecord, encode_record
 
-from ._interfaces import Appended, AppendRejected, AppendResult, AppendUncertain, LogRecord
+from ._interfaces import AppendRejected, AppendResult, AppendUncertain, LogRecord
 from ._journal import GroupAppender
-from ._peers import PeerSender
+from ._peers import PeerSender, PeerSilent
 
 _LOG = logging.getLogger(__name__)
 
-_RELAY_S = 1.2
-"""Longest wait for the other VM; half of the time to store a job, so that the rest is left for an
-append from here."""
+_RELAY_S = 1.8
+"""Longest wait for the other VM. A slow log takes up to a second and a half; the rest of the time
+to store a job is left for an append from here when the VM is gone."""
 _SUSPECT_S = 5.0
 """Time for which a VM that did not append is not asked again."""
 
@@ -58,7 +58,8 @@
         started_s = time.monotonic()
         stored = LogRecord(*encode_record(record))
         result = await self._sender.relay_append(address, stored, _RELAY_S)
-        if isinstance(result, Appended):
+        if not isinstance(result, AppendRejected | PeerSilent):
+            # The other VM lives; if its append has no answer, more appends would not help.
             return result
         now_s = time.monotonic()
         self._suspect_until_s[address] = now_s + _SUSPECT_S
@@ -73,5 +74,6 @@
             },
         )
         own = await self._appender.put_record(record, deadline_s)
-        uncertain = isinstance(result, AppendUncertain) and isinstance(own, AppendRejected)
-        return result if uncertain else own
+        if isinstance(result, PeerSilent) and isinstance(own, AppendRejected):
+            return AppendUncertain(result.reason)
+        return own
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
@@ -41,6 +41,7 @@
         self.ends: list[list] = []
         self.serial = 0
         self.history: list[tuple[str, int, str]] = []
+        self.intervals: list[tuple[str, float, float, str]] = []
         self.overlaps: list[str] = []
 
     def clock_ms(self) -> int:
@@ -61,6 +62,10 @@
         self.serial += 1
         self.ends.append([self.serial, run.task, run.number, how, ""])
         self.history.append((run.task, run.number, how))
+        # A run that is found to have ended did so at its own time, not at that of the call.
+        now_s = time.monotonic()
+        end_s = {"done": run.ends_s, "lapsed": min(now_s, self.lease_end_s)}.get(how, now_s)
+        self.intervals.append((run.task, run.started_s, end_s, how))
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
