--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -218,8 +218,7 @@
             case "kill" | "term":
                 number = signal.SIGKILL if kind == "kill" else signal.SIGTERM
                 daemon.send_signal(number)
-                end = self._restart
-                arguments = [daemon]
+                end, arguments = self._restart, [daemon, daemon.process]
             case "pause":
                 daemon.send_signal(signal.SIGSTOP)
                 end, arguments = daemon.send_signal, [signal.SIGCONT]
@@ -243,11 +242,11 @@
     def _set_store(self, fault):
         self.world.store.fault = fault
 
-    def _restart(self, daemon):
-        """Start a daemon again once its process has ended."""
-        daemon.process.wait()
+    def _restart(self, daemon, process):
+        """Start a daemon again once its process has ended, unless another fault has done so."""
+        process.wait()
         with self._lock:
-            if daemon.process.poll() is not None:
+            if daemon.process is process:
                 daemon.start()
 
     def _heal(self):
@@ -257,7 +256,7 @@
             if daemon.process.poll() is None:
                 daemon.send_signal(signal.SIGCONT)
             else:
-                self._restart(daemon)
+                self._restart(daemon, daemon.process)
 
     def _settle(self):
         end_s = time.monotonic() + SETTLE_S
--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -4,6 +4,7 @@
 import os
 import random
 import time
+import unittest.mock
 
 from behave import given, then, when
 from prometheus_client import CollectorRegistry
@@ -159,6 +160,21 @@
     assert context.election.due(context.now_s + seconds)
 
 
+@when("the boot time goes on by {seconds:d} s after an append and the monotonic time does not")
+def suspend(context, seconds):
+    metrics = WorkflowMetrics(CollectorRegistry())
+    writer = JournalWriter(SerialLog(0.0), 70000, lambda *row: None, metrics)
+    asyncio.run(writer.append([job_record("a")]))
+    shifted = time.clock_gettime(time.CLOCK_BOOTTIME) + seconds
+    with unittest.mock.patch("time.clock_gettime", return_value=shifted):
+        context.age_s = writer.confirmation_age_s
+
+
+@then("the confirmation of the tenure is at least {seconds:d} s old")
+def check_confirmation(context, seconds):
+    assert context.age_s >= seconds, context.age_s
+
+
 @when("{count:d} daemons stand after the same tenure")
 def many_stand(context, count):
     context.epochs = []
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -69,6 +69,12 @@
     When the scheduler resigns
     Then the daemon stands within 0.3 s
 
+  Scenario: the machine of the scheduler was suspended
+    Guards against a scheduler that wakes and renews runs which its successor already counts as ended.
+
+    When the boot time goes on by 10 s after an append and the monotonic time does not
+    Then the confirmation of the tenure is at least 10 s old
+
   Scenario: two candidates of one tenure get different epochs
     Guards against two schedulers with one fencing token.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -210,7 +210,7 @@
         self._sessions[info.worker_id] = (session, task)
 
     def _may_renew(self) -> bool:
-        return self._now() < self._writer.confirmed_s + CONFIRMATION_S
+        return self._writer.confirmation_age_s < CONFIRMATION_S
 
     async def flush(self) -> bool:
         """Return when everything observed so far is durable, or the tenure has ended.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
@@ -55,6 +55,11 @@
 Successors wait this long, and one lease more, for workers that they cannot reach."""
 
 
+def _boot_time_s() -> float:
+    """Return a steady time that counts while the machine is suspended, unlike the monotonic one."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class JournalWriter:
     """Appends the records of one tenure in order, each of them once.
 
@@ -73,12 +78,17 @@
         metrics: WorkflowMetrics,
     ) -> None:
         self.epoch = epoch
-        self.confirmed_s = time.monotonic()
+        self._confirmed_s = _boot_time_s()
         self._log = log
         self._on_appended = on_appended
         self._metrics = metrics
         self._sequence = 0
 
+    @property
+    def confirmation_age_s(self) -> float:
+        """Time since the log confirmed the tenure last."""
+        return _boot_time_s() - self._confirmed_s
+
     async def append(
         self, records: list[JournalRecord | LogRecord], give_up: bool = False
     ) -> Appended | AppendFenced | AppendRejected:
@@ -106,7 +116,7 @@
             self._metrics.append_s.observe(time.monotonic() - sent_s)
             match result:
                 case Appended(offset):
-                    self.confirmed_s = time.monotonic()
+                    self._confirmed_s = _boot_time_s()
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
