Let the scheduler's attempts follow the time of appends, and wait longer for a slow log

Cause: an append of the scheduler was given up after 1 s while the log took about a second for it, and a VM that appends for others had 1.8 s of the 3 s for which callers wait; while the log is 85 times slower, the appends of six failure domains and the scheduler take one to two seconds. Change: one class learns the time of appends for both; a VM waits 2.2 s for the one that appends for it, and a job may take 2.7 s to be stored.

--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -31,7 +31,7 @@
     WorkflowMetrics,
 )
 from fireflywharf_daemon.workflows._approvals import ApprovalQueue
-from fireflywharf_daemon.workflows._journal import GroupAppender, JournalReader
+from fireflywharf_daemon.workflows._journal import AppendTimes, GroupAppender, JournalReader
 from fireflywharf_daemon.workflows._peers import ApprovalPool, lane
 from fireflywharf_daemon.workflows._relay import RelayedAppender
 from fireflywharf_daemon.workflows._tenure import Election, JournalWriter
@@ -438,6 +438,22 @@
     assert isinstance(context.results[1], Appended), context.results
 
 
+@when(
+    "{count:d} appends have taken {took_s:g} s each"
+    " and {unanswered:d} attempts at the next one had no answer"
+)
+def learn_times(context, count, took_s, unanswered):
+    times = AppendTimes()
+    for _ in range(count):
+        times.observe(took_s)
+    context.attempt_s = times.predict(unanswered)
+
+
+@then("the next attempt lasts {wait_s:g} s")
+def check_attempt(context, wait_s):
+    assert abs(context.attempt_s - wait_s) < 0.01, context.attempt_s
+
+
 @given("a stream for log lines that nobody reads")
 def unread_stream(context):
     context.read_end, write_end = os.pipe()
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -122,6 +122,19 @@
     When a record with 0.1 s and one with 2 s are appended together
     Then the first has an uncertain outcome and the second is stored
 
+  Scenario Outline: the time for an attempt at an append
+    Guards against repetitions that make the queue of a slow log longer, and against slow repetitions
+    after a lost answer.
+
+    When 10 appends have taken <took> s each and <unanswered> attempts at the next one had no answer
+    Then the next attempt lasts <wait> s
+
+    Examples:
+      | took | unanswered | wait |
+      | 0.03 | 0          | 0.5  |
+      | 0.03 | 1          | 1    |
+      | 0.9  | 0          | 2    |
+
   Scenario: a reader of log lines that does not keep up
     Guards against a daemon that waits for whoever reads its log.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
@@ -26,7 +26,7 @@
 
 _LOG = logging.getLogger(__name__)
 
-STORE_S = 2.4
+STORE_S = 2.7
 """Longest time to store a job before its caller is told that the outcome is unknown.
 
 Callers wait three seconds (`timeout` of the queues)."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -191,31 +191,49 @@
                 _LOG.warning("journal cannot be read", extra={"reason": reason})
 
 
-class GroupAppender:
-    """Appends records of many callers together.
-
-    While one append is under way, further records wait for the next one. A record may be repeated,
-    because the journal keeps one record for each key.
+class AppendTimes:
+    """Learns how long to wait for the answer to an append.
 
     Pattern: answers of the log are lost, and at other times it is a hundred times slower. The first
     calls for a quick repetition, which makes the queue of a slow log longer, so the time for one
     attempt follows the time that appends take.
 
-    Args:
-        log: the shared log.
-        topic: where to append.
-
     Attributes:
         took_s_: learned time of an append.
     """
 
-    _ATTEMPT_MIN_S = 0.5
-    _ATTEMPT_MAX_S = 2.0
+    _MIN_S = 0.5
+    _MAX_S = 2.0
     """Longest attempt; the log rejects appends that would wait longer."""
-    _ATTEMPT_FACTOR = 4.0
+    _FACTOR = 4.0
     """An attempt ends after this multiple of the learned time."""
     _WEIGHT = 0.3
     """Weight of a new append in the learned time."""
+
+    def __init__(self) -> None:
+        self.took_s_ = 0.0
+
+    def observe(self, took_s: float) -> None:
+        """Take up how long an append took."""
+        self.took_s_ += self._WEIGHT * (took_s - self.took_s_)
+
+    def predict(self, unanswered_count: int) -> float:
+        """Return how long to wait, after so many attempts at the same append had no answer."""
+        first_s = max(self._MIN_S, self._FACTOR * self.took_s_)
+        return min(self._MAX_S, first_s * 2**unanswered_count)
+
+
+class GroupAppender:
+    """Appends records of many callers together.
+
+    While one append is under way, further records wait for the next one. A record may be repeated,
+    because the journal keeps one record for each key.
+
+    Args:
+        log: the shared log.
+        topic: where to append.
+    """
+
     _PAUSE_S = 0.05
     _REJECTIONS_MAX = 4
     """Rejected appends, 50 ms apart, after which callers are told so and may try another VM."""
@@ -226,7 +244,7 @@
         self._queue: list[tuple[LogRecord, asyncio.Future, float]] = []
         self._wake = asyncio.Event()
         self.appends_count = 0
-        self.took_s_ = 0.0
+        self._times = AppendTimes()
 
     def put(self, record: LogRecord, deadline_s: float) -> asyncio.Future:
         """Append a record; the future ends with an `AppendResult`."""
@@ -254,27 +272,23 @@
                     if not future.done():
                         future.set_result(own)
 
-    def _observe(self, took_s: float) -> None:
-        self.took_s_ += self._WEIGHT * (took_s - self.took_s_)
-
     async def _append(self, batch: list[tuple[LogRecord, asyncio.Future, float]]) -> AppendResult:
         records = [record for record, _, _ in batch]
         deadline_s = max(deadline for _, _, deadline in batch)
-        attempt_s = max(self._ATTEMPT_MIN_S, self._ATTEMPT_FACTOR * self.took_s_)
         uncertain: AppendUncertain | None = None
-        rejections = 0
+        unanswered = rejections = 0
         while True:
             self.appends_count += 1
             sent_s = time.monotonic()
-            timeout_s = min(attempt_s, self._ATTEMPT_MAX_S, deadline_s - sent_s)
+            timeout_s = min(self._times.predict(unanswered), deadline_s - sent_s)
             result = await self._log.append(self._topic, records, timeout_s=max(0.1, timeout_s))
             match result:
                 case Appended() | AppendFenced():
-                    self._observe(time.monotonic() - sent_s)
+                    self._times.observe(time.monotonic() - sent_s)
                     return result
                 case AppendUncertain():
                     uncertain = result
-                    attempt_s *= 2
+                    unanswered += 1
                 case AppendRejected():
                     rejections += 1
                     if uncertain is None and rejections >= self._REJECTIONS_MAX:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_relay.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_relay.py
@@ -15,9 +15,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-_RELAY_S = 1.8
-"""Longest wait for the other VM. A slow log takes up to a second and a half; the rest of the time
-to store a job is left for an append from here when the VM is gone."""
+_RELAY_S = 2.2
+"""Longest wait for the other VM. A slow log takes up to two seconds; the rest of the time to store
+a job is left for an append from here when the VM is silent."""
 _SUSPECT_S = 5.0
 """Time for which a VM that did not append is not asked again."""
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
@@ -25,6 +25,7 @@
     Topic,
     Writer,
 )
+from ._journal import AppendTimes
 from ._metrics import WorkflowMetrics
 
 _LOG = logging.getLogger(__name__)
@@ -48,7 +49,6 @@
 """Factor on the spread when all daemons start for the first time; nothing waits for them then."""
 _EPOCH_RANDOM_BITS = 16
 """Low bits of an epoch; two candidates that follow the same tenure get different epochs."""
-_APPEND_S = 1.0
 CONFIRMATION_S = 6.0
 """Time without a confirmation by the journal after which a scheduler stops renewing runs.
 
@@ -83,6 +83,7 @@
         self._on_appended = on_appended
         self._metrics = metrics
         self._sequence = 0
+        self._times = AppendTimes()
 
     @property
     def confirmation_age_s(self) -> float:
@@ -106,26 +107,31 @@
         writer = Writer(WRITER_NAME, self.epoch, self._sequence)
         self._sequence += 1
         pause_s = 0.05
-        uncertain = False
+        unanswered = 0
         while True:
             sent_s = time.monotonic()
             result = await self._log.append(
-                Topic.JOURNAL, encoded, timeout_s=_APPEND_S, writer=writer
+                Topic.JOURNAL,
+                encoded,
+                timeout_s=self._times.predict(unanswered),
+                writer=writer,
             )
+            took_s = time.monotonic() - sent_s
             self._metrics.appends.labels(type(result).__name__).inc()
-            self._metrics.append_s.observe(time.monotonic() - sent_s)
+            self._metrics.append_s.observe(took_s)
             match result:
                 case Appended(offset):
+                    self._times.observe(took_s)
                     self._confirmed_s = _boot_time_s()
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
                 case AppendFenced():
                     return result
-                case AppendRejected() if give_up and not uncertain:
+                case AppendRejected() if give_up and not unanswered:
                     return result
                 case AppendRejected(reason) | AppendUncertain(reason):
-                    uncertain = uncertain or isinstance(result, AppendUncertain)
+                    unanswered += isinstance(result, AppendUncertain)
                     _LOG.warning(
                         "append of the scheduler is repeated",
                         extra={"reason": reason, "epoch": self.epoch, "sequence": writer.sequence},
