--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -33,7 +33,6 @@
 from fireflywharf_daemon.workflows._approvals import ApprovalQueue
 from fireflywharf_daemon.workflows._journal import AppendTimes, GroupAppender, JournalReader
 from fireflywharf_daemon.workflows._peers import ApprovalPool, lane
-from fireflywharf_daemon.workflows._relay import RelayedAppender
 from fireflywharf_daemon.workflows._tenure import Election, JournalWriter
 
 STEP_S = 0.05
@@ -342,58 +341,6 @@
         return Appended(self.end - len(records))
 
 
-class DirectSender:
-    """Hands appends for the first VM to its appender."""
-
-    def __init__(self, appender):
-        self.appender = appender
-
-    async def relay_append(self, address, record, wait_s):
-        """Append at the first VM."""
-        return await self.appender.put(record, time.monotonic() + wait_s)
-
-
-@given("{count:d} VMs and a log that takes {append_s:g} s for each append")
-def serial_log(context, count, append_s):
-    context.log = SerialLog(append_s)
-    context.appenders = [GroupAppender(context.log, Topic.JOURNAL) for _ in range(count)]
-
-
-@when("each VM stores a job every {pause_s:g} s for {seconds:g} s {way}")
-def store_jobs(context, pause_s, seconds, way):
-    sender = DirectSender(context.appenders[0])
-    address = "first" if way == "through one VM" else None
-
-    async def store(vm, appender):
-        relayed = RelayedAppender(appender, sender, lambda: address if vm else None)
-        waits = []
-        for number in range(round(seconds / pause_s)):
-            record = job_record(f"{vm}-{number}")
-            waits.append(asyncio.create_task(timed(relayed, record)))
-            await asyncio.sleep(pause_s)
-        return (await asyncio.gather(*waits))[-1]
-
-    async def timed(relayed, record):
-        started_s = time.monotonic()
-        result = await relayed.put_record(record, started_s + 10.0)
-        assert isinstance(result, Appended), result
-        return time.monotonic() - started_s
-
-    async def run():
-        loops = [asyncio.create_task(appender.run()) for appender in context.appenders]
-        tasks = [store(vm, appender) for vm, appender in enumerate(context.appenders)]
-        context.last_waits_s = await asyncio.gather(*tasks)
-        for loop in loops:
-            loop.cancel()
-
-    asyncio.run(run())
-
-
-@then("the last job of a VM is stored {outcome} {limit_s:g} s")
-def check_last_wait(context, outcome, limit_s):
-    assert (max(context.last_waits_s) > limit_s) == (outcome == "after"), context.last_waits_s
-
-
 class RecoveringLog:
     """A log that rejects some appends and then takes them."""
 
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -103,18 +103,6 @@
     When a VM of each failure domain sends a short request and a long one
     Then no VM with others in its domain gets both
 
-  Scenario Outline: a slow log that takes one append after the other
-    Guards against submissions that wait for the appends of all other VMs.
-
-    Given 10 VMs and a log that takes 0.08 s for each append
-    When each VM stores a job every 0.1 s for 2 s <way>
-    Then the last job of a VM is stored <outcome> 0.4 s
-
-    Examples:
-      | way            | outcome |
-      | by itself      | after   |
-      | through one VM | within  |
-
   Scenario: a caller whose time is over while its record waits for the log
     Guards against a job that is said not to have been accepted and is stored with its group later.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -31,19 +31,11 @@
 from ._background import BackgroundTasks
 from ._desk import Desk
 from ._http import HttpClient
-from ._interfaces import (
-    Appended,
-    AppendResult,
-    AppendUncertain,
-    LogRecord,
-    Surroundings,
-    Topic,
-)
+from ._interfaces import Appended, LogRecord, Surroundings, Topic
 from ._journal import FOLLOWER_PAUSE_S, HOLDER_PAUSE_S, GroupAppender, JournalReader
 from ._metrics import WorkflowMetrics
 from ._office import Office
 from ._peers import ApprovalPool, PeerSender, PeerServer, RecordMessage
-from ._relay import RelayedAppender
 from ._tenure import Election, JournalWriter
 
 _LOG = logging.getLogger(__name__)
@@ -99,16 +91,13 @@
         self._appender = GroupAppender(surroundings.log, Topic.JOURNAL)
         self._approvals = ApprovalQueue(surroundings.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
-        self._peer_server = PeerServer(
-            self._approvals, self._told_record, self._told_tickets, self._append_for_peer
-        )
+        self._peer_server = PeerServer(self._approvals, self._told_record, self._told_tickets)
         self._sender = PeerSender(self._peer_http)
         self._pool = ApprovalPool(
             self._approvals, self._peer_http, vm, lambda: self.reader.fold.vms
         )
         self._grant_shares = GrantShares()
-        relayed = RelayedAppender(self._appender, self._sender, self._appender_address)
-        self.desk = Desk(self.reader, relayed, self._accepting, self._stored, metrics)
+        self.desk = Desk(self.reader, self._appender, self._accepting, self._stored, metrics)
         self._election = Election(name, vm, self._rng)
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
@@ -243,13 +232,6 @@
         if address is not None:
             await self._sender.tell_tickets(address, step, granted, workers)
 
-    def _appender_address(self) -> str | None:
-        """Return where the VM is reached that appends for this failure domain, if it is another."""
-        vms = self.reader.fold.vms
-        names = [name for name, record in vms.items() if record.domain == self._domain]
-        first = min(names, default=self.vm)
-        return None if first == self.vm else vms[first].address
-
     def _scheduler_address(self) -> str | None:
         """Return where the scheduler in office is reached, if it is another daemon."""
         tenure = self.reader.fold.tenure
@@ -271,18 +253,6 @@
     def _told_record(self, message: RecordMessage) -> None:
         self.reader.inject(message.offset, LogRecord(message.key, message.value))
 
-    async def _append_for_peer(self, record: LogRecord, wait_s: float) -> AppendResult:
-        future = self._appender.put(record, time.monotonic() + wait_s)
-        try:
-            # An answer in time tells the peer that this VM lives, so that it does not append too.
-            async with asyncio.timeout(wait_s):
-                result = await asyncio.shield(future)
-        except TimeoutError:
-            return AppendUncertain("the log did not answer in time")
-        if isinstance(result, Appended):
-            self.reader.inject(result.offset, record)
-        return result
-
     def _told_tickets(self, event: ApprovalReceived) -> None:
         if self.office is not None:
             self.office.observe(event)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_desk.py
@@ -20,9 +20,8 @@
 )
 
 from ._interfaces import Appended, AppendRejected
-from ._journal import JournalReader
+from ._journal import GroupAppender, JournalReader
 from ._metrics import WorkflowMetrics
-from ._relay import RelayedAppender
 
 _LOG = logging.getLogger(__name__)
 
@@ -92,7 +91,7 @@
     def __init__(
         self,
         reader: JournalReader,
-        appender: RelayedAppender,
+        appender: GroupAppender,
         on_accept: Callable[[WorkflowAccepted], None],
         on_stored: Callable[[JournalRecord, int], None],
         metrics: WorkflowMetrics,
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -8,7 +8,7 @@
 
 import logging
 import time
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 import msgspec
@@ -17,24 +17,14 @@
 from fireflywharf_core.workflows import ApprovalReceived, StepName, VmPresent
 
 from ._approvals import ApprovalQueue
-from ._http import Answer, HttpClient, NoAnswer, NotSent
-from ._interfaces import (
-    Appended,
-    AppendRejected,
-    AppendResult,
-    AppendUncertain,
-    ApprovalGranted,
-    LogRecord,
-)
+from ._http import Answer, HttpClient
+from ._interfaces import ApprovalGranted, LogRecord
 
 _LOG = logging.getLogger(__name__)
 
 _ASK_PATH = "/approvals"
 _RECORD_PATH = "/journal"
 _TICKETS_PATH = "/tickets"
-_APPEND_PATH = "/append"
-_ANSWER_S = 0.2
-"""Time for the way to a peer of the same failure domain and for its decision."""
 _TELL_S = 1.0
 """Longest wait for a message that needs no answer; after that it is of no use."""
 _TIMEOUT_S = 4.0
@@ -76,15 +66,6 @@
     value: bytes
 
 
-@attrs.frozen(slots=True)
-class AppendMessage:
-    """A record that the receiver is to append within `wait_s`."""
-
-    key: str
-    value: bytes
-    wait_s: float
-
-
 @attrs.frozen(slots=True)
 class TicketsMessage:
     """Tickets for a step; `validity_s` counts from the message."""
@@ -97,13 +78,6 @@
     validity_s: float
 
 
-@attrs.frozen(slots=True)
-class PeerSilent:
-    """A peer gave no answer; the record may have been appended."""
-
-    reason: str
-
-
 class PeerServer:
     """Serves the messages of other daemons.
 
@@ -111,7 +85,6 @@
         queue: requests for approval of this VM.
         on_record: receives records that have just become durable.
         on_tickets: receives tickets.
-        on_append: appends a record within a time in seconds.
     """
 
     def __init__(
@@ -119,12 +92,10 @@
         queue: ApprovalQueue,
         on_record: Callable[[RecordMessage], None],
         on_tickets: Callable[[ApprovalReceived], None],
-        on_append: Callable[[LogRecord, float], Awaitable[AppendResult]],
     ) -> None:
         self._queue = queue
         self._on_record = on_record
         self._on_tickets = on_tickets
-        self._on_append = on_append
         self._runner: web.ServerRunner | None = None
 
     async def open(self, host: str, port: int) -> None:
@@ -148,24 +119,12 @@
                     self._on_record(_decode(body, RecordMessage))
                 case path if path == _TICKETS_PATH:
                     self._on_tickets(_received(_decode(body, TicketsMessage)))
-                case path if path == _APPEND_PATH:
-                    return await self._serve_append(_decode(body, AppendMessage))
                 case _:
                     return web.Response(status=404)
         except msgspec.DecodeError as error:
             return web.Response(status=400, text=str(error))
         return web.Response(status=204)
 
-    async def _serve_append(self, message: AppendMessage) -> web.Response:
-        record = LogRecord(message.key, message.value)
-        match await self._on_append(record, message.wait_s):
-            case Appended(offset):
-                return web.Response(body=msgspec.msgpack.encode(offset))
-            case AppendRejected(reason):
-                return web.Response(status=503, text=reason)
-            case _:
-                return web.Response(status=504)
-
     async def _serve_ask(self, order: ApprovalRequest) -> web.Response:
         step = StepName(order.job_id, order.occurrence, order.step)
         granted = await self._queue.ask(step, order.worker_ids, order.cost_ms)
@@ -217,31 +176,6 @@
         )
         await self._tell(address, _TICKETS_PATH, message)
 
-    async def relay_append(
-        self, address: str, record: LogRecord, wait_s: float
-    ) -> AppendResult | PeerSilent:
-        """Have another daemon append a record."""
-        message = AppendMessage(record.key, record.value, wait_s)
-        result = await self._http.call(
-            "POST",
-            f"http://{address}{_APPEND_PATH}",
-            timeout_s=wait_s + _ANSWER_S,
-            body=msgspec.msgpack.encode(message),
-        )
-        match result:
-            case Answer(200, body):
-                return Appended(msgspec.msgpack.decode(body, type=int))
-            case Answer(503, body):
-                return AppendRejected(body.decode(errors="replace"))
-            case Answer(404):
-                return AppendRejected("the peer does not append for others")
-            case NotSent(reason):
-                return AppendRejected(reason)
-            case Answer(status):
-                return AppendUncertain(f"the peer answered {status}")
-            case NoAnswer(reason):
-                return PeerSilent(reason)
-
     async def _tell(self, address: str, path: str, message: object) -> None:
         result = await self._http.call(
             "POST",
