Work out the lane of a request for approval once

Cause: the choice of a VM worked out the lane anew for each VM that could be asked, 30 times a request on the grown fleets. Change: it is worked out once for each request; the choice is the same.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -256,7 +256,8 @@
         now_s = time.monotonic()
         own = vms.get(self._own_name)
         usable = [name for name in vms if self._suspect_until_s.get(name, 0.0) <= now_s]
-        names = [name for name in usable if name in lane(vms, short)] or usable
+        chosen = lane(vms, short)
+        names = [name for name in usable if name in chosen] or usable
         if own is None or not names:
             return self._own_name
 
