Let candidates for scheduler stand one after the other, large VMs first

While the store was silent, 22 candidates sent tenure records, which it took up one after the other when it came back. Ruled out: the suspicion of workers (1 'run was not started' in the good phase, 67 in the bad one, all from the small scheduler); the store, which answered in both. VMs announce processors and link.

--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -105,10 +105,45 @@
     assert len(context.heard) == 1, context.heard
 
 
+class StuckLog(ScriptedLog):
+    """A log that answers no read, or none of those that wait."""
+
+    def __init__(self, waiting_only):
+        super().__init__()
+        self.waiting_only = waiting_only
+
+    async def read(self, topic, offset, *, wait_s):
+        """Answer a read that does not wait, if such are answered."""
+        if wait_s > 0 or not self.waiting_only:
+            await asyncio.sleep(60)
+        return await super().read(topic, offset, wait_s=wait_s)
+
+
+@when("it reads at once from a log that {kind}")
+def read_at_once(context, kind):
+    if kind != "holds the tenure of another daemon":
+        context.log = context.reader._log = StuckLog(kind.endswith("waits already"))
+    tenure = TenureRecord(holder="b#1", epoch=5, ordinal=1)
+    context.log.rows = ((3, stored(tenure)),)
+
+    async def read():
+        waiting = asyncio.create_task(context.reader._read(1.0))
+        context.answered = await context.reader.read_now(0.05)
+        waiting.cancel()
+
+    asyncio.run(read())
+
+
+@then("the read {succeeds} and the daemon {knows} of the new scheduler")
+def check_read(context, succeeds, knows):
+    assert context.answered == (succeeds == "succeeds")
+    assert (context.reader.fold.tenure is not None) == (knows == "has read")
+
+
 @given("a daemon that heard the scheduler every {gap_s:g} s")
 def heard_every(context, gap_s):
     context.now_s = 10.0
-    context.election = Election("vm-1#2", "vm-1", random.Random(1))
+    context.election = Election("vm-1#2", "vm-1", random.Random(1), dict)
     for renewal in range(8):
         record = TenureRecord(holder="vm-2#1", epoch=70000, ordinal=1, renewal=renewal)
         context.election.observe(record, context.now_s)
@@ -139,7 +174,7 @@
 
 @when("a daemon starts on the VM of the scheduler")
 def same_vm(context):
-    context.election = Election("vm-1#2", "vm-1", random.Random(1))
+    context.election = Election("vm-1#2", "vm-1", random.Random(1), dict)
     context.election.observe(TenureRecord(holder="vm-1#1", epoch=70000, ordinal=1), 1.0)
 
 
@@ -159,6 +194,75 @@
     assert context.election.due(context.now_s + seconds)
 
 
+def vm_presences(count, letter, processors_millicores, link_mbps):
+    return {
+        f"{letter}{number}": VmPresent(
+            vm=f"{letter}{number}",
+            incarnation=f"{letter}{number}#1",
+            address="",
+            processors_millicores=processors_millicores,
+            link_mbps=link_mbps,
+        )
+        for number in range(count)
+    }
+
+
+@given("{large:d} VMs of 2.1 processors and {small:d} of half a processor with a tenth of the link")
+def two_sizes(context, large, small):
+    context.vms = vm_presences(large, "large-", 2150, 200.0)
+    context.vms |= vm_presences(small, "small-", 516, 20.0)
+
+
+@when(
+    "their scheduler dies, they notice it within {notice_s:g} s, and a record is read after "
+    "{read_s:g} s"
+)
+def many_candidates(context, notice_s, read_s):
+    """Play 50 deaths; every candidate sees the records that are older than `read_s`."""
+    context.played = []
+    for seed in range(50):
+        rng = random.Random(seed)
+        holder = rng.choice(sorted(context.vms))
+        first = TenureRecord(holder=f"{holder}#1", epoch=2 << 24, ordinal=2)
+        elections = []
+        for name in sorted(context.vms):
+            if name != holder:
+                election = Election(f"{name}#1", name, random.Random(name), lambda: context.vms)
+                election.observe(first, rng.uniform(0.0, notice_s))
+                elections.append(election)
+        context.played.append(play_election(elections, read_s))
+
+
+def play_election(elections, read_s):
+    """Return the tenures that a log accepts until one has been known to all for a second."""
+    accepted = []
+    now_s = 0.0
+    while not accepted or now_s < accepted[-1][0] + 1.0:
+        now_s += STEP_S
+        for election in elections:
+            for appended_s, record in accepted:
+                if appended_s + read_s <= now_s and record.epoch > election.latest.epoch:
+                    election.observe(record, now_s)
+            if election.due(now_s):
+                tenure = election.next_tenure()
+                if not accepted or tenure.epoch > accepted[-1][1].epoch:
+                    accepted.append((now_s, tenure))
+                election.heard(now_s)
+    return [record for _, record in accepted]
+
+
+@then("the first or second candidate stays scheduler")
+def check_few_candidates(context):
+    counts = [len(accepted) for accepted in context.played]
+    assert max(counts) <= 2, counts
+
+
+@then("the scheduler is one of the large VMs")
+def check_large(context):
+    holders = [accepted[-1].holder for accepted in context.played]
+    assert all(holder.startswith("large-") for holder in holders), holders
+
+
 @when("the boot time goes on by {seconds:d} s after an append and the monotonic time does not")
 def suspend(context, seconds):
     metrics = WorkflowMetrics(CollectorRegistry())
@@ -178,7 +282,7 @@
 def many_stand(context, count):
     context.epochs = []
     for number in range(count):
-        election = Election(f"vm-{number}#1", f"vm-{number}", random.Random(number))
+        election = Election(f"vm-{number}#1", f"vm-{number}", random.Random(number), dict)
         election.observe(TenureRecord(holder="vm-x#1", epoch=70000, ordinal=1), 1.0)
         context.epochs.append(election.next_tenure().epoch)
 
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -53,6 +53,20 @@
     When its reads succeed and then fail
     Then it follows the journal after the first read only
 
+  Scenario Outline: the read before a candidate stands
+    Guards against candidates that overthrow the scheduler with a record that a silent log takes up
+    seconds later, and against candidates that have not read of a new scheduler yet.
+
+    Given a daemon that has read the journal up to offset 3
+    When it reads at once from a log that <log>
+    Then the read <succeeds> and the daemon <knows> of the new scheduler
+
+    Examples:
+      | log                                         | succeeds | knows        |
+      | does not answer                             | fails    | has not read |
+      | holds the tenure of another daemon          | succeeds | has read     |
+      | does not answer the read that waits already | succeeds | has read     |
+
   Scenario: an answer of the log that does not reach its end
     Guards against a job that is denied because the records after a long outage come in parts.
 
@@ -69,6 +83,15 @@
     When the scheduler resigns
     Then the daemon stands within 0.3 s
 
+  Scenario: many VMs of two sizes lose their scheduler
+    Guards against candidates that overthrow each other, which stopped all starts for 2.7 s, and
+    against a small VM as scheduler, which 176 workers overloaded for 30 s.
+
+    Given 12 VMs of 2.1 processors and 18 of half a processor with a tenth of the link
+    When their scheduler dies, they notice it within 0.2 s, and a record is read after 0.04 s
+    Then the first or second candidate stays scheduler
+    And the scheduler is one of the large VMs
+
   Scenario: the machine of the scheduler was suspended
     Guards against a scheduler that wakes and renews runs which its successor already counts as ended.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -1,6 +1,7 @@
 """Jobs of several steps: the journal, and the scheduler that places their tasks on workers."""
 
 from ._approvals import GrantShares, choose_unseen, is_short, request_ms
+from ._candidates import candidate_rank
 from ._events import (
     Action,
     ApprovalFailed,
@@ -96,6 +97,7 @@
     "WorkflowScheduler",
     "WorkflowSpec",
     "WorkflowState",
+    "candidate_rank",
     "choose_unseen",
     "decode_record",
     "encode_record",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -126,12 +126,16 @@
         incarnation: name of the process.
         address: address and port for other daemons.
         domain: failure domain of the VM.
+        processors_millicores: speed of its processors; 0 when it is not known.
+        link_mbps: bandwidth of its link; 0 when it is not known.
     """
 
     vm: str
     incarnation: str
     address: str
     domain: str = ""
+    processors_millicores: int = 0
+    link_mbps: float = 0.0
 
 
 JournalRecord = (
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -48,6 +48,8 @@
 _ELECTION_TICK_S = 0.1
 _CATCH_UP_S = 5.0
 """Longest time to read up to the own tenure record."""
+_PROOF_S = 0.6
+"""Longest time for the read before a candidate stands; the slowest log answers in 0.3 s."""
 _CONFIGURATION_RETRY_S = 0.3
 _PEER_CONNECTIONS = 8
 """Most connections to one peer; requests beyond that would only wait in its queue."""
@@ -59,30 +61,22 @@
     """Everything that one VM does for workflows.
 
     Args:
-        name: incarnation of the daemon.
+        presence: the VM and the daemon's incarnation, as told to the other VMs.
         surroundings: what it talks to.
         timing: times that depend on the deployment.
-        vm: name of the VM.
-        domain: failure domain of the VM.
-        peer_address: address and port at which other daemons reach this one.
         metrics: counters and histograms.
     """
 
     def __init__(
         self,
-        name: str,
+        presence: VmPresent,
         surroundings: Surroundings,
         timing: Timing,
-        *,
-        vm: str,
-        domain: str,
-        peer_address: tuple[str, int],
         metrics: WorkflowMetrics,
     ) -> None:
-        self.name = name
-        self.vm = vm
-        self._domain = domain
-        self._peer_address = peer_address
+        self.name = name = presence.incarnation
+        vm = presence.vm
+        self._presence = presence
         self._metrics = metrics
         self._outside = surroundings
         self._timing = timing
@@ -98,7 +92,7 @@
         )
         self._grant_shares = GrantShares()
         self.desk = Desk(self.reader, self._appender, self._accepting, self._stored, metrics)
-        self._election = Election(name, vm, self._rng)
+        self._election = Election(name, vm, self._rng, lambda: self.reader.fold.vms)
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
         self.office: Office | None = None
@@ -108,7 +102,8 @@
     async def begin(self) -> None:
         """Start all loops."""
         await self._peer_http.open()
-        await self._peer_server.open(*self._peer_address)
+        host, _, port = self._presence.address.rpartition(":")
+        await self._peer_server.open(host, int(port))
         self._background.spawn(self._announce())
         self._background.spawn(self.reader.run())
         self._background.spawn(self._appender.run())
@@ -133,16 +128,10 @@
 
     async def _announce(self) -> None:
         """Record where this VM is reached."""
-        host, port = self._peer_address
-        record = VmPresent(
-            vm=self.vm,
-            incarnation=self.name,
-            address=f"{host}:{port}",
-            domain=self._domain,
-        )
         while True:
             deadline_s = time.monotonic() + _ANNOUNCE_S
-            if isinstance(await self._appender.put_record(record, deadline_s), Appended):
+            result = await self._appender.put_record(self._presence, deadline_s)
+            if isinstance(result, Appended):
                 return
             await asyncio.sleep(_ANNOUNCE_S)
 
@@ -268,8 +257,17 @@
                 await self._stand()
 
     async def _stand(self) -> None:
-        """Append a tenure record and take office if it was accepted."""
+        """Append a tenure record and take office if it was accepted.
+
+        Another candidate may have become scheduler, or the log may have stopped answering, since
+        the latest read; a record sent to a silent log would overthrow a scheduler much later.
+        """
         stood_s = time.monotonic()
+        if not await self.reader.read_now(_PROOF_S):
+            self._election.unavailable(time.monotonic())
+            return
+        if not self._election.due(time.monotonic()):
+            return
         tenure = self._election.next_tenure()
         writer = JournalWriter(self._outside.log, tenure.epoch, self.reader.inject, self._metrics)
         _LOG.info("standing for scheduler", extra={"epoch": tenure.epoch})
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -110,6 +110,22 @@
             return False
         return True
 
+    async def read_now(self, timeout_s: float) -> bool:
+        """Read beside a read that waits for records, and return whether the log answered.
+
+        A waiting read does not show that the log has stopped answering until its time is over.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                result = await self._log.read(Topic.JOURNAL, self.offset, wait_s=0.0)
+        except TimeoutError:
+            return False
+        if not isinstance(result, ReadRecords):
+            return False
+        for offset, record in result.rows:
+            self.inject(offset, record)
+        return True
+
     def inject(self, offset: int, record: LogRecord) -> None:
         """Take up a durable record that was told before it was read.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
@@ -11,9 +11,15 @@
 import logging
 import random
 import time
-from collections.abc import Callable
-
-from fireflywharf_core.workflows import JournalRecord, TenureRecord, encode_record
+from collections.abc import Callable, Mapping
+
+from fireflywharf_core.workflows import (
+    JournalRecord,
+    TenureRecord,
+    VmPresent,
+    candidate_rank,
+    encode_record,
+)
 
 from ._interfaces import (
     Appended,
@@ -43,12 +49,14 @@
 """Factor by which the longest gap shrinks with each sign of life."""
 _SAME_READ_S = 0.01
 """Records closer than this came with one read and say nothing about gaps."""
-STAGGER_S = 0.3
-"""Spread of the candidates, so that one of them usually succeeds alone."""
-FIRST_STAGGER = 3.0
-"""Factor on the spread when all daemons start for the first time; nothing waits for them then."""
+SLOT_S = 0.08
+"""Time between two candidates; a tenure record is read this long after it was sent."""
+FIRST_WAIT_S = 0.5
+"""Time in which daemons that start for the first time learn of each other; no job waits then."""
 _EPOCH_RANDOM_BITS = 16
 """Low bits of an epoch; two candidates that follow the same tenure get different epochs."""
+_EPOCH_RANK_BITS = 8
+"""Bits above those; of two candidates at once, the one that should stand first overrules."""
 CONFIRMATION_S = 6.0
 """Time without a confirmation by the journal after which a scheduler stops renewing runs.
 
@@ -151,20 +159,27 @@
         name: incarnation of this daemon.
         vm: name of its VM.
         rng: source of randomness.
+        vms: returns the VMs of the deployment by name.
 
     Attributes:
         gap_s_: longest recent time between two signs of life.
     """
 
-    def __init__(self, name: str, vm: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        vm: str,
+        rng: random.Random,
+        vms: Callable[[], Mapping[str, VmPresent]],
+    ) -> None:
         self.name = name
         self.vm = vm
+        self._vms = vms
         self.latest: TenureRecord | None = None
         self.gap_s_ = RENEWAL_S
         self._rng = rng
         self._heard_s: float | None = None
         self._measured = False
-        self._stagger_s = rng.random() * STAGGER_S
 
     def observe(self, record: TenureRecord, now_s: float) -> None:
         """Take up a sign of life of a scheduler."""
@@ -172,7 +187,6 @@
             self._measured = False
         self.latest = record
         self.heard(now_s)
-        self._stagger_s = self._rng.random() * STAGGER_S
 
     def heard(self, now_s: float) -> None:
         """Take up another record that only the scheduler writes."""
@@ -191,19 +205,30 @@
         """Return whether to stand now."""
         if self._heard_s is None:
             self._heard_s = now_s
-        if self.latest is None:
-            return now_s >= self._heard_s + FIRST_STAGGER * self._stagger_s
-        if self.latest.resigned:
-            return now_s >= self._heard_s + self._stagger_s
-        holder_vm, _, _ = self.latest.holder.partition("#")
-        if holder_vm == self.vm and self.latest.holder != self.name:
+        holder_vm = self._holder_vm()
+        if self.latest is not None and holder_vm == self.vm and self.latest.holder != self.name:
             # The scheduler was an earlier process of this VM, which has ended.
             return True
-        silence_s = SILENCE_MARGIN_S + SILENCE_GAPS * min(self.gap_s_, _GAP_MAX_S)
-        return now_s >= self._heard_s + silence_s + self._stagger_s
+        if self.latest is None:
+            silence_s = FIRST_WAIT_S
+        elif self.latest.resigned:
+            silence_s = 0.0
+        else:
+            silence_s = SILENCE_MARGIN_S + SILENCE_GAPS * min(self.gap_s_, _GAP_MAX_S)
+        silent_s = now_s - self._heard_s
+        return silent_s >= silence_s and silent_s >= silence_s + SLOT_S * self._rank()
 
     def next_tenure(self) -> TenureRecord:
         """Return the record with which to stand."""
         ordinal = 1 if self.latest is None else self.latest.ordinal + 1
-        epoch = ordinal << _EPOCH_RANDOM_BITS | self._rng.getrandbits(_EPOCH_RANDOM_BITS)
+        places = (1 << _EPOCH_RANK_BITS) - 1
+        epoch = ordinal << _EPOCH_RANK_BITS | max(0, places - self._rank())
+        epoch = epoch << _EPOCH_RANDOM_BITS | self._rng.getrandbits(_EPOCH_RANDOM_BITS)
         return TenureRecord(holder=self.name, epoch=epoch, ordinal=ordinal)
+
+    def _holder_vm(self) -> str:
+        return "" if self.latest is None else self.latest.holder.partition("#")[0]
+
+    def _rank(self) -> int:
+        epoch = 0 if self.latest is None else self.latest.epoch
+        return candidate_rank(self._vms(), self.vm, self._holder_vm(), epoch)
