Add explain-log, and write log lines in whole groups of at most 4096 bytes

fireflywharf explain-log ID FILES tells the story of one job or request from the logs of several VMs: the lines that name it, in order of time, and what its VMs and workers did meanwhile.

Ruled out: the rest of a partial write, which is kept and written next. Now a write holds whole lines and at most PIPE_BUF bytes. The scenario of the burst fails on the earlier code (one write of 50200 bytes).

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -224,3 +224,31 @@
     When the CLI runs "job status j-1"
     Then the CLI exits with 0
     And its output contains "?[2J"
+
+  # Guards against a story without what happened to its VMs and workers, or with that of other jobs.
+  Scenario: the story of a job is told from the logs of two VMs
+    Given the logs "vm-1.log" and "vm-2.log" of a job that was taken over
+    When the CLI runs "explain-log 4a7 vm-1.log vm-2.log"
+    Then the CLI exits with 0
+    And its output has these lines in order
+      | time  | vm   | message                             | details           |
+      | 00.95 | vm-1 | append of the scheduler is repeated | repeated=2        |
+      | 01.00 | vm-1 | job accepted                        | ms=100            |
+      | 01.20 | vm-2 | run placed                          | run=4a7.0.0.0#1   |
+      | 02.00 | vm-2 | worker does not answer              | worker=w-1        |
+      | 03.00 | vm-2 | run ended                           | how=lease_lapsed  |
+    And its output does not contain "4a70"
+    And its output does not contain "w-2"
+    And its output contains "1 lines could not be read"
+
+  # Guards against silence where the log files do not cover the job.
+  Scenario Outline: a story that cannot be told
+    Given the logs "vm-1.log" and "vm-2.log" of a job that was taken over
+    When the CLI runs "<command>"
+    Then the CLI exits with <status>
+    And its errors contain "<text>"
+
+    Examples:
+      | command                      | status | text                     |
+      | explain-log 4a9 vm-1.log     | 20     | no line of the log names |
+      | explain-log 4a7 missing.log  | 2      | No such file             |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -124,6 +124,54 @@
         jobs[job_id] = attrs.evolve(job, kind=None)
 
 
+STORY = {
+    "vm-1.log": [
+        ("00.80", "append of the scheduler is repeated", {"epoch": 7}),
+        ("00.95", "append of the scheduler is repeated", {"epoch": 7}),
+        ("00.96", "append of the scheduler is repeated", {"epoch": 7}),
+        ("00.97", "append of the scheduler is repeated", {"epoch": 7}),
+        ("01.00", "job accepted", {"job_id": "4a7", "ms": 100}),
+        ("01.10", "job accepted", {"job_id": "4a70", "ms": 10}),
+        ("05.00", "daemon stops", {}),
+    ],
+    "vm-2.log": [
+        ("01.20", "run placed", {"run": "4a7.0.0.0#1", "worker": "w-1"}),
+        ("01.90", "worker does not answer", {"worker": "w-2"}),
+        ("02.00", "worker does not answer", {"worker": "w-1"}),
+        ("02.50", "run ended", {"run": "4a70.0.0.0#1", "worker": "w-1", "how": "done"}),
+        ("03.00", "run ended", {"run": "4a7.0.0.0#1", "worker": "w-1", "how": "lease_lapsed"}),
+    ],
+}
+
+
+@given('the logs "vm-1.log" and "vm-2.log" of a job that was taken over')
+def write_logs(context):
+    for file, rows in STORY.items():
+        lines = [
+            json.dumps(
+                {
+                    "time": f"2026-06-24T22:38:{second}0Z",
+                    "level": "INFO",
+                    "message": message,
+                    "vm": file.removesuffix(".log"),
+                }
+                | fields
+            )
+            for second, message, fields in rows
+        ]
+        (context.folder / file).write_text("\n".join([*lines, ""]))
+    with (context.folder / "vm-2.log").open("a") as log:
+        log.write('{"time": "2026-06-24T22:38:0')
+
+
+@then("its output has these lines in order")
+def check_lines(context):
+    lines = iter(context.output.splitlines())
+    for row in context.table:
+        words = (row["time"], row["vm"], row["message"], row["details"])
+        assert any(all(word in line for word in words) for line in lines), (words, context.output)
+
+
 @when('the CLI runs "{command}"')
 def run_command(context, command):
     replacements = {
--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -522,6 +522,27 @@
     context.took_s = time.monotonic() - started_s
 
 
+@when("{count:d} lines of {length:d} characters are logged at once")
+def log_burst(context, count, length):
+    context.writes = []
+
+    def write(descriptor, data):
+        context.writes.append(bytes(data))
+        return len(data)
+
+    for _ in range(count):
+        context.stream.write("x" * length + "\n")
+    with unittest.mock.patch("os.write", write):
+        context.stream.pump()
+
+
+@then("each write holds whole lines and at most {limit:d} bytes")
+def check_writes(context, limit):
+    assert sum(map(len, context.writes)) == 200 * 251
+    assert max(map(len, context.writes)) <= limit, max(map(len, context.writes))
+    assert all(data.endswith(b"\n") for data in context.writes)
+
+
 @then("no call has blocked and the lines left out are counted")
 def check_not_blocked(context):
     assert context.took_s < 20.0, context.took_s
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -153,3 +153,10 @@
     When 3000 lines of 1000 characters are logged
     Then no call has blocked and the lines left out are counted
     And after the reader comes back the count is written
+
+  Scenario: a burst of log lines
+    Guards against a collector that keeps the first part of a long write only, which lost lines and cut others.
+
+    Given a stream for log lines that nobody reads
+    When 200 lines of 250 characters are logged at once
+    Then each write holds whole lines and at most 4096 bytes
--- /dev/null
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_log_commands.py
@@ -0,0 +1,177 @@
+"""Commands that read log files of daemons."""
+
+import collections
+import datetime
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from typing import Any, TextIO
+
+import attrs
+
+from fireflywharf_core.results import ResultCode
+
+from ._outcomes import CommandOutcome, Failure, Report, usage_failure
+from ._tables import format_table, printable
+
+NAME_FIELDS = ("job_id", "request_id", "run", "step", "key", "call", "operation")
+"""Fields whose value names one job or request, or a part of it."""
+PLAIN_FIELDS = ("time", "level", "logger", "message", "vm", "incarnation")
+NAME_ENDS = ".#:"
+"""Characters that separate the identifier of a job from the number of a part or a run."""
+
+
+@attrs.define
+class LogStory:
+    """Lines about one job or request, and what its VMs and workers did meanwhile.
+
+    Args:
+        name: identifier.
+
+    Attributes:
+        lines_: lines that name it.
+        others_: lines that name no job or request.
+        unreadable_count_: lines that are not JSON objects with `time` and `message`.
+    """
+
+    name: str
+    lines_: list[dict[str, Any]] = attrs.field(factory=list)
+    others_: list[dict[str, Any]] = attrs.field(factory=list)
+    unreadable_count_: int = 0
+
+    def read(self, text_lines: Iterable[str]) -> None:
+        """Take up lines; text before the first brace of a line is left out."""
+        for text in text_lines:
+            line = _decode(text)
+            if line is None:
+                self.unreadable_count_ += bool(text.strip())
+            elif any(self._names(line.get(field)) for field in NAME_FIELDS):
+                self.lines_.append(line)
+            elif not any(field in line for field in NAME_FIELDS):
+                self.others_.append(line)
+
+    def tell(self) -> list[dict[str, Any]]:
+        """Return the lines in order of time.
+
+        Lines that name no job count from the start to the last line of the story, if they are of
+        one of its VMs and about no worker, or about one of its workers. A first line that tells
+        how long something took, such as a submission, starts that much earlier.
+        """
+        if not self.lines_:
+            return []
+        vms = {line.get("vm") for line in self.lines_}
+        workers = {line["worker"] for line in self.lines_ if "worker" in line}
+        first = min(self.lines_, key=lambda line: line["time"])
+        start = _start_time(first)
+        end = max(line["time"] for line in self.lines_)
+        context = [
+            line
+            for line in self.others_
+            if start <= line["time"] <= end
+            and (line["worker"] in workers if "worker" in line else line.get("vm") in vms)
+        ]
+        return sorted([*self.lines_, *_without_repeats(context)], key=lambda line: line["time"])
+
+    def _names(self, value: Any) -> bool:
+        """Return whether a value is the identifier, a part of it, or its key in the journal."""
+        if not isinstance(value, str):
+            return False
+        start = value.find(self.name)
+        if start not in (0, 1):
+            return False
+        rest = value[start + len(self.name) :]
+        return not rest or rest[0] in NAME_ENDS
+
+
+class LogCommands:
+    """Commands that need no daemon.
+
+    Args:
+        stdin: where lines come from when no file is named.
+    """
+
+    def __init__(self, stdin: TextIO | None = None) -> None:
+        self._stdin = stdin or sys.stdin
+
+    def explain_log(self, name: str, *files: str) -> CommandOutcome:
+        """Tell the story of one job or request from the logs of several VMs.
+
+        Args:
+            name: identifier of the job or request
+            files: log files of any number of VMs; standard input if there is none
+
+        Returns:
+            All lines about it in order of time, with what its VMs and workers did meanwhile.
+        """
+        if not name:
+            return usage_failure("NAME", name, "an identifier")
+        story = LogStory(name)
+        for file in files:
+            try:
+                with open(file, encoding="utf-8", errors="replace") as lines:
+                    story.read(lines)
+            except (OSError, ValueError) as error:
+                reason = getattr(error, "strerror", None) or str(error)
+                return usage_failure("FILES", file, f"a readable file ({reason})")
+        if not files:
+            story.read(self._stdin)
+        lines = story.tell()
+        unreadable = f"{story.unreadable_count_} lines could not be read"
+        if not lines:
+            return Failure(
+                ResultCode.UNKNOWN_JOB,
+                f"no line of the log names {name}; {unreadable}",
+                advice="Give the log files of all VMs for the time from the submission on.",
+            )
+        document = {
+            "code": int(ResultCode.OK),
+            "name": name,
+            "lines": lines,
+            "unreadable_count": story.unreadable_count_,
+        }
+        rows = [[line["time"], line.get("vm"), line["message"], _details(line)] for line in lines]
+        text = format_table(rows, ["time", "vm", "message", "details"])
+        return Report(
+            ResultCode.OK, document, f"{text}\n{unreadable}" if story.unreadable_count_ else text
+        )
+
+
+def _decode(text: str) -> dict[str, Any] | None:
+    start = text.find("{")
+    try:
+        line = json.loads(text[start:]) if start >= 0 else None
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(line, dict):
+        return None
+    plain = all(isinstance(line.get(field), str) for field in ("time", "message"))
+    return line if plain else None
+
+
+def _start_time(line: dict[str, Any]) -> str:
+    """Return when what a line tells of began, in the form of its time."""
+    duration_ms = line.get("ms")
+    if not isinstance(duration_ms, int | float):
+        return line["time"]
+    try:
+        start = datetime.datetime.fromisoformat(line["time"]) - datetime.timedelta(
+            milliseconds=duration_ms
+        )
+    except (ValueError, OverflowError):
+        return line["time"]
+    return start.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+def _without_repeats(lines: list[dict[str, Any]]) -> Iterator[dict[str, Any]]:
+    """Yield the first line of each VM and message, with the number of those left out."""
+    groups = collections.defaultdict(list)
+    for line in lines:
+        groups[(str(line.get("vm")), line["message"], str(line.get("worker")))].append(line)
+    for group in groups.values():
+        first = min(group, key=lambda line: line["time"])
+        yield first if len(group) == 1 else first | {"repeated": len(group) - 1}
+
+
+def _details(line: dict[str, Any]) -> str:
+    fields = {field: value for field, value in line.items() if field not in PLAIN_FIELDS}
+    return " ".join(f"{field}={printable(value)}" for field, value in fields.items())
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/logs/_bounded.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/logs/_bounded.py
@@ -1,11 +1,14 @@
 """Stream for log lines that never blocks and holds a bounded amount."""
 
-import contextlib
 import os
+import select
 from collections import deque
 
 HELD_MAX_BYTES = 1 << 20
 """Most bytes that wait for a reader; about ten seconds of the scheduler's lines at high load."""
+WRITE_MAX_BYTES = select.PIPE_BUF
+"""Most bytes of one write, unless a line is longer. A pipe takes that much whole or not at all, and
+collectors that cut a longer write lose the end of a line and all lines after it."""
 
 
 class BoundedStream:
@@ -53,12 +56,21 @@
         if self.left_out_count and self._held_bytes < HELD_MAX_BYTES // 2:
             count, self.left_out_count = self.left_out_count, 0
             self.write(f'{{"message": "log lines left out", "count": {count}}}\n')
-        data = self._rest + b"".join(self._held)
-        self._held.clear()
-        if not data:
-            return
-        written = 0
-        with contextlib.suppress(BlockingIOError):
-            written = os.write(self._descriptor, data)
-        self._rest = data[written:]
-        self._held_bytes = len(self._rest)
+        while self._rest or self._held:
+            if not self._rest:
+                self._rest = self._take_lines()
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return
+            self._rest = self._rest[written:]
+            self._held_bytes -= written
+
+    def _take_lines(self) -> bytes:
+        """Return the oldest lines that fit in one write, or one line that is longer."""
+        lines = [self._held.popleft()]
+        size_bytes = len(lines[0])
+        while self._held and size_bytes + len(self._held[0]) <= WRITE_MAX_BYTES:
+            size_bytes += len(self._held[0])
+            lines.append(self._held.popleft())
+        return b"".join(lines)
