Check that callers who stop in the middle of a request hold nothing else

On the platform's front end, 200 connections with a head and one byte of a body left readiness and submissions as they were, and a request with two different lengths was refused: both held before this commit, and the scenario keeps them.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -98,6 +98,15 @@
       | PUT    | /jobs/00000000000000ab |                                       | 405    |
     And the daemon is still ready
 
+  Scenario: callers that stop in the middle of a request
+    Guards against callers that keep everything that serves others, and against a request that two
+    servers would divide in two ways.
+
+    Given 1 daemon on the platform
+    When 200 callers send a head and one byte of a body and stop
+    Then the daemon says within 0.5 s that it is ready, and takes a job
+    And a request with two different lengths is refused and its connection is closed
+
   Scenario: names of the platform stay in the adapter
     Guards against names of the platform in the product.
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -6,12 +6,13 @@
 import json
 import re
 import signal
+import socket
 import sys
 import time
 
 import urllib3
 from behave import given, then, when
-from platform_processes import ROOT, PlatformDeployment, wait_for
+from platform_processes import HOST, ROOT, PlatformDeployment, wait_for
 
 from fireflywharf_daemon.workflows import Answer, NoAnswer, ReadRecords, Topic
 from fireflywharf_testing.platform_stand_ins import StoreFault
@@ -216,6 +217,38 @@
     assert context.deployment.daemons[0].ready()
 
 
+def open_raw(daemon, lines):
+    head = "\r\n".join([f"POST /jobs/{JOB} HTTP/1.1", f"Host: {HOST}", *lines, "", "{"])
+    connection = socket.create_connection(("127.0.0.1", daemon.callers), timeout=5.0)
+    connection.sendall(head.encode())
+    return connection
+
+
+@when("{count:d} callers send a head and one byte of a body and stop")
+def send_halves(context, count):
+    daemon = context.deployment.daemons[0]
+    for _ in range(count):
+        context.add_cleanup(open_raw(daemon, ["Content-Length: 100"]).close)
+
+
+@then("the daemon says within {seconds:g} s that it is ready, and takes a job")
+def check_served(context, seconds):
+    started_s = time.monotonic()
+    daemon = context.deployment.daemons[0]
+    assert daemon.ready()
+    assert time.monotonic() - started_s < seconds
+    status, _, _ = submit(daemon, "/jobs/", TWO_STEPS)
+    assert status == 200, status
+
+
+@then("a request with two different lengths is refused and its connection is closed")
+def check_two_lengths(context):
+    lines = ["Content-Length: 1", "Content-Length: 2"]
+    with open_raw(context.deployment.daemons[0], lines) as connection:
+        answer = connection.makefile("rb").read()
+    assert answer.startswith(b"HTTP/1.1 400") or answer.startswith(b"HTTP/1.0 400"), answer[:200]
+
+
 @then("no module outside the adapter uses a name of the platform")
 def check_names(context):
     found = []
