Bound the threads that wait for requests, and refuse two different lengths

Cause: a thread waits up to 10 s for the rest of a request, and again 0.5 s for unread input of a refused one, so 200 callers with half a body kept all 64 threads and a health check was not answered within 5 s. cheroot keeps the last of several Content-Length lines. Now half of the threads may wait that long. While more are busy, a request has 0.25 s to arrive, and less the more connections wait; a caller whose request comes more slowly then gets 'body incomplete', which is not run. Unread input is dropped for a quarter of that time. Before: no answer within 5 s. Both scenarios fail on the earlier code.

--- a/features/http_interface.feature
+++ b/features/http_interface.feature
@@ -28,6 +28,7 @@
       | length that is not a number     | 400    | INVALID_FIELD   |
       | negative length                 | 400    | INVALID_FIELD   |
       | length and chunks               | 400    | INVALID_FIELD   |
+      | two different lengths           | 400    | INVALID_FIELD   |
       | chunk size that is not a number | 400    | INVALID_FIELD   |
 
     Examples: routes and fields
@@ -58,6 +59,13 @@
     And 3 callers send half a body and stop
     Then a healthy check is answered within 0.3 s
 
+  Scenario: more callers stop in the middle of a request than there are threads
+    Guards against callers that keep every thread until the time limit for a body, 10 s.
+
+    Given the HTTP interface is started again with 64 threads and a time limit of 10 s
+    When 200 callers send half a body and stop
+    Then a healthy check is answered within 2 s
+
   Scenario: a full entry VM refuses as not run and still answers checks
     Given the service answers requests after 1.5 s
     When 12 callers send a request at once
--- a/features/steps/http_interface_steps.py
+++ b/features/steps/http_interface_steps.py
@@ -115,6 +115,7 @@
     "headers without end": b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nX-Long: a",
     "length that is not a number": post("/v1/jobs", b"{}", "Content-Length: two"),
     "negative length": post("/v1/jobs", b"{}", "Content-Length: -2"),
+    "two different lengths": post("/v1/jobs", b"{}", "Content-Length: 2", "Content-Length: 1"),
     "length and chunks": post("/v1/jobs", b"0\r\n\r\n", CHUNKED, "Content-Length: 5"),
     "chunk size that is not a number": post("/v1/jobs", b"0x5\r\nhello\r\n0\r\n\r\n", CHUNKED),
     "path that does not exist": post("/v2/jobs", b"{}"),
@@ -252,8 +253,20 @@
     context.add_cleanup(lambda: [connection.close() for connection in context.http_silent])
 
 
+@given(
+    "the HTTP interface is started again with {threads:d} threads and a time limit of {time_s:g} s"
+)
+def restart_server(context, threads, time_s):
+    context.http_server.stop(0.1)
+    application = build_application(context.http_service, 4096, requests_max=threads - 1)
+    context.http_server = HttpServer(application, "127.0.0.1:0", threads, time_s)
+    context.http_server.start()
+
+
 @when("{count:d} callers send half a body and stop")
 def send_half(context, count):
+    if not hasattr(context, "http_silent"):
+        connect_silently(context, 0)
     for _ in range(count):
         connection = connect(context)
         connection.sendall(post("/v1/jobs", b"{", "Content-Length: 400"))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_connection.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/http/_connection.py
@@ -29,6 +29,11 @@
 DISCARD_MAX_S = 0.5
 DISCARD_MAX_BYTES = 4_194_304
 REFUSALS_MAX_WAITING = 256
+# While more than half of the threads are busy, a request has this long to arrive, and less when so
+# many connections wait that the others would take longer than the second limit altogether.
+CROWDED_ARRIVAL_S = 0.25
+CROWDED_WAIT_S = 0.5
+CROWDED_ARRIVAL_MIN_S = 0.02
 
 _CODES_BY_STATUS = {
     404: ResultCode.UNKNOWN_ROUTE,
@@ -47,9 +52,25 @@
     return "\r\n".join(lines).encode("latin-1") + answer.body
 
 
+class SingleLengthHeaders(dict[bytes, bytes]):
+    """Headers of a request; a second Content-Length with another value is an error.
+
+    Another server on the way could take the other length and find a second request in the body.
+    """
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name == b"Content-Length" and self.get(name, value) != value:
+            raise ValueError("Content-Length is given twice with different values")
+        super().__setitem__(name, value)
+
+
 class JsonRequest(HTTPRequest):
     """Request whose protocol errors are answered in the format of all other answers."""
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.inheaders = SingleLengthHeaders()
+
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Answer an error that cheroot found and end the connection.
 
@@ -99,6 +120,7 @@
         super().__init__(server, DeadlineSocket.adopt(sock), makefile)
         self.is_new = True
         self.has_unread_input = False
+        self.arrival_limit_s = server.body_timeout_s
         self.parked: DeferringGateway | None = None
         self._counted = True
         server.count_connection(1)
@@ -113,13 +135,15 @@
         Returns:
             Whether the connection may be used again.
         """
-        self.socket.read_deadline_s = time.monotonic() + self.server.body_timeout_s
+        self.arrival_limit_s = self.server.begin_arrival()
+        self.socket.read_deadline_s = time.monotonic() + self.arrival_limit_s
         self.start_write()
         try:
             keep = bool(super().communicate()) and not self.server.closing
             # A parked connection goes to `WsgiServer.put_conn`, even if it ends after its answer.
             return keep or self.parked is not None
         finally:
+            self.server.end_arrival()
             if self.parked is None:
                 self.server.end_request()
 
@@ -137,7 +161,7 @@
         super().close()
 
     def _discard_input(self) -> None:
-        deadline_s = time.monotonic() + DISCARD_MAX_S
+        deadline_s = time.monotonic() + min(DISCARD_MAX_S, self.arrival_limit_s / 4)
         self.socket.read_deadline_s = deadline_s
         dropped = 0
         with contextlib.suppress(OSError, ValueError):
@@ -178,6 +202,7 @@
         self.body_timeout_s = 10.0
         self.closing = False
         self._requests_count = 0
+        self._busy_threads_count = 0
         self._connections_count = 0
         self._parked: set[TimedConnection] = set()
         self._answers = concurrent.futures.ThreadPoolExecutor(threads_count, "http-answer")
@@ -190,6 +215,28 @@
         with self._changed:
             self._connections_count += change
 
+    def begin_arrival(self) -> float:
+        """Count a thread as busy and return the time in which its request must arrive.
+
+        Pattern: many callers send a part of a request and stop. They may hold half of the threads
+        until the time limit for a body; the other half serves whoever sends a whole request.
+        """
+        threads_count = self.requests.max
+        with self._changed:
+            self._busy_threads_count += 1
+            crowded = 2 * self._busy_threads_count > threads_count
+        if not crowded:
+            return self.body_timeout_s
+        waiting_count = max(1, self.requests.qsize)
+        limit_s = CROWDED_WAIT_S * threads_count / 2 / waiting_count
+        limit_s = max(CROWDED_ARRIVAL_MIN_S, min(CROWDED_ARRIVAL_S, limit_s))
+        return min(self.body_timeout_s, limit_s)
+
+    def end_arrival(self) -> None:
+        """Count a thread as free."""
+        with self._changed:
+            self._busy_threads_count -= 1
+
     def process_conn(self, conn: TimedConnection) -> None:
         """Give a connection with input to a thread; a new one first waits for input."""
         if conn.is_new:
