Dissolve import circles by interfaces that point one way

The policy engine's parts, the callers and reports of the application, and the network of simulated histories imported their owners for type checks only. They now use PolicyEngine, ApplicationParts and Receiver; the forecaster gets the lending it asks for shares. A scenario checks the order of imports in every package; it fails on the earlier code with a cycle.

--- a/features/documentation.feature
+++ b/features/documentation.feature
@@ -22,3 +22,7 @@
   # Guards against alarms on metrics that do not exist, and against metrics that no page explains.
   Scenario: the page for operators lists the metrics of the daemon
     Then docs/OPERATIONS.md names every metric of the daemon and no other
+
+  # Guards against parts that can only be understood, tested and changed together.
+  Scenario: no modules import each other in a circle
+    Then the imports of every package have an order
--- a/features/steps/documentation_steps.py
+++ b/features/steps/documentation_steps.py
@@ -1,5 +1,7 @@
 """Steps for documentation and examples."""
 
+import ast
+import graphlib
 import importlib.util
 import json
 import pathlib
@@ -106,3 +108,30 @@
         if family.name.startswith("fireflywharf_")
     }
     assert named == exported, named ^ exported
+
+
+def imported_modules(path, name, modules):
+    """Yield the modules of the same package that a module imports, also for type checks only."""
+    package = name if path.name == "__init__.py" else name.rpartition(".")[0]
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.ImportFrom):
+            continue
+        parts = package.split(".")
+        start = ".".join(parts[: len(parts) - node.level + 1]) if node.level else ""
+        source = ".".join(filter(None, [start, node.module]))
+        for alias in node.names:
+            found = f"{source}.{alias.name}" if f"{source}.{alias.name}" in modules else source
+            # A module may import its siblings through names of their package.
+            if found in modules and found not in (name, package):
+                yield found
+
+
+@then("the imports of every package have an order")
+def check_import_order(context):
+    for source in sorted((ROOT / "packages").glob("*/src/*")):
+        modules = {}
+        for path in source.rglob("*.py"):
+            name = ".".join(path.relative_to(source.parent).with_suffix("").parts)
+            modules[name.removesuffix(".__init__")] = path
+        graph = {name: set(imported_modules(path, name, modules)) for name, path in modules.items()}
+        graphlib.TopologicalSorter(graph).prepare()
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_engine.py
@@ -0,0 +1,46 @@
+"""What the parts of the policy engine use of each other."""
+
+from typing import Protocol
+
+from ..contracts import Contract
+from ..jobs import JobSpec
+from ..resources import ResourceVector
+from ._attempts import AttemptTable
+from ._estimators import RunTimes
+from ._jobs import JobTable
+from ._model import Job
+from ._policy import FairShare
+from ._queue import WaitingQueue
+from ._reclaim import Reclaimer
+from ._rooms import Rooms
+from ._share import Account, ShareLedger
+
+
+class PolicyEngine(Protocol):
+    """Tables and common decisions of the engine; `FairShareEngine` describes them."""
+
+    policy: FairShare
+    jobs: JobTable
+    attempts: AttemptTable
+    times_: RunTimes
+    queue: WaitingQueue
+    rooms: Rooms
+    ledger: ShareLedger
+    reclaimer: Reclaimer
+
+    def contract_of(self, customer: str) -> Contract | None:
+        """Return the contract of a customer, or None."""
+
+    def size_of(self, spec: JobSpec) -> ResourceVector:
+        """Return the size to reserve for a task of a job that is not admitted yet."""
+
+    def size_of_job(self, job: Job, now_s: float) -> ResourceVector:
+        """Return the size to reserve for a task of a job."""
+
+    def dequeue_if_done(self, job: Job) -> None:
+        """Take a job without waiting tasks out of the queue."""
+
+    def allowed_by_quota(
+        self, job: Job, account: Account, size: ResourceVector, count: int
+    ) -> bool:
+        """Return whether customer and team quota allow the tasks; note the reason if not."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
@@ -79,7 +79,7 @@
         self.headroom = Headroom(self.rooms, self.ledger)
         self.urgent = UrgentStarter(self)
         self.lending = Lending(self)
-        self.forecaster = Forecaster(self)
+        self.forecaster = Forecaster(self, self.lending)
         self.more = False
         self._changed = True
         self._capacity_changed = False
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_forecast.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_forecast.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 
 from ..jobs import JobKind, JobSpec
 from ..resources import ResourceVector
 from ..results import ResultCode
 from ._actions import AdmissionForecast
+from ._engine import PolicyEngine
+from ._lending import Lending
 from ._model import Job, Zone
 from ._share import Account
 
-if TYPE_CHECKING:
-    from ._fair_share import FairShareEngine
-
 # Jobs of a customer that are looked at to estimate the work ahead of a new one.
 SAMPLED_JOBS = 64
 
@@ -24,10 +22,12 @@
 
     Args:
         engine: policy engine with the tables.
+        lending: predicts shares.
     """
 
-    def __init__(self, engine: FairShareEngine) -> None:
+    def __init__(self, engine: PolicyEngine, lending: Lending) -> None:
         self.engine = engine
+        self.lending = lending
 
     def obstacle(self, spec: JobSpec) -> tuple[ResultCode, str] | None:
         """Return why a job can never run with the present workers and contracts, or None."""
@@ -94,7 +94,7 @@
         if not waiting and together == 1 and engine.rooms.find(spec.size) is not None:
             return 0.0
         account = engine.ledger.accounts_[spec.customer]
-        shares = engine.lending.predict()
+        shares = self.lending.predict()
         share = shares.get(account.name, account.weight / (account.weight + sum(shares.values())))
         return self._work_ahead(spec, now_s) / max(share, 1e-6)
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_lending.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from itertools import islice
-from typing import TYPE_CHECKING
 
 from ..contracts import ReclaimStep
+from ._engine import PolicyEngine
 from ._model import Attempt, Job, Worker
 from ._share import Account
 
-if TYPE_CHECKING:
-    from ._fair_share import FairShareEngine
-
 # Distance from the share, in parts of it, below which no running work is taken back.
 TOLERANCE = 0.02
 MAX_RECLAIMS_PER_DECISION = 4
@@ -29,7 +26,7 @@
         engine: policy engine with the tables.
     """
 
-    def __init__(self, engine: FairShareEngine) -> None:
+    def __init__(self, engine: PolicyEngine) -> None:
         self.engine = engine
         self.leaving: dict[str, Worker] = {}
         self._below_since_: dict[str, float] = {}
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_urgent.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_urgent.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from ..resources import ResourceVector
 from ..results import ResultCode
+from ._engine import PolicyEngine
 from ._model import Job, Worker, Zone
 from ._share import Account
 
-if TYPE_CHECKING:
-    from ._fair_share import FairShareEngine
-
 MAX_RECLAIMS_PER_DECISION = 16
 
 
@@ -22,7 +18,7 @@
         engine: policy engine with the tables.
     """
 
-    def __init__(self, engine: FairShareEngine) -> None:
+    def __init__(self, engine: PolicyEngine) -> None:
         self.engine = engine
 
     def decide(self, now_s: float) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_callers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from fireflywharf_core.contracts import Contract
 from fireflywharf_core.jobs import JobState
@@ -36,11 +36,9 @@
     VmListing,
     VmRow,
 )
+from ._parts import ApplicationParts
 from ._status import describe_status
 
-if TYPE_CHECKING:
-    from ._application import Application
-
 _LOG = logging.getLogger(__name__)
 LOOP_TIMEOUT_S = 5.0
 CALL_TIMEOUT_S = 30.0
@@ -54,7 +52,7 @@
         application: owner of the components.
     """
 
-    def __init__(self, application: "Application") -> None:
+    def __init__(self, application: ApplicationParts) -> None:
         self.application = application
 
     def submit_job(self, job: SubmitJob) -> SubmittedJob | CallerError:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_reports.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_reports.py
@@ -1,14 +1,11 @@
 """Heartbeats, digests and gauges, built from the state of the components."""
 
-from typing import TYPE_CHECKING
-
 from fireflywharf_core.messages import DomainDigest, Heartbeat
 
-if TYPE_CHECKING:
-    from ._application import Application
+from ._parts import ApplicationParts
 
 
-def make_heartbeat(application: "Application", sequence: int) -> Heartbeat:
+def make_heartbeat(application: ApplicationParts, sequence: int) -> Heartbeat:
     """Return the own heartbeat."""
     context = application.context
     requests = application.requests
@@ -28,7 +25,7 @@
     )
 
 
-def make_digest(application: "Application", sequence: int) -> DomainDigest | None:
+def make_digest(application: ApplicationParts, sequence: int) -> DomainDigest | None:
     """Return the digest of the domain; None unless this process is its scheduler."""
     scheduler = application.scheduler
     if not scheduler.acting:
@@ -51,7 +48,7 @@
     )
 
 
-def update_gauges(application: "Application") -> None:
+def update_gauges(application: ApplicationParts) -> None:
     """Copy the present state into the metrics."""
     metrics = application.context.metrics
     router = application.requests.router
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_status.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_status.py
@@ -1,14 +1,10 @@
 """Status page of one daemon."""
 
-from typing import TYPE_CHECKING
-
 from ..http import CustomerStatus, DaemonStatus, DomainStatus, PeerStatus, TargetRow
-
-if TYPE_CHECKING:
-    from ._application import Application
+from ._parts import ApplicationParts
 
 
-def describe_status(application: "Application") -> DaemonStatus:
+def describe_status(application: ApplicationParts) -> DaemonStatus:
     """Return the state of the daemon as operators see it."""
     context = application.context
     vm = context.settings.vm
@@ -29,7 +25,7 @@
     )
 
 
-def _peers(application: "Application") -> list[PeerStatus]:
+def _peers(application: ApplicationParts) -> list[PeerStatus]:
     now_s = application.context.now_s()
     peers = application.membership.peers
     rows = [(row, True) for row in peers.peers(now_s)]
@@ -47,7 +43,7 @@
     ]
 
 
-def _domains(application: "Application") -> list[DomainStatus]:
+def _domains(application: ApplicationParts) -> list[DomainStatus]:
     settings = application.context.settings
     lost = application.jobs_fold.lost_domains_
     live = {row.digest.domain: row.digest for row in application.membership.live_remote()}
@@ -70,7 +66,7 @@
     return rows
 
 
-def _customers(application: "Application") -> list[CustomerStatus]:
+def _customers(application: ApplicationParts) -> list[CustomerStatus]:
     core = application.scheduler.core
     rows = []
     for customer in sorted(application.contracts.registry.current()):
@@ -87,7 +83,7 @@
     return rows
 
 
-def _targets(application: "Application") -> list[TargetRow]:
+def _targets(application: ApplicationParts) -> list[TargetRow]:
     aside = set(application.requests.router.set_aside_targets())
     held = application.requests.targets.held()
     return [
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_network.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/histories/_network.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import attrs
 
@@ -20,10 +20,7 @@
 )
 
 from .._server import Answer, Call
-from ._loop import World
-
-if TYPE_CHECKING:
-    from ._entry import EntryVm
+from ._loop import VirtualLoop, World
 
 TIMEOUT_S = 2.0
 TIMED_OUT = Failed(True, FailureReason.TIMEOUT, "no answer in time")
@@ -77,6 +74,14 @@
     failure: Any = TIMED_OUT
 
 
+class Receiver(Protocol):
+    """Process that calls are delivered to; `EntryVm` describes it."""
+
+    alive: bool
+    loop: VirtualLoop
+    application: Any
+
+
 class Network:
     """Delivers calls and answers.
 
@@ -91,7 +96,7 @@
         self.rng = rng
         self.conditions = conditions
         self.stand_ins: dict[str, Any] = {}
-        self.entries: dict[str, EntryVm] = {}
+        self.entries: dict[str, Receiver] = {}
 
     def delay_s(self) -> float:
         """Return the delay of one message."""
@@ -356,7 +361,7 @@
             if network.rng.random() >= network.conditions.lost_after:
                 world.after(network.delay_s(), lambda: finish(outcome))
 
-        def handle(entry: "EntryVm") -> None:
+        def handle(entry: Receiver) -> None:
             if world.now_s >= deadline_s:
                 finish(CallRefused("the time budget passed before handling"))
                 return
