Count and log each end of a run once

Cause: a worker lists an end until it is acknowledged, which waits until the end is durable. Now an end counts once for each life of the worker. The scenario fails on the earlier code.

--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -160,3 +160,12 @@
     Given a stream for log lines that nobody reads
     When 200 lines of 250 characters are logged at once
     Then each write holds whole lines and at most 4096 bytes
+
+  Scenario: ends that a worker repeats while the log is slow
+    Guards against counts and log lines of ends that grow with the time that the log takes.
+
+    Given a worker with 3 ends and a log that does not answer
+    When the scheduler has asked the worker 4 times
+    Then 3 ends are counted and logged
+    When the worker starts anew and has 2 ends
+    Then 5 ends are counted and logged
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -65,6 +65,7 @@
         self._may_renew = may_renew
         self._metrics = metrics
         self._acknowledged = 0
+        self._noted = 0
         self._incarnation = 0
         self._silent = False
         self._renewed_s = 0.0
@@ -108,7 +109,7 @@
             _LOG.info("worker answers again", extra={"worker": self.info.worker_id})
         if lists.incarnation and lists.incarnation != self._incarnation:
             if self._incarnation:
-                self._acknowledged = 0
+                self._acknowledged = self._noted = 0
                 _LOG.info(
                     "worker started anew",
                     extra={"worker": self.info.worker_id, "life": lists.incarnation},
@@ -127,7 +128,8 @@
     async def _acknowledge(self, lists: Lists) -> None:
         if not lists.ended:
             return
-        for end in lists.ended:
+        # A worker lists an end again until it is acknowledged.
+        for end in (end for end in lists.ended if end.serial > self._noted):
             self._metrics.ends.labels(end.kind.value).inc()
             name = end.task.step_name
             _LOG.info(
@@ -141,6 +143,7 @@
                 },
             )
         highest = max(end.serial for end in lists.ended)
+        self._noted = max(self._noted, highest)
         try:
             async with asyncio.timeout(_FLUSH_S):
                 if not await self._flush():
