--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -264,6 +264,7 @@
         """
         stood_s = time.monotonic()
         if not await self.reader.read_now(_PROOF_S):
+            _LOG.info("does not stand for scheduler", extra={"reason": "the log does not answer"})
             self._election.unavailable(time.monotonic())
             return
         if not self._election.due(time.monotonic()):
