--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -54,7 +54,7 @@
     Then it follows the journal after the first read only
 
   Scenario Outline: the read before a candidate stands
-    Guards against candidates that overthrow the scheduler with a record that a silent log takes up
+    Guards against candidates that replace the scheduler with a record that a silent log takes up
     seconds later, and against candidates that have not read of a new scheduler yet.
 
     Given a daemon that has read the journal up to offset 3
@@ -84,7 +84,7 @@
     Then the daemon stands within 0.3 s
 
   Scenario: many VMs of two sizes lose their scheduler
-    Guards against candidates that overthrow each other, which stopped all starts for 2.7 s, and
+    Guards against candidates that replace each other, which stopped all starts for 2.7 s, and
     against a small VM as scheduler, which 176 workers overloaded for 30 s.
 
     Given 12 VMs of 2.1 processors and 18 of half a processor with a tenth of the link
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_candidates.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_candidates.py
@@ -18,7 +18,7 @@
 
     Pattern: the scheduler dies beside 30 VMs, most of which have a quarter of the processor of the
     largest and a twentieth of its link. All notice it within a fraction of a second. VMs stand one
-    after the other, small ones last, so that no two overthrow each other and no small VM becomes
+    after the other, small ones last, so that no two replace each other and no small VM becomes
     scheduler while a large one lives.
 
     Args:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -260,7 +260,7 @@
         """Append a tenure record and take office if it was accepted.
 
         Another candidate may have become scheduler, or the log may have stopped answering, since
-        the latest read; a record sent to a silent log would overthrow a scheduler much later.
+        the latest read; a record sent to a silent log would replace a scheduler much later.
         """
         stood_s = time.monotonic()
         if not await self.reader.read_now(_PROOF_S):
