Use one copy of names, waits, file errors and the record of a VM

StepName and TaskName now tell their own text, which three places of the daemon wrote out; the election takes the record that the daemon announces instead of two of its fields; wait_until returns the value it waited for, so that the loops of platform_processes.py and mesh_steps.py go; a file that cannot be read gets its error from one function; explain_log is a function without the unused stream argument, and looks only at fields that log lines have; its JSON names the job as job_id, because name is the name of the result code elsewhere. A kill is recorded once as a kill, with its whole span. No assertion changed.

--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -13,7 +13,7 @@
 
 from fireflywharf_core.messages import Acknowledged, Heartbeat, JobAnswer, JobQuery
 from fireflywharf_daemon.mesh import CallRefused, Mesh, NoAnswer, Unreachable
-from fireflywharf_testing import free_port
+from fireflywharf_testing import free_port, wait_until
 
 QUEUE_MAX = 100
 
@@ -63,15 +63,6 @@
         return JobAnswer(job_id=job_id, code=0, state=self.mesh.incarnation)
 
 
-def wait_until(condition, limit_s):
-    end_s = time.monotonic() + limit_s
-    while time.monotonic() < end_s:
-        if condition():
-            return True
-        time.sleep(0.01)
-    return condition()
-
-
 def heartbeat(sequence):
     return Heartbeat(incarnation="a.1", vm_name="a", domain="d", sequence=sequence)
 
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -8,11 +8,10 @@
 import subprocess
 import sys
 import tempfile
-import time
 
 import urllib3
 
-from fireflywharf_testing import free_port
+from fireflywharf_testing import free_port, wait_until
 from fireflywharf_testing.platform_stand_ins import PlatformWorld
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -149,10 +148,6 @@
 
 def wait_for(check, limit_s, message):
     """Wait until `check` returns a true value, and return it."""
-    end_s = time.monotonic() + limit_s
-    while time.monotonic() < end_s:
-        value = check()
-        if value:
-            return value
-        time.sleep(0.05)
-    raise AssertionError(message)
+    value = wait_until(check, limit_s, 0.05)
+    assert value, message
+    return value
--- a/features/steps/workflow_daemon_steps.py
+++ b/features/steps/workflow_daemon_steps.py
@@ -148,10 +148,15 @@
     assert (context.reader.fold.tenure is not None) == (knows == "has read")
 
 
+def vm_presence(name, incarnation="", **size):
+    """Return the record of a VM."""
+    return VmPresent(vm=name, incarnation=incarnation or f"{name}#1", address="", **size)
+
+
 @given("a daemon that heard the scheduler every {gap_s:g} s")
 def heard_every(context, gap_s):
     context.now_s = 10.0
-    context.election = Election("vm-1#2", "vm-1", random.Random(1), dict)
+    context.election = Election(vm_presence("vm-1", "vm-1#2"), random.Random(1), dict)
     for renewal in range(8):
         record = TenureRecord(holder="vm-2#1", epoch=70000, ordinal=1, renewal=renewal)
         context.election.observe(record, context.now_s)
@@ -182,7 +187,7 @@
 
 @when("a daemon starts on the VM of the scheduler")
 def same_vm(context):
-    context.election = Election("vm-1#2", "vm-1", random.Random(1), dict)
+    context.election = Election(vm_presence("vm-1", "vm-1#2"), random.Random(1), dict)
     context.election.observe(TenureRecord(holder="vm-1#1", epoch=70000, ordinal=1), 1.0)
 
 
@@ -202,23 +207,16 @@
     assert context.election.due(context.now_s + seconds)
 
 
-def vm_presences(count, letter, processors_millicores, link_mbps):
-    return {
-        f"{letter}{number}": VmPresent(
-            vm=f"{letter}{number}",
-            incarnation=f"{letter}{number}#1",
-            address="",
-            processors_millicores=processors_millicores,
-            link_mbps=link_mbps,
-        )
-        for number in range(count)
-    }
-
-
 @given("{large:d} VMs of 2.1 processors and {small:d} of half a processor with a tenth of the link")
 def two_sizes(context, large, small):
-    context.vms = vm_presences(large, "large-", 2150, 200.0)
-    context.vms |= vm_presences(small, "small-", 516, 20.0)
+    names = [f"large-{number}" for number in range(large)]
+    context.vms = {
+        name: vm_presence(name, processors_millicores=2150, link_mbps=200.0) for name in names
+    }
+    names = [f"small-{number}" for number in range(small)]
+    context.vms |= {
+        name: vm_presence(name, processors_millicores=516, link_mbps=20.0) for name in names
+    }
 
 
 @when(
@@ -235,7 +233,7 @@
         elections = []
         for name in sorted(context.vms):
             if name != holder:
-                election = Election(f"{name}#1", name, random.Random(name), lambda: context.vms)
+                election = Election(context.vms[name], random.Random(name), lambda: context.vms)
                 election.observe(first, rng.uniform(0.0, notice_s))
                 elections.append(election)
         context.played.append(play_election(elections, read_s))
@@ -290,7 +288,7 @@
 def many_stand(context, count):
     context.epochs = []
     for number in range(count):
-        election = Election(f"vm-{number}#1", f"vm-{number}", random.Random(number), dict)
+        election = Election(vm_presence(f"vm-{number}"), random.Random(number), dict)
         election.observe(TenureRecord(holder="vm-x#1", epoch=70000, ordinal=1), 1.0)
         context.epochs.append(election.next_tenure().epoch)
 
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_files.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_files.py
@@ -14,6 +14,12 @@
 FILE_MAX_BYTES = 1024 * 1024
 
 
+def unreadable_file(argument: str, path: str, error: OSError | ValueError) -> Failure:
+    """Return the failure for a file that cannot be opened or read."""
+    reason = getattr(error, "strerror", None) or str(error)
+    return usage_failure(argument, path, f"a readable file ({reason})")
+
+
 def read_text(path: str) -> str | Failure:
     """Read a text file of at most 1 MiB, the body limit of the daemon.
 
@@ -27,8 +33,7 @@
         with pathlib.Path(path).open("rb") as file:
             data = file.read(FILE_MAX_BYTES + 1)
     except (OSError, ValueError) as error:
-        reason = getattr(error, "strerror", None) or str(error)
-        return usage_failure("FILE", path, f"a readable file ({reason})")
+        return unreadable_file("FILE", path, error)
     if len(data) > FILE_MAX_BYTES:
         return usage_failure("FILE", path, f"a file of at most {FILE_MAX_BYTES} bytes")
     try:
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_log_commands.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_log_commands.py
@@ -5,36 +5,37 @@
 import json
 import sys
 from collections.abc import Iterable, Iterator
-from typing import Any, TextIO
+from typing import Any
 
 import attrs
 
 from fireflywharf_core.results import ResultCode
 
+from ._files import unreadable_file
 from ._outcomes import CommandOutcome, Failure, Report, usage_failure
 from ._tables import format_table, printable
 
-NAME_FIELDS = ("job_id", "request_id", "run", "step", "key", "call", "operation")
-"""Fields whose value names one job or request, or a part of it."""
+NAME_FIELDS = ("job_id", "run", "step")
+"""Fields whose value names one job, or a part of it."""
 PLAIN_FIELDS = ("time", "level", "logger", "message", "vm", "incarnation")
-NAME_ENDS = ".#:"
-"""Characters that separate the identifier of a job from the number of a part or a run."""
+NAME_END = "."
+"""Separates the identifier of a job from the number of a part."""
 
 
 @attrs.define
 class LogStory:
-    """Lines about one job or request, and what its VMs and workers did meanwhile.
+    """Lines about one job, and what its VMs and workers did meanwhile.
 
     Args:
-        name: identifier.
+        job_id: identifier.
 
     Attributes:
         lines_: lines that name it.
-        others_: lines that name no job or request.
+        others_: lines that name no job.
         unreadable_count_: lines that are not JSON objects with `time` and `message`.
     """
 
-    name: str
+    job_id: str
     lines_: list[dict[str, Any]] = attrs.field(factory=list)
     others_: list[dict[str, Any]] = attrs.field(factory=list)
     unreadable_count_: int = 0
@@ -73,67 +74,50 @@
         return sorted([*self.lines_, *_without_repeats(context)], key=lambda line: line["time"])
 
     def _names(self, value: Any) -> bool:
-        """Return whether a value is the identifier, a part of it, or its key in the journal."""
-        if not isinstance(value, str):
-            return False
-        start = value.find(self.name)
-        if start not in (0, 1):
-            return False
-        rest = value[start + len(self.name) :]
-        return not rest or rest[0] in NAME_ENDS
+        """Return whether a value is the identifier or names a part of the job."""
+        return isinstance(value, str) and value.partition(NAME_END)[0] == self.job_id
 
 
-class LogCommands:
-    """Commands that need no daemon.
+def explain_log(job: str, *files: str) -> CommandOutcome:
+    """Tell the story of one job from the logs of several VMs.
 
     Args:
-        stdin: where lines come from when no file is named.
-    """
-
-    def __init__(self, stdin: TextIO | None = None) -> None:
-        self._stdin = stdin or sys.stdin
-
-    def explain_log(self, name: str, *files: str) -> CommandOutcome:
-        """Tell the story of one job or request from the logs of several VMs.
+        job: identifier of the job
+        files: log files of any number of VMs; standard input if there is none
 
-        Args:
-            name: identifier of the job or request
-            files: log files of any number of VMs; standard input if there is none
-
-        Returns:
-            All lines about it in order of time, with what its VMs and workers did meanwhile.
-        """
-        if not name:
-            return usage_failure("NAME", name, "an identifier")
-        story = LogStory(name)
-        for file in files:
-            try:
-                with open(file, encoding="utf-8", errors="replace") as lines:
-                    story.read(lines)
-            except (OSError, ValueError) as error:
-                reason = getattr(error, "strerror", None) or str(error)
-                return usage_failure("FILES", file, f"a readable file ({reason})")
-        if not files:
-            story.read(self._stdin)
-        lines = story.tell()
-        unreadable = f"{story.unreadable_count_} lines could not be read"
-        if not lines:
-            return Failure(
-                ResultCode.UNKNOWN_JOB,
-                f"no line of the log names {name}; {unreadable}",
-                advice="Give the log files of all VMs for the time from the submission on.",
-            )
-        document = {
-            "code": int(ResultCode.OK),
-            "name": name,
-            "lines": lines,
-            "unreadable_count": story.unreadable_count_,
-        }
-        rows = [[line["time"], line.get("vm"), line["message"], _details(line)] for line in lines]
-        text = format_table(rows, ["time", "vm", "message", "details"])
-        return Report(
-            ResultCode.OK, document, f"{text}\n{unreadable}" if story.unreadable_count_ else text
+    Returns:
+        All lines about it in order of time, with what its VMs and workers did meanwhile.
+    """
+    if not job:
+        return usage_failure("JOB", job, "an identifier")
+    story = LogStory(job)
+    for file in files:
+        try:
+            with open(file, encoding="utf-8", errors="replace") as lines:
+                story.read(lines)
+        except (OSError, ValueError) as error:
+            return unreadable_file("FILES", file, error)
+    if not files:
+        story.read(sys.stdin)
+    lines = story.tell()
+    unreadable = f"{story.unreadable_count_} lines could not be read"
+    if not lines:
+        return Failure(
+            ResultCode.UNKNOWN_JOB,
+            f"no line of the log names {job}; {unreadable}",
+            advice="Give the log files of all VMs for the time from the submission on.",
         )
+    document = {
+        "code": int(ResultCode.OK),
+        "job_id": job,
+        "lines": lines,
+        "unreadable_count": story.unreadable_count_,
+    }
+    rows = [[line["time"], line.get("vm"), line["message"], _details(line)] for line in lines]
+    text = format_table(rows, ["time", "vm", "message", "details"])
+    if story.unreadable_count_:
+        text = f"{text}\n{unreadable}"
+    return Report(ResultCode.OK, document, text)
 
 
 def _decode(text: str) -> dict[str, Any] | None:
--- a/packages/fireflywharf-cli/src/fireflywharf_cli/main.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/main.py
@@ -16,7 +16,7 @@
 from ._console import Console
 from ._contract_commands import ContractCommands
 from ._job_commands import JobCommands
-from ._log_commands import LogCommands
+from ._log_commands import explain_log
 from ._outcomes import Failure, usage_failure
 
 SERVER_VARIABLE = "FIREFLYWHARF_SERVER"
@@ -121,7 +121,7 @@
             "explain": job.explain,
         },
         "explain": job.explain,
-        "explain-log": LogCommands().explain_log,
+        "explain-log": explain_log,
         "vm": {"list": cluster.list_vms},
         "status": cluster.status,
         "top": cluster.top,
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_names.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_names.py
@@ -13,6 +13,9 @@
     occurrence: int
     step: int
 
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}"
+
 
 @attrs.frozen(slots=True, order=True)
 class TaskName:
@@ -20,3 +23,6 @@
 
     step_name: StepName
     index: int
+
+    def __str__(self) -> str:
+        return f"{self.step_name}.{self.index}"
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -74,13 +74,11 @@
         timing: Timing,
         metrics: WorkflowMetrics,
     ) -> None:
-        self.name = name = presence.incarnation
-        vm = presence.vm
         self._presence = presence
         self._metrics = metrics
         self._outside = surroundings
         self._timing = timing
-        self._rng = random.Random(name)
+        self._rng = random.Random(presence.incarnation)
         self.reader = JournalReader(surroundings.log, self._journal_changed)
         self._appender = GroupAppender(surroundings.log, Topic.JOURNAL)
         self._approvals = ApprovalQueue(surroundings.approvals)
@@ -88,11 +86,11 @@
         self._peer_server = PeerServer(self._approvals, self._told_record, self._told_tickets)
         self._sender = PeerSender(self._peer_http)
         self._pool = ApprovalPool(
-            self._approvals, self._peer_http, vm, lambda: self.reader.fold.vms
+            self._approvals, self._peer_http, presence.vm, lambda: self.reader.fold.vms
         )
         self._grant_shares = GrantShares()
         self.desk = Desk(self.reader, self._appender, self._accepting, self._stored, metrics)
-        self._election = Election(name, vm, self._rng, lambda: self.reader.fold.vms)
+        self._election = Election(presence, self._rng, lambda: self.reader.fold.vms)
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
         self.office: Office | None = None
@@ -224,7 +222,7 @@
     def _scheduler_address(self) -> str | None:
         """Return where the scheduler in office is reached, if it is another daemon."""
         tenure = self.reader.fold.tenure
-        if tenure is None or tenure.resigned or tenure.holder == self.name:
+        if tenure is None or tenure.resigned or tenure.holder == self._presence.incarnation:
             return None
         vm = self.reader.fold.vms.get(tenure.holder.partition("#")[0])
         return None if vm is None or vm.incarnation != tenure.holder else vm.address
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_office.py
@@ -245,13 +245,19 @@
                             self._metrics.first_start_s.observe(self._now() - read_s)
                         _LOG.info(
                             "run placed",
-                            extra={"run": run_name(action), "worker": action.worker_id},
+                            extra={
+                                "run": f"{action.task}#{action.number}",
+                                "worker": action.worker_id,
+                            },
                         )
                         self._background.spawn(self._start(action))
                     case StopRun():
                         _LOG.info(
                             "run stopped",
-                            extra={"run": run_name(action), "worker": action.worker_id},
+                            extra={
+                                "run": f"{action.task}#{action.number}",
+                                "worker": action.worker_id,
+                            },
                         )
                         self._background.spawn(self._stop(action))
                     case AskApproval():
@@ -277,7 +283,11 @@
         if result is not StartResult.STARTED:
             _LOG.info(
                 "run was not started",
-                extra={"run": run_name(order), "worker": order.worker_id, "result": result.value},
+                extra={
+                    "run": f"{order.task}#{order.number}",
+                    "worker": order.worker_id,
+                    "result": result.value,
+                },
             )
         if result is StartResult.STALE_EPOCH:
             self._give_up(f"{order.worker_id} has seen a higher epoch")
@@ -303,12 +313,11 @@
         granted = await self._approvals.ask(
             order.step, order.worker_ids, cost_ms, short=is_short(approval)
         )
-        name = f"{order.step.job_id}.{order.step.occurrence}.{order.step.step}"
         _LOG.info(
             "approval answered",
             extra={
                 "job_id": order.step.job_id,
-                "step": name,
+                "step": str(order.step),
                 "named": len(order.worker_ids),
                 "allowed": None if granted is None else len(granted.tickets),
                 "ms": round((self._now() - asked_s) * 1000),
@@ -370,9 +379,3 @@
             for future in flushes:
                 if not future.done():
                     future.set_result(True)
-
-
-def run_name(order: StartRun | StopRun) -> str:
-    """Return the name of a run for log lines."""
-    name = order.task.step_name
-    return f"{name.job_id}.{name.occurrence}.{name.step}.{order.task.index}#{order.number}"
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -131,12 +131,10 @@
         # A worker lists an end again until it is acknowledged.
         for end in (end for end in lists.ended if end.serial > self._noted):
             self._metrics.ends.labels(end.kind.value).inc()
-            name = end.task.step_name
             _LOG.info(
                 "run ended",
                 extra={
-                    "run": f"{name.job_id}.{name.occurrence}.{name.step}.{end.task.index}"
-                    f"#{end.number}",
+                    "run": f"{end.task}#{end.number}",
                     "worker": self.info.worker_id,
                     "how": end.kind.value,
                     "serial": end.serial,
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_tenure.py
@@ -156,8 +156,7 @@
     While the log is slow, signs of life come further apart, and more silence is allowed.
 
     Args:
-        name: incarnation of this daemon.
-        vm: name of its VM.
+        presence: the VM and the incarnation of this daemon.
         rng: source of randomness.
         vms: returns the VMs of the deployment by name.
 
@@ -167,13 +166,11 @@
 
     def __init__(
         self,
-        name: str,
-        vm: str,
+        presence: VmPresent,
         rng: random.Random,
         vms: Callable[[], Mapping[str, VmPresent]],
     ) -> None:
-        self.name = name
-        self.vm = vm
+        self._presence = presence
         self._vms = vms
         self.latest: TenureRecord | None = None
         self.gap_s_ = RENEWAL_S
@@ -205,8 +202,8 @@
         """Return whether to stand now."""
         if self._heard_s is None:
             self._heard_s = now_s
-        holder_vm = self._holder_vm()
-        if self.latest is not None and holder_vm == self.vm and self.latest.holder != self.name:
+        own = self._presence
+        if self._holder_vm() == own.vm and self.latest.holder != own.incarnation:
             # The scheduler was an earlier process of this VM, which has ended.
             return True
         if self.latest is None:
@@ -215,8 +212,9 @@
             silence_s = 0.0
         else:
             silence_s = SILENCE_MARGIN_S + SILENCE_GAPS * min(self.gap_s_, _GAP_MAX_S)
-        silent_s = now_s - self._heard_s
-        return silent_s >= silence_s and silent_s >= silence_s + SLOT_S * self._rank()
+        late_s = now_s - self._heard_s - silence_s
+        # The rank costs a hash for each VM and is worked out only when it matters.
+        return late_s >= 0 and late_s >= SLOT_S * self._rank()
 
     def next_tenure(self) -> TenureRecord:
         """Return the record with which to stand."""
@@ -224,11 +222,11 @@
         places = (1 << _EPOCH_RANK_BITS) - 1
         epoch = ordinal << _EPOCH_RANK_BITS | max(0, places - self._rank())
         epoch = epoch << _EPOCH_RANDOM_BITS | self._rng.getrandbits(_EPOCH_RANDOM_BITS)
-        return TenureRecord(holder=self.name, epoch=epoch, ordinal=ordinal)
+        return TenureRecord(holder=self._presence.incarnation, epoch=epoch, ordinal=ordinal)
 
     def _holder_vm(self) -> str:
         return "" if self.latest is None else self.latest.holder.partition("#")[0]
 
     def _rank(self) -> int:
         epoch = 0 if self.latest is None else self.latest.epoch
-        return candidate_rank(self._vms(), self.vm, self._holder_vm(), epoch)
+        return candidate_rank(self._vms(), self._presence.vm, self._holder_vm(), epoch)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_cluster.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_cluster.py
@@ -150,7 +150,7 @@
     def kill(self, vm: str) -> None:
         """Kill the daemon of an entry VM."""
         since_s = time.monotonic()
-        self._record_down(vm, killed=True)
+        self._record_down(vm)
         self.nodes[vm].kill()
         # The process ends before its parent sees it; calls that break in between are excused.
         self.recorder.add(
@@ -318,8 +318,8 @@
                 raise TimeoutError(f"{vm} is not ready after {READY_TIMEOUT_S} s\n{text}")
             self.recorder.add(EntryVmUp(time_s=time.monotonic(), entry_vm=vm))
 
-    def _record_down(self, vm: str, killed: bool = False) -> None:
-        self.recorder.add(EntryVmDown(time_s=time.monotonic(), entry_vm=vm, killed=killed))
+    def _record_down(self, vm: str) -> None:
+        self.recorder.add(EntryVmDown(time_s=time.monotonic(), entry_vm=vm))
 
     def _ask(self, vm: str, path: str) -> dict[str, Any]:
         caller = RecordingCaller(self.recorder, self.entry_vms, "", CALL_TIMEOUT_S)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_platform.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_platform.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 import attrs
 
@@ -27,6 +28,8 @@
 TARGET_SPARE_THREADS = 3
 ADVANCE_INTERVAL_S = 0.05
 
+T = TypeVar("T")
+
 
 class Platform:
     """Starts log, VM list, workers, targets and a control server.
@@ -298,11 +301,12 @@
         raise errors[0]
 
 
-def wait_until(condition: Callable[[], bool], timeout_s: float, step_s: float = 0.02) -> bool:
-    """Return whether `condition` became true within `timeout_s`."""
+def wait_until(condition: Callable[[], T], timeout_s: float, step_s: float = 0.02) -> T:
+    """Return the first true value of `condition` within `timeout_s`, or its last one."""
     end_s = time.monotonic() + timeout_s
     while time.monotonic() < end_s:
-        if condition():
-            return True
+        value = condition()
+        if value:
+            return value
         time.sleep(step_s)
     return condition()
