Name the field of a number of the platform's settings that cannot be used

A text in bounds.max_hold_ms ended the process with a traceback, because the value was divided after its check had failed; the processors had a guard of their own against that. The scenario fails on the earlier code.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -118,6 +118,12 @@
     When the settings of the platform lack two fields
     Then the message names both fields
 
+  Scenario: numbers of the settings that cannot be used
+    Guards against an error without the name of the field.
+
+    When the settings of the platform hold texts instead of two numbers
+    Then the message names "bounds.max_hold_ms" and "limits"
+
   Scenario: a page of the newest records is cut off
     Guards against daemons on slow links that begin again with each page that fails and never have
     read the whole journal.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -261,13 +261,33 @@
     assert not found, "\n".join(found)
 
 
-@when("the settings of the platform lack two fields")
-def parse_incomplete(context):
+def settings_error(text):
+    """Return the message of the error for settings, or an empty text."""
     try:
-        parse_settings('{"node": "vm", "zone": "z", "port_range": [1, 2], "listen": {}}')
-        context.message = ""
+        parse_settings(text)
     except SettingsError as error:
-        context.message = str(error)
+        return str(error)
+    return ""
+
+
+@when("the settings of the platform lack two fields")
+def parse_incomplete(context):
+    context.message = settings_error(
+        '{"node": "vm", "zone": "z", "port_range": [1, 2], "listen": {}}'
+    )
+
+
+@when("the settings of the platform hold texts instead of two numbers")
+def parse_texts(context):
+    context.message = settings_error(
+        '{"bounds": {"max_hold_ms": "long"}, "limits": {"cpu_share": "half"}}'
+    )
+
+
+@then('the message names "{first}" and "{second}"')
+def check_named(context, first, second):
+    for name in (first, second):
+        assert f"{name}: " in context.message, context.message
 
 
 @then("the message names both fields")
