--- /dev/null
+++ b/features/steps/log_stream_steps.py
@@ -0,0 +1,64 @@
+"""Steps for the stream of log lines."""
+
+import os
+import time
+import unittest.mock
+
+from behave import given, then, when
+
+from fireflywharf_daemon.logs import BoundedStream
+
+
+@given("a stream for log lines that nobody reads")
+def unread_stream(context):
+    context.read_end, write_end = os.pipe()
+    context.add_cleanup(os.close, context.read_end)
+    context.add_cleanup(os.close, write_end)
+    context.stream = BoundedStream(write_end)
+
+
+@when("{count:d} lines of {length:d} characters are logged")
+def log_lines(context, count, length):
+    started_s = time.monotonic()
+    for _ in range(count):
+        context.stream.write("x" * length + "\n")
+        context.stream.pump()
+    context.took_s = time.monotonic() - started_s
+
+
+@when("{count:d} lines of {length:d} characters are logged at once")
+def log_burst(context, count, length):
+    context.writes = []
+
+    def write(descriptor, data):
+        context.writes.append(bytes(data))
+        return len(data)
+
+    for _ in range(count):
+        context.stream.write("x" * length + "\n")
+    with unittest.mock.patch("os.write", write):
+        context.stream.pump()
+
+
+@then("each write holds whole lines and at most {limit:d} bytes")
+def check_writes(context, limit):
+    assert sum(map(len, context.writes)) == 200 * 251
+    assert max(map(len, context.writes)) <= limit, max(map(len, context.writes))
+    assert all(data.endswith(b"\n") for data in context.writes)
+
+
+@then("no call has blocked and the lines left out are counted")
+def check_not_blocked(context):
+    assert context.took_s < 20.0, context.took_s
+    assert context.stream.left_out_count > 0
+
+
+@then("after the reader comes back the count is written")
+def check_count_written(context):
+    text = b""
+    for _ in range(100):
+        text += os.read(context.read_end, 1 << 16)
+        context.stream.pump()
+        if b"log lines left out" in text:
+            return
+    raise AssertionError(text[-200:])
--- /dev/null
+++ b/features/steps/workflow_session_steps.py
@@ -0,0 +1,115 @@
+"""Steps for the sessions of the scheduler with workers."""
+
+import asyncio
+import logging
+import unittest.mock
+
+from behave import given, then, when
+from prometheus_client import CollectorRegistry
+
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.workflows import (
+    EndKind,
+    ListedEnd,
+    StepName,
+    TaskName,
+    WorkerInfo,
+)
+from fireflywharf_daemon.workflows import (
+    Lists,
+    WorkflowMetrics,
+)
+from fireflywharf_daemon.workflows._sessions import WorkerSession
+
+
+class RepeatingWorker:
+    """A worker that lists the same ends until they are acknowledged."""
+
+    def __init__(self):
+        self.incarnation = 0
+        self.ended = ()
+        self.asked_count = 0
+
+    def begin_life(self, ends_count):
+        """Start anew with some ends."""
+        self.incarnation += 1
+        step = StepName("a", 0, 0)
+        self.ended = tuple(
+            ListedEnd(
+                serial=number + 1,
+                task=TaskName(step, number),
+                number=1,
+                kind=EndKind.DONE,
+                checkpoint="",
+            )
+            for number in range(ends_count)
+        )
+
+    async def hold(self, info, **options):
+        """Return the lists."""
+        self.asked_count += 1
+        return Lists(incarnation=self.incarnation, running=(), ended=self.ended)
+
+
+@given("a worker with {count:d} ends and a log that does not answer")
+def repeating_worker(context, count):
+    context.worker = RepeatingWorker()
+    context.worker.begin_life(count)
+    context.metrics = WorkflowMetrics(CollectorRegistry())
+    context.lines = []
+
+    async def flush():
+        await asyncio.sleep(60)
+
+    context.session = WorkerSession(
+        WorkerInfo(
+            worker_id="w-1",
+            incarnation=1,
+            address="",
+            service="s",
+            domain="a",
+            labels=frozenset(),
+            capacity=ResourceVector(1000, 1000),
+        ),
+        epoch=1,
+        gateway=context.worker,
+        observe=lambda event: None,
+        flush=flush,
+        stale=lambda worker_id: None,
+        may_renew=lambda: True,
+        metrics=context.metrics,
+    )
+
+
+def ask_repeatedly(context, count):
+    async def run():
+        task = asyncio.create_task(context.session.run())
+        target_count = context.worker.asked_count + count
+        while context.worker.asked_count < target_count and not task.done():
+            await asyncio.sleep(0.01)
+        assert not task.done(), task.exception()
+        task.cancel()
+
+    logger = logging.getLogger("fireflywharf_daemon.workflows._sessions")
+    with (
+        unittest.mock.patch("fireflywharf_daemon.workflows._sessions._FLUSH_S", 0.02),
+        unittest.mock.patch.object(logger, "info", lambda *row, **_: context.lines.append(row[0])),
+    ):
+        asyncio.run(run())
+
+
+@when("the scheduler has asked the worker {count:d} times")
+def ask_worker(context, count):
+    ask_repeatedly(context, count)
+
+
+@when("the worker starts anew and has {count:d} ends")
+def start_anew(context, count):
+    context.worker.begin_life(count)
+    ask_repeatedly(context, 3)
+
+
+@then("{count:d} ends are counted and logged")
+def check_ends(context, count):
+    assert context.metrics.ends.labels("done")._value.get() == count
+    assert context.lines.count("run ended") == count, context.lines
