Read the log before a job is shown as waiting without its scheduler

Traced: 'the scheduler of failure domain pacifico did not answer; this is the record' in each such answer.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/application/_jobs.py
@@ -269,14 +269,7 @@
             if isinstance(known, CallerError):
                 return known
         if isinstance(known, FinishedJob):
-            done = f"{known.state.value}: {known.detail}" if known.detail else known.state.value
-            return JobStatus(
-                job_id=job_id,
-                state=known.state,
-                tasks_done_count=known.tasks_count if known.state is JobState.DONE else 0,
-                late=known.late,
-                explanation=f"The job is {done}.",
-            )
+            return _finished_status(job_id, known)
         home = self.context.domain if known is None else known.home_domain
         answer = await self._ask_home(home, JobQuery(job_id, explain))
         if isinstance(answer, JobAnswer) and answer.code == ResultCode.OK:
@@ -290,6 +283,13 @@
                 recorded=answer.recorded and known is not None,
                 explanation=answer.explanation,
             )
+        if known is not None:
+            # The scheduler may have recorded the end before it fell silent, and callers may have
+            # seen it elsewhere; the fold is up to one poll behind the log.
+            await self.stream.read_to_end(self.context.now_s(), PEER_TIMEOUT_S)
+            known = self.fold.lookup(job_id) or known
+            if isinstance(known, FinishedJob):
+                return _finished_status(job_id, known)
         state = JobState.PROVISIONAL if known is None else JobState.WAITING
         detail = f"the scheduler of failure domain {home} did not answer; this is the record"
         return JobStatus(
@@ -420,3 +420,14 @@
 def _conflict(job_id: str) -> CallerError:
     detail = f"the key of job {job_id} was used before with other content"
     return CallerError(ResultCode.KEY_CONFLICT, detail)
+
+
+def _finished_status(job_id: str, job: FinishedJob) -> JobStatus:
+    done = f"{job.state.value}: {job.detail}" if job.detail else job.state.value
+    return JobStatus(
+        job_id=job_id,
+        state=job.state,
+        tasks_done_count=job.tasks_count if job.state is JobState.DONE else 0,
+        late=job.late,
+        explanation=f"The job is {done}.",
+    )
