Log the cause of each stop order

Cause: 'run stop ordered' did not say why, so the work thrown away on a large fleet could not be traced. Change: each stop order carries a StopCause and the progress of the run, and both are logged. Result: no decision changes; features/workflows.feature passes.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -39,6 +39,21 @@
     UNKNOWN = "unknown"
 
 
+class StopCause(Enum):
+    """Reason for an order to stop a run."""
+
+    JOB_CANCELLED = "the job was cancelled"
+    JOB_FAILED = "a task of the job failed its last attempt"
+    TASK_DONE = "another run of the task is done"
+    NOT_NEEDED = "the task needs no run"
+    NO_PROGRESS = "the run made no progress"
+    START_UNANSWERED = "the start order got no answer"
+    START_REFUSED = "a repeated start order was refused"
+    GANG_START_FAILED = "another member of the gang did not start"
+    GANG_MEMBER_ENDED = "another member of the gang ended"
+    GANG_MEMBER_STALLED = "another member of the gang made no progress"
+
+
 @attrs.frozen(slots=True)
 class ReportedRun:
     """A run that a worker reports as running."""
@@ -206,6 +221,8 @@
     worker_id: str
     task: TaskName
     number: int
+    cause: StopCause
+    percent: float
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -13,6 +13,7 @@
     ReportedRun,
     StartResult,
     StartRun,
+    StopCause,
     StopRun,
     WorkerReported,
 )
@@ -81,24 +82,31 @@
         """Return whether any run of the job may be alive."""
         return any(step.runs for step in job.steps.values())
 
-    def order_stop_all(self, job: Job, now_s: float) -> None:
+    def order_stop_all(self, job: Job, cause: StopCause, now_s: float) -> None:
         """Order all runs of a job to stop and start no further ones."""
         for step in job.steps.values():
             step.waiting.clear()
             for run in step.runs.values():
-                self.order_stop(run, now_s)
+                self.order_stop(run, cause, now_s)
 
-    def order_stop(self, run: Run, now_s: float) -> None:
+    def order_stop(self, run: Run, cause: StopCause, now_s: float) -> None:
         """Order a run to stop; its capacity stays occupied until its end is known."""
         if run.phase is not RunPhase.STOPPING:
             run.phase = RunPhase.STOPPING
             run.phase_since_s = now_s
+            run.stop_cause = cause
             self._send_stop(run, now_s)
 
     def _send_stop(self, run: Run, now_s: float) -> None:
         run.last_order_s = now_s
         self._outbox.append(
-            StopRun(worker_id=run.worker.worker_id, task=run.task, number=run.number)
+            StopRun(
+                worker_id=run.worker.worker_id,
+                task=run.task,
+                number=run.number,
+                cause=run.stop_cause,
+                percent=run.percent,
+            )
         )
 
     def handle_start_answer(
@@ -127,10 +135,10 @@
         if run.refusals_count < run.starts_count:
             # An earlier, unanswered start order for this run may still be executed, so the task
             # waits until the worker has accepted a stop order.
-            self.order_stop(run, now_s)
+            self.order_stop(run, StopCause.START_REFUSED, now_s)
         else:
             self._release_run(run)
-        self._abort_gang(run, now_s)
+        self._abort_gang(run, StopCause.GANG_START_FAILED, now_s)
 
     def handle_stop_answer(self, worker_id: str, task: TaskName, number: int, now_s: float) -> None:
         """Record that a worker accepted a stop order and refuses to start that run from now on."""
@@ -160,17 +168,17 @@
         if step.job.state.is_final and not self.has_runs(step.job):
             self.closed_job_ids.append(step.job.job_id)
 
-    def _abort_gang(self, run: Run, now_s: float) -> None:
+    def _abort_gang(self, run: Run, cause: StopCause, now_s: float) -> None:
         if run.step is not None and run.step.spec.gang:
             for other in list(run.step.runs.values()):
-                self.order_stop(other, now_s)
+                self.order_stop(other, cause, now_s)
 
     def handle_lost(self, run: Run, now_s: float) -> None:
         """Process the end of a run of which no end was reported."""
         if run.checkpoint and run.step is not None:
             self._keep_checkpoint(run.step, run.task.index, run.checkpoint)
         self._release_run(run)
-        self._abort_gang(run, now_s)
+        self._abort_gang(run, StopCause.GANG_MEMBER_ENDED, now_s)
 
     def handle_report(self, worker: Worker, event: WorkerReported, now_s: float) -> None:
         """Process the running and ended runs that a worker reported."""
@@ -205,8 +213,8 @@
         if self.worker_health.is_stalled(run, now_s):
             run.step.avoided[run.task.index] = worker.worker_id
             self.worker_health.record_failure(worker, run.step.job.job_id, now_s)
-            self.order_stop(run, now_s)
-            self._abort_gang(run, now_s)
+            self.order_stop(run, StopCause.NO_PROGRESS, now_s)
+            self._abort_gang(run, StopCause.GANG_MEMBER_STALLED, now_s)
 
     def _adopt_run(self, worker: Worker, row: ReportedRun, now_s: float) -> Run:
         """Register a run that an earlier tenure started; stop it if its task needs no run."""
@@ -239,7 +247,7 @@
         if wanted:
             self._mark_job_running(run)
         else:
-            self.order_stop(run, now_s)
+            self.order_stop(run, StopCause.NOT_NEEDED, now_s)
         return run
 
     def _find_demand(self, task: TaskName, worker: Worker) -> ResourceVector:
@@ -260,7 +268,7 @@
         if run is not None:
             self._release_run(run)
             if end.kind not in (EndKind.DONE, EndKind.STOPPED):
-                self._abort_gang(run, now_s)
+                self._abort_gang(run, StopCause.GANG_MEMBER_ENDED, now_s)
 
     def _find_step(self, task: TaskName) -> Step | None:
         job = self._jobs.get(task.step_name.job_id)
@@ -302,7 +310,7 @@
             job.state = WorkflowState.RUNNING
         other = step.runs.get(index)
         if other is not None and other is not run and not step.spec.gang:
-            self.order_stop(other, now_s)
+            self.order_stop(other, StopCause.TASK_DONE, now_s)
 
     def _handle_failure(self, worker: Worker, step: Step, end: ReportedEnd, now_s: float) -> None:
         index = end.task.index
@@ -316,7 +324,7 @@
         step.failures[index] = (*counted, end.number)
         if len(step.failures[index]) >= step.job.queue.max_attempts:
             step.job.state = WorkflowState.FAILED
-            self.order_stop_all(step.job, now_s)
+            self.order_stop_all(step.job, StopCause.JOB_FAILED, now_s)
 
     def order_start(self, run: Run, ticket: str, now_s: float) -> None:
         """Send or repeat the order to start a run."""
@@ -354,5 +362,5 @@
                     self.order_start(run, ticket, now_s)
                 else:
                     run.step.avoided[run.task.index] = worker.worker_id
-                    self.order_stop(run, now_s)
-                    self._abort_gang(run, now_s)
+                    self.order_stop(run, StopCause.START_UNANSWERED, now_s)
+                    self._abort_gang(run, StopCause.GANG_START_FAILED, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -19,6 +19,7 @@
     JobCancelled,
     StartAnswered,
     StopAnswered,
+    StopCause,
     WorkerIncarnationEnded,
     WorkerReported,
     WorkerSilent,
@@ -289,7 +290,7 @@
         job = self.jobs.get(job_id)
         if job is not None and not job.state.is_final:
             job.state = WorkflowState.CANCELLED
-            self.runs.order_stop_all(job, now_s)
+            self.runs.order_stop_all(job, StopCause.JOB_CANCELLED, now_s)
             if not self.runs.has_runs(job):
                 self.runs.closed_job_ids.append(job_id)
 
@@ -378,7 +379,7 @@
         if step.spec.gang and step.runs:
             # A member has ended or did not start, so the gang cannot be complete.
             for run in step.runs.values():
-                self.runs.order_stop(run, now_s)
+                self.runs.order_stop(run, StopCause.GANG_MEMBER_ENDED, now_s)
             return
         if not self.ticket_tracker.request_tickets(step, workers, now_s):
             return
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..resources import ResourceVector
+from ._events import StopCause
 from ._journal import StepProgress, WorkflowProgress, WorkflowState
 from ._names import StepName, TaskName
 from ._specs import Queue, StepSpec, WorkerInfo, WorkflowSpec
@@ -44,6 +45,7 @@
         starts_count: number of start orders sent.
         refusals_count: number of start orders that certainly had no effect.
         stop_answered: whether the worker has accepted a stop order.
+        stop_cause: reason of the stop order; None before one is sent.
         checkpoint: latest checkpoint that the worker reported.
         speed_read_s: local time of the previous progress reading for the speed, in seconds.
         speed_read_percent: progress at that reading.
@@ -65,6 +67,7 @@
     starts_count: int = 0
     refusals_count: int = 0
     stop_answered: bool = False
+    stop_cause: StopCause | None = None
     checkpoint: str = ""
     speed_read_s: float = 0.0
     speed_read_percent: float = 0.0
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -268,6 +268,8 @@
                             extra={
                                 "run": f"{action.task}#{action.number}",
                                 "worker": action.worker_id,
+                                "cause": action.cause.value,
+                                "percent": action.percent,
                             },
                         )
                         self._background.spawn(self._stop_run(action))
