Keep the logs of failed scenarios and soak seeds

Cause: the known red scenarios could not be traced, because the folders with the logs of the daemons were removed at the end of a run. Change: the folders are registered and copied to build/failed-runs when a step or a soak seed fails; the message names the copy.

--- a/features/steps/daemon_world.py
+++ b/features/steps/daemon_world.py
@@ -6,6 +6,7 @@
 import time
 
 import attrs
+from run_folders import create_run_folder, remove_run_folder
 
 from fireflywharf_core.history import JobAcceptedSeen, JobStateSeen, RequestAnswered, RequestSent
 from fireflywharf_core.history._job_checks import END_STATES
@@ -65,7 +66,10 @@
 def start_cluster(domains_count, embedded=(), settings=None, **topology_fields):
     """Start a cluster, apply a contract and wait until every entry VM shows it."""
     cluster = Cluster(
-        build_topology(domains_count, **topology_fields), embedded=embedded, settings=settings
+        build_topology(domains_count, **topology_fields),
+        embedded=embedded,
+        settings=settings,
+        folder=create_run_folder(),
     )
     cluster.start()
     result = cluster.caller("austral").apply_contract("centro-entry-1", CONTRACT, 0)
@@ -333,6 +337,7 @@
     def close(self):
         if self.cluster is not None:
             self.cluster.stop()
+            remove_run_folder(self.cluster.folder)
             self.cluster = None
 
 
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -7,9 +7,9 @@
 import signal
 import subprocess
 import sys
-import tempfile
 
 import urllib3
+from run_folders import create_run_folder, remove_run_folder
 
 from fireflywharf_testing import reserve_port, wait_until
 from fireflywharf_testing.platform_stand_ins import PlatformStandIns
@@ -115,11 +115,11 @@
     """Stand-ins for the platform and several daemon processes."""
 
     def __init__(self, daemons_count=2, **world):
-        self.folder = tempfile.TemporaryDirectory()
+        self.folder = create_run_folder()
         self.world = PlatformStandIns(**world)
         self.world.open()
         self.daemons = [
-            PlatformDaemon(f"vm-{index}", self.world, self.folder.name)
+            PlatformDaemon(f"vm-{index}", self.world, str(self.folder))
             for index in range(daemons_count)
         ]
 
@@ -161,7 +161,7 @@
                 daemon.send_signal(signal.SIGKILL)
                 daemon.process.wait()
         self.world.close()
-        self.folder.cleanup()
+        remove_run_folder(self.folder)
 
 
 def wait_for(check, limit_s, message):
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -9,12 +9,14 @@
 import asyncio
 import random
 import signal
+import sys
 import threading
 import time
 from types import SimpleNamespace
 
 import urllib3
 from platform_processes import PlatformDaemon, PlatformDeployment
+from run_folders import keep_run_folders
 
 from fireflywharf_testing.platform_stand_ins import StoreFault
 
@@ -111,9 +113,11 @@
         jobs: steps of each submitted job, by job id.
         accepted_s: time at which each accepted job was accepted, by job id.
         refused: ids of jobs for which every answer was a refusal; none of their tasks may run.
+        kept_folders: copies of the settings and logs of the daemons if the run failed.
     """
 
     def __init__(self, seed, seconds, daemons_count=3):
+        self.seed = seed
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.events = []
@@ -121,6 +125,7 @@
         self.jobs = {}
         self.accepted_s = {}
         self.refused = set()
+        self.kept_folders = []
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self.deployment = PlatformDeployment(
@@ -133,7 +138,7 @@
             proxied_world = SimpleNamespace(
                 store_address=proxy.address, advice_address=self.world.advice_address
             )
-            daemon = PlatformDaemon(f"vm-{index}", proxied_world, self.deployment.folder.name)
+            daemon = PlatformDaemon(f"vm-{index}", proxied_world, str(self.deployment.folder))
             self.deployment.daemons.append(daemon)
         self.started_s = time.monotonic()
 
@@ -158,6 +163,8 @@
             for daemon in self.deployment.daemons:
                 if daemon.process is not None and daemon.process.poll() is None:
                     daemon.send_signal(signal.SIGCONT)
+            if self.violations or sys.exc_info()[0] is not None:
+                self.kept_folders = keep_run_folders(f"soak seed {self.seed}")
             self.deployment.close()
 
     def _record_event(self, what):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,4 +14,4 @@
 def check_soak(context):
     soak = context.soak
     assert soak.accepted_s, "no job was accepted"
-    assert not soak.violations, (soak.violations[:5], soak.events)
+    assert not soak.violations, (soak.violations[:5], soak.events, soak.kept_folders)
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -31,7 +31,10 @@
         print(f"seed {seed}: {summary}, {len(soak.violations)} violations", flush=True)
         if soak.violations:
             failed_seeds_count += 1
-            print("\n".join([*soak.events, *soak.violations[:10]]), flush=True)
+            print(
+                "\n".join([*soak.events, *soak.violations[:10], *map(str, soak.kept_folders)]),
+                flush=True,
+            )
     print(f"{count - failed_seeds_count} seeds passed, {failed_seeds_count} seeds failed")
     return failed_seeds_count
 
