Do not stop gangs whose members wait for the slowest one

Cause: the members of a gang end together. A member that had finished its part made no progress for 2.2 s and was taken for stalled, so gangs whose members need unequal times were stopped shortly before their end, and started again, and stopped again. A gang with a member that really stalled was placed on the same worker again. Change: only the member that is furthest behind can be stalled; workers on which a member failed or stalled come last in the placement of a gang. In the tests, the members of a gang now end together, as on the platform.

--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -101,7 +101,7 @@
                 self.end_run(key, EndKind.LEASE_LAPSED)
             elif active_run.stop_due_s is not None and now_s >= active_run.stop_due_s:
                 self.end_run(key, EndKind.STOPPED)
-            elif now_s >= active_run.end_due_s and self.world.is_gang_complete(key, active_run):
+            elif self.world.can_end(key, active_run, now_s):
                 self.end_run(key, EndKind.FAILED if active_run.will_fail else EndKind.DONE)
 
     def used_capacity(self):
@@ -179,6 +179,7 @@
         self.loss_probability = 0.0
         self.delayed_orders = []
         self.done_tasks = set()
+        self.actions = []
         self.approval_requests = []
         self.answers_approvals = True
         self.allowed_share = 1.0
@@ -270,16 +271,20 @@
             for key, active_run in worker.active_runs.items():
                 yield worker, key, active_run
 
-    def is_gang_complete(self, key, active_run):
-        """Return whether all tasks of the gang run under this number, or the task is done."""
-        if not active_run.spec.gang:
+    def can_end(self, key, active_run, now_s):
+        """Return whether a run may end now; the members of a gang end together."""
+        if now_s < active_run.end_due_s:
+            return False
+        if not active_run.spec.gang or self.is_done(key[0]):
             return True
-        present = sum(
-            1
-            for _, (task, number), _ in self.iterate_active_runs()
+        members = [
+            other
+            for _, (task, number), other in self.iterate_active_runs()
             if task.step_name == key[0].step_name and number == key[1]
+        ]
+        return len(members) == active_run.spec.tasks_count and all(
+            now_s >= other.end_due_s for other in members
         )
-        return present == active_run.spec.tasks_count or self.is_done(key[0])
 
     def is_done(self, task):
         """Return whether a run of the task has ended as done."""
@@ -323,6 +328,7 @@
 
     def execute(self, action):
         """Execute an action of the current scheduler; orders may be lost or delayed."""
+        self.actions.append(action)
         match action:
             case StartRun():
                 self._execute_start(action)
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -146,3 +146,18 @@
     Given 2 workers of which one makes no progress
     When 6 jobs with single tasks arrive within 3 s
     Then every job is complete
+
+  Scenario: a gang whose members need different times is not stopped
+    The members of a gang end together, so a member that has finished its part makes no progress
+    until the slowest one has finished. If that counts as a stall, long gangs never end.
+
+    Given 2 workers of which one needs 2 s for a task and the other one 8 s
+    When a gang of one task on each worker starts
+    Then the gang is complete within 9 s and no run of it was stopped
+
+  Scenario: a gang with a member that makes no progress is restarted
+    Guards the detection of stalls: the members that have finished must not hide the stalled one.
+
+    Given 3 workers of which one makes no progress
+    When a gang of one task on each of two workers arrives
+    Then it is complete within 15 s although a member stalled
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -121,8 +121,9 @@
 ) -> list[tuple[int, Worker]] | None:
     """Assign all tasks of a gang, or none.
 
-    Workers with the most free capacity come first, to spread the gang over few workers. A
-    rack-sensitive gang is placed on a single rack if one has enough capacity.
+    Workers with the most free capacity come first, to spread the gang over few workers; slow
+    workers and those on which a member failed or stalled come last. A rack-sensitive gang is placed
+    on a single rack if one has enough capacity.
 
     Returns:
         Pairs of task index and worker, or None if the gang does not fit.
@@ -133,7 +134,10 @@
     counts = [row for row in counts if row[1] > 0]
     if sum(count for _, count in counts) < len(indices):
         return None
-    counts.sort(key=lambda row: (now_s < row[0].slow_until_s, -row[1]))
+    avoided = set(step.avoided.values())
+    counts.sort(
+        key=lambda row: (row[0].worker_id in avoided, now_s < row[0].slow_until_s, -row[1])
+    )
     preferred = step.spec.data_rack
     racks = [preferred] if preferred else []
     if step.spec.rack_sensitive:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
@@ -70,13 +70,21 @@
         return True
 
     def is_stalled(self, run: Run, now_s: float) -> bool:
-        """Return whether a run has made no progress for longer than the limit."""
-        return (
-            run.phase is RunPhase.RUNNING
-            and run.step is not None
-            and not run.step.spec.long_running
-            and not run.step.spec.fills
-            and now_s - run.progressed_s > _STALL_LIMIT_S
+        """Return whether a run has made no progress for longer than the limit.
+
+        The members of a gang end together, so those that have finished their part wait for the
+        others. Only the member that is furthest behind can be stalled.
+        """
+        if (
+            run.phase is not RunPhase.RUNNING
+            or run.step is None
+            or run.step.spec.long_running
+            or run.step.spec.fills
+            or now_s - run.progressed_s <= _STALL_LIMIT_S
+        ):
+            return False
+        return not run.step.spec.gang or all(
+            run.percent <= member.percent for member in run.step.runs.values()
         )
 
     def record_progress(self, run: Run, percent: float, now_s: float) -> None:
