Keep the age of jobs across schedulers

Cause: the scheduler took the time at which it learned of a job as the time of its acceptance. Result: 'a job keeps its age when another scheduler takes over' fails on the old code (the later job first).

--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -161,3 +161,25 @@
     Given 3 workers of which one makes no progress
     When a gang of one task on each of two workers arrives
     Then it is complete within 15 s although a member stalled
+
+  Scenario: a job keeps its age when another scheduler takes over
+    Waiting jobs are ordered by the time that is left until their objective. If each scheduler counts
+    the age of a job anew, a job that has waited longest waits behind new ones after every take-over.
+
+    Given a worker whose capacity is used up by a run of a job
+    When a job with an estimate of 900 ms arrives 3 s before one with an estimate of 400 ms
+    And another scheduler takes over and the worker becomes free
+    Then the earlier job starts first
+
+  Scenario Outline: the age of a job that a starting daemon reads is limited
+    The age comes from the time of day, which differs between VMs and may jump.
+
+    Given a journal with a job that was accepted <elapsed> s ago by the time of day
+    When a starting daemon reads it
+    Then the job counts as <age> s old
+
+    Examples:
+      | elapsed | age |
+      | 30      | 30  |
+      | -5      | 0   |
+      | 90000   | 120 |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -18,6 +18,8 @@
 TENURE_KEY = "tenure"
 WORKERS_KEY = "workers"
 _VM_PREFIX = "v"
+AGE_MAX_S = 120.0
+"""Maximum age of a job that is derived from the time of day, which can jump."""
 _JOB_PREFIX = {"a": "accepted", "c": "cancelled", "p": "progress"}
 
 
@@ -251,6 +253,7 @@
     Args:
         accepted: acceptance of the job; None until it is read and after the job is closed.
         offset: offset of the acceptance; -1 if it is unknown.
+        accepted_s: local time of the acceptance, in seconds.
         cancelled: whether the job was cancelled before it reached a final state.
         progress: newest progress; None before the first.
         final_s: local time at which the final state was read, in seconds.
@@ -259,6 +262,7 @@
 
     accepted: WorkflowAccepted | None = None
     offset: int = -1
+    accepted_s: float = 0.0
     cancelled: bool = False
     progress: WorkflowProgress | None = None
     final_s: float | None = None
@@ -306,7 +310,9 @@
         self._offsets: dict[str, int] = {}
         self._pending: dict[str, set[str]] = {}
 
-    def apply(self, offset: int, key: str, value: bytes, now_s: float) -> JournalRecord | None:
+    def apply(
+        self, offset: int, key: str, value: bytes, now_s: float, utc_s: float | None = None
+    ) -> JournalRecord | None:
         """Apply a record; a record older than the known one of its key is ignored.
 
         Args:
@@ -314,6 +320,8 @@
             key: its key.
             value: its value; empty if the key was deleted.
             now_s: current local time, in seconds.
+            utc_s: seconds since the Unix epoch if the record may be old; None if it is new, so
+                that the age of a job does not depend on the time of day.
 
         Returns:
             The record if it changed the state, otherwise None.
@@ -329,9 +337,11 @@
         except (UndecodableError, UnknownTypeError):
             self.undecodable_count += 1
             return None
-        return record if self._apply_record(record, offset, now_s) else None
+        return record if self._apply_record(record, offset, now_s, utc_s) else None
 
-    def _apply_record(self, record: JournalRecord, offset: int, now_s: float) -> bool:
+    def _apply_record(
+        self, record: JournalRecord, offset: int, now_s: float, utc_s: float | None
+    ) -> bool:
         match record:
             case TenureRecord():
                 self.tenure, self.tenure_offset = record, offset
@@ -350,6 +360,8 @@
                 if job.exists:
                     return False
                 job.accepted, job.offset = record, offset
+                age_s = 0.0 if utc_s is None else utc_s - record.accepted_utc_s
+                job.accepted_s = now_s - min(AGE_MAX_S, max(0.0, age_s))
             case WorkflowClosed():
                 job.closed, job.accepted = True, None
             case WorkflowCancelled():
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -135,9 +135,7 @@
     if sum(count for _, count in counts) < len(indices):
         return None
     avoided = set(step.avoided.values())
-    counts.sort(
-        key=lambda row: (row[0].worker_id in avoided, now_s < row[0].slow_until_s, -row[1])
-    )
+    counts.sort(key=lambda row: (row[0].worker_id in avoided, now_s < row[0].slow_until_s, -row[1]))
     preferred = step.spec.data_rack
     racks = [preferred] if preferred else []
     if step.spec.rack_sensitive:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -269,7 +269,13 @@
         if journaled.accepted is None or journaled.state.is_final or event.job_id in self.jobs:
             return
         accepted = journaled.accepted
-        job = Job(event.job_id, accepted.queue, accepted.spec, now_s, event.inherited)
+        job = Job(
+            event.job_id,
+            accepted.queue,
+            accepted.spec,
+            min(now_s, journaled.accepted_s),
+            event.inherited,
+        )
         if journaled.progress is not None:
             job.restore(journaled.progress)
         if not accepted.spec.times_count:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -258,7 +258,7 @@
         job_id: identifier of the job.
         queue: configuration of its queue when it was accepted.
         spec: its specification.
-        accepted_s: local time at which the scheduler learned of the job, in seconds.
+        accepted_s: local time of the acceptance, in seconds.
         inherited: whether an earlier tenure may have started runs of it.
         state: current state, to be stored in the journal.
         steps: steps by occurrence and index.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -199,8 +199,9 @@
 
     def _apply(self, rows: Sequence[tuple[int, LogRecord]]) -> None:
         now_s = time.monotonic()
+        utc_s = None if self.loaded else time.time()
         for offset, record in sorted(rows, key=lambda row: row[0]):
-            changed = self.journal_state.apply(offset, record.key, record.value, now_s)
+            changed = self.journal_state.apply(offset, record.key, record.value, now_s, utc_s)
             if changed is not None:
                 self._listener(changed, offset)
 
