Read answers that arrived during a pause before a request times out

Cause: after a pause or a long turn of the event loop, the timers of all open requests fire before the answers that have arrived are read. Change: a timer that fires late gives the event loop some turns to read what has arrived. Result: the new scenario of features/workflow_daemon.feature fails on the old code (no answer in time) and passes.

--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -176,3 +176,18 @@
     Then 3 ends are counted and logged
     When the worker restarts and has 2 ends
     Then 5 ends are counted and logged
+
+  Scenario Outline: an answer that arrived while the process was paused is not lost
+    After a pause, the timers of the process are due before it has read the answers of the workers.
+    If these answers are dropped, every worker counts as silent and its runs are given up.
+
+    Given a server that answers after <delay> s
+    When a process sends a request with a timeout of 0.4 s and is paused for <pause> s
+    Then the outcome of the request is "<outcome>"
+
+    Examples:
+      | delay | pause | outcome  |
+      | 0.1   | 0.8   | Answer   |
+      | 0.1   | 0     | Answer   |
+      | 1.5   | 0.8   | NoAnswer |
+      | 1.5   | 0     | NoAnswer |
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import socket
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
 
 import aiohttp
 import attrs
@@ -16,6 +18,10 @@
 
 Without it, a network partition or a silenced connection would go unnoticed."""
 _KEEPALIVE_S = 60.0
+_STALL_MIN_S = 0.05
+"""Delay of a timer from which the event loop counts as stalled."""
+_TURNS_AFTER_STALL_COUNT = 8
+"""Turns of the event loop in which an answer that arrived during a stall is read."""
 
 
 @attrs.frozen(slots=True)
@@ -70,6 +76,41 @@
     return sock
 
 
+@contextlib.asynccontextmanager
+async def stall_tolerant_timeout(timeout_s: float) -> AsyncIterator[None]:
+    """Limit the duration of a block, but not by the time in which this process could not run.
+
+    After a pause of the process or a long turn of the event loop, the timer fires before answers
+    that arrived in time have been read. A worker would then count as silent although it answered.
+
+    Args:
+        timeout_s: limit, in seconds.
+
+    Raises:
+        TimeoutError: the block did not end in time.
+    """
+    loop = asyncio.get_running_loop()
+    due_s = loop.time() + timeout_s
+
+    def expire(turns_left: int) -> None:
+        nonlocal handle
+        if turns_left:
+            handle = loop.call_soon(expire, turns_left - 1)
+        else:
+            limit.reschedule(loop.time())
+
+    def handle_due() -> None:
+        stalled = loop.time() - due_s > _STALL_MIN_S
+        expire(_TURNS_AFTER_STALL_COUNT if stalled else 0)
+
+    async with asyncio.timeout(None) as limit:
+        handle = loop.call_at(due_s, handle_due)
+        try:
+            yield
+        finally:
+            handle.cancel()
+
+
 class HttpClient:
     """HTTP client that reuses connections and never retries a request.
 
@@ -122,16 +163,17 @@
             silence_s: maximum silence within the response, in seconds; None for no limit.
         """
         try:
-            async with self._session.request(
-                method,
-                url,
-                data=body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout_s, sock_connect=CONNECT_S, sock_read=silence_s
-                ),
-                allow_redirects=False,
-            ) as response:
+            async with (
+                stall_tolerant_timeout(timeout_s),
+                self._session.request(
+                    method,
+                    url,
+                    data=body,
+                    headers=headers,
+                    timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_S, sock_read=silence_s),
+                    allow_redirects=False,
+                ) as response,
+            ):
                 return Answer(response.status, await response.read())
         except aiohttp.ConnectionTimeoutError:
             return NotSent("connecting timed out")
