Do not act on reports and answers from before a pause

Cause: found by reading, from what operators of similar systems report. After a pause of the scheduler, the report that had arrived before it was judged by the present time, so a healthy run seemed to have made no progress for the whole pause and was stopped.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -187,7 +187,7 @@
         alive = set()
         for row in event.running:
             alive.add((row.task, row.number))
-            self._update_running(worker, row, now_s)
+            self._update_running(worker, row, event.sent_s, now_s)
         self.worker_health.update_slow_state(worker, now_s)
         for key, run in list(worker.runs.items()):
             if key in alive or event.sent_s <= run.phase_since_s:
@@ -199,7 +199,9 @@
                 continue
             self.handle_lost(run, now_s)
 
-    def _update_running(self, worker: Worker, row: ReportedRun, now_s: float) -> None:
+    def _update_running(
+        self, worker: Worker, row: ReportedRun, sent_s: float, now_s: float
+    ) -> None:
         run = worker.runs.get((row.task, row.number))
         if run is None:
             run = self._adopt_run(worker, row, now_s)
@@ -210,7 +212,7 @@
         if row.percent != run.percent:
             run.percent, run.progressed_s = row.percent, now_s
         self.worker_health.record_progress(run, row.percent, now_s)
-        if self.worker_health.is_stalled(run, now_s):
+        if self.worker_health.is_stalled(run, sent_s, now_s):
             run.step.avoided[run.task.index] = worker.worker_id
             self.worker_health.record_failure(worker, run.step.job.job_id, now_s)
             self.order_stop(run, StopCause.NO_PROGRESS, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
@@ -17,6 +17,8 @@
 """Time for which a worker is set aside at first; doubles with each failed probe."""
 _SET_ASIDE_MAX_S = 8.0
 """Maximum time between two probes; worker faults last about seven seconds."""
+_REPORT_INTERVAL_S = 1.5
+"""Time after which a worker answers a poll at the latest, if it has no end to report."""
 _STALL_LIMIT_S = 2.2
 """Time without progress after which a run is stopped.
 
@@ -69,11 +71,18 @@
         worker.set_aside_until_s = max(worker.set_aside_until_s, now_s + set_aside_s)
         return True
 
-    def is_stalled(self, run: Run, now_s: float) -> bool:
+    def is_stalled(self, run: Run, sent_s: float, now_s: float) -> bool:
         """Return whether a run has made no progress for longer than the limit.
 
-        The members of a gang end together, so those that have finished their part wait for the
-        others. Only the member that is furthest behind can be stalled.
+        After a pause of the scheduler, the report may be as old as its poll, so the poll must have
+        been sent late enough as well. The members of a gang end together, so those that have
+        finished their part wait for the others. Only the member that is furthest behind can be
+        stalled.
+
+        Args:
+            run: a run in the latest report of its worker.
+            sent_s: local time at which the poll for that report was sent, in seconds.
+            now_s: current local time, in seconds.
         """
         if (
             run.phase is not RunPhase.RUNNING
@@ -81,6 +90,7 @@
             or run.step.spec.long_running
             or run.step.spec.fills
             or now_s - run.progressed_s <= _STALL_LIMIT_S
+            or sent_s - run.progressed_s <= _STALL_LIMIT_S - _REPORT_INTERVAL_S
         ):
             return False
         return not run.step.spec.gang or all(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -22,6 +22,7 @@
     encode_record,
 )
 
+from ._clocks import boot_time_s
 from ._interfaces import (
     Appended,
     AppendFenced,
@@ -64,11 +65,6 @@
 A successor waits this long plus one lease for workers that it cannot reach."""
 
 
-def _boot_time_s() -> float:
-    """Return a monotonic time that, unlike `time.monotonic`, includes time in suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class JournalWriter:
     """Appends the records of one tenure, in order and exactly once.
 
@@ -87,7 +83,7 @@
         metrics: WorkflowMetrics,
     ) -> None:
         self.epoch = epoch
-        self._confirmed_s = _boot_time_s()
+        self._confirmed_s = boot_time_s()
         self._log = log
         self._on_appended = on_appended
         self._metrics = metrics
@@ -97,7 +93,7 @@
     @property
     def confirmation_age_s(self) -> float:
         """Seconds since the latest confirmed append of the tenure."""
-        return _boot_time_s() - self._confirmed_s
+        return boot_time_s() - self._confirmed_s
 
     async def append(
         self, records: list[JournalRecord | LogRecord], fail_fast: bool = False
@@ -131,7 +127,7 @@
             match result:
                 case Appended(offset):
                     self._times.observe(took_s)
-                    self._confirmed_s = _boot_time_s()
+                    self._confirmed_s = boot_time_s()
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -9,6 +9,8 @@
 
 from fireflywharf_core.workflows import JournalRecord, JournalState, encode_record
 
+from ._background import result_or_default
+from ._clocks import boot_time_s
 from ._interfaces import (
     Appended,
     AppendFenced,
@@ -50,7 +52,8 @@
         journal_state: state derived from the records read so far.
         offset: offset of the next record to read.
         loaded: whether the newest record of every key has been read.
-        read_s: local time up to which the state is known to be complete, in seconds.
+        read_s: boot time up to which the state is known to be complete, in seconds. The monotonic
+            clock would hide the records that were written while the VM was suspended.
         pause_s: pause between two reads, in seconds.
     """
 
@@ -71,7 +74,7 @@
     @property
     def age_s(self) -> float:
         """Age of the state in seconds."""
-        return time.monotonic() - self.read_s
+        return boot_time_s() - self.read_s
 
     @property
     def is_following(self) -> bool:
@@ -157,20 +160,20 @@
             del self._early_records[offset]
 
     async def _load(self) -> bool:
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         match await self._log.newest(Topic.JOURNAL):
             case ReadRecords(end, rows):
                 self._apply(rows)
                 self.offset = max(end, self.offset)
                 self.loaded = True
-                self._record_outcome(True, started_s, "")
+                self._record_success(started_s)
                 return True
             case ReadFailed(reason):
-                self._record_outcome(False, started_s, reason)
+                self._record_failure(reason)
         return False
 
     async def _read(self, wait_s: float) -> bool:
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         next_read, self._next_read = self._next_read, None
         self._waiting = wait_s > 0
         result = await self._log.read(Topic.JOURNAL, self.offset, wait_s=wait_s)
@@ -182,7 +185,9 @@
                     self.offset = max(self.offset, rows[-1][0] + 1)
                     self._apply_early_records()
                 if self.offset >= end:
-                    self._record_outcome(True, started_s, "")
+                    # The log answers a long poll without records only at the end of its wait. Any
+                    # other answer may have waited for this process, so only its start is certain.
+                    self._record_success(started_s if rows else started_s + wait_s)
                 else:
                     # The size of an answer is limited. Until the rest is read, the state must not
                     # be used to deny that a job exists.
@@ -192,7 +197,7 @@
                 self.loaded = False
                 await self._load()
             case ReadFailed(reason):
-                self._record_outcome(False, started_s, reason)
+                self._record_failure(reason)
         if next_read is not None and not next_read.done():
             next_read.set_result(None)
         return not isinstance(result, ReadFailed)
@@ -205,18 +210,16 @@
             if changed is not None:
                 self._listener(changed, offset)
 
-    def _record_outcome(self, available: bool, started_s: float, reason: str) -> None:
-        if available:
-            # A long poll proves the state at its answer. For any other read, its start is the safe
-            # bound after a pause of the process.
-            self.read_s = time.monotonic() if self._waiting else started_s
-            self.read_s = max(self.read_s, started_s)
-        if available != self._available:
-            self._available = available
-            if available:
-                _LOG.info("journal can be read again", extra={"offset": self.offset})
-            else:
-                _LOG.warning("journal cannot be read", extra={"reason": reason})
+    def _record_success(self, complete_s: float) -> None:
+        self.read_s = min(boot_time_s(), complete_s)
+        if not self._available:
+            self._available = True
+            _LOG.info("journal can be read again", extra={"offset": self.offset})
+
+    def _record_failure(self, reason: str) -> None:
+        if self._available:
+            self._available = False
+            _LOG.warning("journal cannot be read", extra={"reason": reason})
 
 
 class AppendTimeouts:
@@ -301,7 +304,9 @@
             self._wake.clear()
             batch, self._queue = self._queue, []
             if batch:
-                result = await self._append(batch)
+                result = await result_or_default(
+                    self._append(batch), AppendUncertain("unexpected error"), "log"
+                )
                 for index, (_, future, _) in enumerate(batch):
                     own = result
                     if isinstance(result, Appended) and result.offset >= 0:
