Keep daemons working after malformed answers and unexpected errors

Cause: found by reading. A task name that is no string, or a row that is an object, raised an error that the client of workers did not expect. The session failed, which ended the tenure; the next scheduler polled the same worker and lost its tenure too.

--- a/features/workflow_resilience.feature
+++ b/features/workflow_resilience.feature
@@ -32,3 +32,46 @@
     Given a daemon that has read the journal to its end
     When a long poll of 1 s ends without a record
     Then its state is less than 0.2 s old
+
+  Scenario Outline: a malformed row of a worker is a failed poll
+    If the row raises another error, the session with the worker fails and the tenure ends. The next
+    scheduler polls the same worker, so no scheduler stays.
+
+    When a worker answers a poll with <row> in "<list>"
+    Then the poll has failed and the worker was told no more
+
+    Examples:
+      | list     | row                         |
+      | finished | [1, 12, 1, "done", ""]      |
+      | finished | {"task": "a.0.0.0"}         |
+      | finished | [1, "a.0.0.0", 1, ["done"]] |
+      | running  | [null, 1, "", 5]            |
+      | running  | {"task": "a.0.0.0"}         |
+
+  Scenario: an unexpected error in a poll does not end the tenure
+    Guards against errors that no client foresees: the worker counts as silent and is polled again.
+
+    Given a worker client that raises an unexpected error at the first poll
+    When a session with the worker runs for 1 s
+    Then the scheduler has seen the worker silent and then a report
+
+  Scenario: a failed loop of a daemon is restarted
+    Otherwise the daemon keeps its address and answers, but never reads its journal or configuration
+    again.
+
+    Given a daemon whose loop raises an unexpected error at its first turn
+    When 1 s passes
+    Then the loop runs again
+
+  Scenario Outline: an append whose answer cannot be processed does not block later ones
+    The records may have been stored, so the outcome is uncertain unless a repetition succeeds. If
+    the error ends the loop of the appender, all later callers wait in vain.
+
+    Given a log whose first append <fails>
+    When two records are appended one after the other
+    Then the first append is <outcome> and the second one is stored
+
+    Examples:
+      | fails                         | outcome   |
+      | raises an unexpected error    | uncertain |
+      | is answered without an offset | stored    |
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -35,7 +35,7 @@
     job_keys,
 )
 
-from ._background import BackgroundTasks
+from ._background import BackgroundTasks, result_or_default
 from ._election import CONFIRMATION_S, RENEWAL_S, JournalWriter
 from ._interfaces import AppendFenced, LogRecord, PlatformServices
 from ._metrics import WorkflowMetrics
@@ -291,7 +291,12 @@
         worker = self.scheduler.workers.get(order.worker_id)
         if worker is None:
             return
-        result = await self._platform.workers.start(worker.info, order, self.record.epoch)
+        result = await result_or_default(
+            self._platform.workers.start(worker.info, order, self.record.epoch),
+            StartResult.UNKNOWN,
+            "worker",
+            worker=order.worker_id,
+        )
         self._metrics.starts.labels(result.value).inc()
         if result is not StartResult.STARTED:
             _LOG.info(
@@ -313,7 +318,13 @@
         worker = self.scheduler.workers.get(order.worker_id)
         if worker is None:
             return
-        if await self._platform.workers.stop(worker.info, order, self.record.epoch):
+        stopped = await result_or_default(
+            self._platform.workers.stop(worker.info, order, self.record.epoch),
+            False,
+            "worker",
+            worker=order.worker_id,
+        )
+        if stopped:
             self.observe(StopAnswered(order.worker_id, order.task, order.number))
 
     async def _request_approval(self, order: AskApproval) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_approvals.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_approvals.py
@@ -9,6 +9,7 @@
 
 from fireflywharf_core.workflows import StepName
 
+from ._background import result_or_default
 from ._interfaces import ApprovalGranted, ApprovalService
 
 _PARALLEL_REQUESTS = 2
@@ -57,6 +58,7 @@
     async def _serve(self) -> None:
         while True:
             _, _, step, worker_ids, future = await self._queue.get()
-            granted = await self._service.ask(step, worker_ids, timeout_s=_REQUEST_TIMEOUT_S)
+            request = self._service.ask(step, worker_ids, timeout_s=_REQUEST_TIMEOUT_S)
+            granted = await result_or_default(request, None, "approvals", step=str(step))
             if not future.done():
                 future.set_result(granted)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -107,13 +107,16 @@
         await self._peer_http.open()
         host, _, port = self._presence.address.rpartition(":")
         await self._peer_server.open(host, int(port))
-        self._background.spawn(self._announce())
-        self._background.spawn(self.reader.run())
-        self._background.spawn(self._appender.run())
-        self._background.spawn(self._approvals.run())
-        self._background.spawn(self._configuration_loop())
-        self._background.spawn(self._directory_loop())
-        self._background.spawn(self._election_loop())
+        for loop in (
+            self._announce,
+            self.reader.run,
+            self._appender.run,
+            self._approvals.run,
+            self._configuration_loop,
+            self._directory_loop,
+            self._election_loop,
+        ):
+            self._background.spawn_loop(loop)
 
     async def resign(self) -> None:
         """Resign as scheduler, so that another daemon takes over at once."""
@@ -152,7 +155,12 @@
             case WorkflowProgress() | WorkersInUse():
                 self._election.record_activity(now_s)
         if self.active_scheduler is not None:
-            self.active_scheduler.handle_record(record, offset, self.reader.journal_state)
+            try:
+                self.active_scheduler.handle_record(record, offset, self.reader.journal_state)
+            except Exception:
+                # Its successor starts from the journal, with a state that includes the record.
+                _LOG.exception("scheduler cannot process a record", extra={"offset": offset})
+                self._handle_tenure_end("a record could not be processed")
 
     async def _configuration_loop(self) -> None:
         known: Configuration | None = None
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -15,6 +15,7 @@
     WorkerSilent,
 )
 
+from ._background import result_or_default
 from ._interfaces import PollFailed, PollFenced, PollIncarnationEnded, WorkerGateway, WorkerReport
 from ._metrics import WorkflowMetrics
 
@@ -78,13 +79,19 @@
             renew = self._may_renew() and not self._silent
             if renew:
                 self._renewed_s = sent_s
-            result = await self._gateway.poll_worker(
+            poll = self._gateway.poll_worker(
                 self.info,
                 epoch=self._epoch,
                 acknowledged=self._acknowledged_serial,
                 wait_s=wait_s,
                 renew=renew,
             )
+            result = await result_or_default(
+                poll,
+                PollFailed("the answer cannot be processed"),
+                "worker",
+                worker=self.info.worker_id,
+            )
             match result:
                 case WorkerReport():
                     wait_s = 0.0 if self._silent else POLL_WAIT_S
