Turn to other VMs when approval requests are refused, and drop those that wait too long

From 40 to 52 s, 447 short requests got no answer within 4 s from the six VMs that send short ones, and queued there as well. Change: a refused request is sent to another VM, three at most; a request that has waited 2.5 s in the queue of a VM is dropped, so that the scheduler asks again with a new choice; one VM in six sends short requests, ties at random. Result: two new scenarios of features/workflow_daemon.feature fail on (20 of 24 requests at one VM; 20 requests served over 8 s) and pass.

--- a/features/steps/workflow_approval_steps.py
+++ b/features/steps/workflow_approval_steps.py
@@ -1,6 +1,9 @@
 """Steps for approval requests."""
 
 import asyncio
+import collections
+import time
+import unittest.mock
 
 from behave import given, then, when
 
@@ -101,3 +104,80 @@
         costs.setdefault(name, set()).add(cost_ms)
     assert len(context.sent) == 4, context.sent
     assert all(len(kinds) == 1 for name, kinds in costs.items() if name != "b1"), costs
+
+
+class RefusingBalancer(ApprovalBalancer):
+    """Balancer in a deployment where most VMs refuse connections; counts accepted requests."""
+
+    def __init__(self, own_name, vms, accepting):
+        super().__init__(self, None, own_name, lambda: vms)
+        self.accepting = accepting
+        self.accepted_counts = collections.Counter()
+        self._local = unittest.mock.Mock(ask=self.ask_local)
+
+    async def ask_local(self, step, worker_ids, cost_ms):
+        """Answer a request of this VM."""
+        return await self._accept(self._own_name)
+
+    async def _accept(self, name):
+        self.accepted_counts[name] += 1
+        await asyncio.sleep(0.02)
+        return ApprovalGranted(tickets={}, validity_s=1.0)
+
+    async def _ask_peer(self, name, address, step, worker_ids, cost_ms):
+        if name in self.accepting:
+            return await self._accept(name)
+        self._skipped_until_s[name] = time.monotonic() + 5.0
+        return None
+
+
+@given("{count:d} VMs of which only every fifth accepts connections")
+def make_refusing_vms(context, count):
+    names = [f"vm-{number}" for number in range(count)]
+    vms = {vm: VmPresent(vm=vm, incarnation="", address=vm, domain="d") for vm in names}
+    context.balancer = RefusingBalancer("vm-0", vms, set(names[::5]))
+
+
+@when("{count:d} long requests are sent at once and repeated until they are answered")
+def send_until_answered(context, count):
+    async def ask(number):
+        step = StepName(f"j{number}", 0, 0)
+        while await context.balancer.ask(step, ("w",), 500.0, short=False) is None:
+            await asyncio.sleep(0.01)
+
+    async def ask_all():
+        async with asyncio.timeout(5.0):
+            await asyncio.gather(*(ask(number) for number in range(count)))
+
+    asyncio.run(ask_all())
+
+
+@then("no VM has sent more than {most:d} of them")
+def check_spread(context, most):
+    counts = context.balancer.accepted_counts
+    assert max(counts.values()) <= most, counts
+
+
+@when("{count:d} wide requests wait at one VM")
+def queue_wide_requests(context, count):
+    async def ask():
+        context.service = SlowService(scale=1.0)
+        queue = ApprovalQueue(context.service)
+        running = asyncio.create_task(queue.run())
+        started_s = time.monotonic()
+        requests = [queue.ask(StepName("a", 0, 1), (), 400.0) for _ in range(count)]
+        try:
+            async with asyncio.timeout(9.0):
+                context.outcomes = await asyncio.gather(*requests)
+        finally:
+            context.took_s = time.monotonic() - started_s
+            running.cancel()
+
+    asyncio.run(ask())
+
+
+@then("all have an outcome within {seconds:g} s and the service got at most {most:d}")
+def check_dropped(context, seconds, most):
+    assert context.took_s < seconds, context.took_s
+    assert len(context.service.order) <= most, len(context.service.order)
+    assert context.outcomes.count(None) == len(context.outcomes) - len(context.service.order)
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -132,6 +132,21 @@
     When a VM of each failure domain sends a short request and a long one
     Then no VM that shares its failure domain with others gets both
 
+  Scenario: approval requests that peers refuse do not all wait at one VM
+    After a power failure most VMs refuse connections for seconds. If the scheduler sends all of
+    their requests itself, one at a time, wide steps wait for half a minute and jobs are lost.
+
+    Given 30 VMs of which only every fifth accepts connections
+    When 24 long requests are sent at once and repeated until they are answered
+    Then no VM has sent more than 8 of them
+
+  Scenario: an approval request that has waited too long is dropped
+    A peer has given up by then, so the request would only delay the ones behind it.
+
+    Given an approval service that needs 400 ms for wide steps and 8 ms for small ones
+    When 20 wide requests wait at one VM
+    Then all have an outcome within 4 s and the service got at most 9
+
   Scenario: a caller whose timeout expires while its record waits gets an uncertain outcome
     The record stays in its group and is appended later. An outcome "not accepted" would be wrong.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_approvals.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_approvals.py
@@ -18,6 +18,8 @@
 """Delay in the queue order of a request, as a multiple of its own duration."""
 _REQUEST_TIMEOUT_S = 3.0
 """Timeout of one request."""
+QUEUE_WAIT_MAX_S = 2.5
+"""Maximum wait in the queue; a peer that sent the request gives up soon afterwards."""
 
 
 class ApprovalQueue:
@@ -25,7 +27,8 @@
 
     The service processes the requests of a VM one at a time, and a request for a wide step takes
     fifty times as long as one for an urgent step. Requests are ordered by arrival plus a multiple
-    of their duration, so that a long request is delayed for a limited time only.
+    of their duration, so that a long request is delayed for a limited time only. A request that has
+    waited for `QUEUE_WAIT_MAX_S` is dropped, so that the asker can turn to another VM.
 
     Args:
         service: the approval service.
@@ -39,7 +42,7 @@
     async def ask(
         self, step: StepName, worker_ids: Sequence[str], cost_ms: float = 0.0
     ) -> ApprovalGranted | None:
-        """Queue a request and wait for its answer; None without a usable answer.
+        """Queue a request and wait for its answer; None without a usable answer in time.
 
         Args:
             step: the step.
@@ -47,9 +50,14 @@
             cost_ms: expected duration of the request, in milliseconds.
         """
         future = asyncio.get_running_loop().create_future()
-        due_s = time.monotonic() + _QUEUE_DELAY_FACTOR * cost_ms / 1000.0
-        self._queue.put_nowait((due_s, next(self._serial), step, tuple(worker_ids), future))
-        return await future
+        now_s = time.monotonic()
+        due_s = now_s + _QUEUE_DELAY_FACTOR * cost_ms / 1000.0
+        self._queue.put_nowait((due_s, next(self._serial), now_s, step, tuple(worker_ids), future))
+        try:
+            async with asyncio.timeout(QUEUE_WAIT_MAX_S + _REQUEST_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            return None
 
     async def run(self) -> None:
         """Send queued requests until cancelled."""
@@ -57,7 +65,11 @@
 
     async def _serve(self) -> None:
         while True:
-            _, _, step, worker_ids, future = await self._queue.get()
+            _, _, asked_s, step, worker_ids, future = await self._queue.get()
+            if future.done() or time.monotonic() > asked_s + QUEUE_WAIT_MAX_S:
+                if not future.done():
+                    future.set_result(None)
+                continue
             request = self._service.ask(step, worker_ids, timeout_s=_REQUEST_TIMEOUT_S)
             granted = await result_or_default(request, None, "approvals", step=str(step))
             if not future.done():
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
 from collections.abc import Callable, Mapping, Sequence
 
@@ -29,6 +30,15 @@
 """Timeout of a one-way message; a later delivery would be of no use."""
 _APPROVAL_TIMEOUT_S = 4.0
 """Timeout of a request to a peer; covers its queue, one request and the network delay."""
+_PEERS_MAX = 3
+"""Maximum number of VMs that are tried for one request.
+
+After a power failure, most VMs refuse connections for some seconds. If their requests all waited
+at this VM, the last ones would be answered after half a minute."""
+_REFUSAL_MAX_S = 1.0
+"""Time after which a request that got no answer is not sent to another VM."""
+_SHORT_LANE_STRIDE = 6
+"""One in this many VMs of a failure domain sends short requests."""
 _PEER_PAUSE_S = 5.0
 """Time for which a peer that did not answer gets no further requests."""
 _REMOTE_ROUND_TRIP_MS = 25.0
@@ -196,7 +206,7 @@
         name
         for names in domains.values()
         for index, name in enumerate(names)
-        if len(names) == 1 or (index == 0) == short
+        if len(names) == 1 or (index % _SHORT_LANE_STRIDE == 0) == short
     )
 
 
@@ -204,9 +214,9 @@
     """Distributes approval requests over all VMs.
 
     The service processes the requests of a VM one at a time, and a request for a wide step takes
-    fifty times as long as one for an urgent step. In each failure domain, the first VM sends the
-    short requests and the others send the long ones, so that no short request queues behind a long
-    one. A VM that is alone in its domain sends both.
+    fifty times as long as one for an urgent step. In each failure domain, the first VM and every
+    sixth one after it send the short requests and the others send the long ones, so that no short
+    request queues behind a long one. A VM that is alone in its domain sends both.
 
     Args:
         local: request queue of this VM.
@@ -226,6 +236,7 @@
         self._http = http
         self._own_name = own_name
         self._vms = vms
+        self._rng = random.Random(own_name)
         self._outstanding_ms: dict[str, float] = {}
         self._skipped_until_s: dict[str, float] = {}
 
@@ -239,7 +250,8 @@
     ) -> ApprovalGranted | None:
         """Ask through the least loaded VM; None without a usable answer.
 
-        If a peer gives no answer, the request is sent from this VM.
+        If a peer refuses the request, the next one is tried. If it does not answer for long, the
+        asker has to choose again, because the choice of workers is outdated by then.
 
         Args:
             step: the step.
@@ -247,34 +259,40 @@
             cost_ms: expected duration of the request, in milliseconds.
             short: whether the request is a short one.
         """
-        vms = self._vms()
-        name = self._choose_vm(vms, short)
-        self._outstanding_ms[name] = self._outstanding_ms.get(name, 0.0) + cost_ms
-        try:
-            if name == self._own_name:
-                return await self._local.ask(step, worker_ids, cost_ms)
-            address = vms[name].address
-            granted = await self._ask_peer(name, address, step, worker_ids, cost_ms)
-        finally:
-            self._outstanding_ms[name] -= cost_ms
-        if granted is None:
-            return await self._local.ask(step, worker_ids, cost_ms)
-        return granted
+        vms = dict(self._vms())
+        limit_s = time.monotonic() + _REFUSAL_MAX_S
+        for _ in range(_PEERS_MAX):
+            name = self._choose_vm(vms, short)
+            self._outstanding_ms[name] = self._outstanding_ms.get(name, 0.0) + cost_ms
+            try:
+                if name == self._own_name:
+                    return await self._local.ask(step, worker_ids, cost_ms)
+                address = vms[name].address
+                granted = await self._ask_peer(name, address, step, worker_ids, cost_ms)
+            finally:
+                self._outstanding_ms[name] -= cost_ms
+            if granted is not None or time.monotonic() > limit_s:
+                return granted
+            del vms[name]
+        return None
 
     def _choose_vm(self, vms: Mapping[str, VmPresent], short: bool) -> str:
         now_s = time.monotonic()
-        own = vms.get(self._own_name)
+        own = self._vms().get(self._own_name)
         usable = [name for name in vms if self._skipped_until_s.get(name, 0.0) <= now_s]
         chosen = vms_for_requests(vms, short)
         names = [name for name in usable if name in chosen] or usable
         if own is None or not names:
             return self._own_name
 
-        def load_ms(name: str) -> float:
+        def load_ms(name: str) -> tuple[float, float]:
             distance_ms = (
                 _REMOTE_ROUND_TRIP_MS if vms[name].domain != own.domain else _LOCAL_ROUND_TRIP_MS
             )
-            return self._outstanding_ms.get(name, 0.0) + distance_ms * (name != self._own_name)
+            distance_ms *= name != self._own_name
+            # All VMs choose among the same ones, each by its own requests, so ties are broken at
+            # random.
+            return self._outstanding_ms.get(name, 0.0) + distance_ms, self._rng.random()
 
         return min(names, key=load_ms)
 
