Plan gangs by the time at which workers have room, and let few of them hold capacity

Cause: gangs starved. Change: a gang reserves the workers that have room first and renews all its tickets in one request for its expected start. Reservations hold at most a tenth of all processors; work of a higher priority may use them until half a second before the start; plans are calculated again only when it matters.

--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -404,7 +404,7 @@
 def submit_gang(context, count, reserved):
     world = context.world
     if reserved == "no capacity":
-        world.scheduler.reservations = NoReservations(world.scheduler.workers)
+        world.scheduler.reservations = NoReservations(world.scheduler.workers, None)
     world.queue = attrs.evolve(world.queue, priority=0)
     world.submit("a", [make_step(count, gang=True)])
 
@@ -414,7 +414,6 @@
 
     def reserve(self, step, allowed, now_s):
         """Reserve no capacity."""
-        return []
 
 
 @then("the gang has {outcome} within {seconds:g} s")
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -38,6 +38,7 @@
     WorkflowScheduler,
     WorkflowSpec,
     encode_record,
+    has_short_requests,
 )
 
 STEP_S = 0.05
@@ -182,6 +183,8 @@
         self.actions = []
         self.approval_requests = []
         self.answers_approvals = True
+        self.approval_delay_s = 0.0
+        self.delayed_approvals = []
         self.allowed_share = 1.0
         self.varies_run_times = False
         capacity = capacity or ResourceVector(4000, 8000)
@@ -340,7 +343,11 @@
                     self.scheduler.observe(event, self.now_s)
             case AskApproval():
                 self.approval_requests.append(action)
-                if self.answers_approvals:
+                queue = self.journal_state.jobs[action.step.job_id].accepted.queue
+                is_slow = self.approval_delay_s and not has_short_requests(queue.approval)
+                if self.answers_approvals and is_slow:
+                    self.delayed_approvals.append((self.now_s + self.approval_delay_s, action))
+                elif self.answers_approvals:
                     self.answer_approval(action)
 
     def answer_approval(self, action, allowed=None):
@@ -379,6 +386,9 @@
             self.delayed_orders.remove(row)
             if row[1].reachable:
                 row[1].start(row[2], row[3], self.now_s)
+        for row in [row for row in self.delayed_approvals if row[0] <= self.now_s]:
+            self.delayed_approvals.remove(row)
+            self.answer_approval(row[1])
         for worker in self.workers.values():
             worker.advance(self.now_s)
         reported_serials = {}
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -162,6 +162,22 @@
     When a gang of one task on each of two workers arrives
     Then it is complete within 15 s although a member stalled
 
+  Scenario: a gang takes the workers that become free first
+    A few runs take ten times as long as the others. If a gang reserves the workers of such runs, it
+    waits for them while its other workers stay idle.
+
+    Given 6 workers with single tasks, which take 20 s on 3 workers and 1.5 s on the others
+    When a gang of one task on each of 3 workers arrives while more single tasks wait
+    Then the gang has started within 4 s
+
+  Scenario: gangs among single tasks start one after the other while approvals are slow
+    An answer takes almost a second and a ticket is valid for two. If the gangs reserve workers that
+    become free late, or if only the expired tickets are renewed, none of them is ever complete.
+
+    Given 40 workers with single tasks, and approvals that take 0.9 s and allow 40 in 100
+    When 6 gangs of one task on each of 8 workers arrive while more single tasks wait
+    Then 6 gangs have started within 14 s
+
   Scenario: a job keeps its age when another scheduler takes over
     Waiting jobs are ordered by the time that is left until their objective. If each scheduler counts
     the age of a job anew, a job that has waited longest waits behind new ones after every take-over.
@@ -183,3 +199,11 @@
       | 30      | 30  |
       | -5      | 0   |
       | 90000   | 120 |
+
+  Scenario: urgent tasks are not behind gangs when more gangs arrive than fit
+    Each gang that waits for room or tickets keeps capacity idle. If many gangs do so at once, or if
+    urgent tasks may not use that capacity, urgent tasks wait for seconds.
+
+    Given 40 workers with urgent single tasks, and approvals that take 0.9 s and allow 40 in 100
+    When gangs that need twice the capacity of all workers arrive for 15 s
+    Then 95 in 100 urgent tasks are done within 2 s and gangs end all the time
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from ._events import Action, ApprovalReceived, AskApproval
+from ._gang_plans import GangPlan
 from ._names import StepName
 from ._placement import fit_count, placeable_count
 from ._reservations import eventual_count
@@ -38,6 +39,8 @@
 """Weight of a new answer in the learned rate; about the last ten answers count."""
 _RENEWAL_INTERVAL_S = 0.5
 """Minimum time between two long renewal requests of one step; half the run time of a short task."""
+_RENEWAL_LEAD_S = 0.3
+"""Time before the expected start of a gang at which its tickets should have arrived."""
 _SPARE_SHARE = 0.5
 """Workers asked about beyond the expected need, as a fraction of the cost of a second request."""
 _FREE_SHARE = 0.5
@@ -201,6 +204,7 @@
         self._long_requests.discard(name)
         if step is not None:
             step.approval_asked_s = None
+            step.blocked_version = -1
 
     def request_tickets(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> bool:
         """Ask about further workers if the approved ones have too little free capacity.
@@ -233,16 +237,22 @@
 
     def _choose_workers(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> list[str]:
         """Return the ids of the workers to ask about next; empty if no request would help."""
+        count_tasks = self._count_expected_tasks
+        if step.gang_plan is not None:
+            answer_s = self.expected_answer_s(step, _USUAL_REQUEST_WORKERS)
+            if step.gang_plan.start_s <= now_s + answer_s + _RENEWAL_LEAD_S:
+                return []
+            count_tasks = self._count_fitting_tasks
         missing = float(len(step.waiting))
         for worker_id in step.tickets:
             worker = workers.get(worker_id)
-            missing -= 0 if worker is None else self._count_expected_tasks(step, worker, now_s)
+            missing -= 0 if worker is None else count_tasks(step, worker, now_s)
             if missing <= 0:
                 return []
         candidates = []
         for worker_id, worker in workers.items():
             if worker_id not in step.asked:
-                count = self._count_expected_tasks(step, worker, now_s)
+                count = count_tasks(step, worker, now_s)
                 if count > 0:
                     candidates.append((count, worker_id))
         if not candidates:
@@ -257,6 +267,12 @@
         wanted = min(_REQUEST_WORKERS_MAX, wanted + spare_workers_count(step.job.queue.approval))
         return [worker_id for _, worker_id in candidates[:wanted]]
 
+    @staticmethod
+    def _count_fitting_tasks(step: Step, worker: Worker, now_s: float) -> float:
+        """Return the number of tasks of a step that fit on a worker now."""
+        count = placeable_count(step, worker, worker.available_capacity(step, now_s))
+        return min(count, len(step.waiting))
+
     @staticmethod
     def _count_expected_tasks(step: Step, worker: Worker, now_s: float) -> float:
         """Return the number of tasks of a step that a worker is expected to run soon.
@@ -278,7 +294,7 @@
         Returns:
             Whether a request was sent.
         """
-        if not step.spec.gang and not has_short_requests(step.job.queue.approval):
+        if not has_short_requests(step.job.queue.approval):
             if now_s < step.tickets_renewed_s + _RENEWAL_INTERVAL_S:
                 return False
             step.tickets_renewed_s = now_s
@@ -292,6 +308,23 @@
         ]
         return bool(expired) and self._can_ask(step) and self._send_request(step, expired, now_s)
 
+    def renew_gang_tickets(self, step: Step, plan: GangPlan, now_s: float) -> bool:
+        """Request the tickets of a gang so that all are valid when it is expected to start.
+
+        All workers of the plan are named in one request. If only expired tickets were renewed, the
+        workers would be in several requests, and their tickets hardly ever valid together.
+
+        Returns:
+            Whether a request was sent.
+        """
+        worker_ids = [worker.worker_id for worker in plan.counts]
+        answer_s = now_s + self.expected_answer_s(step, len(worker_ids))
+        if plan.start_s > answer_s + _RENEWAL_LEAD_S:
+            return False
+        if all(self.has_valid_ticket(step, worker_id, answer_s) for worker_id in worker_ids):
+            return False
+        return self._can_ask(step) and self._send_request(step, worker_ids, now_s)
+
     def _send_request(self, step: Step, worker_ids: list[str], now_s: float) -> bool:
         expected_answer_s = self.expected_answer_s(step, len(worker_ids))
         if (
--- /dev/null
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
@@ -0,0 +1,156 @@
+"""Choice of the workers of a waiting gang, by the time at which they are expected to have room."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from ._estimates import RunTimes
+from ._placement import UNLIMITED, fit_count, limit_count
+from ._state import Run, RunPhase, Step, Worker
+
+_STOP_S = 0.2
+"""Expected time until a run that was ordered to stop has ended."""
+_OVERDUE_SHARE = 0.5
+"""Expected remaining time of a run beyond its estimate, as a share of its elapsed time.
+
+Run times have a long tail, so a run that has outlasted its estimate tends to last much longer."""
+_UNSOUND_DELAY_S = 5.0
+"""Delay that is added for a worker that is slow or on which a member has failed or stalled."""
+_EARLIER_MIN_S = 0.3
+"""Minimum gain in time for which a gang changes its workers."""
+
+_Gain = tuple[float, int, Worker]
+"""Local time in seconds, number of members that fit from then on, and the worker."""
+
+
+@attrs.frozen(slots=True)
+class GangPlan:
+    """Workers that can run a whole gang together.
+
+    Args:
+        counts: number of members by worker.
+        start_s: local time at which all of them are expected to have room, in seconds.
+        firm: whether the start is so close that no work of a higher priority may delay it.
+    """
+
+    counts: Mapping[Worker, int]
+    start_s: float
+    firm: bool = False
+
+
+def expected_end_s(run: Run, run_times: RunTimes, now_s: float) -> float:
+    """Return the local time, in seconds, at which a run is expected to free its capacity."""
+    if run.phase is RunPhase.STOPPING:
+        return now_s + _STOP_S
+    if run.projected_s > 0:
+        return max(now_s, run.speed_read_s + run.projected_s * (1 - run.speed_read_percent / 100.0))
+    expected_s = 0.0 if run.step is None else run_times.predict(run.step)
+    return max(run.started_s + expected_s, now_s + _OVERDUE_SHARE * (now_s - run.started_s))
+
+
+class GangPlanner:
+    """Finds the earliest start of a gang on the workers that may run it.
+
+    Load pattern: workers are nearly full of single tasks with a long-tailed run time, and a gang
+    needs several of them almost empty at once. If the workers are chosen by size, most choices
+    contain one with a run of the tail, and the others stay idle until that run has ended. The
+    planner therefore chooses the workers that have enough room first.
+
+    Args:
+        run_times: predicted run times.
+    """
+
+    def __init__(self, run_times: RunTimes) -> None:
+        self._run_times = run_times
+        self._ends_s: dict[Step, float] = {}
+        self._computed_s = float("-inf")
+
+    def plan(
+        self, step: Step, allowed: Iterable[Worker], present: GangPlan | None, now_s: float
+    ) -> GangPlan | None:
+        """Return the plan with the earliest start, or None if the workers never suffice.
+
+        Args:
+            step: the gang.
+            allowed: workers that may run it.
+            present: present plan of the gang; its workers are kept unless others are free clearly
+                earlier, because they have been kept free meanwhile.
+            now_s: current local time, in seconds.
+        """
+        if now_s != self._computed_s:
+            self._ends_s.clear()
+            self._computed_s = now_s
+        needed = len(step.waiting)
+        avoided = set(step.avoided.values())
+        gains: list[_Gain] = []
+        for worker in allowed:
+            unsound = worker.worker_id in avoided or now_s < worker.slow_until_s
+            self._add_gains(gains, step, worker, now_s, _UNSOUND_DELAY_S if unsound else 0.0)
+        gains.sort(key=lambda gain: gain[0])
+        best = _accumulate(gains, needed)
+        if best is None or present is None:
+            return best
+        kept = _accumulate([gain for gain in gains if gain[2] in present.counts], needed)
+        if kept is not None and kept.start_s <= best.start_s + _EARLIER_MIN_S:
+            return kept
+        return best
+
+    def _add_gains(
+        self, gains: list[_Gain], step: Step, worker: Worker, now_s: float, delay_s: float
+    ) -> None:
+        """Append each time at which more members fit on a worker, with the number of these."""
+        most = min(len(step.waiting), limit_count(step, worker, UNLIMITED))
+        free = worker.available_capacity(step, now_s)
+        count = min(most, fit_count(free, step.spec.demand))
+        if count > 0:
+            gains.append((now_s + delay_s, count, worker))
+        if count >= most:
+            return
+        runs = [run for run in worker.runs.values() if run.is_finite]
+        ends = sorted(((self._end_s(run, now_s), run.demand) for run in runs), key=_first)
+        for end_s, demand in ends:
+            free = free + demand
+            later_count = min(most, fit_count(free, step.spec.demand))
+            if later_count > count:
+                gains.append((end_s + delay_s, later_count - count, worker))
+                count = later_count
+
+    def _end_s(self, run: Run, now_s: float) -> float:
+        step = run.step
+        if step is None or not step.spec.gang or run.phase is RunPhase.STOPPING:
+            return expected_end_s(run, self._run_times, now_s)
+        # The members of a gang end together.
+        if step not in self._ends_s:
+            self._ends_s[step] = max(
+                expected_end_s(member, self._run_times, now_s) for member in step.runs.values()
+            )
+        return self._ends_s[step]
+
+
+def _first(row: tuple) -> float:
+    return row[0]
+
+
+def _accumulate(gains: Iterable[_Gain], needed: int) -> GangPlan | None:
+    """Return the plan at the first time at which `needed` members fit."""
+    counts: dict[Worker, int] = {}
+    left = needed
+    for free_s, count, worker in gains:
+        counts[worker] = counts.get(worker, 0) + count
+        left -= count
+        if left <= 0:
+            return GangPlan(_keep_largest(counts, needed), free_s)
+    return None
+
+
+def _keep_largest(counts: Mapping[Worker, int], needed: int) -> dict[Worker, int]:
+    """Return the members on as few workers as possible."""
+    kept = {}
+    for worker, count in sorted(counts.items(), key=lambda row: -row[1]):
+        kept[worker] = min(count, needed)
+        needed -= kept[worker]
+        if needed == 0:
+            break
+    return kept
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -8,12 +8,13 @@
 from ._state import Step, Worker
 from ._worker_health import is_on_probation
 
-_UNLIMITED = 1 << 30
+UNLIMITED = 1 << 30
+"""Number of tasks that fit if they need no resources."""
 
 
 def fit_count(free: ResourceVector, size: ResourceVector) -> int:
     """Return how many times `size` fits into `free`."""
-    count = _UNLIMITED
+    count = UNLIMITED
     if size.processors_millicores > 0:
         count = free.processors_millicores // size.processors_millicores
     if size.memory_mb > 0:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
@@ -7,16 +7,26 @@
 import attrs
 
 from ..resources import ResourceVector
-from ._placement import fit_count, limit_count, placeable_count
+from ._gang_plans import GangPlan, GangPlanner
+from ._placement import fit_count, limit_count
 from ._state import Reservation, Step, Worker
 
-RESERVED_SHARE_MAX = 0.3
-"""Maximum share of all processors that is reserved.
+RESERVED_SHARE_MAX = 0.1
+"""Maximum share of all processors that is reserved; more would leave too much capacity idle."""
+_FIRM_START_S = 0.5
+"""Time before its start from which the plan of a gang is firm; below the run time of urgent tasks.
 
-Gangs of 20 tasks make up a tenth of the load; a larger share would leave capacity idle that
-single tasks can use."""
-_RESERVATION_TTL_S = 0.5
+Otherwise, urgent tasks that take reserved capacity one after the other would delay the gang without
+end."""
+_FIRM_KEPT_S = 1.0
+"""Maximum time to the start of a firm plan; one that was delayed by more is not firm any longer."""
+_RESERVATION_TTL_S = 1.5
 """Time after which a reservation expires unless a decision renews it."""
+_RETRY_SHARE = 0.25
+"""Time until the next placement attempt of a gang, as a share of the time until its start."""
+_RETRY_MIN_S = 0.1
+_RETRY_MAX_S = 0.7
+"""Maximum time between two attempts; below the lifetime of a reservation."""
 
 
 def eventual_count(step: Step, worker: Worker, now_s: float) -> int:
@@ -25,35 +35,35 @@
     return limit_count(step, worker, fit_count(free, step.spec.demand))
 
 
-@attrs.frozen(slots=True)
-class WorkerFit:
-    """Number of gang members that fit on a worker now and once its finite runs have ended."""
-
-    worker: Worker
-    count: int
-    later_count: int
-
-
 class Reservations:
     """Reserves capacity on few workers for gangs that do not fit yet.
 
     When workers are nearly full of single tasks, each run that ends frees capacity for another
     single task but never for a whole gang, so wide gangs would wait until they are late. A gang
-    therefore reserves capacity as it becomes free on eligible workers, until all of its members
-    fit. Work of a higher priority may use that capacity in the meantime.
+    therefore reserves the workers that have room first, until all of its members fit. Other work
+    may use that capacity meanwhile if it is expected to end before the gang starts.
+
+    Load pattern: more gangs arrive than fit. If many of them hold capacity while they wait for room
+    or tickets, that capacity is idle, and urgent tasks and wide steps fall behind. Few gangs hold
+    capacity at a time, and urgent tasks may use it until shortly before a gang starts.
 
     Args:
         workers: all workers by id.
+        planner: chooses the workers of a gang.
         reserved_share_max: maximum share of all processors that is reserved.
     """
 
     def __init__(
-        self, workers: Mapping[str, Worker], reserved_share_max: float = RESERVED_SHARE_MAX
+        self,
+        workers: Mapping[str, Worker],
+        planner: GangPlanner,
+        reserved_share_max: float = RESERVED_SHARE_MAX,
     ) -> None:
         self.reserved_share_max = reserved_share_max
         self._workers = workers
+        self._planner = planner
 
-    def reserve(self, step: Step, allowed: Iterable[Worker], now_s: float) -> list[Worker]:
+    def reserve(self, step: Step, allowed: Iterable[Worker], now_s: float) -> GangPlan | None:
         """Create or renew the reservations of a gang.
 
         Args:
@@ -62,48 +72,36 @@
             now_s: current local time, in seconds.
 
         Returns:
-            Workers with reserved capacity; empty if they would not suffice for the gang, or if the
-            total would exceed `reserved_share_max`.
+            The plan for which capacity is reserved; None if the workers would not suffice for the
+            gang, or if the total would exceed `reserved_share_max`.
         """
-        worker_fits = [
-            WorkerFit(
-                worker,
-                placeable_count(step, worker, worker.available_capacity(step, now_s)),
-                eventual_count(step, worker, now_s),
-            )
-            for worker in allowed
-        ]
-        worker_fits.sort(key=lambda worker_fit: (-worker_fit.count, -worker_fit.later_count))
-        fits = sum(worker_fit.count for worker_fit in worker_fits) >= len(step.waiting)
-        usable = {worker_fit.worker for worker_fit in worker_fits if worker_fit.later_count > 0}
-        if fits or not step.reserved_counts or not set(step.reserved_counts) <= usable:
-            self.release(step)
-            step.reserved_counts = self._choose_workers(step, worker_fits, fits, now_s)
-        for worker, count in step.reserved_counts.items():
+        present = step.gang_plan
+        plan = self._planner.plan(step, allowed, present, now_s)
+        if plan is not None and present is None and plan.start_s > now_s:
+            size = step.spec.demand.scaled(len(step.waiting))
+            plan = plan if self._is_within_limit(size, now_s) else None
+        self.release(step)
+        if plan is not None:
+            was_firm = present is not None and present.firm
+            firm_s = _FIRM_KEPT_S if was_firm else _FIRM_START_S
+            plan = attrs.evolve(plan, firm=plan.start_s <= now_s + firm_s)
+        step.gang_plan = plan
+        if plan is None:
+            step.retry_s = now_s + _RETRY_MAX_S
+            return None
+        wait_s = _RETRY_SHARE * (plan.start_s - now_s)
+        step.retry_s = now_s + min(_RETRY_MAX_S, max(_RETRY_MIN_S, wait_s))
+        for worker, count in plan.counts.items():
             size = step.spec.demand.scaled(count)
-            worker.reservations[step] = Reservation(size, now_s + _RESERVATION_TTL_S, fits)
-        return list(step.reserved_counts)
+            worker.reservations[step] = Reservation(size, now_s + _RESERVATION_TTL_S, plan.start_s)
+        return plan
 
     def release(self, step: Step) -> None:
         """Remove all reservations of a gang."""
-        for worker in step.reserved_counts:
-            worker.reservations.pop(step, None)
-        step.reserved_counts = {}
-
-    def _choose_workers(
-        self, step: Step, worker_fits: list[WorkerFit], fits: bool, now_s: float
-    ) -> dict[Worker, int]:
-        chosen: dict[Worker, int] = {}
-        left = len(step.waiting)
-        for worker_fit in worker_fits:
-            count = min(left, worker_fit.count if fits else worker_fit.later_count)
-            if count > 0:
-                chosen[worker_fit.worker] = count
-                left -= count
-        size = step.spec.demand.scaled(len(step.waiting))
-        if left > 0 or not (fits or self._is_within_limit(size, now_s)):
-            return {}
-        return chosen
+        if step.gang_plan is not None:
+            for worker in step.gang_plan.counts:
+                worker.reservations.pop(step, None)
+        step.gang_plan = None
 
     def _is_within_limit(self, size: ResourceVector, now_s: float) -> bool:
         capacity = sum(w.info.capacity.processors_millicores for w in self._workers.values())
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -24,6 +24,7 @@
     WorkerReported,
     WorkerSilent,
 )
+from ._gang_plans import GangPlanner
 from ._journal import WorkflowClosed, WorkflowProgress, WorkflowState
 from ._names import TaskName
 from ._placement import assign_gang, assign_singles, placeable_count
@@ -97,7 +98,7 @@
         )
         self.runs.first_number = first_number
         self.ticket_tracker = TicketTracker(self.workers, self.outbox)
-        self.reservations = Reservations(self.workers)
+        self.reservations = Reservations(self.workers, GangPlanner(self.run_times))
         self._reconciled = False
         self._closed: list[str] = []
 
@@ -146,6 +147,8 @@
                 continue
             self._create_due_occurrences(job, utc_s)
             ready += [step for step in job.steps.values() if step.waiting and job.is_ready(step)]
+        for step in ready:
+            step.expected_run_s = self.run_times.predict(step)
         ready.sort(key=lambda step: placement_order_key(step, self.run_times, now_s))
         usable = {
             service: {
@@ -169,7 +172,7 @@
         """
         if step.blocked_version == -1:
             return True
-        if now_s < step.last_attempt_s + PLACEMENT_RETRY_S:
+        if now_s < max(step.retry_s, step.last_attempt_s + PLACEMENT_RETRY_S):
             return False
         return (
             step.blocked_version != self.runs.capacity_version
@@ -222,7 +225,7 @@
         ]
 
     def _explain_capacity(self, step: Step, now_s: float) -> dict:
-        service = step.job.queue.service
+        service, plan = step.job.queue.service, step.gang_plan
         usable = [w for w in self.workers.values() if w.info.service == service]
         usable = [w for w in usable if w.is_usable(now_s)]
         if step.job.queue.approval is None:
@@ -235,7 +238,8 @@
                 placeable_count(step, w, w.available_capacity(step, now_s)) for w in allowed
             ),
             "places_later": sum(eventual_count(step, w, now_s) for w in allowed),
-            "reserved": sum(step.reserved_counts.values()),
+            "reserved": 0 if plan is None else sum(plan.counts.values()),
+            "starts_in_s": None if plan is None else round(plan.start_s - now_s, 2),
         }
 
     def pop_progress(self) -> list[WorkflowProgress]:
@@ -402,11 +406,11 @@
             self._renew_tickets(step, workers, now_s)
 
     def _reserve_for_gang(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
-        """Reserve capacity for a gang and renew its tickets for those workers."""
+        """Reserve capacity for a gang and renew its tickets before it is expected to start."""
         allowed = self._free_capacity(step, workers, now_s, accept_expired=True)
-        kept = self.reservations.reserve(step, allowed, now_s)
-        if kept and step.job.queue.approval is not None:
-            self.ticket_tracker.renew_tickets(step, kept, now_s)
+        plan = self.reservations.reserve(step, allowed, now_s)
+        if plan is not None and step.job.queue.approval is not None:
+            self.ticket_tracker.renew_gang_tickets(step, plan, now_s)
 
     def _assign_tasks(
         self,
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -12,6 +13,9 @@
 from ._names import StepName, TaskName
 from ._specs import Queue, StepSpec, WorkerInfo, WorkflowSpec
 
+if TYPE_CHECKING:
+    from ._gang_plans import GangPlan
+
 GANG_INDEX = -1
 """Task index under which the failures of a whole gang are counted."""
 
@@ -79,6 +83,12 @@
         return self.step is None or not self.step.spec.long_running
 
 
+_CERTAIN_START_S = 1.0
+"""Time before the start of a gang from which work of no higher priority may use its capacity."""
+_BACKFILL_FACTOR = 1.5
+"""Safety factor on the expected run time of work that uses reserved capacity."""
+
+
 @attrs.frozen(slots=True)
 class Reservation:
     """Capacity of a worker that is reserved for a gang.
@@ -86,13 +96,24 @@
     Args:
         size: the reserved resources.
         until_s: local time at which the reservation expires, in seconds.
-        firm: whether work of a higher priority may not use the capacity either, because the gang
-            starts on the worker as soon as its tickets arrive.
+        start_s: local time at which the gang is expected to start, in seconds.
     """
 
     size: ResourceVector
     until_s: float
-    firm: bool
+    start_s: float
+
+    def blocks(self, holder: Step, step: Step, now_s: float) -> bool:
+        """Return whether `step` may not use the capacity that is reserved for `holder`.
+
+        Work of a higher priority may use it until the plan of the gang is firm, and other work if
+        it is expected to end before the start of the gang.
+        """
+        if step.job.queue.priority < holder.job.queue.priority:
+            return holder.gang_plan is not None and holder.gang_plan.firm
+        if now_s >= self.start_s - _CERTAIN_START_S:
+            return True
+        return now_s + _BACKFILL_FACTOR * step.expected_run_s > self.start_s
 
 
 @attrs.define(slots=True, eq=False)
@@ -153,9 +174,7 @@
         for holder, reservation in list(self.reservations.items()):
             if now_s >= reservation.until_s:
                 del self.reservations[holder]
-            elif holder is not step and (
-                reservation.firm or holder.job.queue.priority <= step.job.queue.priority
-            ):
+            elif holder is not step and reservation.blocks(holder, step, now_s):
                 free = free - reservation.size
         return free
 
@@ -196,7 +215,9 @@
         blocked_version: capacity version at the latest unsuccessful placement; -1 to retry at once.
         tickets_renewed_s: local time of the latest request to renew expired tickets, in seconds.
         last_attempt_s: local time of the latest placement attempt, in seconds.
-        reserved_counts: number of tasks with reserved capacity by worker.
+        expected_run_s: expected run time of a task, in seconds.
+        gang_plan: workers with capacity reserved for the gang; None if it has no reservation.
+        retry_s: local time before which another attempt to place the gang is of no use, in seconds.
     """
 
     name: StepName
@@ -215,7 +236,9 @@
     blocked_version: int = -1
     tickets_renewed_s: float = float("-inf")
     last_attempt_s: float = float("-inf")
-    reserved_counts: dict[Worker, int] = attrs.field(factory=dict)
+    expected_run_s: float = 0.0
+    gang_plan: GangPlan | None = None
+    retry_s: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
         self.waiting = {
