Store submissions in partitions of their own, and record jobs before their first start

Cause: a partition of the log takes one append at a time. The order between submissions and the tenure record is replaced by a record: the first progress of a job is durable, under the fenced writer, before its first start, so a job without progress has no runs and does not wait for silent workers after a take-over.

--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -14,7 +14,7 @@
 from behave import given, then, when
 from platform_processes import HOST, ROOT, PlatformDeployment, wait_for
 
-from fireflywharf_daemon.workflows import Answer, NoAnswer, ReadRecords, Topic
+from fireflywharf_daemon.workflows import Answer, NoAnswer, Partition, ReadRecords, Topic
 from fireflywharf_testing.platform_stand_ins import StoreFault
 
 sys.path.append(str(ROOT / "platform"))
@@ -385,7 +385,7 @@
 @when("the newest records are read")
 def read_newest(context):
     client = StoreClient(context.http, "127.0.0.1:1")
-    context.result = asyncio.run(client.newest(Topic.JOURNAL))
+    context.result = asyncio.run(client.newest(Partition(Topic.JOURNAL)))
 
 
 @then("all records are returned after {count:d} calls")
--- a/features/steps/workflow_append_steps.py
+++ b/features/steps/workflow_append_steps.py
@@ -14,6 +14,7 @@
     Appended,
     AppendRejected,
     AppendUncertain,
+    Partition,
     Topic,
     WorkflowMetrics,
 )
@@ -89,7 +90,7 @@
 @when("a record with {first_s:g} s and one with {second_s:g} s are appended together")
 def append_together(context, first_s, second_s):
     async def run():
-        appender = GroupAppender(context.log, Topic.JOURNAL)
+        appender = GroupAppender(context.log, Partition(Topic.JOURNAL))
         now_s = time.monotonic()
         futures = [
             appender.put_record(make_job_record(name), now_s + seconds)
--- a/features/steps/workflow_resilience_steps.py
+++ b/features/steps/workflow_resilience_steps.py
@@ -24,6 +24,7 @@
     Answer,
     Appended,
     AppendUncertain,
+    Partition,
     PollFailed,
     ReadRecords,
     Topic,
@@ -269,7 +270,7 @@
 @when("two records are appended one after the other")
 def append_two_records(context):
     async def run():
-        appender = GroupAppender(context.log, Topic.JOURNAL)
+        appender = GroupAppender(context.log, Partition(Topic.JOURNAL))
         background = BackgroundTasks("test")
         background.spawn(appender.run())
         context.results = []
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -18,6 +18,7 @@
     EndKind,
     JobAdded,
     JobCancelled,
+    JobsRecorded,
     JournalState,
     Queue,
     ReportedEnd,
@@ -236,7 +237,7 @@
             find_spec=self.journal_state.find_spec,
         )
         for job_id, journaled in self.journal_state.jobs.items():
-            event = JobAdded(job_id=job_id, journaled=journaled, inherited=True)
+            event = JobAdded(job_id=job_id, journaled=journaled)
             scheduler.observe(event, self.now_s)
         self.append(WorkersInUse(worker_ids=tuple(self.workers)))
         self.scheduler = scheduler
@@ -258,7 +259,7 @@
             WorkflowAccepted(job_id=job_id, queue=self.queue, spec=spec, accepted_utc_s=0.0)
         )
         journaled = self.journal_state.jobs[job_id]
-        event = JobAdded(job_id=job_id, journaled=journaled, inherited=False)
+        event = JobAdded(job_id=job_id, journaled=journaled)
         self.scheduler.observe(event, self.now_s)
 
     def cancel(self, job_id, scheduler_informed=True):
@@ -400,11 +401,20 @@
                 reported_serials[name] = self._poll_worker(name, worker)
         for action in self.scheduler.decide(self.now_s, 0.0):
             self.execute(action)
-        for record in [*self.scheduler.pop_closed(), *self.scheduler.pop_progress()]:
+        for record in self.scheduler.pop_closed():
             self.append(record)
+        self.record_progress()
         for name, serial in reported_serials.items():
             self.acknowledged[name] = max(self.acknowledged[name], serial)
 
+    def record_progress(self):
+        """Append the progress of the scheduler's jobs and confirm it."""
+        progress = self.scheduler.pop_progress()
+        for record in progress:
+            self.append(record)
+        recorded = JobsRecorded(tuple(record.job_id for record in progress))
+        self.scheduler.observe(recorded, self.now_s)
+
     def _poll_worker(self, name, worker):
         reported_runs = None
         if worker.reachable:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -12,6 +12,7 @@
     Event,
     JobAdded,
     JobCancelled,
+    JobsRecorded,
     ReportedEnd,
     ReportedRun,
     StartAnswered,
@@ -25,6 +26,7 @@
     WorkerSilent,
 )
 from ._journal import (
+    MAIN_PARTITION,
     JournaledWorkflow,
     JournalRecord,
     JournalState,
@@ -39,6 +41,7 @@
     WorkflowState,
     decode_record,
     encode_record,
+    find_partition,
     job_keys,
     vm_key,
 )
@@ -69,7 +72,9 @@
     "ApprovalRates",
     "JobAdded",
     "JobCancelled",
+    "JobsRecorded",
     "JournalState",
+    "MAIN_PARTITION",
     "JournalRecord",
     "ReportedEnd",
     "ReportedRun",
@@ -103,6 +108,7 @@
     "sample_workers",
     "decode_record",
     "encode_record",
+    "find_partition",
     "has_short_requests",
     "job_keys",
     "approval_request_ms",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -82,13 +82,18 @@
 
     Args:
         job_id: the job.
-        journaled: its state in the journal.
-        inherited: whether an earlier tenure may have started runs of it.
+        journaled: its state in the journal. With progress, an earlier tenure may have started runs.
     """
 
     job_id: str
     journaled: JournaledWorkflow
-    inherited: bool
+
+
+@attrs.frozen(slots=True)
+class JobsRecorded:
+    """The progress of jobs, as returned by `pop_progress`, has become durable."""
+
+    job_ids: tuple[str, ...]
 
 
 @attrs.frozen(slots=True)
@@ -190,6 +195,7 @@
 
 Event = (
     JobAdded
+    | JobsRecorded
     | JobCancelled
     | DirectoryChanged
     | WorkerReported
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -2,11 +2,16 @@
 
 The journal retains the newest record of each key (log compaction), so every record contains the
 complete information about its key. A record with an empty value deletes the key.
+
+A partition of the journal takes one append at a time. The records of submissions are therefore
+spread over many partitions, which only the scheduler reads, while the records of the scheduler have
+a partition of their own, which all daemons read.
 """
 
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Iterable
 from enum import Enum
 
@@ -21,6 +26,9 @@
 AGE_MAX_S = 120.0
 """Maximum age of a job that is derived from the time of day, which can jump."""
 _JOB_PREFIX = {"a": "accepted", "c": "cancelled", "p": "progress"}
+_SUBMISSION_PREFIXES = ("a", "c")
+MAIN_PARTITION = 0
+"""Partition with the records of the scheduler and of the VMs."""
 
 
 class WorkflowState(Enum):
@@ -93,11 +101,21 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class WorkflowProgress:
-    """State of a job with the progress of its steps."""
+    """State of a job with the progress of its steps.
+
+    The scheduler appends the first one before it starts any run of the job.
+
+    Args:
+        job_id: identifier of the job.
+        state: current state.
+        steps: progress of the steps.
+        queue: name of the queue of a waiting job; empty otherwise.
+    """
 
     job_id: str
     state: WorkflowState
     steps: tuple[StepProgress, ...] = ()
+    queue: str = ""
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -177,6 +195,7 @@
     job_id: str
     state: str
     steps: list[tuple[int, int, bytes, dict[int, tuple[int, ...]]]]
+    queue: str = ""
 
 
 _CODEC = TaggedCodec(
@@ -201,12 +220,12 @@
             return f"c{job_id}", _CODEC.encode(record)
         case WorkflowClosed(job_id=job_id):
             return f"a{job_id}", _CODEC.encode(record)
-        case WorkflowProgress(job_id=job_id, state=state, steps=steps):
+        case WorkflowProgress(job_id=job_id, state=state, steps=steps, queue=queue):
             rows = [
                 (row.occurrence, row.step, _BitsetCodec.pack(row.done_bits), row.failures)
                 for row in steps
             ]
-            return f"p{job_id}", _CODEC.encode(_PackedProgress(job_id, state.value, rows))
+            return f"p{job_id}", _CODEC.encode(_PackedProgress(job_id, state.value, rows, queue))
         case TenureRecord():
             return TENURE_KEY, _CODEC.encode(record)
         case WorkersInUse():
@@ -233,7 +252,7 @@
         StepProgress(occurrence=k, step=s, done_bits=_BitsetCodec.unpack(bits), failures=failures)
         for k, s, bits, failures in record.steps
     )
-    return WorkflowProgress(job_id=record.job_id, state=state, steps=steps)
+    return WorkflowProgress(job_id=record.job_id, state=state, steps=steps, queue=record.queue)
 
 
 def vm_key(vm: str) -> str:
@@ -246,13 +265,24 @@
     return [prefix + job_id for prefix in _JOB_PREFIX]
 
 
+def find_partition(key: str, partitions_count: int) -> int:
+    """Return the partition of a key in a journal with `partitions_count` partitions.
+
+    All records of the submission and the cancellation of one job are in the same partition, and in
+    the main one only if there is no other.
+    """
+    if partitions_count <= 1 or key[:1] not in _SUBMISSION_PREFIXES:
+        return MAIN_PARTITION
+    return 1 + zlib.crc32(key[1:].encode()) % (partitions_count - 1)
+
+
 @attrs.define(slots=True, eq=False)
 class JournaledWorkflow:
     """State of one job in the journal.
 
     Args:
         accepted: acceptance of the job; None until it is read and after the job is closed.
-        offset: offset of the acceptance; -1 if it is unknown.
+        offset: offset of the acceptance in its partition; -1 if it is unknown.
         accepted_s: local time of the acceptance, in seconds.
         cancelled: whether the job was cancelled before it reached a final state.
         progress: newest progress; None before the first.
@@ -271,7 +301,14 @@
     @property
     def exists(self) -> bool:
         """Whether the job was accepted."""
-        return self.closed or self.accepted is not None
+        return self.closed or self.accepted is not None or self.progress is not None
+
+    @property
+    def queue_name(self) -> str:
+        """Name of the queue; empty if it is unknown."""
+        if self.accepted is not None:
+            return self.accepted.queue.name
+        return "" if self.progress is None else self.progress.queue
 
     @property
     def state(self) -> WorkflowState:
@@ -282,7 +319,10 @@
 
 
 class JournalState:
-    """State derived from the journal; equal at all daemons that have read up to the same offset.
+    """State derived from the journal.
+
+    Daemons that have read the main partition up to the same offset agree on the state of all jobs
+    that the scheduler knows. Only those that have read the submissions know the specifications.
 
     Example:
         >>> state = JournalState()
@@ -309,6 +349,7 @@
         self.undecodable_count = 0
         self._offsets: dict[str, int] = {}
         self._pending: dict[str, set[str]] = {}
+        self._queue_by_pending_job: dict[str, str] = {}
 
     def apply(
         self, offset: int, key: str, value: bytes, now_s: float, utc_s: float | None = None
@@ -357,7 +398,7 @@
         match record:
             case WorkflowAccepted():
                 # A delayed append can arrive after the job has ended.
-                if job.exists:
+                if job.closed or job.accepted is not None:
                     return False
                 job.accepted, job.offset = record, offset
                 age_s = 0.0 if utc_s is None else utc_s - record.accepted_utc_s
@@ -370,19 +411,22 @@
                 job.cancelled = True
             case WorkflowProgress():
                 job.progress = record
-        if job.state.is_final and job.final_s is None:
+        if (job.state.is_final or job.closed) and job.final_s is None:
             job.final_s = now_s
         self._update_pending(record.job_id, job)
         return True
 
     def _update_pending(self, job_id: str, job: JournaledWorkflow) -> None:
-        if job.accepted is None:
-            return
-        waiting = self._pending.setdefault(job.accepted.queue.name, set())
-        if job.state is WorkflowState.QUEUED:
-            waiting.add(job_id)
-        else:
-            waiting.discard(job_id)
+        if job.closed or job.state is not WorkflowState.QUEUED:
+            self._discard_pending(job_id)
+        elif job.queue_name and job_id not in self._queue_by_pending_job:
+            self._queue_by_pending_job[job_id] = job.queue_name
+            self._pending.setdefault(job.queue_name, set()).add(job_id)
+
+    def _discard_pending(self, job_id: str) -> None:
+        queue_name = self._queue_by_pending_job.pop(job_id, None)
+        if queue_name is not None:
+            self._pending[queue_name].discard(job_id)
 
     def find_spec(self, job_id: str) -> WorkflowSpec | None:
         """Return the specification of a job, or None if it is unknown."""
@@ -406,6 +450,5 @@
             self.vms.pop(key[1:], None)
         if key[:1] not in _JOB_PREFIX:
             return
-        job = self.jobs.pop(key[1:], None)
-        if job is not None and job.accepted is not None:
-            self._pending.get(job.accepted.queue.name, set()).discard(key[1:])
+        self.jobs.pop(key[1:], None)
+        self._discard_pending(key[1:])
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -17,6 +17,7 @@
     Event,
     JobAdded,
     JobCancelled,
+    JobsRecorded,
     StartAnswered,
     StopAnswered,
     StopCause,
@@ -67,7 +68,9 @@
 
     One instance serves one tenure. It adopts the runs of earlier tenures from the reports of the
     workers. Jobs that an earlier tenure may have started wait until every worker is reconciled,
-    that is, until all earlier runs are known or have ended.
+    that is, until all earlier runs are known or have ended. A job without progress in the journal
+    has none, because its first progress becomes durable before its first run is started, and the
+    journal refuses the records of an earlier tenure.
 
     Args:
         timing: timeouts of the deployment.
@@ -101,6 +104,7 @@
         self.reservations = Reservations(self.workers, GangPlanner(self.run_times))
         self._reconciled = False
         self._closed: list[str] = []
+        self._unrecorded_cancellations: list[WorkflowProgress] = []
 
     def observe(self, event: Event, now_s: float) -> None:
         """Process an event.
@@ -122,6 +126,10 @@
                 self.ticket_tracker.clear_request(step, self.find_step(step))
             case JobAdded():
                 self._handle_job_added(event, now_s)
+            case JobsRecorded(job_ids):
+                for job_id in job_ids:
+                    if job_id in self.jobs:
+                        self.jobs[job_id].recorded = True
             case JobCancelled(job_id):
                 self._handle_cancellation(job_id, now_s)
             case DirectoryChanged(workers):
@@ -143,7 +151,7 @@
         is_reconciled = self.is_reconciled(now_s)
         ready = []
         for job in self.jobs.values():
-            if job.state.is_final or (job.inherited and not is_reconciled):
+            if job.state.is_final or not job.recorded or (job.inherited and not is_reconciled):
                 continue
             self._create_due_occurrences(job, utc_s)
             ready += [step for step in job.steps.values() if step.waiting and job.is_ready(step)]
@@ -211,6 +219,7 @@
                 "waiting": len(step.waiting),
                 "runs": len(step.runs),
                 "gang": step.spec.gang,
+                "recorded": step.job.recorded,
                 "asked": len(step.asked),
                 "allowed": len(step.tickets),
                 "approval_age_s": (
@@ -243,7 +252,10 @@
         }
 
     def pop_progress(self) -> list[WorkflowProgress]:
-        """Return the progress of the jobs that changed since the last call."""
+        """Return the progress of the jobs that changed since the last call.
+
+        The caller reports with `JobsRecorded` when it is durable.
+        """
         changed = [job for job in self.jobs.values() if job.dirty]
         for job in changed:
             job.dirty = False
@@ -253,7 +265,8 @@
             if self.jobs.pop(job_id, None) is not None:
                 self._closed.append(job_id)
         self.runs.closed_job_ids.clear()
-        return [job.progress() for job in changed if job.state is not WorkflowState.CANCELLED]
+        cancelled, self._unrecorded_cancellations = self._unrecorded_cancellations, []
+        return [*cancelled, *(job.progress() for job in changed)]
 
     def pop_closed(self) -> list[WorkflowClosed]:
         """Return the closing records of jobs that have ended and have no runs.
@@ -270,7 +283,14 @@
 
     def _handle_job_added(self, event: JobAdded, now_s: float) -> None:
         journaled = event.journaled
-        if journaled.accepted is None or journaled.state.is_final or event.job_id in self.jobs:
+        if journaled.accepted is None or event.job_id in self.jobs:
+            return
+        has_progress = journaled.progress is not None
+        if journaled.state.is_final:
+            if journaled.cancelled and not (has_progress and journaled.progress.state.is_final):
+                self._unrecorded_cancellations.append(
+                    WorkflowProgress(job_id=event.job_id, state=WorkflowState.CANCELLED)
+                )
             return
         accepted = journaled.accepted
         job = Job(
@@ -278,8 +298,10 @@
             accepted.queue,
             accepted.spec,
             min(now_s, journaled.accepted_s),
-            event.inherited,
+            inherited=has_progress,
+            recorded=has_progress,
         )
+        job.dirty = not has_progress
         if journaled.progress is not None:
             job.restore(journaled.progress)
         if not accepted.spec.times_count:
@@ -300,6 +322,7 @@
         job = self.jobs.get(job_id)
         if job is not None and not job.state.is_final:
             job.state = WorkflowState.CANCELLED
+            job.dirty = True
             self.runs.order_stop_all(job, StopCause.JOB_CANCELLED, now_s)
             if not self.runs.has_runs(job):
                 self.runs.closed_job_ids.append(job_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -283,6 +283,8 @@
         spec: its specification.
         accepted_s: local time of the acceptance, in seconds.
         inherited: whether an earlier tenure may have started runs of it.
+        recorded: whether its first progress is durable. Before that, no run may be started, so that
+            the next scheduler knows that there is none.
         state: current state, to be stored in the journal.
         steps: steps by occurrence and index.
         dirty: whether progress must be stored.
@@ -293,6 +295,7 @@
     spec: WorkflowSpec
     accepted_s: float
     inherited: bool
+    recorded: bool = False
     state: WorkflowState = WorkflowState.QUEUED
     steps: dict[tuple[int, int], Step] = attrs.field(factory=dict)
     dirty: bool = False
@@ -321,6 +324,7 @@
         return WorkflowProgress(
             job_id=self.job_id,
             state=self.state,
+            queue=self.queue.name if self.state is WorkflowState.QUEUED else "",
             steps=tuple(
                 row for row in rows if not self.state.is_final and (row.done_bits or row.failures)
             ),
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -15,6 +15,7 @@
     Event,
     JobAdded,
     JobCancelled,
+    JobsRecorded,
     JournalRecord,
     JournalState,
     StartAnswered,
@@ -29,8 +30,10 @@
     WorkersInUse,
     WorkflowAccepted,
     WorkflowCancelled,
+    WorkflowProgress,
     WorkflowScheduler,
     approval_request_ms,
+    encode_record,
     has_short_requests,
     job_keys,
 )
@@ -41,6 +44,7 @@
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalBalancer
 from ._sessions import WorkerSession
+from ._submissions import Submissions
 
 _LOG = logging.getLogger(__name__)
 
@@ -70,9 +74,11 @@
         record: record of the tenure.
         writer: appends the records of the tenure.
         journal_state: the journal as read up to the tenure record.
+        submissions: reads the submissions.
         platform_services: external services.
         timing: timeouts of the deployment.
         on_tenure_end: called once with the reason when the tenure is lost.
+        on_loaded: called when all submissions were read, so that workers can be used.
         approvals: distributes approval requests.
         metrics: counts results and durations.
     """
@@ -82,16 +88,21 @@
         record: TenureRecord,
         writer: JournalWriter,
         journal_state: JournalState,
+        submissions: Submissions,
         platform_services: PlatformServices,
         timing: Timing,
         on_tenure_end: Callable[[str], None],
+        on_loaded: Callable[[], None],
         approvals: ApprovalBalancer,
         metrics: WorkflowMetrics,
     ) -> None:
         self.record = record
         self._writer = writer
         self._platform = platform_services
+        self._submissions = submissions
         self._on_tenure_end = on_tenure_end
+        self._on_loaded = on_loaded
+        self._loaded = False
         self._closing = False
         self._resigning = False
         self._now_s = time.monotonic
@@ -103,9 +114,7 @@
             find_spec=journal_state.find_spec,
         )
         for job_id, journaled in journal_state.jobs.items():
-            self.scheduler.observe(
-                JobAdded(job_id=job_id, journaled=journaled, inherited=True), self._now_s()
-            )
+            self.scheduler.observe(JobAdded(job_id=job_id, journaled=journaled), self._now_s())
         self._worker_ids_in_use = set(journal_state.workers_in_use)
         self._directory: Mapping[str, WorkerInfo] = {}
         self._sessions: dict[str, tuple[WorkerSession, asyncio.Task]] = {}
@@ -123,9 +132,22 @@
         self._unstarted_read_s: dict[str, float] = {}
 
     def start(self) -> None:
-        """Start the decision and record loops."""
+        """Start the decision and record loops, and read the submissions."""
         self._background.spawn(self._decision_loop())
         self._background.spawn(self._record_loop())
+        self._background.spawn(self._submissions.run_releases())
+        self._background.spawn(self._follow_submissions())
+
+    async def _follow_submissions(self) -> None:
+        """Read all submissions, then allow the use of workers and follow the partitions.
+
+        The workers report runs of earlier tenures, which are only recognized with their jobs.
+        """
+        await self._submissions.load()
+        self._loaded = True
+        self._on_loaded()
+        for reader in self._submissions.readers.values():
+            self._background.spawn(reader.run())
 
     async def close(self) -> None:
         """Stop all loops and sessions."""
@@ -168,9 +190,8 @@
         match record:
             case WorkflowAccepted(job_id=job_id):
                 self._unstarted_read_s[job_id] = self._now_s()
-                self.observe(
-                    JobAdded(job_id=job_id, journaled=journal_state.jobs[job_id], inherited=False)
-                )
+                self.observe(JobAdded(job_id=job_id, journaled=journal_state.jobs[job_id]))
+                self._records_pending.set()
             case WorkflowCancelled(job_id=job_id):
                 self._unstarted_read_s.pop(job_id, None)
                 self.observe(JobCancelled(job_id))
@@ -183,6 +204,8 @@
         A worker gets a session, which it needs to get runs, only after it was recorded as in use.
         """
         self._directory = directory
+        if not self._loaded:
+            return
         new = set(directory) - self._worker_ids_in_use
         if new:
             in_use = {*directory, *self.scheduler.workers}
@@ -367,7 +390,19 @@
     def _delete_expired_jobs(self) -> None:
         """Delete the records of jobs whose retention time has passed."""
         for job_id in self._journal_state.find_expired(self._now_s(), RETENTION_S):
-            self._extra_records += [LogRecord(key, b"") for key in job_keys(job_id)]
+            for key in job_keys(job_id):
+                self._replace_record(LogRecord(key, b""))
+
+    def _replace_record(self, record: LogRecord) -> None:
+        """Queue a record of an ended job for its partition."""
+        if self._submissions.find_reader(record.key) is None:
+            self._extra_records.append(record)
+        else:
+            self._submissions.release([record])
+
+    def _observe_recorded(self, progress: list[WorkflowProgress]) -> None:
+        if progress:
+            self.observe(JobsRecorded(tuple(record.job_id for record in progress)))
 
     async def _record_loop(self) -> None:
         """Append progress, other records and tenure renewals in groups."""
@@ -381,10 +416,12 @@
                 pass
             self._records_pending.clear()
             flushes, self._flush_futures = self._flush_futures, []
+            # Closing records are appended after the progress that they depend on.
+            for closed in self.scheduler.pop_closed():
+                self._replace_record(LogRecord(*encode_record(closed)))
             records, self._extra_records = self._extra_records, []
-            # Closing records are appended one append after the progress that they depend on.
-            records += self.scheduler.pop_closed()
-            records += self.scheduler.pop_progress()
+            progress = self.scheduler.pop_progress()
+            records += progress
             if not self._resigning and self._now_s() >= renewed_s + RENEWAL_S - _APPEND_BATCH_S:
                 renewal += 1
                 renewed_s = self._now_s()
@@ -400,6 +437,7 @@
             if records and isinstance(await self._writer.append(records), AppendFenced):
                 self._end_tenure("the journal rejected the epoch as stale")
                 return
+            self._observe_recorded(progress)
             for future in flushes:
                 if not future.done():
                     future.set_result(True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -32,11 +32,12 @@
 from ._background import BackgroundTasks
 from ._election import Election, JournalWriter
 from ._http import HttpClient
-from ._interfaces import Appended, LogRecord, PlatformServices, Topic
-from ._journal import FOLLOWER_PAUSE_S, SCHEDULER_PAUSE_S, GroupAppender, JournalReader
+from ._interfaces import Appended, LogRecord, PlatformServices
+from ._journal import FOLLOWER_PAUSE_S, SCHEDULER_PAUSE_S, JournalAppender, JournalReader
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalBalancer, PeerClient, PeerServer, RecordMessage
 from ._service import WorkflowService
+from ._submissions import Submissions
 
 _LOG = logging.getLogger(__name__)
 
@@ -81,7 +82,10 @@
         self._timing = timing
         self._rng = random.Random(presence.incarnation)
         self.reader = JournalReader(platform_services.log, self._handle_record)
-        self._appender = GroupAppender(platform_services.log, Topic.JOURNAL)
+        self._submissions = Submissions(
+            platform_services.log, self.reader.journal_state, self._handle_record
+        )
+        self._appender = JournalAppender(platform_services.log)
         self._approvals = ApprovalQueue(platform_services.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
         self._peer_server = PeerServer(
@@ -93,7 +97,12 @@
         )
         self._approval_rates = ApprovalRates()
         self.workflow_service = WorkflowService(
-            self.reader, self._appender, self._request_first_tickets, self._handle_stored, metrics
+            self.reader,
+            self._submissions,
+            self._appender,
+            self._request_first_tickets,
+            self._handle_stored,
+            metrics,
         )
         self._election = Election(presence, self._rng, lambda: self.reader.journal_state.vms)
         self._directory: Mapping[str, WorkerInfo] = {}
@@ -110,7 +119,7 @@
         for loop in (
             self._announce,
             self.reader.run,
-            self._appender.run,
+            *(appender.run for appender in self._appender.appenders),
             self._approvals.run,
             self._configuration_loop,
             self._directory_loop,
@@ -247,13 +256,21 @@
         if offset < 0:
             return
         stored = LogRecord(*encode_record(record))
-        self.reader.add_early_record(offset, stored)
+        self._add_record(offset, stored)
         address = self._scheduler_address()
         if address is not None:
             self._background.spawn(self._peer_client.send_record(address, offset, stored))
 
     def _handle_peer_record(self, message: RecordMessage) -> None:
-        self.reader.add_early_record(message.offset, LogRecord(message.key, message.value))
+        self._add_record(message.offset, LogRecord(message.key, message.value))
+
+    def _add_record(self, offset: int, record: LogRecord) -> None:
+        """Apply a durable record that has not been read yet."""
+        reader = self._submissions.find_reader(record.key)
+        if reader is None:
+            self.reader.add_early_record(offset, record)
+        else:
+            reader.apply_record(offset, record)
 
     def _handle_peer_tickets(self, event: ApprovalReceived) -> None:
         if self.active_scheduler is not None:
@@ -311,15 +328,16 @@
             tenure,
             writer,
             self.reader.journal_state,
+            self._submissions,
             self._platform,
             self._timing,
             self._handle_tenure_end,
+            self._directory_wake.set,
             self._balancer,
             self._metrics,
         )
         self.reader.pause_s = SCHEDULER_PAUSE_S
         self.active_scheduler.start()
-        self._directory_wake.set()
         self._metrics.tenures.labels("began").inc()
         self._metrics.take_over_s.observe(time.monotonic() - election_started_s)
         _LOG.info(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Mapping
 
 from fireflywharf_core.workflows import (
+    MAIN_PARTITION,
     JournalRecord,
     TenureRecord,
     VmPresent,
@@ -30,10 +31,9 @@
     AppendUncertain,
     LogRecord,
     SharedLog,
-    Topic,
     Writer,
 )
-from ._journal import AppendTimeouts
+from ._journal import AppendTimeouts, journal_partition
 from ._metrics import WorkflowMetrics
 
 _LOG = logging.getLogger(__name__)
@@ -116,7 +116,7 @@
         while True:
             sent_s = time.monotonic()
             result = await self._log.append(
-                Topic.JOURNAL,
+                journal_partition(MAIN_PARTITION),
                 encoded,
                 timeout_s=self._times.predict(unanswered),
                 writer=writer,
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -26,6 +26,14 @@
     JOURNAL = "journal"
 
 
+@attrs.frozen(slots=True)
+class Partition:
+    """Part of a topic; the log orders the records of a partition and appends to one at a time."""
+
+    topic: Topic
+    number: int = 0
+
+
 @attrs.frozen(slots=True)
 class LogRecord:
     """A record of a log; the key is empty in a topic without keys."""
@@ -109,11 +117,17 @@
 
 
 class SharedLog(Protocol):
-    """Durable log that all daemons share."""
+    """Durable log that all daemons share.
+
+    Attributes:
+        partitions_count: number of partitions of a topic; the same at all daemons.
+    """
+
+    partitions_count: int
 
     async def append(
         self,
-        topic: Topic,
+        partition: Partition,
         records: Sequence[LogRecord],
         *,
         timeout_s: float,
@@ -121,10 +135,10 @@
     ) -> AppendResult:
         """Append all of the records or none."""
 
-    async def read(self, topic: Topic, offset: int, *, wait_s: float) -> ReadResult:
+    async def read(self, partition: Partition, offset: int, *, wait_s: float) -> ReadResult:
         """Read records from an offset, waiting up to `wait_s` seconds for the first one."""
 
-    async def newest(self, topic: Topic) -> ReadResult:
+    async def newest(self, partition: Partition) -> ReadResult:
         """Read the newest record of every key; `end` is the offset at which to continue reading."""
 
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -7,7 +7,13 @@
 import time
 from collections.abc import Callable, Sequence
 
-from fireflywharf_core.workflows import JournalRecord, JournalState, encode_record
+from fireflywharf_core.workflows import (
+    MAIN_PARTITION,
+    JournalRecord,
+    JournalState,
+    encode_record,
+    find_partition,
+)
 
 from ._background import result_or_default
 from ._clocks import boot_time_s
@@ -18,6 +24,7 @@
     AppendResult,
     AppendUncertain,
     LogRecord,
+    Partition,
     ReadExpired,
     ReadFailed,
     ReadRecords,
@@ -41,12 +48,19 @@
 """Pause between reads of the active scheduler, which peers also notify of new records."""
 
 
+def journal_partition(number: int) -> Partition:
+    """Return a partition of the journal."""
+    return Partition(Topic.JOURNAL, number)
+
+
 class JournalReader:
-    """Maintains the journal state and notifies a listener of each record that changes it.
+    """Reads a partition and notifies a listener of each record that changes the journal state.
 
     Args:
         log: the shared log.
         listener: called with each record that changed the state, and its offset.
+        partition: number of the partition.
+        journal_state: state to maintain; by default a new one.
 
     Attributes:
         journal_state: state derived from the records read so far.
@@ -57,8 +71,15 @@
         pause_s: pause between two reads, in seconds.
     """
 
-    def __init__(self, log: SharedLog, listener: Callable[[JournalRecord, int], None]) -> None:
-        self.journal_state = JournalState()
+    def __init__(
+        self,
+        log: SharedLog,
+        listener: Callable[[JournalRecord, int], None],
+        partition: int = MAIN_PARTITION,
+        journal_state: JournalState | None = None,
+    ) -> None:
+        self.journal_state = JournalState() if journal_state is None else journal_state
+        self._partition = journal_partition(partition)
         self.offset = 0
         self.loaded = False
         self.read_s = float("-inf")
@@ -130,7 +151,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                result = await self._log.read(Topic.JOURNAL, self.offset, wait_s=0.0)
+                result = await self._log.read(self._partition, self.offset, wait_s=0.0)
         except TimeoutError:
             return False
         if not isinstance(result, ReadRecords):
@@ -139,6 +160,19 @@
             self.add_early_record(offset, record)
         return True
 
+    async def catch_up(self) -> bool:
+        """Read to the present end of the partition; return whether that succeeded."""
+        started_s = boot_time_s()
+        while self.read_s < started_s:
+            done = await (self._read(0.0) if self.loaded else self._load())
+            if not done:
+                return False
+        return True
+
+    def apply_record(self, offset: int, record: LogRecord) -> None:
+        """Apply a durable record that was received before it was read, regardless of the order."""
+        self._apply([(offset, record)])
+
     def add_early_record(self, offset: int, record: LogRecord) -> None:
         """Add a durable record that was received before it was read.
 
@@ -161,7 +195,7 @@
 
     async def _load(self) -> bool:
         started_s = boot_time_s()
-        match await self._log.newest(Topic.JOURNAL):
+        match await self._log.newest(self._partition):
             case ReadRecords(end, rows):
                 self._apply(rows)
                 self.offset = max(end, self.offset)
@@ -176,8 +210,10 @@
         started_s = boot_time_s()
         next_read, self._next_read = self._next_read, None
         self._waiting = wait_s > 0
-        result = await self._log.read(Topic.JOURNAL, self.offset, wait_s=wait_s)
-        self._waiting = False
+        try:
+            result = await self._log.read(self._partition, self.offset, wait_s=wait_s)
+        finally:
+            self._waiting = False
         match result:
             case ReadRecords(end, rows):
                 self._apply(rows)
@@ -214,12 +250,18 @@
         self.read_s = min(boot_time_s(), complete_s)
         if not self._available:
             self._available = True
-            _LOG.info("journal can be read again", extra={"offset": self.offset})
+            _LOG.info(
+                "journal can be read again",
+                extra={"partition": self._partition.number, "offset": self.offset},
+            )
 
     def _record_failure(self, reason: str) -> None:
         if self._available:
             self._available = False
-            _LOG.warning("journal cannot be read", extra={"reason": reason})
+            _LOG.warning(
+                "journal cannot be read",
+                extra={"partition": self._partition.number, "reason": reason},
+            )
 
 
 class AppendTimeouts:
@@ -266,20 +308,23 @@
 
     Args:
         log: the shared log.
-        topic: topic to append to.
+        partition: partition to append to.
+        times: learned duration of appends; by default that of this partition.
     """
 
     _PAUSE_S = 0.05
     _REJECTIONS_MAX = 4
     """Rejected attempts, 50 ms apart, after which callers are refused; they may try another VM."""
 
-    def __init__(self, log: SharedLog, topic: Topic) -> None:
+    def __init__(
+        self, log: SharedLog, partition: Partition, times: AppendTimeouts | None = None
+    ) -> None:
         self._log = log
-        self._topic = topic
+        self._partition = partition
         self._queue: list[tuple[LogRecord, asyncio.Future, float]] = []
         self._wake = asyncio.Event()
         self.appends_count = 0
-        self._times = AppendTimeouts()
+        self._times = AppendTimeouts() if times is None else times
 
     def put(self, record: LogRecord, deadline_s: float) -> asyncio.Future:
         """Queue a record; the returned future resolves to an `AppendResult`.
@@ -323,7 +368,7 @@
             self.appends_count += 1
             sent_s = time.monotonic()
             timeout_s = min(self._times.predict(unanswered), deadline_s - sent_s)
-            result = await self._log.append(self._topic, records, timeout_s=max(0.1, timeout_s))
+            result = await self._log.append(self._partition, records, timeout_s=max(0.1, timeout_s))
             match result:
                 case Appended() | AppendFenced():
                     self._times.observe(time.monotonic() - sent_s)
@@ -347,3 +392,28 @@
         for _, future, deadline_s in batch:
             if now_s >= deadline_s and not future.done():
                 future.set_result(AppendUncertain("the log did not answer in time"))
+
+
+class JournalAppender:
+    """Appends the records of callers and of this VM to the partitions of the journal.
+
+    Load pattern: while the log is slow, a partition takes a few appends per second, and the VMs of
+    a large deployment would wait for each other for seconds. Each job therefore has a partition of
+    its own choice, and none of them delays the records of the scheduler.
+
+    Args:
+        log: the shared log.
+    """
+
+    def __init__(self, log: SharedLog) -> None:
+        times = AppendTimeouts()
+        self.appenders = [
+            GroupAppender(log, journal_partition(number), times)
+            for number in range(log.partitions_count)
+        ]
+
+    def put_record(self, record: JournalRecord, deadline_s: float) -> asyncio.Future:
+        """Encode and queue a record; see `GroupAppender.put`."""
+        encoded = LogRecord(*encode_record(record))
+        appender = self.appenders[find_partition(encoded.key, len(self.appenders))]
+        return appender.put(encoded, deadline_s)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -11,17 +11,20 @@
 
 from fireflywharf_core.workflows import (
     Configuration,
+    JournaledWorkflow,
     JournalRecord,
     Queue,
     WorkflowAccepted,
     WorkflowCancelled,
     WorkflowSpec,
     WorkflowState,
+    job_keys,
 )
 
 from ._interfaces import Appended, AppendRejected
-from ._journal import GroupAppender, JournalReader
+from ._journal import JournalAppender, JournalReader
 from ._metrics import WorkflowMetrics
+from ._submissions import Submissions
 
 _LOG = logging.getLogger(__name__)
 
@@ -31,6 +34,8 @@
 Callers wait for three seconds."""
 _REFRESH_TIMEOUT_S = 0.4
 """Timeout of the journal read for a query."""
+_SUBMISSION_TIMEOUT_S = 1.5
+"""Timeout of reading a partition of submissions for a query."""
 _RETRY_AFTER_S = 1
 """Retry delay for callers after a rejection because of a log outage; outages last seconds."""
 
@@ -81,7 +86,8 @@
     """Serves the callers of one VM.
 
     Args:
-        reader: reads the journal.
+        reader: reads the records of the scheduler.
+        submissions: reads the submissions.
         appender: appends to the journal.
         on_accept: called with each submitted job while it is being stored.
         on_stored: called with each record that has become durable, and its offset.
@@ -94,12 +100,14 @@
     def __init__(
         self,
         reader: JournalReader,
-        appender: GroupAppender,
+        submissions: Submissions,
+        appender: JournalAppender,
         on_accept: Callable[[WorkflowAccepted], None],
         on_stored: Callable[[JournalRecord, int], None],
         metrics: WorkflowMetrics,
     ) -> None:
         self._reader = reader
+        self._submissions = submissions
         self._appender = appender
         self._on_accept = on_accept
         self._on_stored = on_stored
@@ -126,8 +134,7 @@
     async def _submit(
         self, queue: Queue, job_id: str, spec: WorkflowSpec, started_s: float
     ) -> Reply:
-        known = self._reader.journal_state.jobs.get(job_id)
-        if known is not None and known.exists:
+        if self._find_job(job_id) is not None:
             return Accepted()
         if not self._reader.is_current:
             return self._reject(queue, job_id, "the journal cannot be read")
@@ -164,27 +171,44 @@
 
     async def get_state(self, job_id: str) -> Reply:
         """Return the state of a job."""
-        known = self._reader.journal_state.jobs.get(job_id)
-        if known is None or not known.exists or not known.state.is_final:
+        known = self._find_job(job_id)
+        if known is None or not known.state.is_final:
             await self._reader.refresh(_REFRESH_TIMEOUT_S)
-            known = self._reader.journal_state.jobs.get(job_id)
-        if known is not None and known.exists:
-            return JobStateReply(known.state)
+            known = self._find_job(job_id)
+        if known is None:
+            may_deny = await self._read_submission(job_id)
+            known = self._find_job(job_id)
+            if known is None:
+                return UnknownJob() if may_deny else self._reject_unread()
+        return JobStateReply(known.state)
+
+    def _find_job(self, job_id: str) -> JournaledWorkflow | None:
+        """Return the state of a job that is known to exist, otherwise None."""
+        known = self._reader.journal_state.jobs.get(job_id)
+        return known if known is not None and known.exists else None
+
+    async def _read_submission(self, job_id: str) -> bool:
+        """Read where an unknown job would be, and return whether its existence can be denied."""
         if not self._reader.is_current:
-            return Rejected("the journal cannot be read", _RETRY_AFTER_S)
-        return UnknownJob()
+            return False
+        keys = job_keys(job_id)
+        return await self._submissions.catch_up(keys[0], _SUBMISSION_TIMEOUT_S)
+
+    def _reject_unread(self) -> Rejected:
+        return Rejected("the journal cannot be read", _RETRY_AFTER_S)
 
     async def cancel(self, job_id: str) -> Reply:
         """Cancel a job; a job that has ended is left unchanged."""
         deadline_s = time.monotonic() + STORE_TIMEOUT_S
-        known = self._reader.journal_state.jobs.get(job_id)
+        known = self._find_job(job_id)
         if known is None:
             await self._reader.refresh(_REFRESH_TIMEOUT_S)
-            known = self._reader.journal_state.jobs.get(job_id)
+            known = self._find_job(job_id)
         if known is None:
-            if not self._reader.is_current:
-                return Rejected("the journal cannot be read", _RETRY_AFTER_S)
-            return UnknownJob()
+            may_deny = await self._read_submission(job_id)
+            known = self._find_job(job_id)
+            if known is None:
+                return UnknownJob() if may_deny else self._reject_unread()
         if known.state.is_final:
             return Accepted()
         record = WorkflowCancelled(job_id=job_id)
@@ -202,5 +226,5 @@
         if not self._reader.is_current:
             await self._reader.refresh(_REFRESH_TIMEOUT_S)
         if not self._reader.is_current:
-            return Rejected("the journal cannot be read", _RETRY_AFTER_S)
+            return self._reject_unread()
         return PendingCountReply(self._reader.journal_state.pending_count(queue.name))
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_store.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_store.py
@@ -40,7 +40,7 @@
 
 @attrs.define(slots=True, eq=False)
 class Topic:
-    """Records of one topic and the state of its producers.
+    """Records of one partition of a topic and the state of its producers.
 
     Args:
         first_offset: offset of the oldest record that is kept.
@@ -85,7 +85,7 @@
     """Answers the calls of one store, with faults.
 
     Attributes:
-        topics: topics by name.
+        topics: partitions by name of the topic, with the number of the partition if it is not 0.
         fault: fault in force.
         late_s: delay in seconds of appends under `StoreFault.APPLIED_LATE`.
         calls: number of calls by name of the call.
@@ -98,9 +98,12 @@
         self.calls: dict[str, int] = {}
         self._late_appends: set[asyncio.Task] = set()
 
-    def topic(self, name: str) -> Topic:
-        """Return a topic; create it on first use."""
-        return self.topics.setdefault(name, Topic())
+    def topic(self, name: str, part: int = 0) -> Topic:
+        """Return a partition of a topic; create it on first use."""
+        return self.topics.setdefault(f"{name}/{part}" if part else name, Topic())
+
+    def _find_topic(self, query) -> Topic:
+        return self.topic(query["topic"], int(query["part"]))
 
     def put(self, name: str, key: str, value: object) -> None:
         """Append a record to a keyed topic, as the operator or an executor does.
@@ -172,7 +175,7 @@
 
     def _apply_append(self, query, records: list[bytes]) -> tuple[int, dict]:
         """Check the end offset and the producer, append; return the status and the body."""
-        topic = self.topic(query["topic"])
+        topic = self._find_topic(query)
         if "at" in query and int(query["at"]) != topic.end_offset:
             return 412, {"end": topic.end_offset}
         producer = query.get("producer")
@@ -199,7 +202,7 @@
         return 200, answer
 
     async def _serve_read(self, request: web.BaseRequest) -> web.StreamResponse:
-        topic = self.topic(request.query["topic"])
+        topic = self._find_topic(request.query)
         start = int(request.query["from"])
         wait_s = int(request.query.get("wait_ms", 0)) / 1000.0
         if start >= topic.end_offset and wait_s > 0:
@@ -216,7 +219,7 @@
         return web.Response(body=body)
 
     def _serve_newest(self, request: web.BaseRequest) -> web.StreamResponse:
-        topic = self.topic(request.query["topic"])
+        topic = self._find_topic(request.query)
         after = request.query.get("after", "")
         keys = sorted(key for key in topic.newest_by_key if key > after)
         items = [
