Limit the start orders without an answer, and record only workers that may have runs

Workers that had left stayed in the record of workers in use until a new one came, and the next scheduler waited 12.5 s for them before it started inherited jobs. Change: a limit on open start orders that follows the answer times; no repetition while an order may still be answered; only runs with unanswered orders are visited at each decision; workers whose runs have ended leave the record.

--- /dev/null
+++ b/features/workflow_starts.feature
@@ -0,0 +1,35 @@
+Feature: Start orders after a change of scheduler
+  Right after a change of scheduler, many tasks can be started at once, and the new scheduler must
+  neither wait for workers that have left nor order more starts than its VM can send.
+
+  Scenario: a worker that has left is not recorded as in use for good
+    The next scheduler waits up to 12.5 s for every recorded worker before it starts inherited jobs.
+
+    Given a scheduler with 3 workers
+    When one of them leaves the directory and its leases have expired
+    Then the other 2 are to be recorded as in use
+    And all 3 are while the runs of an earlier scheduler are not reconciled
+
+  Scenario: start orders that wait for answers are limited
+    Replays a change of scheduler with 400 tasks that can be started at once while no order is
+    answered. All orders would wait for the processor of the scheduler's VM.
+
+    Given 400 waiting tasks and workers that do not answer start orders
+    When the scheduler decides for 0.5 s
+    Then it has ordered between 100 and 140 starts
+
+  Scenario Outline: the limit of open start orders follows the answer times
+    When <count> start orders are answered after <answer_s> s
+    Then the limit of open start orders <changes>
+
+    Examples:
+      | count | answer_s | changes      |
+      | 500   | 0.03     | has risen    |
+      | 20    | 1.0      | has fallen   |
+
+  Scenario: a start order is not repeated while its answer may still come
+    Repetitions of orders that wait in the queue of a slow VM make the queue longer.
+
+    Given a start order whose answer takes 2 s
+    When the scheduler decides until then
+    Then the order was sent once
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -20,6 +20,7 @@
 from ._journal import WorkflowState
 from ._names import TaskName
 from ._specs import WorkflowSpec
+from ._start_window import StartWindow
 from ._state import GANG_INDEX, Job, Run, RunPhase, Step, Worker
 from ._worker_health import WorkerHealth
 
@@ -43,6 +44,8 @@
         capacity_version: incremented whenever capacity becomes free or usable.
         closed_job_ids: ended jobs without runs, to be removed by the scheduler.
         worker_health: detects unhealthy workers.
+        start_window: limits the start orders without an answer.
+        starting_count: number of runs whose start has not been answered.
     """
 
     def __init__(
@@ -63,7 +66,10 @@
         self._run_times = run_times
         self._timing = timing
         self.worker_health = WorkerHealth(run_times)
+        self.start_window = StartWindow()
+        self.starting_count = 0
         self._find_spec = find_spec
+        self._unanswered: dict[Run, None] = {}
 
     def next_number(self, step: Step, indices: list[int]) -> int:
         """Return a run number above all earlier ones of the given tasks."""
@@ -72,6 +78,8 @@
     def add(self, run: Run) -> None:
         """Register a run and occupy its capacity."""
         run.worker.add(run)
+        if run.phase is RunPhase.STARTING:
+            self._unanswered[run] = None
         if run.step is not None:
             index = run.task.index
             run.step.runs[index] = run
@@ -95,6 +103,7 @@
             run.phase = RunPhase.STOPPING
             run.phase_since_s = now_s
             run.stop_cause = cause
+            self._unanswered[run] = None
             self._send_stop(run, now_s)
 
     def _send_stop(self, run: Run, now_s: float) -> None:
@@ -117,6 +126,9 @@
         run = None if worker is None else worker.runs.get((task, number))
         if run is None or run.phase is not RunPhase.STARTING:
             return
+        run.start_open = False
+        if result is not StartResult.UNKNOWN:
+            self.start_window.observe(now_s - run.last_order_s, now_s)
         match result:
             case StartResult.STARTED | StartResult.NUMBER_TOO_LOW:
                 # With NUMBER_TOO_LOW, the run has already ended; the next report says how.
@@ -332,6 +344,7 @@
         """Send or repeat the order to start a run."""
         timing, step = self._timing, run.step
         run.last_order_s = now_s
+        run.start_open = True
         run.starts_count += 1
         run.late_start_until_s = (
             now_s + timing.start_validity_s * (1 + timing.clock_drift) + timing.network_margin_s
@@ -350,19 +363,32 @@
         )
 
     def repeat_unanswered_orders(self, now_s: float) -> None:
-        """Repeat unanswered orders; stop runs whose start stays unanswered for too long."""
-        repeat_s = self._timing.repeat_s
-        for worker in self._workers.values():
-            for run in list(worker.runs.values()):
-                if run.phase is RunPhase.RUNNING or now_s < run.last_order_s + repeat_s:
-                    continue
-                if run.phase is RunPhase.STOPPING:
-                    if not run.stop_answered:
-                        self._send_stop(run, now_s)
-                elif now_s < run.phase_since_s + self._timing.start_repeats_s:
-                    ticket = run.step.tickets.get(worker.worker_id, ("", 0.0))[0]
-                    self.order_start(run, ticket, now_s)
-                else:
-                    run.step.avoided[run.task.index] = worker.worker_id
-                    self.order_stop(run, StopCause.START_UNANSWERED, now_s)
-                    self._abort_gang(run, StopCause.GANG_START_FAILED, now_s)
+        """Repeat unanswered orders; stop runs whose start stays unanswered for too long.
+
+        An order is not repeated while its answer may still come, because the repetitions would
+        queue behind it if this VM is slow.
+        """
+        self.starting_count = 0
+        for run in list(self._unanswered):
+            is_current = run.worker.runs.get((run.task, run.number)) is run
+            if not is_current or run.phase is RunPhase.RUNNING or run.stop_answered:
+                del self._unanswered[run]
+                continue
+            if run.phase is RunPhase.STARTING:
+                self.starting_count += 1
+            if now_s < run.last_order_s + self._timing.repeat_s:
+                continue
+            if run.phase is RunPhase.STOPPING:
+                self._send_stop(run, now_s)
+            elif not run.start_open:
+                self._repeat_start(run, now_s)
+
+    def _repeat_start(self, run: Run, now_s: float) -> None:
+        worker_id = run.worker.worker_id
+        if now_s < run.phase_since_s + self._timing.start_repeats_s:
+            ticket = run.step.tickets.get(worker_id, ("", 0.0))[0]
+            self.order_start(run, ticket, now_s)
+            return
+        run.step.avoided[run.task.index] = worker_id
+        self.order_stop(run, StopCause.START_UNANSWERED, now_s)
+        self._abort_gang(run, StopCause.GANG_START_FAILED, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -167,6 +167,8 @@
             for service in {step.job.queue.service for step in ready}
         }
         for step in ready:
+            if self.runs.starting_count >= self.runs.start_window.limit_:
+                break
             if self._should_place(step, now_s):
                 self._place_step(step, usable[step.job.queue.service], now_s)
         actions, self.outbox[:] = list(self.outbox), []
@@ -187,6 +189,19 @@
             or step.job.queue.approval is not None
         )
 
+    def workers_to_record(self, recorded: Iterable[str], now_s: float) -> set[str]:
+        """Return the ids of the workers on which runs may have been started.
+
+        A worker that has left is included until its runs have certainly ended. Later, it would only
+        delay the next scheduler, which waits for every recorded worker.
+
+        Args:
+            recorded: ids that are recorded in the journal.
+            now_s: current local time, in seconds.
+        """
+        kept = set() if self.is_reconciled(now_s) else set(recorded)
+        return kept.union(self.workers)
+
     def is_reconciled(self, now_s: float) -> bool:
         """Return whether all runs of earlier tenures are known or have ended."""
         if not self._reconciled:
@@ -458,6 +473,7 @@
     def _start_run(self, step: Step, index: int, worker: Worker, number: int, now_s: float) -> None:
         number = number or self.runs.next_number(step, [index])
         task = TaskName(step.name, index)
+        self.runs.starting_count += 1
         run = Run(
             task=task,
             number=number,
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -46,6 +46,7 @@
         progressed_s: local time at which `percent` last changed, in seconds.
         late_start_until_s: local time after which an unanswered start order can no longer take
             effect, in seconds.
+        start_open: whether the latest start order may still be answered.
         starts_count: number of start orders sent.
         refusals_count: number of start orders that certainly had no effect.
         stop_answered: whether the worker has accepted a stop order.
@@ -68,6 +69,7 @@
     percent: float = 0.0
     progressed_s: float = 0.0
     late_start_until_s: float = 0.0
+    start_open: bool = False
     starts_count: int = 0
     refusals_count: int = 0
     stop_answered: bool = False
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -206,9 +206,9 @@
         self._directory = directory
         if not self._loaded:
             return
-        new = set(directory) - self._worker_ids_in_use
-        if new:
-            in_use = {*directory, *self.scheduler.workers}
+        in_use = self.scheduler.workers_to_record(self._worker_ids_in_use, self._now_s())
+        in_use.update(directory)
+        if in_use != self._worker_ids_in_use:
             if not await self._append(WorkersInUse(worker_ids=tuple(sorted(in_use)))):
                 return
             self._worker_ids_in_use = in_use
