Let gangs ask about many workers in parallel, and forget workers whose process has exited

The approval service was used for an eighth of its time. Change: a gang asks about up to three times as many workers, in requests of 45 that several VMs send at once, as far as VMs without a long request allow. The runs of a worker end with its process, so it leaves the record at once.

--- a/features/steps/workflow_start_steps.py
+++ b/features/steps/workflow_start_steps.py
@@ -8,6 +8,7 @@
     StartAnswered,
     StartResult,
     StartRun,
+    WorkerIncarnationEnded,
     WorkersInUse,
 )
 from fireflywharf_core.workflows._start_window import StartWindow
@@ -29,6 +30,17 @@
     world.run(13.0)
 
 
+@when("one of them leaves the directory and its process has exited")
+def end_worker_process(context):
+    world = context.world
+    context.recorded = set(world.workers)
+    world.unlisted_workers.add("w0")
+    world.workers["w0"].reachable = False
+    world.publish_directory()
+    world.scheduler.observe(WorkerIncarnationEnded("w0"), world.now_s)
+    world.run(0.2)
+
+
 @then("the other {count:d} are to be recorded as in use")
 def check_recorded(context, count):
     world = context.world
--- a/features/workflow_starts.feature
+++ b/features/workflow_starts.feature
@@ -10,6 +10,14 @@
     Then the other 2 are to be recorded as in use
     And all 3 are while the runs of an earlier scheduler are not reconciled
 
+  Scenario: a worker whose process has exited is not recorded as in use
+    Replays workers that are emptied and taken away right before the scheduler is killed. The next
+    one would wait 12.5 s for workers that it cannot ask any more.
+
+    Given a scheduler with 3 workers
+    When one of them leaves the directory and its process has exited
+    Then the other 2 are to be recorded as in use
+
   Scenario: start orders that wait for answers are limited
     Replays a change of scheduler with 400 tasks that can be started at once while no order is
     answered. All orders would wait for the processor of the scheduler's VM.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
 from ._events import Action, ApprovalReceived, AskApproval
@@ -43,6 +44,14 @@
 """Time before the expected start of a gang at which its tickets should have arrived."""
 _SPARE_SHARE = 0.5
 """Workers asked about beyond the expected need, as a fraction of the cost of a second request."""
+_GANG_CHOICE = 3.0
+"""Places among which a gang chooses, as a multiple of its tasks, if the service has time.
+
+With a wider choice, it finds workers that have room at the same time."""
+_PARALLEL_REQUEST_WORKERS = 45
+"""Number of workers in each of several requests that are sent to different VMs at once."""
+_PARALLEL_SHARE = 0.2
+"""Share of the VMs without a long request that may be used for one step."""
 _FREE_SHARE = 0.5
 """Free share of a worker's capacity that is assumed if the real one is unknown."""
 
@@ -150,7 +159,7 @@
     def __init__(self, workers: Mapping[str, Worker], outbox: list[Action]) -> None:
         self.approval_rates = ApprovalRates()
         self.long_requests_max = 1
-        self._long_requests: set[StepName] = set()
+        self._long_requests: Counter[StepName] = Counter()
         self._workers = workers
         self._outbox = outbox
         self._early_tickets: dict[StepName, list[ApprovalReceived]] = {}
@@ -179,7 +188,7 @@
 
     def add_tickets(self, step: Step | None, event: ApprovalReceived, now_s: float) -> None:
         """Store tickets; keep them for later if their job is not known yet."""
-        self._long_requests.discard(event.step)
+        self._close_long_request(event.step)
         if step is None:
             for name, events in list(self._early_tickets.items()):
                 if all(now_s >= kept.expires_s for kept in events):
@@ -188,8 +197,7 @@
             return
         self.approval_rates.observe(step.job.queue.name, len(event.asked), len(event.tickets))
         step.asked.update(event.asked)
-        step.approval_asked_s = None
-        step.blocked_version = -1
+        self._close_request(step)
         for worker_id, ticket in event.tickets.items():
             step.tickets[worker_id] = (ticket, event.expires_s)
 
@@ -201,10 +209,21 @@
 
     def clear_request(self, name: StepName, step: Step | None) -> None:
         """Remove a failed request, so that the next one may be sent at once."""
-        self._long_requests.discard(name)
+        self._close_long_request(name)
         if step is not None:
+            self._close_request(step)
+
+    def _close_long_request(self, name: StepName) -> None:
+        self._long_requests[name] -= 1
+        if self._long_requests[name] <= 0:
+            del self._long_requests[name]
+
+    @staticmethod
+    def _close_request(step: Step) -> None:
+        step.open_requests_count = max(0, step.open_requests_count - 1)
+        if step.open_requests_count == 0:
             step.approval_asked_s = None
-            step.blocked_version = -1
+        step.blocked_version = -1
 
     def request_tickets(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> bool:
         """Ask about further workers if the approved ones have too little free capacity.
@@ -226,13 +245,13 @@
         if step.approval_asked_s is None and self._can_ask(step):
             asked_ids = self._choose_workers(step, workers, now_s)
             if asked_ids:
-                self._send_request(step, asked_ids, now_s)
+                self._send_requests(step, asked_ids, now_s)
         return bool(step.tickets)
 
     def _can_ask(self, step: Step) -> bool:
         return (
             has_short_requests(step.job.queue.approval)
-            or len(self._long_requests) < self.long_requests_max
+            or self._long_requests.total() < self.long_requests_max
         )
 
     def _choose_workers(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> list[str]:
@@ -265,8 +284,16 @@
             places -= candidates[wanted][0]
             wanted += 1
         wanted = min(_REQUEST_WORKERS_MAX, wanted + spare_workers_count(step.job.queue.approval))
+        if step.spec.gang:
+            parallel_workers = self._parallel_requests_max() * _PARALLEL_REQUEST_WORKERS
+            wanted = max(wanted, min(parallel_workers, math.ceil(wanted * _GANG_CHOICE)))
         return [worker_id for _, worker_id in candidates[:wanted]]
 
+    def _parallel_requests_max(self) -> int:
+        """Return how many long requests one step may send at the same time."""
+        idle_count = self.long_requests_max - self._long_requests.total()
+        return max(1, int(_PARALLEL_SHARE * idle_count))
+
     @staticmethod
     def _count_fitting_tasks(step: Step, worker: Worker, now_s: float) -> float:
         """Return the number of tasks of a step that fit on a worker now."""
@@ -325,6 +352,16 @@
             return False
         return self._can_ask(step) and self._send_request(step, worker_ids, now_s)
 
+    def _send_requests(self, step: Step, worker_ids: list[str], now_s: float) -> None:
+        """Ask about many workers with one request, or with several that are served in parallel."""
+        count = 1
+        if step.spec.gang:
+            count = math.ceil(len(worker_ids) / _PARALLEL_REQUEST_WORKERS)
+            count = min(count, self._parallel_requests_max())
+        for number in range(count):
+            step.approval_asked_s = None
+            self._send_request(step, worker_ids[number::count], now_s)
+
     def _send_request(self, step: Step, worker_ids: list[str], now_s: float) -> bool:
         expected_answer_s = self.expected_answer_s(step, len(worker_ids))
         if (
@@ -333,8 +370,9 @@
         ):
             return False
         step.approval_asked_s = now_s
+        step.open_requests_count += 1
         if not has_short_requests(step.job.queue.approval):
-            self._long_requests.add(step.name)
+            self._long_requests[step.name] += 1
         self._outbox.append(
             AskApproval(step=step.name, worker_ids=tuple(worker_ids[:_REQUEST_WORKERS_MAX]))
         )
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -376,6 +376,7 @@
         if worker is None:
             return
         worker.has_reported = worker.reachable = False
+        worker.runs_end_s = now_s
         self._unreconciled.discard(worker_id)
         for run in list(worker.runs.values()):
             self.runs.handle_lost(run, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -213,6 +213,7 @@
         tickets: ticket and its local expiry time by id of an approved worker.
         approval_asked_s: local time of the open request for approval, in seconds; None if none is
             open.
+        open_requests_count: number of open requests for approval.
         asked: ids of the workers for which an answer was received.
         blocked_version: capacity version at the latest unsuccessful placement; -1 to retry at once.
         tickets_renewed_s: local time of the latest request to renew expired tickets, in seconds.
@@ -234,6 +235,7 @@
     avoided: dict[int, str] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     approval_asked_s: float | None = None
+    open_requests_count: int = 0
     asked: set[str] = attrs.field(factory=set)
     blocked_version: int = -1
     tickets_renewed_s: float = float("-inf")
