Keep places for urgent tasks when other work fills all workers

Change: places for the urgent tasks of the next 0.5 s are kept on some workers, where other work uses only what is too small for them. Gangs may reserve 15% of the processors instead of 10%.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
@@ -11,7 +11,7 @@
 from ._placement import fit_count, limit_count
 from ._state import Reservation, Step, Worker
 
-RESERVED_SHARE_MAX = 0.1
+RESERVED_SHARE_MAX = 0.15
 """Maximum share of all processors that is reserved; more would leave too much capacity idle."""
 _FIRM_START_S = 0.5
 """Time before its start from which the plan of a gang is firm; below the run time of urgent tasks.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -26,6 +26,7 @@
     WorkerSilent,
 )
 from ._gang_plans import GangPlanner
+from ._headroom import Headroom
 from ._journal import WorkflowClosed, WorkflowProgress, WorkflowState
 from ._names import TaskName
 from ._placement import assign_gang, assign_singles, placeable_count
@@ -102,6 +103,7 @@
         self.runs.first_number = first_number
         self.ticket_tracker = TicketTracker(self.workers, self.outbox)
         self.reservations = Reservations(self.workers, GangPlanner(self.run_times))
+        self.headroom = Headroom()
         self._reconciled = False
         self._closed: list[str] = []
         self._unrecorded_cancellations: list[WorkflowProgress] = []
@@ -166,6 +168,9 @@
             }
             for service in {step.job.queue.service for step in ready}
         }
+        self.headroom.choose_workers(
+            (worker for workers in usable.values() for worker in workers.values()), now_s
+        )
         for step in ready:
             if self.runs.starting_count >= self.runs.start_window.limit_:
                 break
@@ -322,6 +327,7 @@
         if not accepted.spec.times_count:
             job.create_occurrence(0)
         self.jobs[event.job_id] = job
+        self.headroom.observe(job, now_s)
         self.ticket_tracker.apply_early_tickets(job.steps.values(), now_s)
 
     def _create_due_occurrences(self, job: Job, utc_s: float) -> None:
@@ -433,7 +439,12 @@
         if not self.ticket_tracker.request_tickets(step, workers, now_s):
             return
         indices = sorted(step.waiting)
-        pairs = self._assign_tasks(step, self._free_capacity(step, workers, now_s), indices, now_s)
+        free_by_worker = self._free_capacity(step, workers, now_s)
+        if not self.headroom.is_urgent(step.job) and step.gang_plan is None:
+            free_by_worker = {
+                worker: self.headroom.limit(worker, free) for worker, free in free_by_worker.items()
+            }
+        pairs = self._assign_tasks(step, free_by_worker, indices, now_s)
         number = self.runs.next_number(step, indices) if step.spec.gang else 0
         for index, worker in pairs:
             self._start_run(step, index, worker, number, now_s)
