--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -384,8 +384,10 @@
         return free_s[vm]
 
     def _is_allowed(self, step, worker_id):
-        queue = self.journal_state.jobs[step.job_id].accepted.queue
-        share = self.allowed_share_by_queue.get(queue.name, self.allowed_share)
+        share = self.allowed_share
+        if self.allowed_share_by_queue:
+            queue = self.journal_state.jobs[step.job_id].accepted.queue
+            share = self.allowed_share_by_queue[queue.name]
         return random.Random(f"{step}{worker_id}").random() < share
 
     def _execute_start(self, order):
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
@@ -4,11 +4,9 @@
 
 from collections.abc import Iterable, Mapping
 
-import attrs
-
 from ._estimates import RunTimes
 from ._placement import UNLIMITED, fit_count, limit_count
-from ._state import Run, RunPhase, Step, Worker
+from ._state import GangPlan, Run, RunPhase, Step, Worker
 
 _STOP_S = 0.2
 """Expected time until a run that was ordered to stop has ended."""
@@ -25,21 +23,6 @@
 """Local time in seconds, number of members that fit from then on, and the worker."""
 
 
-@attrs.frozen(slots=True)
-class GangPlan:
-    """Workers that can run a whole gang together.
-
-    Args:
-        counts: number of members by worker.
-        start_s: local time at which all of them are expected to have room, in seconds.
-        firm: whether the start is so close that no work of a higher priority may delay it.
-    """
-
-    counts: Mapping[Worker, int]
-    start_s: float
-    firm: bool = False
-
-
 def expected_end_s(run: Run, run_times: RunTimes, now_s: float) -> float:
     """Return the local time, in seconds, at which a run is expected to free its capacity."""
     if run.phase is RunPhase.STOPPING:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
@@ -7,9 +7,9 @@
 import attrs
 
 from ..resources import ResourceVector
-from ._gang_plans import GangPlan, GangPlanner
+from ._gang_plans import GangPlanner
 from ._placement import fit_count, limit_count
-from ._state import Reservation, Step, Worker
+from ._state import GangPlan, Reservation, Step, Worker
 
 RESERVED_SHARE_MAX = 0.15
 """Maximum share of all processors that is reserved; more would leave too much capacity idle."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
 
@@ -13,9 +13,6 @@
 from ._names import StepName, TaskName
 from ._specs import Queue, StepSpec, WorkerInfo, WorkflowSpec
 
-if TYPE_CHECKING:
-    from ._gang_plans import GangPlan
-
 GANG_INDEX = -1
 """Task index under which the failures of a whole gang are counted."""
 
@@ -195,6 +192,21 @@
                 self.finite_demand = self.finite_demand - run.demand
 
 
+@attrs.frozen(slots=True)
+class GangPlan:
+    """Workers that can run a whole gang together.
+
+    Args:
+        counts: number of members by worker.
+        start_s: local time at which all of them are expected to have room, in seconds.
+        firm: whether the start is so close that no work of a higher priority may delay it.
+    """
+
+    counts: Mapping[Worker, int]
+    start_s: float
+    firm: bool = False
+
+
 @attrs.define(slots=True, eq=False)
 class Step:
     """A step of one occurrence of a job.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -73,6 +73,7 @@
         read_s: boot time up to which the state is known to be complete, in seconds. The monotonic
             clock would hide the records that were written while the VM was suspended.
         pause_s: pause between two reads, in seconds.
+        poll_s: duration of a long poll, in seconds; 0 if reads do not wait for records.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         self.loaded = False
         self.read_s = float("-inf")
         self.pause_s = FOLLOWER_PAUSE_S
+        self.poll_s = LONG_READ_S
         self._early_records: dict[int, LogRecord] = {}
         self._log = log
         self._listener = listener
@@ -120,7 +122,7 @@
             else:
                 was_requested = self._read_requested.is_set()
                 self._read_requested.clear()
-                done = await self._read_or_probe(0.0 if was_requested else LONG_READ_S)
+                done = await self._read_or_probe(0.0 if was_requested else self.poll_s)
             if not done:
                 await asyncio.sleep(_RETRY_S)
                 continue
@@ -177,6 +179,8 @@
     def apply_record(self, offset: int, record: LogRecord) -> None:
         """Apply a durable record that was received before it was read, regardless of the order."""
         self._apply([(offset, record)])
+        if self.loaded and offset == self.offset:
+            self.offset += 1
 
     def add_early_record(self, offset: int, record: LogRecord) -> None:
         """Add a durable record that was received before it was read.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_submissions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_submissions.py
@@ -14,13 +14,15 @@
 )
 
 from ._interfaces import Appended, LogRecord, SharedLog
-from ._journal import SCHEDULER_PAUSE_S, JournalReader, journal_partition
+from ._journal import JournalReader, journal_partition
 
 _LOG = logging.getLogger(__name__)
 
+_READ_INTERVAL_S = 0.4
+"""Time between two reads of a partition; VMs also notify the scheduler of each submission."""
 _RETRY_S = 0.1
 """Pause before partitions that could not be read are read again."""
-_RELEASE_INTERVAL_S = 2.0
+_RELEASE_INTERVAL_S = 5.0
 """Time in which the ends of jobs are collected; they only shorten later reads."""
 _RELEASE_TIMEOUT_S = 1.0
 _RELEASED_MAX = 5000
@@ -51,7 +53,7 @@
         self.readers: dict[int, JournalReader] = {}
         for number in range(1, self._count):
             reader = JournalReader(log, listener, number, journal_state)
-            reader.pause_s = SCHEDULER_PAUSE_S
+            reader.pause_s, reader.poll_s = _READ_INTERVAL_S, 0.0
             self.readers[number] = reader
         self._released: list[LogRecord] = []
 
