--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -248,6 +248,9 @@
                     else round(now_s - step.approval_asked_s, 2)
                 ),
                 "accounted": self.is_reconciled(now_s),
+                "open_starts": self.runs.starting_count,
+                "open_starts_max": round(self.runs.start_window.limit_),
+                "headroom_workers": len(self.headroom.workers_),
                 **self._explain_capacity(step, now_s),
             }
             for step in steps[:rows_max]
