--- a/features/steps/workflow_append_steps.py
+++ b/features/steps/workflow_append_steps.py
@@ -15,11 +15,17 @@
     AppendRejected,
     AppendUncertain,
     Partition,
+    ReadRecords,
     Topic,
     WorkflowMetrics,
 )
 from fireflywharf_daemon.workflows._election import JournalWriter
-from fireflywharf_daemon.workflows._journal import AppendTimeouts, GroupAppender
+from fireflywharf_daemon.workflows._journal import (
+    AppendTimeouts,
+    GroupAppender,
+    JournalAppender,
+    JournalReader,
+)
 
 
 class LostAnswerLog:
@@ -124,3 +130,52 @@
 @then("the timeout of the next attempt is {wait_s:g} s")
 def check_attempt(context, wait_s):
     assert abs(context.attempt_s - wait_s) < 0.01, context.attempt_s
+
+
+class SlowLog(RecoveringLog):
+    """Log that answers every call late, and an append that timed out not at all."""
+
+    def __init__(self, read_s, append_s):
+        super().__init__(0)
+        self.partitions_count = 1
+        self.read_s, self.append_s = read_s, append_s
+
+    async def read(self, partition, offset, *, wait_s):
+        """Return no records."""
+        await asyncio.sleep(self.read_s)
+        return ReadRecords(offset, ())
+
+    async def append(self, partition, records, *, timeout_s, writer=None):
+        """Store the records; the answer comes within the timeout or not at all."""
+        self.records += records
+        if self.append_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            return AppendUncertain("no answer in time")
+        await asyncio.sleep(self.append_s)
+        return Appended(0)
+
+
+@given("a log whose reads take {read_s:g} s and whose appends take {append_s:g} s")
+def create_slow_log(context, read_s, append_s):
+    context.log = SlowLog(read_s, append_s)
+
+
+@when("a daemon has read the log {count:d} times and then appends a record")
+def read_then_append(context, count):
+    async def run():
+        times = AppendTimeouts()
+        reader = JournalReader(context.log, lambda *row: None, times=times)
+        reader.loaded = True
+        for _ in range(count):
+            await reader.catch_up()
+        appender = JournalAppender(context.log, times)
+        loop = asyncio.create_task(appender.appenders[0].run())
+        await appender.put_record(make_job_record("a"), time.monotonic() + 3.0)
+        loop.cancel()
+
+    asyncio.run(run())
+
+
+@then("the log has received the record once")
+def check_appended_once(context):
+    assert len(context.log.records) == 1, len(context.log.records)
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -167,6 +167,14 @@
       | 0.03 | 1          | 1    |
       | 0.9  | 0          | 2    |
 
+  Scenario: an append is not repeated while reads show that the log is slow
+    Replays a VM whose callers submit while the log has become 90 times slower. Its first append takes
+    longer than before, and each repetition waits in the queue of the log before those of other VMs.
+
+    Given a log whose reads take 0.4 s and whose appends take 0.9 s
+    When a daemon has read the log 4 times and then appends a record
+    Then the log has received the record once
+
   Scenario: a reader of the log output that does not keep up never blocks the daemon
     A write to a full pipe blocks. Lines that do not fit must be dropped and counted instead.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -33,7 +33,13 @@
 from ._election import Election, JournalWriter
 from ._http import HttpClient
 from ._interfaces import Appended, LogRecord, PlatformServices
-from ._journal import FOLLOWER_PAUSE_S, SCHEDULER_PAUSE_S, JournalAppender, JournalReader
+from ._journal import (
+    FOLLOWER_PAUSE_S,
+    SCHEDULER_PAUSE_S,
+    AppendTimeouts,
+    JournalAppender,
+    JournalReader,
+)
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalBalancer, PeerClient, PeerServer, RecordMessage
 from ._service import WorkflowService
@@ -81,11 +87,12 @@
         self._platform = platform_services
         self._timing = timing
         self._rng = random.Random(presence.incarnation)
-        self.reader = JournalReader(platform_services.log, self._handle_record)
+        times = AppendTimeouts()
+        self.reader = JournalReader(platform_services.log, self._handle_record, times=times)
         self._submissions = Submissions(
             platform_services.log, self.reader.journal_state, self._handle_record
         )
-        self._appender = JournalAppender(platform_services.log)
+        self._appender = JournalAppender(platform_services.log, times)
         self._approvals = ApprovalQueue(platform_services.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
         self._peer_server = PeerServer(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -65,6 +65,7 @@
         listener: called with each record that changed the state, and its offset.
         partition: number of the partition.
         journal_state: state to maintain; by default a new one.
+        times: learns the duration of reads; None if it is not of interest.
 
     Attributes:
         journal_state: state derived from the records read so far.
@@ -82,6 +83,7 @@
         listener: Callable[[JournalRecord, int], None],
         partition: int = MAIN_PARTITION,
         journal_state: JournalState | None = None,
+        times: AppendTimeouts | None = None,
     ) -> None:
         self.journal_state = JournalState() if journal_state is None else journal_state
         self._partition = journal_partition(partition)
@@ -98,6 +100,7 @@
         self._next_read: asyncio.Future | None = None
         self._available = True
         self._probe_timeout_s = _PROBE_TIMEOUT_S
+        self._times = times
 
     @property
     def age_s(self) -> float:
@@ -235,10 +238,13 @@
         started_s = boot_time_s()
         next_read, self._next_read = self._next_read, None
         self._waiting = wait_s > 0
+        sent_s = time.monotonic()
         try:
             result = await self._log.read(self._partition, self.offset, wait_s=wait_s)
         finally:
             self._waiting = False
+        if self._times is not None and wait_s == 0 and isinstance(result, ReadRecords):
+            self._times.observe(time.monotonic() - sent_s)
         match result:
             case ReadRecords(end, rows):
                 self._apply(rows)
@@ -294,13 +300,13 @@
 
     At times, answers of the log are lost, which calls for a quick retry. At other times, the log
     is a hundred times slower, and retries would lengthen its queue. The timeout therefore follows
-    the measured duration of appends.
+    the measured duration of appends, and of reads, which are more frequent on most VMs.
 
     Args:
         max_s: maximum timeout, in seconds; by default that after which the log rejects appends.
 
     Attributes:
-        took_s_: moving average of the duration of an append, in seconds.
+        took_s_: moving average of the duration of a call, in seconds.
     """
 
     _MIN_S = 0.5
@@ -309,14 +315,14 @@
     _FACTOR = 4.0
     """Timeout as a multiple of the average duration."""
     _WEIGHT = 0.3
-    """Weight of a new append in the average."""
+    """Weight of a new call in the average."""
 
     def __init__(self, max_s: float = _QUEUE_MAX_S) -> None:
         self._max_s = max_s
         self.took_s_ = 0.0
 
     def observe(self, took_s: float) -> None:
-        """Add the duration of an append, in seconds."""
+        """Add the duration of an append, or of a read that did not wait, in seconds."""
         self.took_s_ += self._WEIGHT * (took_s - self.took_s_)
 
     def predict(self, unanswered_count: int) -> float:
@@ -427,15 +433,16 @@
     """Appends the records of callers and of this VM to the partitions of the journal.
 
     Load pattern: while the log is slow, a partition takes a few appends per second, and the VMs of
-    a large deployment would wait for each other for seconds. Each job therefore has a partition of
-    its own choice, and none of them delays the records of the scheduler.
+    a large deployment would wait for each other for seconds. Jobs are therefore spread over many
+    partitions by their ids, and none of them delays the records of the scheduler.
 
     Args:
         log: the shared log.
+        times: learned duration of calls; by default that of appends only.
     """
 
-    def __init__(self, log: SharedLog) -> None:
-        times = AppendTimeouts()
+    def __init__(self, log: SharedLog, times: AppendTimeouts | None = None) -> None:
+        times = AppendTimeouts() if times is None else times
         self.appenders = [
             GroupAppender(log, journal_partition(number), times)
             for number in range(log.partitions_count)
