Look up jobs in one place, and part the wait for the own tenure record

Cause: last read of the whole change. Change: WorkflowService._read_job, TicketTracker._order_request, itemgetter, WorkflowDaemon._read_own_tenure. Behaviour and tests are unchanged.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -358,8 +358,7 @@
             count = math.ceil(len(worker_ids) / _PARALLEL_REQUEST_WORKERS)
             count = min(count, self._parallel_requests_max())
         for number in range(count):
-            step.approval_asked_s = None
-            self._send_request(step, worker_ids[number::count], now_s)
+            self._order_request(step, worker_ids[number::count], now_s)
 
     def _send_request(self, step: Step, worker_ids: list[str], now_s: float) -> bool:
         expected_answer_s = self.expected_answer_s(step, len(worker_ids))
@@ -368,6 +367,10 @@
             and now_s < step.approval_asked_s + expected_answer_s + _REPEAT_AFTER_S
         ):
             return False
+        self._order_request(step, worker_ids, now_s)
+        return True
+
+    def _order_request(self, step: Step, worker_ids: list[str], now_s: float) -> None:
         step.approval_asked_s = now_s
         step.open_requests_count += 1
         if not has_short_requests(step.job.queue.approval):
@@ -375,4 +378,3 @@
         self._outbox.append(
             AskApproval(step=step.name, worker_ids=tuple(worker_ids[:_REQUEST_WORKERS_MAX]))
         )
-        return True
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from operator import itemgetter
 
 from ._estimates import RunTimes
 from ._placement import UNLIMITED, fit_count, limit_count
@@ -71,7 +72,7 @@
         for worker in allowed:
             unsound = worker.worker_id in avoided or now_s < worker.slow_until_s
             self._add_gains(gains, step, worker, now_s, _UNSOUND_DELAY_S if unsound else 0.0)
-        gains.sort(key=lambda gain: gain[0])
+        gains.sort(key=itemgetter(0))
         best = _accumulate(gains, needed)
         if best is None or present is None:
             return best
@@ -92,7 +93,7 @@
         if count >= most:
             return
         runs = [run for run in worker.runs.values() if run.is_finite]
-        ends = sorted(((self._end_s(run, now_s), run.demand) for run in runs), key=_first)
+        ends = sorted(((self._end_s(run, now_s), run.demand) for run in runs), key=itemgetter(0))
         for end_s, demand in ends:
             free = free + demand
             later_count = min(most, fit_count(free, step.spec.demand))
@@ -112,10 +113,6 @@
         return self._ends_s[step]
 
 
-def _first(row: tuple) -> float:
-    return row[0]
-
-
 def _accumulate(gains: Iterable[_Gain], needed: int) -> GangPlan | None:
     """Return the plan at the first time at which `needed` members fit."""
     counts: dict[Worker, int] = {}
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -325,7 +325,7 @@
             recorded=has_progress,
         )
         job.dirty = not has_progress
-        if journaled.progress is not None:
+        if has_progress:
             job.restore(journaled.progress)
         if not accepted.spec.times_count:
             job.create_occurrence(0)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -321,15 +321,7 @@
         if not isinstance(result, Appended):
             _LOG.info("candidacy failed", extra={"epoch": tenure.epoch})
             return
-        limit_s = time.monotonic() + _CATCH_UP_TIMEOUT_S
-        while (
-            self.reader.journal_state.tenure.epoch if self.reader.journal_state.tenure else 0
-        ) < tenure.epoch:
-            await self.reader.refresh(0.5)
-            if time.monotonic() > limit_s:
-                _LOG.warning("own tenure record was not read", extra={"epoch": tenure.epoch})
-                return
-        if self.reader.journal_state.tenure.epoch != tenure.epoch or self._stopping:
+        if not await self._read_own_tenure(tenure) or self._stopping:
             return
         self.active_scheduler = ActiveScheduler(
             tenure,
@@ -352,6 +344,18 @@
             extra={"epoch": tenure.epoch, "jobs": len(self.active_scheduler.scheduler.jobs)},
         )
 
+    async def _read_own_tenure(self, tenure: TenureRecord) -> bool:
+        """Read up to the tenure record of this daemon, and return whether it is the newest one."""
+        limit_s = time.monotonic() + _CATCH_UP_TIMEOUT_S
+        while (
+            self.reader.journal_state.tenure.epoch if self.reader.journal_state.tenure else 0
+        ) < tenure.epoch:
+            await self.reader.refresh(0.5)
+            if time.monotonic() > limit_s:
+                _LOG.warning("own tenure record was not read", extra={"epoch": tenure.epoch})
+                return False
+        return self.reader.journal_state.tenure.epoch == tenure.epoch
+
     def _handle_tenure_end(self, reason: str) -> None:
         active_scheduler, self.active_scheduler = self.active_scheduler, None
         self.reader.pause_s = FOLLOWER_PAUSE_S
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -173,14 +173,19 @@
         """Return the state of a job."""
         known = self._find_job(job_id)
         if known is None or not known.state.is_final:
-            await self._reader.refresh(_REFRESH_TIMEOUT_S)
-            known = self._find_job(job_id)
+            known = await self._read_job(job_id)
+        return JobStateReply(known.state) if isinstance(known, JournaledWorkflow) else known
+
+    async def _read_job(self, job_id: str) -> JournaledWorkflow | UnknownJob | Rejected:
+        """Read the journal, and return the job or the reply that it cannot be found."""
+        await self._reader.refresh(_REFRESH_TIMEOUT_S)
+        known = self._find_job(job_id)
         if known is None:
             may_deny = await self._read_submission(job_id)
             known = self._find_job(job_id)
             if known is None:
                 return UnknownJob() if may_deny else self._reject_unread()
-        return JobStateReply(known.state)
+        return known
 
     def _find_job(self, job_id: str) -> JournaledWorkflow | None:
         """Return the state of a job that is known to exist, otherwise None."""
@@ -202,13 +207,9 @@
         deadline_s = time.monotonic() + STORE_TIMEOUT_S
         known = self._find_job(job_id)
         if known is None:
-            await self._reader.refresh(_REFRESH_TIMEOUT_S)
-            known = self._find_job(job_id)
-        if known is None:
-            may_deny = await self._read_submission(job_id)
-            known = self._find_job(job_id)
-            if known is None:
-                return UnknownJob() if may_deny else self._reject_unread()
+            known = await self._read_job(job_id)
+        if not isinstance(known, JournaledWorkflow):
+            return known
         if known.state.is_final:
             return Accepted()
         record = WorkflowCancelled(job_id=job_id)
