--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
