--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,18 +9,20 @@
 
 from harness import PLAIN, TROUBLE, World, run_case  # noqa: E402
 
-TASKS, WORK_MS, CUT_S = 600, 4500, 3.5
+JOBS, WIDTH, WORK_MS, CUT_S = 10, 60, 4500, 3.5
+TASKS = JOBS * WIDTH
 
 
 def world():
-    """One of 8 executors has the label that the job requires."""
+    """One of 8 executors has the label that the jobs require."""
     return World([["b" if index == 0 else "a", "r1-1"] for index in range(8)], max_attempts=4)
 
 
 async def play(world):
-    step = {"count": TASKS, "cpu": 20, "mem_mb": 8, "estimate_ms": WORK_MS, "requires": "b"}
+    step = {"count": WIDTH, "cpu": 20, "mem_mb": 8, "estimate_ms": WORK_MS, "requires": "b"}
     executor = world.executors[0]
-    await world.submit(PLAIN, [step], {"ms": WORK_MS})
+    posts = [world.submit(PLAIN, [step], {"ms": WORK_MS}) for _ in range(JOBS)]
+    await asyncio.gather(*posts)
     for _ in range(100):
         await asyncio.sleep(0.05)
         if len(world.begun) == TASKS:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -36,7 +36,7 @@
     jobs = []
     gang = {"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500, "gang": True}
     single = {"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500}
-    for second in range(TRAFFIC_S):
+    for _ in range(TRAFFIC_S):
         for _ in range(4):
             jobs.append(world.spawn(world.submit(PLAIN, [single], {"ms": 500})))
             await asyncio.sleep(0.2)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -545,6 +545,7 @@
         self.store = Store(self.record)
         self.executors = [Executor(self, f"i-{index:08x}", row) for index, row in enumerate(labels)]
         self.daemons = [Daemon(self, f"vm-{index + 1}") for index in range(daemons_count)]
+        self.http = None
         self.jobs, self.advised_jobs, self.gangs, self.tasks = {}, set(), {}, set()
         self.begun, self.ends, self.acknowledged = {}, {}, {}
         self.running = {}
@@ -612,7 +613,8 @@
                 await daemon.process.wait()
         for task in list(self.tasks):
             task.cancel()
-        await self.http.close()
+        if self.http is not None:
+            await self.http.close()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
@@ -828,10 +830,11 @@
 
     async def main():
         nonlocal status, record
-        world = case.world()
-        record = world.record
+        world = None
         try:
-            async with asyncio.timeout(115):
+            world = case.world()
+            record = world.record
+            async with asyncio.timeout(110):
                 await world.open()
                 broken = await case.play(world)
             for row in broken:
@@ -843,7 +846,8 @@
             print(f"could not run: {error!r}")
             status = 2
         finally:
-            await world.close()
+            if world is not None:
+                await world.close()
 
     asyncio.run(main())
     record.add(f"exit status {status}")
