--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -607,12 +607,13 @@
             return False
 
     async def close(self):
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.sleep(0)
         for daemon in self.daemons:
             daemon.kill()
             if daemon.process is not None:
                 await daemon.process.wait()
-        for task in list(self.tasks):
-            task.cancel()
         if self.http is not None:
             await self.http.close()
         keep = os.environ.get("KEEP_LOGS")
