Resolve all callers of flush when a tenure ends during an append

Cause: the record loop took the waiting futures into a local variable before the append. The end of the tenure cancelled the loop and resolved only the futures that were still listed. The directory loop of the daemon waited for such a future and outlives the tenure, so no later scheduler of that process got a directory. Change: callers stay in the list until their outcome is known; the end of the tenure finds all of them.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -153,9 +153,7 @@
         """Stop all loops and sessions."""
         self._closing = True
         await self._background.close()
-        for future in self._flush_futures:
-            if not future.done():
-                future.set_result(False)
+        self._resolve_flushes(len(self._flush_futures), False)
 
     async def resign(self) -> None:
         """Record the resignation in the journal, then stop."""
@@ -209,7 +207,8 @@
         in_use = self.scheduler.workers_to_record(self._worker_ids_in_use, self._now_s())
         in_use.update(directory)
         if in_use != self._worker_ids_in_use:
-            if not await self._append(WorkersInUse(worker_ids=tuple(sorted(in_use)))):
+            recorded = await self._append(WorkersInUse(worker_ids=tuple(sorted(in_use))))
+            if not recorded:
                 return
             self._worker_ids_in_use = in_use
         self.observe(DirectoryChanged(directory))
@@ -257,6 +256,17 @@
         self._records_pending.set()
         return await future
 
+    def _resolve_flushes(self, count: int, durable: bool) -> None:
+        """Resolve the oldest calls of `flush`.
+
+        Each call stays listed until it is resolved, so that the end of the tenure finds it.
+        """
+        resolved = self._flush_futures[:count]
+        del self._flush_futures[:count]
+        for future in resolved:
+            if not future.done():
+                future.set_result(durable)
+
     async def _decision_loop(self) -> None:
         while True:
             try:
@@ -415,7 +425,7 @@
             except TimeoutError:
                 pass
             self._records_pending.clear()
-            flushes, self._flush_futures = self._flush_futures, []
+            flushes_count = len(self._flush_futures)
             # Closing records are appended after the progress that they depend on.
             for closed in self.scheduler.pop_closed():
                 self._replace_record(LogRecord(*encode_record(closed)))
@@ -438,6 +448,4 @@
                 self._end_tenure("the journal rejected the epoch as stale")
                 return
             self._observe_recorded(progress)
-            for future in flushes:
-                if not future.done():
-                    future.set_result(True)
+            self._resolve_flushes(flushes_count, True)
