Open no session and spawn no task after the end of a tenure

A directory whose record became durable as the tenure ended opened sessions with the workers after all tasks of the tenure had been cancelled. Nobody cancels these sessions; they poll with a stale epoch until the process exits. A task that another one spawned while its owner closed ran on as well. Change: handle_directory stops if the tenure has ended meanwhile; BackgroundTasks cancels what is spawned after close.

--- a/features/workflow_tenure.feature
+++ b/features/workflow_tenure.feature
@@ -15,3 +15,18 @@
       | the log rejects its epoch as stale       |
       | the scheduler is closed                  |
       | the append raises an unexpected error    |
+
+  Scenario: a tenure that ends as a new worker is recorded opens no session with it
+    A session that is opened after the end is never cancelled. It polls the worker with a stale epoch
+    until the process exits.
+
+    Given an active scheduler that waits until a new worker is recorded
+    When the scheduler is closed as the log stores the record
+    Then the daemon waits no longer and no session was opened
+
+  Scenario: a task that is spawned while its owner closes ends too
+    Otherwise it runs on after its owner, as nobody else can cancel it.
+
+    Given background tasks of which one spawns another when it is cancelled
+    When their owner closes
+    Then no task runs and a task that is spawned later does not start
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -208,7 +208,7 @@
         in_use.update(directory)
         if in_use != self._worker_ids_in_use:
             recorded = await self._append(WorkersInUse(worker_ids=tuple(sorted(in_use))))
-            if not recorded:
+            if not recorded or self._closing:
                 return
             self._worker_ids_in_use = in_use
         self.observe(DirectoryChanged(directory))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_background.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_background.py
@@ -48,10 +48,13 @@
         self._owner = owner
         self._on_failure = on_failure
         self._tasks: set[asyncio.Task] = set()
+        self._closed = False
 
     def spawn(self, coroutine: Coroutine) -> asyncio.Task:
-        """Start a coroutine as a task."""
+        """Start a coroutine as a task; after `close`, the task is cancelled before it runs."""
         task = asyncio.get_running_loop().create_task(coroutine)
+        if self._closed:
+            task.cancel()
         self._tasks.add(task)
         task.add_done_callback(self._handle_done)
         return task
@@ -82,6 +85,7 @@
 
     async def close(self) -> None:
         """Cancel all tasks and wait until they have ended."""
+        self._closed = True
         tasks = [task for task in self._tasks if task is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
