Lose no run because an incomplete list of ends leaves it out

Cause: a worker lists at most 500 unacknowledged ends in one answer. A run that was in neither list of an answer counted as lost, also if its end did not fit. Trace of a run on: 600 tasks, first answer after the cut with the serials up to 500 at 13:20:02.791, 700 runs placed, 100 of them stopped again when the other ends arrived. The scheduler loses no run because of it, and a worker counts as reconciled only after a complete list; its successor started the same tasks again.

--- a/features/steps/workflow_resilience_steps.py
+++ b/features/steps/workflow_resilience_steps.py
@@ -19,6 +19,7 @@
     WorkerInfo,
     WorkerReported,
     WorkerSilent,
+    WorkflowState,
 )
 from fireflywharf_daemon.workflows import (
     Answer,
@@ -340,3 +341,54 @@
 @then("the daemon's state is current within {seconds:g} s")
 def check_recovery(context, seconds):
     assert context.recovery_s < seconds, context.recovery_s
+
+
+@given("a worker with {count:d} tasks that all end while it is cut off")
+def end_tasks_during_cut(context, count):
+    world = WorkflowWorld(workers_count=1, capacity=ResourceVector(count * 1000, count * 1000))
+    context.world, context.tasks_count = world, count
+    worker = world.workers["w0"]
+    worker.run_time_s = 2.0
+    world.run(0.2)
+    for number in range(count // 60):
+        world.submit(f"{number:016x}", [make_step(60)])
+    while len(worker.active_runs) < count:
+        world.step()
+    worker.reachable = False
+    world.run(3.0)
+    assert not worker.active_runs and len(worker.ends) == count, len(worker.ends)
+
+
+@when("it answers again the scheduler that started them")
+def answer_same_scheduler(context):
+    context.world.workers["w0"].reachable = True
+    context.world.run(3.0)
+
+
+@when("it answers again the successor of that scheduler")
+def answer_successor(context):
+    context.world.begin_tenure()
+    answer_same_scheduler(context)
+
+
+@then("every task has been started once and its job is complete")
+def check_started_once(context):
+    world = context.world
+    starts = [action.task for action in world.actions if isinstance(action, StartRun)]
+    assert len(starts) == len(set(starts)) == context.tasks_count, len(starts)
+    states = {world.job_state(job_id) for job_id in world.journal_state.jobs}
+    assert states == {WorkflowState.COMPLETE}, states
+
+
+@when("a worker answers a poll with {count:d} ends")
+def poll_worker_with_ends(context, count):
+    rows = [[number, f"{'a' * 16}.0.0.{number}", 1, "done", ""] for number in range(1, count + 1)]
+    body = {"clock_ms": 5, "born": 1, "running": [], "finished": rows}
+    client = WorkerClient(OneAnswerHttp(body), 6.0)
+    poll = client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, renew=False)
+    context.poll_result = asyncio.run(poll)
+
+
+@then("the list of ends counts as {complete}")
+def check_complete(context, complete):
+    assert context.poll_result.ends_complete == (complete == "complete"), context.poll_result
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -81,6 +81,7 @@
     reachable: bool = True
     fails_all_runs: bool = False
     loses_start_orders: bool = False
+    reported_ends_max: int = 500
     run_time_s: float = TASK_RUN_TIME_S
 
     def end_run(self, key, kind):
@@ -158,7 +159,7 @@
             ReportedRun(task, number, "", active_run.progress_percent(now_s))
             for (task, number), active_run in self.active_runs.items()
         )
-        return running, tuple(self.ends)
+        return running, tuple(self.ends[: self.reported_ends_max])
 
 
 class WorkflowWorld:
@@ -445,7 +446,12 @@
             return 0
         running, ended = reported_runs
         event = WorkerReported(
-            worker_id=name, incarnation=1, sent_s=self.now_s, running=running, ended=ended
+            worker_id=name,
+            incarnation=1,
+            sent_s=self.now_s,
+            running=running,
+            ended=ended,
+            ends_complete=len(ended) < worker.reported_ends_max,
         )
         self.scheduler.observe(event, self.now_s)
         return max((end.serial for end in ended), default=0)
--- a/features/workflow_resilience.feature
+++ b/features/workflow_resilience.feature
@@ -83,3 +83,25 @@
     Given a daemon that follows a log
     When the log gives no answer for 4 s and then answers again
     Then the daemon's state is current within 1.5 s
+
+  Scenario Outline: tasks whose ends do not fit in one report are not started again
+    A worker lists a limited number of ends in one answer. A run that is missing from a list that was
+    cut has not been lost, and its task may be done.
+
+    Given a worker with 600 tasks that all end while it is cut off
+    When it answers again <scheduler>
+    Then every task has been started once and its job is complete
+
+    Examples:
+      | scheduler                          |
+      | the scheduler that started them    |
+      | the successor of that scheduler    |
+
+  Scenario Outline: the client of a worker tells whether the list of ends is complete
+    When a worker answers a poll with <count> ends
+    Then the list of ends counts as <complete>
+
+    Examples:
+      | count | complete   |
+      | 499   | complete   |
+      | 500   | incomplete |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -120,6 +120,7 @@
         sent_s: local time at which the report was requested, in seconds.
         running: runs that are running.
         ended: ended runs that are not acknowledged yet.
+        ends_complete: whether `ended` lists all of them; a worker limits the length of the list.
     """
 
     worker_id: str
@@ -127,6 +128,7 @@
     sent_s: float
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
+    ends_complete: bool = True
 
 
 @attrs.frozen(slots=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -201,6 +201,9 @@
             alive.add((row.task, row.number))
             self._update_running(worker, row, event.sent_s, now_s)
         self.worker_health.update_slow_state(worker, now_s)
+        if not event.ends_complete:
+            # The end of a run that is not listed may follow in a later report.
+            return
         for key, run in list(worker.runs.items()):
             if key in alive or event.sent_s <= run.phase_since_s:
                 continue
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -210,7 +210,11 @@
     def is_reconciled(self, now_s: float) -> bool:
         """Return whether all runs of earlier tenures are known or have ended."""
         if not self._reconciled:
-            waited = now_s >= self.started_s + self.timing.inherited_wait_s
+            # A silent worker has ended its runs after the wait; one that answers may still hold
+            # ends that it has not reported.
+            waited = now_s >= self.started_s + self.timing.inherited_wait_s and not any(
+                worker.reachable and not worker.has_reported for worker in self.workers.values()
+            )
             known = all(worker.has_reported for worker in self.workers.values())
             self._reconciled = waited or (known and not self._unreconciled)
         return self._reconciled
@@ -410,8 +414,10 @@
             worker.info = attrs.evolve(worker.info, incarnation=event.incarnation)
         if not worker.is_usable(now_s):
             self.runs.capacity_version += 1
-        worker.has_reported = worker.reachable = True
-        self._unreconciled.discard(event.worker_id)
+        worker.reachable = True
+        if event.ends_complete:
+            worker.has_reported = True
+            self._unreconciled.discard(event.worker_id)
         worker.runs_end_s = max(worker.runs_end_s, now_s + self._lease_bound_s())
         self.runs.handle_report(worker, event, now_s)
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -124,7 +124,7 @@
         free: capacity minus the demand of all runs.
         runs: runs by task and run number.
         finite_demand: demand of the finite runs.
-        has_reported: whether the worker has reported its runs in this tenure.
+        has_reported: whether the worker has reported all of its runs in this tenure.
         reachable: whether its latest answer arrived in time.
         in_directory: whether the directory contains the worker.
         runs_end_s: local time, in seconds, by which all of its runs have ended if it receives no
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -163,12 +163,14 @@
     Args:
         incarnation: incarnation of the worker; 0 if it did not report one.
         running: runs that are running.
-        ended: ended runs that are not acknowledged yet.
+        ended: ended runs that are not acknowledged yet, lowest serial first.
+        ends_complete: whether `ended` lists all of them.
     """
 
     incarnation: int
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
+    ends_complete: bool = True
 
 
 @attrs.frozen(slots=True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -129,6 +129,7 @@
                 sent_s=sent_s,
                 running=report.running,
                 ended=report.ended,
+                ends_complete=report.ends_complete,
             )
         )
 
