Renew the tickets of a gang in as many requests as it needs

A request may name 100 workers. A gang on more of them named only the first 100 at each renewal, so the tickets of the others were never valid again and the gang never started. Change: a renewal for a gang sends several requests at once; single tasks ask again for the rest, as before.

--- a/features/steps/workflow_gang_steps.py
+++ b/features/steps/workflow_gang_steps.py
@@ -70,6 +70,23 @@
     world.queue = queue
 
 
+@given("{count:d} workers with one single task of {seconds:g} s each, and approvals")
+def add_busy_workers_with_approvals(context, count, seconds):
+    world = context.world = WorkflowWorld(
+        workers_count=count, capacity=ResourceVector(1000, 1000), approval=True
+    )
+    for worker in world.workers.values():
+        worker.run_time_s = seconds
+    world.run(0.2)
+    world.submit("s", [make_step(count)])
+    world.run(3.0)
+
+
+@when("a gang of one task on each of {count:d} workers arrives and waits for them")
+def submit_waiting_gang(context, count):
+    context.world.submit("a", [make_step(count, gang=True)])
+
+
 @when("a gang of one task on each of {count:d} workers arrives while more single tasks wait")
 def submit_gang_among_singles(context, count):
     world = context.world
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -162,6 +162,14 @@
     When a gang of one task on each of two workers arrives
     Then it is complete within 15 s although a member stalled
 
+  Scenario: a gang on more workers than one request may name starts
+    Its tickets expire while it waits. If a renewal names only the workers that fit in one request,
+    the tickets of the others are never valid, and the gang never starts.
+
+    Given 130 workers with one single task of 6 s each, and approvals
+    When a gang of one task on each of 120 workers arrives and waits for them
+    Then the gang has started within 12 s
+
   Scenario: a gang takes the workers that become free first
     A few runs take ten times as long as the others. If a gang reserves the workers of such runs, it
     waits for them while its other workers stay idle.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -337,8 +337,8 @@
     def renew_gang_tickets(self, step: Step, plan: GangPlan, now_s: float) -> bool:
         """Request the tickets of a gang so that all are valid when it is expected to start.
 
-        All workers of the plan are named in one request. If only expired tickets were renewed, the
-        workers would be in several requests, and their tickets hardly ever valid together.
+        All workers of the plan are named at once. If only expired tickets were renewed, the workers
+        would be in requests of different times, and their tickets hardly ever valid together.
 
         Returns:
             Whether a request was sent.
@@ -367,7 +367,10 @@
             and now_s < step.approval_asked_s + expected_answer_s + _REPEAT_AFTER_S
         ):
             return False
-        self._order_request(step, worker_ids, now_s)
+        # The tickets of a gang must be valid together. Single tasks ask again for the others.
+        end = len(worker_ids) if step.spec.gang else 1
+        for first in range(0, end, _REQUEST_WORKERS_MAX):
+            self._order_request(step, worker_ids[first : first + _REQUEST_WORKERS_MAX], now_s)
         return True
 
     def _order_request(self, step: Step, worker_ids: list[str], now_s: float) -> None:
