Leave out entries, records and answers that cannot be read

Cause: the JSON decoder raises RecursionError for deep nesting, which is no decoding error. It left the reading of the directory and ended its loop; the value had been taken already, so each restart of the loop met it again.

--- a/packages/fireflywharf-cli/src/fireflywharf_cli/_files.py
+++ b/packages/fireflywharf-cli/src/fireflywharf_cli/_files.py
@@ -54,9 +54,12 @@
     """Decode JSON; a duplicate field is an error, as in TOML and in the daemon.
 
     Raises:
-        ValueError: for invalid JSON or a duplicate field.
+        ValueError: for invalid JSON, a duplicate field or a document that is nested too deeply.
     """
-    return json.loads(text, object_pairs_hook=_reject_duplicate_fields)
+    try:
+        return json.loads(text, object_pairs_hook=_reject_duplicate_fields)
+    except RecursionError as error:
+        raise ValueError("the document is nested too deeply") from error
 
 
 def read_object(path: str, code: ResultCode) -> dict[str, Any] | Failure:
--- a/packages/fireflywharf-core/src/fireflywharf_core/records/_codec.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/records/_codec.py
@@ -58,7 +58,7 @@
         """
         try:
             tag, raw = self._envelope.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise UndecodableError(str(error)) from error
         decoder = self._decoders.get(tag)
         if decoder is None:
@@ -68,7 +68,7 @@
             if form is not None and _is_array(raw):
                 return msgspec.convert(form.to_mapping(msgspec.msgpack.decode(raw)), form.cls)
             return decoder.decode(raw)
-        except (msgspec.DecodeError, UnicodeDecodeError, TypeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, TypeError, RecursionError) as error:
             raise UndecodableError(f"{tag}: {error}") from error
 
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -235,11 +235,7 @@
 
     def _adopt_run(self, worker: Worker, row: ReportedRun, now_s: float) -> Run:
         """Register a run that an earlier tenure started; stop it if its task needs no run."""
-        job = self._jobs.get(row.task.step_name.job_id)
-        step = None
-        if job is not None:
-            job.create_occurrence(row.task.step_name.occurrence)
-            step = job.steps.get((row.task.step_name.occurrence, row.task.step_name.step))
+        step = self._find_step(row.task)
         demand = self._find_demand(row.task, worker)
         wanted = (
             step is not None
@@ -288,8 +284,9 @@
                 self._abort_gang(run, StopCause.GANG_MEMBER_ENDED, now_s)
 
     def _find_step(self, task: TaskName) -> Step | None:
+        """Return the step of a reported task; None if its job is unknown or has no such task."""
         job = self._jobs.get(task.step_name.job_id)
-        if job is None:
+        if job is None or not job.spec.has_task(task):
             return None
         job.create_occurrence(task.step_name.occurrence)
         return job.steps.get((task.step_name.occurrence, task.step_name.step))
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..resources import ResourceVector
+from ._names import TaskName
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -82,6 +83,15 @@
         """Number of times that the steps are run."""
         return max(1, self.times_count)
 
+    def has_task(self, task: TaskName) -> bool:
+        """Return whether the job has a task of this name."""
+        step_name = task.step_name
+        return (
+            step_name.occurrence < self.occurrences_count
+            and step_name.step < len(self.steps)
+            and task.index < self.steps[step_name.step].tasks_count
+        )
+
 
 @attrs.frozen(slots=True, kw_only=True)
 class Approval:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_json_calls.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_json_calls.py
@@ -67,6 +67,6 @@
         return Success(None)
     try:
         return Success(msgspec.json.decode(result.body, type=response_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         detail = f"{pool.address}{path} answered invalid JSON: {error}"
         return Failed(True, FailureReason.MALFORMED, detail, result.status)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -40,7 +40,7 @@
         """Return the body as a JSON object; empty if it is not one."""
         try:
             value = msgspec.json.decode(self.body)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return {}
         return value if isinstance(value, dict) else {}
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -279,9 +279,16 @@
         now_s = time.monotonic()
         utc_s = None if self.loaded else time.time()
         for offset, record in sorted(rows, key=lambda row: row[0]):
-            changed = self.journal_state.apply(offset, record.key, record.value, now_s, utc_s)
-            if changed is not None:
-                self._listener(changed, offset)
+            try:
+                changed = self.journal_state.apply(offset, record.key, record.value, now_s, utc_s)
+                if changed is not None:
+                    self._listener(changed, offset)
+            except Exception:
+                # A record that cannot be applied must not block the records after it.
+                _LOG.exception(
+                    "journal record cannot be applied; skipped",
+                    extra={"partition": self._partition.number, "offset": offset},
+                )
 
     def _record_success(self, complete_s: float) -> None:
         self.read_s = min(boot_time_s(), complete_s)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_peers.py
@@ -46,6 +46,8 @@
 _LOCAL_ROUND_TRIP_MS = 3.0
 """Cost of a round trip to another VM of the same failure domain."""
 MESSAGE_MAX_BYTES = 1 << 16
+_MALFORMED = (msgspec.DecodeError, RecursionError)
+"""Errors of a message that cannot be decoded; the second one if it is nested too deeply."""
 
 
 @attrs.frozen(slots=True)
@@ -131,7 +133,7 @@
                     self._on_tickets(_to_event(_decode(body, TicketsMessage)))
                 case _:
                     return web.Response(status=404)
-        except msgspec.DecodeError as error:
+        except _MALFORMED as error:
             return web.Response(status=400, text=str(error))
         return web.Response(status=204)
 
@@ -311,7 +313,7 @@
             try:
                 reply = msgspec.msgpack.decode(result.body, type=ApprovalReply)
                 return ApprovalGranted(tickets=reply.tickets, validity_s=reply.validity_s)
-            except msgspec.DecodeError as error:
+            except _MALFORMED as error:
                 _LOG.warning("answer of peer is malformed", extra={"reason": str(error)})
         if not isinstance(result, Answer):
             self._skipped_until_s[name] = time.monotonic() + _PEER_PAUSE_S
