Renew a rejected ticket and repeat no order with an expired one

Cause: a worker that rejected a ticket was dropped from the approved workers of the step but stayed among those that were asked about. Renewals name the former and requests only workers outside the latter, so nobody asked for it again. Change: a rejected ticket counts as expired and is renewed; an order is not repeated with an expired ticket. The simulated workers check tickets.

--- a/features/steps/workflow_start_steps.py
+++ b/features/steps/workflow_start_steps.py
@@ -1,17 +1,28 @@
 """Steps for start orders and for the workers on which a scheduler may have started runs."""
 
+import asyncio
+
 from behave import given, then, when
+from workflow_partition_steps import MemoryLog
+from workflow_tenure_steps import SilentWorkers, make_scheduler
 from workflow_world import WorkflowWorld, make_step
 
 from fireflywharf_core.resources import ResourceVector
 from fireflywharf_core.workflows import (
+    Approval,
+    AskApproval,
+    Queue,
     StartAnswered,
     StartResult,
     StartRun,
+    StepName,
     WorkerIncarnationEnded,
     WorkersInUse,
+    WorkflowSpec,
+    WorkflowState,
 )
 from fireflywharf_core.workflows._start_window import StartWindow
+from fireflywharf_core.workflows._state import Job
 
 
 @given("a scheduler with {count:d} workers")
@@ -123,3 +134,69 @@
 @then("the order was sent once")
 def check_sent_once(context):
     assert len(context.orders) == 1, context.orders
+
+
+@given(
+    "a step that only one of {count:d} workers may run,"
+    " with tickets that are valid for {validity_s:g} s"
+)
+def submit_to_one_allowed_worker(context, count, validity_s):
+    world = context.world = WorkflowWorld(workers_count=count, approval=True)
+    world._is_allowed = lambda step, worker_id: worker_id == "w1"
+    world.ticket_validity_s = validity_s
+    world.run(0.2)
+    world.submit("a", [make_step(1)])
+
+
+@when("that worker rejects the first ticket")
+def reject_first_ticket(context):
+    context.world.workers["w1"].rejects_next_ticket = True
+
+
+@when("that worker answers no order for {seconds:g} s and then all")
+def leave_orders_unanswered(context, seconds):
+    world, worker = context.world, context.world.workers["w1"]
+    worker.loses_start_orders = True
+    while not any(isinstance(action, StartRun) for action in world.actions):
+        world.step()
+    world.run(seconds)
+    worker.loses_start_orders = False
+
+
+@then("the job is complete within {seconds:g} s and {count:d} ticket was rejected")
+@then("the job is complete within {seconds:g} s and {count:d} tickets were rejected")
+def check_complete_with_rejections(context, seconds, count):
+    world = context.world
+    world.run(seconds)
+    assert world.job_state("a") is WorkflowState.COMPLETE, world.job_state("a")
+    assert world.rejected_tickets_count == count, world.rejected_tickets_count
+
+
+@given("a scheduler whose only long request for approval is ordered as its job ends")
+def create_scheduler_with_request(context):
+    context.scheduler = make_scheduler(MemoryLog(1), SilentWorkers())
+    context.tracker = context.scheduler.scheduler.ticket_tracker
+    context.order = AskApproval(step=StepName("a", 0, 0), worker_ids=("w0",))
+    queue = Queue(
+        name="q",
+        host="h",
+        path_prefix="/",
+        service="s",
+        approval=Approval(decision_ms=600.0, per_worker_ms=7.0, validity_ms=2000.0),
+    )
+    spec = WorkflowSpec(payload="", steps=(make_step(1),))
+    job = Job("a", queue, spec, accepted_s=0.0, inherited=False)
+    job.create_occurrence(0)
+    context.step = job.steps[0, 0]
+    context.tracker._order_request(context.step, ["w0"], 0.0)
+    assert not context.tracker._can_ask(context.step)
+
+
+@when("the order is executed")
+def execute_order(context):
+    asyncio.run(context.scheduler._request_approval(context.order))
+
+
+@then("another step may send a long request")
+def check_may_ask(context):
+    assert context.tracker._can_ask(context.step)
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -82,6 +82,7 @@
     fails_all_runs: bool = False
     loses_start_orders: bool = False
     reported_ends_max: int = 500
+    rejects_next_ticket: bool = False
     run_time_s: float = TASK_RUN_TIME_S
 
     def end_run(self, key, kind):
@@ -126,6 +127,10 @@
             return StartResult.STARTED
         if order.number <= self.highest_ended_numbers.get(order.task, 0):
             return StartResult.NUMBER_TOO_LOW
+        if self.rejects_next_ticket or not self.world.is_ticket_valid(order, now_s):
+            self.rejects_next_ticket = False
+            self.world.rejected_tickets_count += 1
+            return StartResult.NO_TICKET
         spec = self.world.find_step_spec(order.task)
         self.world.check_start(self, order, spec)
         will_fail = self.fails_all_runs or self.world.rng.random() < self.world.failure_probability
@@ -191,6 +196,8 @@
         self.approval_delay_s = 0.0
         self.delayed_approvals = []
         self.allowed_share = 1.0
+        self.ticket_validity_s = 2.0
+        self.rejected_tickets_count = 0
         self.allowed_share_by_queue = {}
         self.approval_vms_free_s = []
         self.varies_run_times = False
@@ -365,12 +372,10 @@
         """Answer a request: allow the given workers, or by default the allowed share of them."""
         if allowed is None:
             allowed = [n for n in action.worker_ids if self._is_allowed(action.step, n)]
-        tickets = {n: "t" for n in action.worker_ids if n in allowed}
+        expires_s = self.now_s + self.ticket_validity_s
+        tickets = {n: f"{n} {expires_s:.3f}" for n in action.worker_ids if n in allowed}
         event = ApprovalReceived(
-            step=action.step,
-            tickets=tickets,
-            asked=action.worker_ids,
-            expires_s=self.now_s + 2.0,
+            step=action.step, tickets=tickets, asked=action.worker_ids, expires_s=expires_s
         )
         self.scheduler.observe(event, self.now_s)
 
@@ -391,6 +396,14 @@
             share = self.allowed_share_by_queue[queue.name]
         return random.Random(f"{step}{worker_id}").random() < share
 
+    def is_ticket_valid(self, order, now_s):
+        """Return whether a worker accepts the ticket of a start order."""
+        queue = self.journal_state.jobs[order.task.step_name.job_id].accepted.queue
+        if queue.approval is None:
+            return True
+        worker_id, _, expires_s = order.ticket.partition(" ")
+        return worker_id == order.worker_id and now_s <= float(expires_s)
+
     def _execute_start(self, order):
         worker = self.workers[order.worker_id]
         result = StartResult.UNKNOWN
--- a/features/workflow_starts.feature
+++ b/features/workflow_starts.feature
@@ -35,6 +35,29 @@
       | 500   | 0.03     | has risen    |
       | 20    | 1.0      | has fallen   |
 
+  Scenario: a step whose only ticket was rejected gets a new one
+    A worker rejects an order that arrives after the ticket has expired. If the worker counts as asked
+    for good but has no ticket, nobody asks about it again, and the step never starts.
+
+    Given a step that only one of 3 workers may run, with tickets that are valid for 2 s
+    When that worker rejects the first ticket
+    Then the job is complete within 3 s and 1 ticket was rejected
+
+  Scenario: an order is not repeated with a ticket that has expired
+    The worker would certainly reject it.
+
+    Given a step that only one of 3 workers may run, with tickets that are valid for 0.5 s
+    When that worker answers no order for 0.55 s and then all
+    Then the job is complete within 6 s and 0 tickets were rejected
+
+  Scenario: a request for approval of a job that has just ended leaves room for others
+    The number of long requests in flight is limited. One that is never counted as answered blocks a
+    place for the rest of the tenure.
+
+    Given a scheduler whose only long request for approval is ordered as its job ends
+    When the order is executed
+    Then another step may send a long request
+
   Scenario: a start order is not repeated while its answer may still come
     Repetitions of orders that wait in the queue of a slow VM make the queue longer.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -142,7 +142,7 @@
             case StartResult.NOT_SENT:
                 worker.reachable = False
             case StartResult.NO_TICKET if run.step is not None:
-                run.step.tickets.pop(worker_id, None)
+                run.step.expire_ticket(worker_id)
         run.refusals_count += 1
         if run.refusals_count < run.starts_count:
             # An earlier, unanswered start order for this run may still be executed, so the task
@@ -385,8 +385,9 @@
 
     def _repeat_start(self, run: Run, now_s: float) -> None:
         worker_id = run.worker.worker_id
-        if now_s < run.phase_since_s + self._timing.start_repeats_s:
-            ticket = run.step.tickets.get(worker_id, ("", 0.0))[0]
+        ticket, expires_s = run.step.tickets.get(worker_id, ("", float("inf")))
+        # A worker would reject an expired ticket.
+        if now_s < min(expires_s, run.phase_since_s + self._timing.start_repeats_s):
             self.order_start(run, ticket, now_s)
             return
         run.step.avoided[run.task.index] = worker_id
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -261,6 +261,15 @@
             index for index in range(self.spec.tasks_count) if not self.done_bits >> index & 1
         }
 
+    def expire_ticket(self, worker_id: str) -> None:
+        """Mark the ticket for a worker as expired, so that a new one is requested.
+
+        The worker stays approved: only its ticket was rejected, for instance because it expired on
+        the way or the worker has restarted.
+        """
+        if worker_id in self.tickets:
+            self.tickets[worker_id] = (self.tickets[worker_id][0], float("-inf"))
+
     @property
     def done(self) -> bool:
         """Whether all tasks are done."""
