Count a request for approval of an ended job as answered

A long request that was ordered as its job ended was not sent, but nobody was told, so it counted as in flight for the rest of the tenure. The number of such requests is limited. Change: it is reported as failed.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -363,6 +363,7 @@
     async def _request_approval(self, order: AskApproval) -> None:
         step = self.scheduler.find_step(order.step)
         if step is None:
+            self.observe(ApprovalFailed(order.step))
             return
         approval = step.job.queue.approval
         cost_ms = approval_request_ms(approval, len(order.worker_ids))
