Confirm a tenure only up to the time at which an append was sent

The confirmation of a tenure counted from the moment at which the answer of an append was read. If the process was paused while the answer waited, it renewed leases for up to 6 s after the pause, although a successor may have begun during it and counts workers that it cannot reach as ended 12.5 s after its own start. Change: the confirmation counts from the time at which the append was sent. Result: the scenario failed before (age 0 s after a pause of 5 s) and passes now. That the users' cases have this cause is not shown.

--- a/features/steps/workflow_election_steps.py
+++ b/features/steps/workflow_election_steps.py
@@ -183,6 +183,26 @@
     assert context.age_s >= seconds, context.age_s
 
 
+@when("the process is paused for {seconds:d} s while the answer of an append waits")
+def pause_during_append(context, seconds):
+    clock = unittest.mock.Mock(return_value=100.0)
+
+    class PausedLog(SerialLog):
+        """Log whose answers are read after a pause."""
+
+        async def append(self, *row, **options):
+            """Append, then let the pause pass."""
+            result = await super().append(*row, **options)
+            clock.return_value += seconds
+            return result
+
+    metrics = WorkflowMetrics(CollectorRegistry())
+    with unittest.mock.patch("time.clock_gettime", clock):
+        writer = JournalWriter(PausedLog(0.0), 70000, lambda *row: None, metrics)
+        asyncio.run(writer.append([make_job_record("a")]))
+        context.age_s = writer.confirmation_age_s
+
+
 @when("{count:d} daemons stand for election after the same tenure")
 def make_many_candidates(context, count):
     context.epochs = []
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -103,6 +103,14 @@
     When the boot time advances by 10 s after an append and the monotonic time does not
     Then the latest confirmation of the tenure is at least 10 s old
 
+  Scenario: an answer that waited during a pause confirms the tenure only up to its append
+    The append may have been stored before the pause, and a successor have begun during it. Counted
+    from the end of the pause, the paused scheduler would renew leases that the successor assumes to
+    have expired.
+
+    When the process is paused for 5 s while the answer of an append waits
+    Then the latest confirmation of the tenure is at least 5 s old
+
   Scenario: two candidates for one tenure get different epochs
     The epoch is the fencing token. Workers cannot tell two schedulers with the same one apart.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -97,7 +97,7 @@
 
     @property
     def confirmation_age_s(self) -> float:
-        """Seconds since the latest confirmed append of the tenure."""
+        """Seconds since the latest confirmed append of the tenure was sent."""
         return boot_time_s() - self._confirmed_s
 
     async def append(
@@ -119,7 +119,7 @@
         pause_s = 0.05
         unanswered = 0
         while True:
-            sent_s = time.monotonic()
+            sent_s, sent_boot_s = time.monotonic(), boot_time_s()
             result = await self._log.append(
                 journal_partition(MAIN_PARTITION),
                 encoded,
@@ -132,7 +132,9 @@
             match result:
                 case Appended(offset):
                     self._times.observe(took_s)
-                    self._confirmed_s = boot_time_s()
+                    # The answer may have waited while the process was paused, and a successor may
+                    # have begun meanwhile, so only the start of the append is certain.
+                    self._confirmed_s = sent_boot_s
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
