Limit delayed orders to their decision, acknowledge once, and log lost runs

The validity of a start and of a renewal counted from the time at which the request was built. The scheduler counts from its decision, so after a delay between the two a worker accepted a run, or kept one, that counted as ended. 2. Each poll repeated the highest acknowledgement. A worker that has restarted counts its ends from 1 again and forgot its first ends before anybody had read them; their tasks were started again. 3. No log line told why a run counted as lost, so the logs could not tell these from an expired lease. Change: validity counts from the decision; an acknowledgement is sent until a poll with it is answered; each lost or adopted run is logged with cause, phase and age of the latest report, and each take-over logs when earlier runs were reconciled and which workers were assumed to have ended their runs.

--- a/features/steps/workflow_session_steps.py
+++ b/features/steps/workflow_session_steps.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import logging
+import time
 import unittest.mock
 
 from behave import given, then, when
 from prometheus_client import CollectorRegistry
+from workflow_resilience_steps import WORKER, OneAnswerHttp
 
 from fireflywharf_core.resources import ResourceVector
 from fireflywharf_core.workflows import (
     EndKind,
     ReportedEnd,
+    StartRun,
     StepName,
     TaskName,
     WorkerInfo,
@@ -20,6 +23,7 @@
     WorkflowMetrics,
 )
 from fireflywharf_daemon.workflows._sessions import WorkerSession
+from fireflywharf_platform._workers import WorkerClient
 
 
 class RepeatingWorker:
@@ -115,3 +119,82 @@
 def check_ends(context, count):
     assert context.metrics.ends.labels("done")._value.get() == count
     assert context.logged_messages.count("run ended") == count, context.logged_messages
+
+
+class ForgettingWorker(RepeatingWorker):
+    """Worker that forgets acknowledged ends."""
+
+    async def poll_worker(self, info, *, acknowledged, **options):
+        """Forget the acknowledged ends and report the others."""
+        await asyncio.sleep(0.005)
+        self.ended = tuple(end for end in self.ended if end.serial > acknowledged)
+        return await super().poll_worker(info, **options)
+
+
+@given("a worker whose {count:d} ends are durable and acknowledged")
+def acknowledge_ends(context, count):
+    add_repeating_worker(context, count)
+    context.worker = ForgettingWorker()
+    context.worker.restart(count)
+    context.events = []
+
+    async def flush():
+        return True
+
+    context.session._gateway = context.worker
+    context.session._flush = flush
+    context.session._observe = context.events.append
+    poll_repeatedly(context, 4)
+    assert not context.worker.ended, context.worker.ended
+
+
+@when("it restarts and {count:d} runs end before the next poll")
+def restart_with_ends(context, count):
+    context.events.clear()
+    context.worker.restart(count)
+    poll_repeatedly(context, 3)
+
+
+@then("the scheduler gets the {count:d} ends")
+def check_reported_ends(context, count):
+    serials = {end.serial for event in context.events for end in event.ended}
+    assert len(serials) == count, context.events
+
+
+@given("a worker client that knows the clock of a worker")
+def create_client_with_clock(context):
+    context.http = OneAnswerHttp({"clock_ms": 50_000, "born": 1})
+    context.client = WorkerClient(context.http, 6.0)
+    poll = context.client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, renew=False)
+    asyncio.run(poll)
+    context.read_s = time.monotonic()
+
+
+@when("a start that was decided {seconds:g} s ago is sent")
+def send_delayed_start(context, seconds):
+    context.decided_s = time.monotonic() - seconds
+    order = StartRun(
+        worker_id="w0",
+        task=TaskName(StepName("a", 0, 0), 0),
+        number=1,
+        payload="",
+        checkpoint="",
+        ticket="",
+        ordered_s=context.decided_s,
+    )
+    asyncio.run(context.client.start(WORKER, order, 1))
+
+
+@when("a poll with a renewal that was decided {seconds:g} s ago is sent")
+def send_delayed_poll(context, seconds):
+    context.decided_s = time.monotonic() - seconds
+    options = {"epoch": 1, "acknowledged": 0, "wait_s": 0.0, "renew": True}
+    poll = context.client.poll_worker(WORKER, asked_s=context.decided_s, **options)
+    asyncio.run(poll)
+
+
+@then("its deadline is {ahead_s:g} s ahead of the worker's clock at the decision")
+def check_deadline(context, ahead_s):
+    clock_at_decision_ms = 50_000 + (context.decided_s - context.read_s) * 1000
+    deadline_ms = context.http.requests[-1]["deadline_ms"]
+    assert abs(deadline_ms - clock_at_decision_ms - ahead_s * 1000) < 100, deadline_ms
--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -228,6 +228,7 @@
         payload="p",
         checkpoint="",
         ticket="",
+        ordered_s=world.now_s,
     )
     world.delayed_orders.append((world.now_s + seconds, context.worker, order, world.epoch))
     world.run(0.5)
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -208,6 +208,27 @@
     When the worker restarts and has 2 ends
     Then 5 ends are counted and logged
 
+  Scenario: a worker that has restarted keeps its first ends until they are read
+    It counts its ends from 1 again. If each poll repeats the acknowledgement of the earlier process,
+    the first ends are forgotten unread, and their tasks are started again.
+
+    Given a worker whose 3 ends are durable and acknowledged
+    When it restarts and 2 runs end before the next poll
+    Then the scheduler gets the 2 ends
+
+  Scenario Outline: an order that was delayed within the scheduler is not valid for longer
+    The scheduler counts the validity from its decision, and gives the run up when it has passed. A
+    worker that accepts the order later runs a task that is started elsewhere.
+
+    Given a worker client that knows the clock of a worker
+    When <order> that was decided 5 s ago is sent
+    Then its deadline is <ahead_s> s ahead of the worker's clock at the decision
+
+    Examples:
+      | order                  | ahead_s |
+      | a start                | 4       |
+      | a poll with a renewal  | 6       |
+
   Scenario Outline: an answer that arrived while the process was paused is not lost
     After a pause, the timers of the process are due before it has read the answers of the workers.
     If these answers are dropped, every worker counts as silent and its runs are given up.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -54,6 +54,14 @@
     GANG_MEMBER_STALLED = "another member of the gang made no progress"
 
 
+class LossCause(Enum):
+    """Reason why a run counts as ended although its end was not reported."""
+
+    NOT_REPORTED = "the worker reported neither the run nor its end"
+    PROCESS_ENDED = "the process of the worker has ended"
+    LEASE_EXPIRED = "the worker was silent until its leases had expired"
+
+
 @attrs.frozen(slots=True)
 class ReportedRun:
     """A run that a worker reports as running."""
@@ -212,7 +220,17 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class StartRun:
-    """Order a worker to start a run."""
+    """Order a worker to start a run.
+
+    Args:
+        worker_id: the worker.
+        task: the task.
+        number: run number.
+        payload: opaque text of the job.
+        checkpoint: checkpoint to resume from; empty for none.
+        ticket: ticket of the approval service; empty for none.
+        ordered_s: local time of the decision, in seconds, from which the validity counts.
+    """
 
     worker_id: str
     task: TaskName
@@ -220,6 +238,7 @@
     payload: str
     checkpoint: str
     ticket: str
+    ordered_s: float
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -241,4 +260,34 @@
     worker_ids: tuple[str, ...]
 
 
-Action = StartRun | StopRun | AskApproval
+@attrs.frozen(slots=True, kw_only=True)
+class RunLost:
+    """Notice that a run counts as ended; its task may be started again.
+
+    Args:
+        worker_id: worker of the run.
+        task: the task.
+        number: run number.
+        cause: evidence for the end.
+        phase: phase of the run in the view of the scheduler.
+        report_age_s: time since the latest report of the worker, in seconds; None without one.
+    """
+
+    worker_id: str
+    task: TaskName
+    number: int
+    cause: LossCause
+    phase: str
+    report_age_s: float | None
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class RunAdopted:
+    """Notice that a worker reported a run that this tenure did not start."""
+
+    worker_id: str
+    task: TaskName
+    number: int
+
+
+Action = StartRun | StopRun | AskApproval | RunLost | RunAdopted
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -9,8 +9,11 @@
 from ._events import (
     Action,
     EndKind,
+    LossCause,
     ReportedEnd,
     ReportedRun,
+    RunAdopted,
+    RunLost,
     StartResult,
     StartRun,
     StopCause,
@@ -185,8 +188,19 @@
             for other in list(run.step.runs.values()):
                 self.order_stop(other, cause, now_s)
 
-    def handle_lost(self, run: Run, now_s: float) -> None:
+    def handle_lost(self, run: Run, cause: LossCause, now_s: float) -> None:
         """Process the end of a run of which no end was reported."""
+        reported_s = run.worker.reported_s
+        self._outbox.append(
+            RunLost(
+                worker_id=run.worker.worker_id,
+                task=run.task,
+                number=run.number,
+                cause=cause,
+                phase=run.phase.value,
+                report_age_s=None if reported_s is None else now_s - reported_s,
+            )
+        )
         if run.checkpoint and run.step is not None:
             self._keep_checkpoint(run.step, run.task.index, run.checkpoint)
         self._release_run(run)
@@ -212,7 +226,7 @@
             if run.phase is RunPhase.STOPPING and event.sent_s <= run.late_start_until_s:
                 # A delayed start order can still arrive while the stop order is unanswered.
                 continue
-            self.handle_lost(run, now_s)
+            self.handle_lost(run, LossCause.NOT_REPORTED, now_s)
 
     def _update_running(
         self, worker: Worker, row: ReportedRun, sent_s: float, now_s: float
@@ -257,6 +271,9 @@
             speed_read_percent=row.percent,
         )
         self.add(run)
+        self._outbox.append(
+            RunAdopted(worker_id=worker.worker_id, task=row.task, number=row.number)
+        )
         if wanted:
             self._mark_job_running(run)
         else:
@@ -359,6 +376,7 @@
                 payload=step.job.spec.payload,
                 checkpoint=step.checkpoints.get(0 if step.spec.gang else index, ""),
                 ticket=ticket,
+                ordered_s=now_s,
             )
         )
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -18,6 +18,7 @@
     JobAdded,
     JobCancelled,
     JobsRecorded,
+    LossCause,
     StartAnswered,
     StopAnswered,
     StopCause,
@@ -79,6 +80,10 @@
         workers_in_use: ids of the workers on which an earlier tenure may have started runs.
         started_s: local time of the start of the tenure, in seconds.
         find_spec: returns the specification of a job, also of one that has ended.
+
+    Attributes:
+        assumed_ended_ids: ids of the workers that have not reported, and whose runs were assumed to
+            have ended when the earlier runs were reconciled; None before.
     """
 
     def __init__(
@@ -105,6 +110,7 @@
         self.reservations = Reservations(self.workers, GangPlanner(self.run_times))
         self.headroom = Headroom()
         self._reconciled = False
+        self.assumed_ended_ids: frozenset[str] | None = None
         self._closed: list[str] = []
         self._unrecorded_cancellations: list[WorkflowProgress] = []
 
@@ -217,6 +223,9 @@
             )
             known = all(worker.has_reported for worker in self.workers.values())
             self._reconciled = waited or (known and not self._unreconciled)
+            if self._reconciled:
+                silent = {w.worker_id for w in self.workers.values() if not w.has_reported}
+                self.assumed_ended_ids = frozenset(self._unreconciled | silent)
         return self._reconciled
 
     def explain_waiting(self, now_s: float, age_s: float, rows_max: int) -> list[dict]:
@@ -392,14 +401,14 @@
         worker.runs_end_s = now_s
         self._unreconciled.discard(worker_id)
         for run in list(worker.runs.values()):
-            self.runs.handle_lost(run, now_s)
+            self.runs.handle_lost(run, LossCause.PROCESS_ENDED, now_s)
 
     def _expire_workers(self, now_s: float) -> None:
         for worker in list(self.workers.values()):
             if worker.reachable or now_s < worker.runs_end_s:
                 continue
             for run in list(worker.runs.values()):
-                self.runs.handle_lost(run, now_s)
+                self.runs.handle_lost(run, LossCause.LEASE_EXPIRED, now_s)
             self._unreconciled.discard(worker.worker_id)
             if not worker.in_directory:
                 del self.workers[worker.worker_id]
@@ -415,6 +424,7 @@
         if not worker.is_usable(now_s):
             self.runs.capacity_version += 1
         worker.reachable = True
+        worker.reported_s = now_s
         if event.ends_complete:
             worker.has_reported = True
             self._unreconciled.discard(event.worker_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -124,6 +124,7 @@
         free: capacity minus the demand of all runs.
         runs: runs by task and run number.
         finite_demand: demand of the finite runs.
+        reported_s: local time of its latest report, in seconds; None before the first.
         has_reported: whether the worker has reported all of its runs in this tenure.
         reachable: whether its latest answer arrived in time.
         in_directory: whether the directory contains the worker.
@@ -141,6 +142,7 @@
     free: ResourceVector
     runs: dict[tuple[TaskName, int], Run] = attrs.field(factory=dict)
     finite_demand: ResourceVector = ResourceVector()
+    reported_s: float | None = None
     has_reported: bool = False
     reachable: bool = False
     in_directory: bool = True
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -18,6 +18,8 @@
     JobsRecorded,
     JournalRecord,
     JournalState,
+    RunAdopted,
+    RunLost,
     StartAnswered,
     StartResult,
     StartRun,
@@ -124,6 +126,7 @@
         self._extra_records: list[JournalRecord | LogRecord] = []
         self._journal_state = journal_state
         self._last_report_s = self._now_s()
+        self._reconciliation_logged = False
         self._background = BackgroundTasks(
             "scheduler", lambda: self._end_tenure("a background task of the scheduler failed")
         )
@@ -308,10 +311,42 @@
                         self._background.spawn(self._stop_run(action))
                     case AskApproval():
                         self._background.spawn(self._request_approval(action))
+                    case RunLost() | RunAdopted():
+                        self._log_run_change(action)
+            self._log_reconciliation()
             self._log_waiting_steps()
             if any(job.dirty for job in self.scheduler.jobs.values()):
                 self._records_pending.set()
 
+    @staticmethod
+    def _log_run_change(notice: RunLost | RunAdopted) -> None:
+        fields = {"run": f"{notice.task}#{notice.number}", "worker": notice.worker_id}
+        match notice:
+            case RunLost(cause=cause, phase=phase, report_age_s=age_s):
+                fields |= {
+                    "cause": cause.value,
+                    "phase": phase,
+                    "report_age_s": None if age_s is None else round(age_s, 3),
+                }
+                _LOG.warning("run lost; its task may be started again", extra=fields)
+            case RunAdopted():
+                _LOG.info("run of an earlier tenure adopted", extra=fields)
+
+    def _log_reconciliation(self) -> None:
+        """Log once when the runs of earlier tenures are known or have ended."""
+        assumed_ended_ids = self.scheduler.assumed_ended_ids
+        if self._reconciliation_logged or assumed_ended_ids is None:
+            return
+        self._reconciliation_logged = True
+        _LOG.info(
+            "earlier runs are reconciled",
+            extra={
+                "epoch": self.record.epoch,
+                "after_s": round(self._now_s() - self.scheduler.started_s, 3),
+                "assumed_ended": sorted(assumed_ended_ids),
+            },
+        )
+
     def _log_waiting_steps(self) -> None:
         """Log the steps that have waited longest, at a limited rate."""
         if self._now_s() < self._last_report_s + _REPORT_INTERVAL_S:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -199,7 +199,14 @@
     """Sends orders to workers."""
 
     async def poll_worker(
-        self, worker: WorkerInfo, *, epoch: int, acknowledged: int, wait_s: float, renew: bool
+        self,
+        worker: WorkerInfo,
+        *,
+        epoch: int,
+        acknowledged: int,
+        wait_s: float,
+        renew: bool,
+        asked_s: float | None = None,
     ) -> PollResult:
         """Read the runs of a worker and optionally renew their leases.
 
@@ -209,6 +216,7 @@
             acknowledged: serial number up to which ended runs are durable in the journal.
             wait_s: maximum time that the worker waits for a run to end, in seconds.
             renew: whether the leases of all runs are renewed.
+            asked_s: local time from which renewed leases count, in seconds; by default now.
         """
 
     async def start(self, worker: WorkerInfo, order: StartRun, epoch: int) -> StartResult:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -66,6 +66,7 @@
         self._may_renew = may_renew
         self._metrics = metrics
         self._acknowledged_serial = 0
+        self._confirmed_serial = 0
         self._logged_serial = 0
         self._incarnation = 0
         self._silent = False
@@ -79,12 +80,14 @@
             renew = self._may_renew() and not self._silent
             if renew:
                 self._renewed_s = sent_s
+            acknowledged = self._serial_to_acknowledge()
             poll = self._gateway.poll_worker(
                 self.info,
                 epoch=self._epoch,
-                acknowledged=self._acknowledged_serial,
+                acknowledged=acknowledged,
                 wait_s=wait_s,
                 renew=renew,
+                asked_s=sent_s,
             )
             result = await result_or_default(
                 poll,
@@ -95,6 +98,7 @@
             match result:
                 case WorkerReport():
                     wait_s = 0.0 if self._silent else POLL_WAIT_S
+                    self._confirmed_serial = max(self._confirmed_serial, acknowledged)
                     self._handle_report(result, sent_s)
                     await self._acknowledge(result)
                 case PollFenced():
@@ -110,13 +114,23 @@
                     self._observe(WorkerSilent(self.info.worker_id, self._renewed_s))
                     await asyncio.sleep(_RETRY_S)
 
+    def _serial_to_acknowledge(self) -> int:
+        """Return the serial to send; 0 if the worker has already forgotten all durable ends.
+
+        A worker that has restarted counts from 1 again. If each poll repeated the acknowledgement
+        of its earlier process, it would forget its first ends before they are read.
+        """
+        if self._acknowledged_serial > self._confirmed_serial:
+            return self._acknowledged_serial
+        return 0
+
     def _handle_report(self, report: WorkerReport, sent_s: float) -> None:
         if self._silent:
             self._silent = False
             _LOG.info("worker answers again", extra={"worker": self.info.worker_id})
         if report.incarnation and report.incarnation != self._incarnation:
             if self._incarnation:
-                self._acknowledged_serial = self._logged_serial = 0
+                self._acknowledged_serial = self._confirmed_serial = self._logged_serial = 0
                 _LOG.info(
                     "worker restarted",
                     extra={"worker": self.info.worker_id, "life": report.incarnation},
