End the probation of a worker that no run tests

Cause: only a successful run lowered the failure rate of a worker. On probation it takes no gang, and single tasks prefer fuller workers, so an idle worker was never tested. Change: probation ends 4 s after the time aside; the next failure sets the worker aside again. The exponent is limited.

--- a/features/steps/workflow_gang_steps.py
+++ b/features/steps/workflow_gang_steps.py
@@ -233,3 +233,54 @@
     names = [name for name in context.accepted_s if name.startswith(kind[0])]
     done = [name for name in names if context.took_s.get(name, seconds + 1) <= seconds]
     assert len(done) * 100 >= percent * len(names), f"{len(done)} of {len(names)}"
+
+
+@given("{count:d} workers of which one fails every run at once and is the only one with a label")
+def add_failing_labelled_worker(context, count):
+    world = context.world = WorkflowWorld(workers_count=count)
+    context.faulty = world.workers["w0"]
+    context.faulty.info = attrs.evolve(context.faulty.info, labels=frozenset({"b"}))
+    context.faulty.fails_all_runs = True
+    context.faulty.run_time_s = 0.0
+    busy = world.workers["w1"]
+    busy.info = attrs.evolve(busy.info, labels=frozenset({"c"}))
+    busy.run_time_s = 100.0
+    world.publish_directory()
+    world.submit("busy", [make_step(1, required_label="c")])
+    world.run(0.5)
+    busy.run_time_s = 0.4
+
+
+@when("{count:d} gangs of 2 tasks that require the label fail on it and it is sound again")
+def fail_gangs(context, count):
+    world = context.world
+    for number in range(count):
+        world.submit(f"f{number}", [make_step(2, gang=True, required_label="b")])
+        world.run(1.0)
+    assert world.scheduler.workers["w0"].failure_rate > 0.7
+    context.faulty.fails_all_runs = False
+    context.faulty.run_time_s = 0.4
+
+
+@then("a gang that requires the label is complete within {seconds:g} s")
+def check_gang_on_sound_worker(context, seconds):
+    world = context.world
+    world.submit("a", [make_step(2, gang=True, required_label="b")])
+    for _ in range(round(seconds)):
+        world.submit(f"s{world.now_s}", [make_step(1)])
+        world.run(1.0)
+    assert world.job_state("a") is WorkflowState.COMPLETE, world.job_state("a")
+
+
+@given("a worker that has failed {count:d} jobs in a row")
+def fail_many_jobs(context, count):
+    world = context.world = WorkflowWorld(workers_count=1)
+    context.failing = world.scheduler.workers["w0"]
+    for number in range(count):
+        health = world.scheduler.runs.worker_health
+        health.record_failure(context.failing, f"j{number}", world.now_s)
+
+
+@then("it is set aside for {seconds:g} s")
+def check_set_aside(context, seconds):
+    assert context.failing.set_aside_until_s == context.world.now_s + seconds
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -140,6 +140,20 @@
     Then every job is complete
     And the faulty worker got at most 12 runs
 
+  Scenario: gangs start on workers that failed earlier and are sound again
+    After failures, a worker gets one single task at a time until one succeeds. An idle worker gets
+    none while others have room, so without an end in time, gangs that need it never start.
+
+    Given 3 workers of which one fails every run at once and is the only one with a label
+    When 4 gangs of 2 tasks that require the label fail on it and it is sound again
+    Then a gang that requires the label is complete within 14 s
+
+  Scenario: a worker that fails for days stays set aside
+    The time aside doubles with each failure. After a thousand of them, it exceeds what a float holds.
+
+    Given a worker that has failed 1100 jobs in a row
+    Then it is set aside for 8 s
+
   Scenario: runs on a stalled worker are moved
     The worker answers the scheduler but makes no progress. Without detection its tasks never end.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -156,6 +156,9 @@
         """
         self.runs.repeat_unanswered_orders(now_s)
         self._expire_workers(now_s)
+        for worker in self.workers.values():
+            if self.runs.worker_health.end_probation(worker, now_s):
+                self.runs.capacity_version += 1
         is_reconciled = self.is_reconciled(now_s)
         ready = []
         for job in self.jobs.values():
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
@@ -17,6 +17,13 @@
 """Time for which a worker is set aside at first; doubles with each failed probe."""
 _SET_ASIDE_MAX_S = 8.0
 """Maximum time between two probes; worker faults last about seven seconds."""
+_DOUBLINGS_MAX = 16
+"""Limit of the doublings; a worker may fail thousands of times, and a float cannot hold 2^1024."""
+_PROBATION_S = 4.0
+"""Time for which a worker stays on probation after it was set aside, if no run ends it earlier.
+
+With the longest time aside it ends within 12 s, so that a job that needs the worker is not left
+waiting."""
 _REPORT_INTERVAL_S = 1.5
 """Time after which a worker answers a poll at the latest, if it has no end to report."""
 _STALL_LIMIT_S = 2.2
@@ -66,11 +73,27 @@
         worker.failure_rate += _FAILURE_WEIGHT * (1 - worker.failure_rate)
         if worker.failure_rate <= _FAILURE_RATE_MAX:
             return False
-        set_aside_s = min(_SET_ASIDE_MAX_S, _SET_ASIDE_MIN_S * 2**worker.times_set_aside_count)
+        doublings = min(_DOUBLINGS_MAX, worker.times_set_aside_count)
+        set_aside_s = min(_SET_ASIDE_MAX_S, _SET_ASIDE_MIN_S * 2**doublings)
         worker.times_set_aside_count += 1
         worker.set_aside_until_s = max(worker.set_aside_until_s, now_s + set_aside_s)
         return True
 
+    def end_probation(self, worker: Worker, now_s: float) -> bool:
+        """End the probation of a worker that no run has tested for a while.
+
+        Only single tasks test a worker, and they prefer fuller ones, so an idle worker may get
+        none.
+        The failure rate stays so high that the next failure sets the worker aside again.
+
+        Returns:
+            Whether the probation has ended now.
+        """
+        if not is_on_probation(worker) or now_s < worker.set_aside_until_s + _PROBATION_S:
+            return False
+        worker.failure_rate = _FAILURE_RATE_MAX
+        return True
+
     def is_stalled(self, run: Run, sent_s: float, now_s: float) -> bool:
         """Return whether a run has made no progress for longer than the limit.
 
