Close ended jobs again whose closing record was lost

The closing record that replaces the submission of an ended job waits up to 5 s and is lost if the scheduler is killed. 150 s later the progress of the job is deleted at once and the submission only after further 5 s; a scheduler that takes over in between, or after a failed append, finds the submission alone and starts the job again. Change: a scheduler that takes over closes the ended jobs that are not closed. Result: the scenario failed before (the job was started again) and passes now. Not seen in a run of daemons.

--- a/features/steps/workflow_partition_steps.py
+++ b/features/steps/workflow_partition_steps.py
@@ -240,6 +240,39 @@
     context.world.cancel("a", scheduler_informed=False)
 
 
+@given("a job that is complete and whose closing record was lost")
+def lose_closing_record(context):
+    context.world = WorkflowWorld()
+    context.world.submit("a", [make_step(1)])
+    append = context.world.append
+
+    def append_unless_closing(record):
+        if not isinstance(record, WorkflowClosed):
+            append(record)
+
+    context.world.append = append_unless_closing
+    context.world.run(2.0)
+    context.world.append = append
+    assert context.world.job_state("a") is WorkflowState.COMPLETE
+    context.starts_before = count_starts(context.world, "a")
+
+
+@when("its progress is deleted and another scheduler takes over again")
+def delete_progress(context):
+    world = context.world
+    del world.newest_records["pa"]
+    world.journal_state = JournalState()
+    for key, (offset, value) in world.newest_records.items():
+        world.journal_state.apply(offset, key, value, now_s=world.now_s)
+    world.begin_tenure()
+    world.run(1.0)
+
+
+@then("no run of the job is started again")
+def check_not_started_again(context):
+    assert count_starts(context.world, "a") == context.starts_before == 1
+
+
 @when("another scheduler takes over")
 def take_over(context):
     context.world.begin_tenure()
--- a/features/workflow_partitions.feature
+++ b/features/workflow_partitions.feature
@@ -47,6 +47,16 @@
     When another scheduler takes over
     Then the main partition shows the job as cancelled
 
+  Scenario: an ended job is not started again after its progress was deleted
+    The closing record that replaces the submission is collected for some seconds and lost if the
+    scheduler is killed meanwhile. Later the progress of the job is deleted, and a scheduler that finds
+    the submission alone takes the job for a new one.
+
+    Given a job that is complete and whose closing record was lost
+    When another scheduler takes over
+    And its progress is deleted and another scheduler takes over again
+    Then no run of the job is started again
+
   Scenario Outline: a daemon answers a query for a job that the scheduler has not seen
     Without a scheduler, no record of the job reaches the other daemons. A job that was accepted
     must not be denied.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -330,6 +330,9 @@
                 self._unrecorded_cancellations.append(
                     WorkflowProgress(job_id=event.job_id, state=WorkflowState.CANCELLED)
                 )
+            # Its closing record was lost with an earlier scheduler. Without one, the job would
+            # count as new once its progress has been deleted.
+            self._closed.append(event.job_id)
             return
         accepted = journaled.accepted
         job = Job(
