Move the log lines about decisions to a module of their own, and test the new ones

The new lines had made the active scheduler longer, and no scenario showed them. Change: DecisionLog logs orders, lost and adopted runs, the reconciliation and waiting steps. Behaviour is unchanged, but for the name of the logger; one docstring is reflowed.

--- a/features/steps/workflow_resilience_steps.py
+++ b/features/steps/workflow_resilience_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import time
 import unittest.mock
 
@@ -34,6 +35,7 @@
     WorkflowMetrics,
 )
 from fireflywharf_daemon.workflows._background import BackgroundTasks
+from fireflywharf_daemon.workflows._decision_log import DecisionLog
 from fireflywharf_daemon.workflows._journal import GroupAppender, JournalReader
 from fireflywharf_daemon.workflows._sessions import WorkerSession
 from fireflywharf_platform._store import StoreClient
@@ -392,3 +394,65 @@
 @then("the list of ends counts as {complete}")
 def check_complete(context, complete):
     assert context.poll_result.ends_complete == (complete == "complete"), context.poll_result
+
+
+def run_with_log(world, seconds):
+    """Advance the time and return the log lines about decisions as pairs of message and fields."""
+    rows = []
+
+    def keep(message, extra):
+        rows.append((message, extra))
+
+    logger = logging.getLogger("fireflywharf_daemon.workflows._decision_log")
+    decision_log = DecisionLog(world.scheduler, 1, world.now_s)
+    known_count = len(world.actions)
+    with (
+        unittest.mock.patch.object(logger, "info", keep),
+        unittest.mock.patch.object(logger, "warning", keep),
+    ):
+        world.run(seconds)
+        for action in world.actions[known_count:]:
+            decision_log.log_action(action)
+        decision_log.log_state(world.now_s)
+    return rows
+
+
+@when("the worker is silent for {seconds:g} s")
+def silence_worker(context, seconds):
+    context.world.workers["w0"].reachable = False
+    context.rows = run_with_log(context.world, seconds)
+
+
+@when("the worker restarts and reports so")
+def restart_reporting_worker(context):
+    event = WorkerReported(
+        worker_id="w0", incarnation=2, sent_s=context.world.now_s, running=(), ended=()
+    )
+    context.world.scheduler.observe(event, context.world.now_s)
+    context.rows = run_with_log(context.world, 0.1)
+
+
+@when("the worker reports an empty list")
+def report_empty_list(context):
+    context.world.workers["w0"].active_runs.clear()
+    context.rows = run_with_log(context.world, 0.1)
+
+
+@then('the log names the run as lost because "{cause}"')
+def check_lost_line(context, cause):
+    lost = [fields for message, fields in context.rows if message.startswith("run lost")]
+    assert [fields["cause"] for fields in lost] == [cause], context.rows
+    assert lost[0]["run"] == "a.0.0.0#1" and lost[0]["worker"] == "w0", lost
+
+
+@when("another scheduler takes over and the worker answers it")
+def take_over_running(context):
+    context.world.begin_tenure()
+    context.rows = run_with_log(context.world, 0.5)
+
+
+@then("the log names the run as adopted and no worker as assumed to have ended its runs")
+def check_take_over_lines(context):
+    rows = dict(context.rows)
+    assert rows["run of an earlier tenure adopted"]["run"] == "a.0.0.0#1", context.rows
+    assert rows["earlier runs are reconciled"]["assumed_ended"] == [], context.rows
--- a/features/workflow_resilience.feature
+++ b/features/workflow_resilience.feature
@@ -105,3 +105,21 @@
       | count | complete   |
       | 499   | complete   |
       | 500   | incomplete |
+
+  Scenario Outline: the log tells why a run counts as ended without its end
+    Otherwise nobody can tell afterwards why a task ran twice.
+
+    Given a worker whose run makes progress
+    When the worker <event>
+    Then the log names the run as lost because "<cause>"
+
+    Examples:
+      | event                        | cause                                             |
+      | is silent for 12 s           | the worker was silent until its leases had expired |
+      | restarts and reports so      | the process of the worker has ended               |
+      | reports an empty list        | the worker reported neither the run nor its end   |
+
+  Scenario: the log names the runs and workers that a new scheduler takes over
+    Given a worker whose run makes progress
+    When another scheduler takes over and the worker answers it
+    Then the log names the run as adopted and no worker as assumed to have ended its runs
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
@@ -83,8 +83,7 @@
         """End the probation of a worker that no run has tested for a while.
 
         Only single tasks test a worker, and they prefer fuller ones, so an idle worker may get
-        none.
-        The failure rate stays so high that the next failure sets the worker aside again.
+        none. The failure rate stays so high that the next failure sets the worker aside again.
 
         Returns:
             Whether the probation has ended now.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -18,8 +18,6 @@
     JobsRecorded,
     JournalRecord,
     JournalState,
-    RunAdopted,
-    RunLost,
     StartAnswered,
     StartResult,
     StartRun,
@@ -41,6 +39,7 @@
 )
 
 from ._background import BackgroundTasks, result_or_default
+from ._decision_log import DecisionLog
 from ._election import CONFIRMATION_S, RENEWAL_S, JournalWriter
 from ._interfaces import AppendFenced, LogRecord, PlatformServices
 from ._metrics import WorkflowMetrics
@@ -58,11 +57,6 @@
 """Timeout for storing a resignation; without it, the successor waits for the silence."""
 _DECISION_INTERVAL_MAX_S = 0.1
 """Maximum time between two decisions."""
-_REPORT_INTERVAL_S = 2.0
-"""Time between two log reports of waiting steps."""
-_REPORT_AGE_S = 3.0
-"""Minimum age of a job whose waiting steps are reported."""
-_REPORT_ROWS_MAX = 8
 RETENTION_S = 150.0
 """Time for which the state of an ended job is kept; callers may query it for 120 s."""
 _RUN_NUMBERS_PER_TENURE = 1000
@@ -125,8 +119,7 @@
         self._flush_futures: list[asyncio.Future] = []
         self._extra_records: list[JournalRecord | LogRecord] = []
         self._journal_state = journal_state
-        self._last_report_s = self._now_s()
-        self._reconciliation_logged = False
+        self._decision_log = DecisionLog(self.scheduler, record.epoch, self._now_s())
         self._background = BackgroundTasks(
             "scheduler", lambda: self._end_tenure("a background task of the scheduler failed")
         )
@@ -285,76 +278,21 @@
                 self._approvals.long_requests_vms_count
             )
             for action in self.scheduler.decide(self._now_s(), time.time()):
+                self._decision_log.log_action(action)
                 match action:
                     case StartRun():
                         read_s = self._unstarted_read_s.pop(action.task.step_name.job_id, None)
                         if read_s is not None:
                             self._metrics.first_start_s.observe(self._now_s() - read_s)
-                        _LOG.info(
-                            "run placed",
-                            extra={
-                                "run": f"{action.task}#{action.number}",
-                                "worker": action.worker_id,
-                            },
-                        )
                         self._background.spawn(self._start_run(action))
                     case StopRun():
-                        _LOG.info(
-                            "run stop ordered",
-                            extra={
-                                "run": f"{action.task}#{action.number}",
-                                "worker": action.worker_id,
-                                "cause": action.cause.value,
-                                "percent": action.percent,
-                            },
-                        )
                         self._background.spawn(self._stop_run(action))
                     case AskApproval():
                         self._background.spawn(self._request_approval(action))
-                    case RunLost() | RunAdopted():
-                        self._log_run_change(action)
-            self._log_reconciliation()
-            self._log_waiting_steps()
+            self._decision_log.log_state(self._now_s())
             if any(job.dirty for job in self.scheduler.jobs.values()):
                 self._records_pending.set()
 
-    @staticmethod
-    def _log_run_change(notice: RunLost | RunAdopted) -> None:
-        fields = {"run": f"{notice.task}#{notice.number}", "worker": notice.worker_id}
-        match notice:
-            case RunLost(cause=cause, phase=phase, report_age_s=age_s):
-                fields |= {
-                    "cause": cause.value,
-                    "phase": phase,
-                    "report_age_s": None if age_s is None else round(age_s, 3),
-                }
-                _LOG.warning("run lost; its task may be started again", extra=fields)
-            case RunAdopted():
-                _LOG.info("run of an earlier tenure adopted", extra=fields)
-
-    def _log_reconciliation(self) -> None:
-        """Log once when the runs of earlier tenures are known or have ended."""
-        assumed_ended_ids = self.scheduler.assumed_ended_ids
-        if self._reconciliation_logged or assumed_ended_ids is None:
-            return
-        self._reconciliation_logged = True
-        _LOG.info(
-            "earlier runs are reconciled",
-            extra={
-                "epoch": self.record.epoch,
-                "after_s": round(self._now_s() - self.scheduler.started_s, 3),
-                "assumed_ended": sorted(assumed_ended_ids),
-            },
-        )
-
-    def _log_waiting_steps(self) -> None:
-        """Log the steps that have waited longest, at a limited rate."""
-        if self._now_s() < self._last_report_s + _REPORT_INTERVAL_S:
-            return
-        self._last_report_s = self._now_s()
-        for row in self.scheduler.explain_waiting(self._now_s(), _REPORT_AGE_S, _REPORT_ROWS_MAX):
-            _LOG.info("step waits", extra=row)
-
     async def _start_run(self, order: StartRun) -> None:
         worker = self.scheduler.workers.get(order.worker_id)
         if worker is None:
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
@@ -0,0 +1,80 @@
+"""Log lines about the decisions of one tenure."""
+
+from __future__ import annotations
+
+import logging
+
+from fireflywharf_core.workflows import (
+    Action,
+    RunAdopted,
+    RunLost,
+    StartRun,
+    StopRun,
+    WorkflowScheduler,
+)
+
+_LOG = logging.getLogger(__name__)
+
+_REPORT_INTERVAL_S = 2.0
+"""Time between two log reports of waiting steps."""
+_REPORT_AGE_S = 3.0
+"""Minimum age of a job whose waiting steps are reported."""
+_REPORT_ROWS_MAX = 8
+
+
+class DecisionLog:
+    """Logs the decisions of a scheduler and what they rest on.
+
+    Args:
+        scheduler: the scheduler.
+        epoch: fencing token of the tenure.
+        now_s: current local time, in seconds.
+    """
+
+    def __init__(self, scheduler: WorkflowScheduler, epoch: int, now_s: float) -> None:
+        self._scheduler = scheduler
+        self._epoch = epoch
+        self._reported_s = now_s
+        self._reconciliation_logged = False
+
+    @staticmethod
+    def log_action(action: Action) -> None:
+        """Log an order to a worker, or a notice about a run."""
+        match action:
+            case StartRun() | StopRun() | RunLost() | RunAdopted():
+                fields = {"run": f"{action.task}#{action.number}", "worker": action.worker_id}
+        match action:
+            case StartRun():
+                _LOG.info("run placed", extra=fields)
+            case StopRun(cause=cause, percent=percent):
+                fields |= {"cause": cause.value, "percent": percent}
+                _LOG.info("run stop ordered", extra=fields)
+            case RunLost(cause=cause, phase=phase, report_age_s=age_s):
+                age_s = None if age_s is None else round(age_s, 3)
+                fields |= {"cause": cause.value, "phase": phase, "report_age_s": age_s}
+                _LOG.warning("run lost; its task may be started again", extra=fields)
+            case RunAdopted():
+                _LOG.info("run of an earlier tenure adopted", extra=fields)
+
+    def log_state(self, now_s: float) -> None:
+        """Log the reconciliation of earlier runs once, and at intervals the steps that wait."""
+        self._log_reconciliation(now_s)
+        if now_s < self._reported_s + _REPORT_INTERVAL_S:
+            return
+        self._reported_s = now_s
+        for row in self._scheduler.explain_waiting(now_s, _REPORT_AGE_S, _REPORT_ROWS_MAX):
+            _LOG.info("step waits", extra=row)
+
+    def _log_reconciliation(self, now_s: float) -> None:
+        assumed_ended_ids = self._scheduler.assumed_ended_ids
+        if self._reconciliation_logged or assumed_ended_ids is None:
+            return
+        self._reconciliation_logged = True
+        _LOG.info(
+            "earlier runs are reconciled",
+            extra={
+                "epoch": self._epoch,
+                "after_s": round(now_s - self._scheduler.started_s, 3),
+                "assumed_ended": sorted(assumed_ended_ids),
+            },
+        )
