Plan the start of a gang for when there is room on its workers

Cause: a worker on which a member has failed counts as free 5 s later, so that a gang prefers others. The planned start of a gang that may run only there receded at each decision, and tickets are renewed only shortly before it. Trace: third run failed at 47.4 s, then starts_in_s between 4.4 and 5.0 in each "step waits" until 66.5 s, with 5 to 10 places free. Change: the delay ranks the workers; the planned start is the time at which there is room.

--- a/features/steps/workflow_gang_steps.py
+++ b/features/steps/workflow_gang_steps.py
@@ -284,3 +284,31 @@
 @then("it is set aside for {seconds:g} s")
 def check_set_aside(context, seconds):
     assert context.failing.set_aside_until_s == context.world.now_s + seconds
+
+
+@given(
+    "a gang that only one of {count:d} workers may run,"
+    " and a member that fails after {seconds:g} s"
+)
+def fail_gang_on_only_worker(context, count, seconds):
+    world = context.world = WorkflowWorld(workers_count=count, approval=True)
+    world._is_allowed = lambda step, worker_id: worker_id == "w1"
+    context.faulty = world.workers["w1"]
+    context.faulty.fails_all_runs = True
+    context.faulty.run_time_s = seconds
+    world.run(0.2)
+    world.submit("a", [make_step(2, gang=True)])
+    while not context.faulty.ends:
+        world.step()
+
+
+@when("its next run would succeed")
+def make_worker_sound(context):
+    context.faulty.fails_all_runs = False
+    context.faulty.run_time_s = 0.4
+
+
+@then("the gang is complete within {seconds:g} s after the failure")
+def check_gang_restarted(context, seconds):
+    context.world.run(seconds)
+    assert context.world.job_state("a") is WorkflowState.COMPLETE, context.world.job_state("a")
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -184,6 +184,14 @@
     When a gang of one task on each of 120 workers arrives and waits for them
     Then the gang has started within 12 s
 
+  Scenario: a gang that may run only where a member has failed starts again there
+    A gang prefers other workers for some seconds. If its planned start is put off by this time at
+    each decision, its tickets are never renewed, and it waits for ever on an idle fleet.
+
+    Given a gang that only one of 3 workers may run, and a member that fails after 2.5 s
+    When its next run would succeed
+    Then the gang is complete within 8 s after the failure
+
   Scenario: a gang takes the workers that become free first
     A few runs take ten times as long as the others. If a gang reserves the workers of such runs, it
     waits for them while its other workers stay idle.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from operator import itemgetter
+from operator import attrgetter, itemgetter
+
+import attrs
 
 from ._estimates import RunTimes
 from ._placement import UNLIMITED, fit_count, limit_count
@@ -16,12 +18,26 @@
 
 Run times have a long tail, so a run that has outlasted its estimate tends to last much longer."""
 _UNSOUND_DELAY_S = 5.0
-"""Delay that is added for a worker that is slow or on which a member has failed or stalled."""
+"""Time that a gang waits rather than use a worker that is slow or on which a member has failed."""
 _EARLIER_MIN_S = 0.3
 """Minimum gain in time for which a gang changes its workers."""
 
-_Gain = tuple[float, int, Worker]
-"""Local time in seconds, number of members that fit from then on, and the worker."""
+
+@attrs.frozen(slots=True)
+class _Gain:
+    """Further members of a gang that fit on a worker from some time on.
+
+    Args:
+        rank_s: time by which gains are compared; later than `free_s` for an unsound worker.
+        free_s: local time from which the members fit, in seconds.
+        count: number of members.
+        worker: the worker.
+    """
+
+    rank_s: float
+    free_s: float
+    count: int
+    worker: Worker
 
 
 def expected_end_s(run: Run, run_times: RunTimes, now_s: float) -> float:
@@ -72,14 +88,13 @@
         for worker in allowed:
             unsound = worker.worker_id in avoided or now_s < worker.slow_until_s
             self._add_gains(gains, step, worker, now_s, _UNSOUND_DELAY_S if unsound else 0.0)
-        gains.sort(key=itemgetter(0))
-        best = _accumulate(gains, needed)
-        if best is None or present is None:
-            return best
-        kept = _accumulate([gain for gain in gains if gain[2] in present.counts], needed)
-        if kept is not None and kept.start_s <= best.start_s + _EARLIER_MIN_S:
-            return kept
-        return best
+        gains.sort(key=attrgetter("rank_s"))
+        used = _find_needed(gains, needed)
+        if present is not None and used:
+            kept = _find_needed([gain for gain in gains if gain.worker in present.counts], needed)
+            if kept and kept[-1].rank_s <= used[-1].rank_s + _EARLIER_MIN_S:
+                used = kept
+        return _make_plan(used, needed) if used else None
 
     def _add_gains(
         self, gains: list[_Gain], step: Step, worker: Worker, now_s: float, delay_s: float
@@ -89,7 +104,7 @@
         free = worker.available_capacity(step, now_s)
         count = min(most, fit_count(free, step.spec.demand))
         if count > 0:
-            gains.append((now_s + delay_s, count, worker))
+            gains.append(_Gain(now_s + delay_s, now_s, count, worker))
         if count >= most:
             return
         runs = [run for run in worker.runs.values() if run.is_finite]
@@ -98,7 +113,7 @@
             free = free + demand
             later_count = min(most, fit_count(free, step.spec.demand))
             if later_count > count:
-                gains.append((end_s + delay_s, later_count - count, worker))
+                gains.append(_Gain(end_s + delay_s, end_s, later_count - count, worker))
                 count = later_count
 
     def _end_s(self, run: Run, now_s: float) -> float:
@@ -113,16 +128,27 @@
         return self._ends_s[step]
 
 
-def _accumulate(gains: Iterable[_Gain], needed: int) -> GangPlan | None:
-    """Return the plan at the first time at which `needed` members fit."""
+def _find_needed(gains: Iterable[_Gain], needed: int) -> list[_Gain]:
+    """Return the first gains that together fit `needed` members; empty if all do not suffice."""
+    used = []
+    for gain in gains:
+        used.append(gain)
+        needed -= gain.count
+        if needed <= 0:
+            return used
+    return []
+
+
+def _make_plan(gains: Iterable[_Gain], needed: int) -> GangPlan:
+    """Return the plan that uses these gains.
+
+    It starts when there is room, without the delay of unsound workers. Otherwise, the start of a
+    gang that may run on these only would recede for ever, and its tickets never be renewed.
+    """
     counts: dict[Worker, int] = {}
-    left = needed
-    for free_s, count, worker in gains:
-        counts[worker] = counts.get(worker, 0) + count
-        left -= count
-        if left <= 0:
-            return GangPlan(_keep_largest(counts, needed), free_s)
-    return None
+    for gain in gains:
+        counts[gain.worker] = counts.get(gain.worker, 0) + gain.count
+    return GangPlan(_keep_largest(counts, needed), max(gain.free_s for gain in gains))
 
 
 def _keep_largest(counts: Mapping[Worker, int], needed: int) -> dict[Worker, int]:
