Renew tickets for workers on which a step may be placed

Cause: placement leaves out the places that are kept for urgent tasks, the choice of the tickets to renew did not. A step got a ticket every 2.1 s for the one allowed worker on which it was never placed. Trace: 5 answers between 59.8 and 68.4 s with named 1 and allowed 1, places 8, no run placed. A step that may run only where places are kept waited in the same way. Change: the same limit applies to both; a step that can run nowhere else may use kept places.

--- a/features/steps/workflow_gang_steps.py
+++ b/features/steps/workflow_gang_steps.py
@@ -312,3 +312,46 @@
 def check_gang_restarted(context, seconds):
     context.world.run(seconds)
     assert context.world.job_state("a") is WorkflowState.COMPLETE, context.world.job_state("a")
+
+
+def run_with_urgent_jobs(world, seconds):
+    """Advance the time while an urgent task arrives every quarter of a second."""
+    queue = world.queue
+    for _ in range(round(seconds * 4)):
+        world.queue = attrs.evolve(queue, name="urgent", priority=0, approval=None)
+        world.submit(f"u{world.now_s:.2f}", [make_step(1, cpu=500, required_label="b")])
+        world.queue = queue
+        world.run(0.25)
+
+
+@given("{count:d} workers, urgent tasks for which places are kept on the first one, and approvals")
+def keep_places_on_first_worker(context, count):
+    world = context.world = WorkflowWorld(workers_count=count, approval=True)
+    first = world.workers["w0"]
+    first.info = attrs.evolve(first.info, labels=frozenset({"b"}))
+    world.publish_directory()
+    run_with_urgent_jobs(world, 2.0)
+    assert world.scheduler.headroom.rate_ > 0
+
+
+@when("a task fails on the second one after {seconds:g} s, and its next run would succeed")
+def fail_task_on_second_worker(context, seconds):
+    world, second = context.world, context.world.workers["w1"]
+    second.fails_all_runs = True
+    second.run_time_s = seconds
+    world.submit("a", [make_step(1)])
+    run_with_urgent_jobs(world, seconds + 0.5)
+    assert second.last_serial == 1, second.last_serial
+    second.fails_all_runs = False
+    second.run_time_s = 0.4
+
+
+@when("a task that requires a label of the first one arrives")
+def submit_labelled_task(context):
+    context.world.submit("a", [make_step(1, required_label="b")])
+
+
+@then("its job is complete within {seconds:g} s")
+def check_job_with_urgent_tasks(context, seconds):
+    run_with_urgent_jobs(context.world, seconds)
+    assert context.world.job_state("a") is WorkflowState.COMPLETE, context.world.job_state("a")
--- a/features/workflows.feature
+++ b/features/workflows.feature
@@ -230,6 +230,21 @@
       | -5      | 0   |
       | 90000   | 120 |
 
+  Scenario: a step gets tickets for workers on which it may be placed
+    Places for urgent tasks are kept on some workers. If a ticket is renewed for one of these, it
+    expires unused, and so do all later ones.
+
+    Given 2 workers, urgent tasks for which places are kept on the first one, and approvals
+    When a task fails on the second one after 2.5 s, and its next run would succeed
+    Then its job is complete within 8 s
+
+  Scenario: a step that may run only where places are kept for urgent tasks starts
+    Otherwise it waits for as long as urgent tasks arrive, and for long after the last one.
+
+    Given 2 workers, urgent tasks for which places are kept on the first one, and approvals
+    When a task that requires a label of the first one arrives
+    Then its job is complete within 8 s
+
   Scenario: urgent jobs are served when more gangs arrive than fit
     Each gang that waits for room or tickets keeps capacity idle. If many gangs do so at once, or if
     urgent tasks may not use that capacity, urgent jobs wait for many seconds.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -464,11 +464,10 @@
             return
         indices = sorted(step.waiting)
         free_by_worker = self._free_capacity(step, workers, now_s)
-        if not self.headroom.is_urgent(step.job) and step.gang_plan is None:
-            free_by_worker = {
-                worker: self.headroom.limit(worker, free) for worker, free in free_by_worker.items()
-            }
-        pairs = self._assign_tasks(step, free_by_worker, indices, now_s)
+        limited_by_worker = self._limit_to_headroom(step, free_by_worker)
+        pairs = self._assign_tasks(step, limited_by_worker, indices, now_s)
+        if not pairs and self._runs_on_headroom_only(step, workers, now_s):
+            pairs = self._assign_tasks(step, free_by_worker, indices, now_s)
         number = self.runs.next_number(step, indices) if step.spec.gang else 0
         for index, worker in pairs:
             self._start_run(step, index, worker, number, now_s)
@@ -479,6 +478,29 @@
         else:
             self._renew_tickets(step, workers, now_s)
 
+    def _limit_to_headroom(
+        self, step: Step, free_by_worker: dict[Worker, ResourceVector]
+    ) -> dict[Worker, ResourceVector]:
+        """Return the capacity without the places that are kept for urgent tasks."""
+        if self.headroom.is_urgent(step.job) or step.gang_plan is not None:
+            return free_by_worker
+        return {
+            worker: self.headroom.limit(worker, free) for worker, free in free_by_worker.items()
+        }
+
+    def _runs_on_headroom_only(
+        self, step: Step, workers: Mapping[str, Worker], now_s: float
+    ) -> bool:
+        """Return whether places are kept on all workers that can run the tasks of a step.
+
+        Otherwise, it would wait for as long as urgent tasks are expected.
+        """
+        kept = self.headroom.workers_
+        if step.spec.gang or not any(worker.worker_id in workers for worker in kept):
+            return False
+        allowed = self._free_capacity(step, workers, now_s, accept_expired=True)
+        return all(worker in kept for worker in allowed if eventual_count(step, worker, now_s) > 0)
+
     def _reserve_for_gang(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
         """Reserve capacity for a gang and renew its tickets before it is expected to start."""
         allowed = self._free_capacity(step, workers, now_s, accept_expired=True)
@@ -502,6 +524,9 @@
         if step.job.queue.approval is None:
             return
         free_by_worker = self._free_capacity(step, workers, now_s, accept_expired=True)
+        if not self._runs_on_headroom_only(step, workers, now_s):
+            # A ticket for a worker on which the step gets no place would expire unused.
+            free_by_worker = self._limit_to_headroom(step, free_by_worker)
         pairs = assign_singles(step, free_by_worker, sorted(step.waiting), now_s)
         chosen = dict.fromkeys(worker for _, worker in pairs)
         self.ticket_tracker.renew_tickets(step, list(chosen), now_s)
