--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -498,8 +498,15 @@
         kept = self.headroom.workers_
         if step.spec.gang or not any(worker.worker_id in workers for worker in kept):
             return False
+        if step.job.queue.approval is not None and any(
+            worker_id not in step.asked and eventual_count(step, worker, now_s) > 0
+            for worker_id, worker in workers.items()
+        ):
+            # Further workers may be approved.
+            return False
         allowed = self._free_capacity(step, workers, now_s, accept_expired=True)
-        return all(worker in kept for worker in allowed if eventual_count(step, worker, now_s) > 0)
+        able = [worker for worker in allowed if eventual_count(step, worker, now_s) > 0]
+        return bool(able) and kept.issuperset(able)
 
     def _reserve_for_gang(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
         """Reserve capacity for a gang and renew its tickets before it is expected to start."""
