Give the reason for the end of a probation, not the choice of its value

Cause: last read of the change; the comment told how the value was chosen. Change: a comment only; behaviour is unchanged.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_worker_health.py
@@ -22,8 +22,7 @@
 _PROBATION_S = 4.0
 """Time for which a worker stays on probation after it was set aside, if no run ends it earlier.
 
-With the longest time aside it ends within 12 s, so that a job that needs the worker is not left
-waiting."""
+Without an end, a job that needs the worker would be left waiting."""
 _REPORT_INTERVAL_S = 1.5
 """Time after which a worker answers a poll at the latest, if it has no end to report."""
 _STALL_LIMIT_S = 2.2
