Try each waiting step again after 1 s, also if no capacity has become free

Callers saw a task without approval stay queued for ever while its worker was idle and nothing else ran. Cause: a step without room is skipped until the capacity version changes. A pause after a refused start, a time aside, an entry that is missing in the directory for a moment and an expiring reservation make room without such a change. Change: a step is tried again 1 s after its last attempt.

--- a/features/steps/workflow_recovery_steps.py
+++ b/features/steps/workflow_recovery_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 from workflow_world import STEP_S, WorkflowWorld, make_step
 
-from fireflywharf_core.workflows import StartRun
+from fireflywharf_core.resources import ResourceVector
+from fireflywharf_core.workflows import StartRun, WorkflowState
 
 LABEL = "b"
 WORK = {
@@ -118,3 +119,59 @@
 def check_first_starts(context, work, seconds):
     late = {seed: s for seed, s in context.first_starts_s.items() if s > seconds}
     assert not late, f"first starts by seed: {context.first_starts_s}"
+
+
+def make_small_world(context, workers_count=1, processors_millicores=1000):
+    """Return a world of few small workers that report every 1.5 s."""
+    world = context.world = WorkflowWorld(
+        workers_count=workers_count, capacity=ResourceVector(processors_millicores, 8000)
+    )
+    world.report_interval_s = 1.5
+    world.run(2.0)
+    return world
+
+
+@given("a task that the only idle worker cannot run because it refuses a start as unhealthy")
+def refuse_start(context):
+    world = make_small_world(context)
+    world.workers["w0"].refuses_next_start = True
+    world.submit("a", [make_step(1)])
+    world.run(0.2)
+    assert not world.workers["w0"].refuses_next_start
+
+
+@given(
+    "a task that the only idle worker cannot run because its entry is missing in the directory"
+    " for a moment"
+)
+def remove_entry(context):
+    world = make_small_world(context)
+    world.unlisted_workers.add("w0")
+    world.publish_directory()
+    world.submit("a", [make_step(1)])
+    world.run(1.0)
+    world.unlisted_workers.clear()
+    world.publish_directory()
+
+
+@given(
+    "a task that the only idle worker cannot run because its capacity is reserved for a gang"
+    " that is cancelled"
+)
+def reserve_capacity(context):
+    world = make_small_world(context, processors_millicores=2000)
+    world.workers["w0"].run_time_s = 60.0
+    world.submit("other", [make_step(1)])
+    world.run(2.0)
+    world.workers["w0"].run_time_s = 0.4
+    world.submit("gang", [make_step(2, gang=True)])
+    world.run(0.5)
+    # A shorter task could end before the gang is expected to start.
+    world.submit("a", [attrs.evolve(make_step(1), estimate_ms=200000.0)])
+    world.run(0.5)
+    world.cancel("gang")
+
+
+@when("the cause is over and nothing else happens")
+def check_waiting(context):
+    assert context.world.job_state("a") is WorkflowState.QUEUED, context.world.job_state("a")
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -83,6 +83,7 @@
     loses_start_orders: bool = False
     reported_ends_max: int = 500
     rejects_next_ticket: bool = False
+    refuses_next_start: bool = False
     falls_silent_at_start: bool = False
     run_time_s: float = TASK_RUN_TIME_S
 
@@ -128,6 +129,9 @@
             return StartResult.STARTED
         if order.number <= self.highest_ended_numbers.get(order.task, 0):
             return StartResult.NUMBER_TOO_LOW
+        if self.refuses_next_start:
+            self.refuses_next_start = False
+            return StartResult.UNHEALTHY
         if self.rejects_next_ticket or not self.world.is_ticket_valid(order, now_s):
             self.rejects_next_ticket = False
             self.world.rejected_tickets_count += 1
--- a/features/workflow_recovery.feature
+++ b/features/workflow_recovery.feature
@@ -21,3 +21,17 @@
       | single tasks                | make no progress |
       | tasks on their only attempt | make no progress |
       | gangs with approvals        | make no progress |
+
+  Scenario Outline: a task is placed when time alone makes room for it
+    A step is only tried again after a run has ended or a worker has joined. On an idle fleet neither
+    happens, so a step that was tried too early would wait for ever.
+
+    Given a task that the only idle worker cannot run because <cause>
+    When the cause is over and nothing else happens
+    Then the task is complete within 7 s
+
+    Examples:
+      | cause                                                 |
+      | it refuses a start as unhealthy                       |
+      | its entry is missing in the directory for a moment    |
+      | its capacity is reserved for a gang that is cancelled |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -39,6 +39,10 @@
 
 PLACEMENT_RETRY_S = 0.03
 """Minimum time between attempts to place a step; a tenth of the slack of the most urgent jobs."""
+BLOCKED_RETRY_S = 1.0
+"""Maximum time between attempts to place a step, whether or not capacity has become free.
+
+Time alone also makes room: times aside, reservations and places kept for urgent tasks expire."""
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -191,7 +195,7 @@
         """Return whether another attempt to place a step may succeed.
 
         At full load, hundreds of steps wait and every run that ends triggers a decision, so steps
-        are skipped while no capacity has become free since the last attempt.
+        are skipped for a while if no capacity has become free since the last attempt.
         """
         if step.blocked_version == -1:
             return True
@@ -200,6 +204,7 @@
         return (
             step.blocked_version != self.runs.capacity_version
             or step.job.queue.approval is not None
+            or now_s >= step.last_attempt_s + BLOCKED_RETRY_S
         )
 
     def workers_to_record(self, recorded: Iterable[str], now_s: float) -> set[str]:
