Record the departure of a worker without waiting for a change of the directory

Callers saw jobs in flight stand still for 12.5 s after a change of scheduler that followed a departure of workers. Cause: the workers in use were computed before the directory was applied, and only when it changed. A worker that had left stayed recorded until the next change, and the next scheduler waits for every recorded worker. Change: each decision closes the sessions with workers that have left, and queues the record of the others. The records are queued in the order in which they are computed, and only a growing set is waited for. Evidence: the new scenario failed before (both workers recorded 1 s after the process of one had ended) and passes now.

--- a/features/steps/workflow_start_steps.py
+++ b/features/steps/workflow_start_steps.py
@@ -1,9 +1,12 @@
 """Steps for start orders and for the workers on which a scheduler may have started runs."""
 
 import asyncio
+from types import SimpleNamespace
 
+import attrs
 from behave import given, then, when
 from workflow_partition_steps import MemoryLog
+from workflow_resilience_steps import WORKER
 from workflow_tenure_steps import SilentWorkers, make_scheduler
 from workflow_world import WorkflowWorld, make_step
 
@@ -11,6 +14,7 @@
 from fireflywharf_core.workflows import (
     Approval,
     AskApproval,
+    JournalState,
     Queue,
     StartAnswered,
     StartResult,
@@ -24,6 +28,7 @@
 )
 from fireflywharf_core.workflows._start_window import StartWindow
 from fireflywharf_core.workflows._state import Job
+from fireflywharf_daemon.workflows import PollIncarnationEnded, WorkerReport
 
 
 @given("a scheduler with {count:d} workers")
@@ -221,3 +226,64 @@
 @then("another step may send a long request")
 def check_may_ask(context):
     assert context.tracker._can_ask(context.step)
+
+
+class LeavingWorkers:
+    """Gateway to workers without runs, of which some have left."""
+
+    def __init__(self):
+        self.ended_ids = set()
+        self.polled_ids = set()
+
+    async def poll_worker(self, info, **options):
+        """Answer with an empty report, or tell that the process has ended."""
+        await asyncio.sleep(0.05)
+        if info.worker_id in self.ended_ids:
+            return PollIncarnationEnded("planted by the scenario")
+        self.polled_ids.add(info.worker_id)
+        return WorkerReport(incarnation=1, running=(), ended=(), ends_complete=True)
+
+    async def forget_worker(self, worker_id):
+        """Keep nothing."""
+
+
+async def record_departure(context, pause_s):
+    """Let one of two workers leave, and end the scheduler a while after its process has ended."""
+    context.log, workers = MemoryLog(1), LeavingWorkers()
+    scheduler = make_scheduler(context.log, workers)
+    scheduler._approvals = SimpleNamespace(long_requests_vms_count=1)
+    scheduler.start()
+    directory = {name: attrs.evolve(WORKER, worker_id=name) for name in ("w0", "w1")}
+    while not scheduler._loaded:
+        await asyncio.sleep(0.01)
+    await scheduler.handle_directory(directory)
+    while workers.polled_ids != set(directory):
+        await asyncio.sleep(0.01)
+    await scheduler.handle_directory({"w1": directory["w1"]})
+    await asyncio.sleep(0.2)
+    workers.ended_ids.add("w0")
+    await asyncio.sleep(pause_s)
+    await scheduler.close()
+
+
+@when(
+    "one of two workers leaves, its process ends, and the scheduler ends {pause_s:g} s later"
+    " without a further change of the directory"
+)
+def end_scheduler_after_departure(context, pause_s):
+    asyncio.run(asyncio.wait_for(record_departure(context, pause_s), 20.0))
+
+
+@then("the next one starts an inherited job as soon as the other worker has reported")
+def check_inherited_job_starts(context):
+    state = JournalState()
+    for offset, record in context.log.rows[0]:
+        state.apply(offset, record.key, record.value, 0.0)
+    world = WorkflowWorld(workers_count=2)
+    world.unlisted_workers.add("w0")
+    world.submit("a", [make_step(1)])
+    world.record_progress()
+    world.journal_state.workers_in_use = state.workers_in_use
+    world.begin_tenure()
+    world.run(1.0)
+    assert world.job_state("a") is WorkflowState.COMPLETE, state.workers_in_use
--- a/features/workflow_starts.feature
+++ b/features/workflow_starts.feature
@@ -18,6 +18,13 @@
     When one of them leaves the directory and its process has exited
     Then the other 2 are to be recorded as in use
 
+  Scenario: the departure of a worker is recorded without a further change of the directory
+    Replays workers that have left 1 s before the scheduler is killed. All jobs in flight would wait
+    12.5 s for them.
+
+    When one of two workers leaves, its process ends, and the scheduler ends 1 s later without a further change of the directory
+    Then the next one starts an inherited job as soon as the other worker has reported
+
   Scenario: start orders that wait for answers are limited
     Replays a change of scheduler with 400 tasks that can be started at once while no order is
     answered. All orders would wait for the processor of the scheduler's VM.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -200,13 +200,11 @@
         self._directory = directory
         if not self._loaded:
             return
-        in_use = self.scheduler.workers_to_record(self._worker_ids_in_use, self._now_s())
-        in_use.update(directory)
+        in_use = self._find_workers_in_use()
         if in_use != self._worker_ids_in_use:
-            recorded = await self._append(WorkersInUse(worker_ids=tuple(sorted(in_use))))
-            if not recorded or self._closing:
+            self._queue_workers_in_use(in_use)
+            if not await self.flush() or self._closing:
                 return
-            self._worker_ids_in_use = in_use
         self.observe(DirectoryChanged(directory))
         for worker_id, info in directory.items():
             entry = self._sessions.get(worker_id)
@@ -214,11 +212,34 @@
                 self._open_session(info)
             else:
                 entry[0].info = info
-        for worker_id in set(self._sessions) - set(self.scheduler.workers) - set(directory):
+
+    def _find_workers_in_use(self) -> set[str]:
+        """Return the ids of the workers on which runs may be started or alive."""
+        recorded = self._worker_ids_in_use
+        return self.scheduler.workers_to_record(recorded, self._now_s()).union(self._directory)
+
+    def _queue_workers_in_use(self, worker_ids: set[str]) -> None:
+        """Queue the record of the workers in use; the records are appended in this order."""
+        self._worker_ids_in_use = worker_ids
+        self._extra_records.append(WorkersInUse(worker_ids=tuple(sorted(worker_ids))))
+        self._records_pending.set()
+
+    def _remove_departed_workers(self) -> None:
+        """End the sessions with workers that have left, and record the remaining ones.
+
+        The next scheduler waits for every recorded worker before it starts inherited jobs.
+        """
+        if not self._loaded:
+            return
+        departed = self._sessions.keys() - self.scheduler.workers.keys() - self._directory.keys()
+        for worker_id in departed:
             _, task = self._sessions.pop(worker_id)
             task.cancel()
             self._background.spawn(self._platform.workers.forget_worker(worker_id))
             _LOG.info("worker removed", extra={"worker": worker_id})
+        in_use = self._find_workers_in_use()
+        if in_use < self._worker_ids_in_use:
+            self._queue_workers_in_use(in_use)
 
     def _open_session(self, info: WorkerInfo) -> None:
         session = WorkerSession(
@@ -289,6 +310,7 @@
                         self._background.spawn(self._stop_run(action))
                     case AskApproval():
                         self._background.spawn(self._request_approval(action))
+            self._remove_departed_workers()
             self._decision_log.log_state(self._now_s())
             if any(job.dirty for job in self.scheduler.jobs.values()):
                 self._records_pending.set()
