Count the wait for a departed worker from its departure, not from the change of scheduler

Callers saw jobs in flight stand still for 12.5 s after a change of scheduler, although the workers in question had left seconds before. Cause: a worker that does not answer may be at work until its leases expire, and a new scheduler knew only that runs may have been started there. It waited for the whole bound from its own start, and so did each one after it. Change: departures are recorded, with the end of lease renewal there. A scheduler counts from the time at which its daemon read the departure. A worker that returns is recorded as present before it gets a lease or an order. Evidence: three scenarios; the first one fails if the scheduler ignores the recorded departures, as before (no start within 10.5 s of the departure; it would be 16.5 s). They also guard that no start precedes the end of the lease, that a return is durable before the worker is asked, and that a reader that misses a return does not count from the earlier departure.

--- a/features/steps/workflow_start_steps.py
+++ b/features/steps/workflow_start_steps.py
@@ -25,10 +25,12 @@
     WorkersInUse,
     WorkflowSpec,
     WorkflowState,
+    encode_record,
 )
+from fireflywharf_core.workflows._scheduler import DEPARTED_SILENCE_S
 from fireflywharf_core.workflows._start_window import StartWindow
 from fireflywharf_core.workflows._state import Job
-from fireflywharf_daemon.workflows import PollIncarnationEnded, WorkerReport
+from fireflywharf_daemon.workflows import PollFailed, PollIncarnationEnded, WorkerReport
 
 
 @given("a scheduler with {count:d} workers")
@@ -233,35 +235,44 @@
 
     def __init__(self):
         self.ended_ids = set()
+        self.silent_ids = set()
         self.polled_ids = set()
 
     async def poll_worker(self, info, **options):
-        """Answer with an empty report, or tell that the process has ended."""
+        """Answer with an empty report, tell that the process has ended, or fail."""
         await asyncio.sleep(0.05)
+        self.polled_ids.add(info.worker_id)
         if info.worker_id in self.ended_ids:
             return PollIncarnationEnded("planted by the scenario")
-        self.polled_ids.add(info.worker_id)
+        if info.worker_id in self.silent_ids:
+            return PollFailed("planted by the scenario")
         return WorkerReport(incarnation=1, running=(), ended=(), ends_complete=True)
 
     async def forget_worker(self, worker_id):
         """Keep nothing."""
 
 
-async def record_departure(context, pause_s):
-    """Let one of two workers leave, and end the scheduler a while after its process has ended."""
-    context.log, workers = MemoryLog(1), LeavingWorkers()
-    scheduler = make_scheduler(context.log, workers)
+async def start_scheduler(context):
+    """Start a scheduler, and return it and its two workers after both have answered."""
+    context.log, context.workers = MemoryLog(1), LeavingWorkers()
+    scheduler = make_scheduler(context.log, context.workers)
     scheduler._approvals = SimpleNamespace(long_requests_vms_count=1)
     scheduler.start()
-    directory = {name: attrs.evolve(WORKER, worker_id=name) for name in ("w0", "w1")}
+    context.directory = {name: attrs.evolve(WORKER, worker_id=name) for name in ("w0", "w1")}
     while not scheduler._loaded:
         await asyncio.sleep(0.01)
-    await scheduler.handle_directory(directory)
-    while workers.polled_ids != set(directory):
+    await scheduler.handle_directory(context.directory)
+    while context.workers.polled_ids != set(context.directory):
         await asyncio.sleep(0.01)
-    await scheduler.handle_directory({"w1": directory["w1"]})
+    return scheduler
+
+
+async def record_departure(context, pause_s):
+    """Let one of two workers leave, and end the scheduler a while after its process has ended."""
+    scheduler = await start_scheduler(context)
+    await scheduler.handle_directory({"w1": context.directory["w1"]})
     await asyncio.sleep(0.2)
-    workers.ended_ids.add("w0")
+    context.workers.ended_ids.add("w0")
     await asyncio.sleep(pause_s)
     await scheduler.close()
 
@@ -276,14 +287,98 @@
 
 @then("the next one starts an inherited job as soon as the other worker has reported")
 def check_inherited_job_starts(context):
-    state = JournalState()
-    for offset, record in context.log.rows[0]:
-        state.apply(offset, record.key, record.value, 0.0)
+    world = take_over(context, 0.0)
+    world.run(1.0)
+    assert world.job_state("a") is WorkflowState.COMPLETE, world.scheduler.workers
+
+
+def take_over(context, age_s):
+    """Return a world with an inherited job whose scheduler read the journal `age_s` earlier."""
     world = WorkflowWorld(workers_count=2)
+    state = read_journal(context, world.now_s - age_s)
     world.unlisted_workers.add("w0")
     world.submit("a", [make_step(1)])
     world.record_progress()
     world.journal_state.workers_in_use = state.workers_in_use
+    world.journal_state.departures = state.departures
     world.begin_tenure()
-    world.run(1.0)
-    assert world.job_state("a") is WorkflowState.COMPLETE, state.workers_in_use
+    return world
+
+
+def read_journal(context, now_s):
+    """Return the journal of the scenario as a daemon read it at a time."""
+    state = JournalState()
+    for offset, record in context.log.rows[0]:
+        state.apply(offset, record.key, record.value, now_s)
+    return state
+
+
+@given("a scheduler of two workers, one of which leaves the directory and answers no more")
+def describe_silent_departure(context):
+    async def leave():
+        scheduler = await start_scheduler(context)
+        context.workers.silent_ids.add("w0")
+        await scheduler.handle_directory({"w1": context.directory["w1"]})
+        return scheduler
+
+    context.leave = leave
+
+
+@when("the scheduler is ended {pause_s:g} s later")
+def end_scheduler(context, pause_s):
+    async def run():
+        scheduler = await context.leave()
+        await asyncio.sleep(pause_s)
+        await scheduler.close()
+
+    context.pause_s = pause_s
+    asyncio.run(asyncio.wait_for(run(), 20.0))
+
+
+@then("the next one starts an inherited job within {seconds:g} s of the departure")
+def check_start_after_departure(context, seconds):
+    # The departure is recorded after at least 2 s of silence.
+    world = take_over(context, context.pause_s - DEPARTED_SILENCE_S)
+    lease_end_s = world.now_s - context.pause_s + DEPARTED_SILENCE_S + 6.0
+    world.run(seconds - context.pause_s)
+    starts = [action for action in world.actions if isinstance(action, StartRun)]
+    assert starts and starts[0].ordered_s > lease_end_s, (starts, lease_end_s)
+
+
+@when("the worker is back in the directory {pause_s:g} s later")
+def return_worker(context, pause_s):
+    async def run():
+        scheduler = await context.leave()
+        await asyncio.sleep(pause_s)
+        context.recorded_departures = read_journal(context, 0.0).departures
+        context.workers.polled_ids.clear()
+        context.workers.silent_ids.clear()
+        await scheduler.handle_directory(context.directory)
+        while "w0" not in context.workers.polled_ids:
+            await asyncio.sleep(0)
+        context.departures_when_asked = read_journal(context, 0.0).departures
+        await scheduler.close()
+
+    asyncio.run(asyncio.wait_for(run(), 20.0))
+
+
+@then("no departure is recorded when it is asked again")
+def check_no_departure(context):
+    assert set(context.recorded_departures) == {"w0"}, context.recorded_departures
+    assert not context.departures_when_asked, context.departures_when_asked
+
+
+@when(
+    "the departure of a worker is read at {first_s:g} s,"
+    " and another departure of it at {second_s:g} s"
+)
+def read_departures(context, first_s, second_s):
+    context.state = JournalState()
+    for offset, (departure_id, now_s) in enumerate((("5.1", first_s), ("5.2", second_s))):
+        record = WorkersInUse(worker_ids=("w0",), departures={"w0": departure_id})
+        context.state.apply(offset, *encode_record(record), now_s)
+
+
+@then("its runs count as ended no earlier than a lease after {read_s:g} s")
+def check_read_time(context, read_s):
+    assert context.state.departures["w0"].read_s == read_s, context.state.departures
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -251,6 +251,7 @@
             timing=Timing(),
             first_number=(ordinal - 1) * 1000 + 1,
             workers_in_use=self.journal_state.workers_in_use,
+            departures=self.journal_state.departures,
             started_s=self.now_s,
             find_spec=self.journal_state.find_spec,
         )
--- a/features/workflow_starts.feature
+++ b/features/workflow_starts.feature
@@ -25,6 +25,27 @@
     When one of two workers leaves, its process ends, and the scheduler ends 1 s later without a further change of the directory
     Then the next one starts an inherited job as soon as the other worker has reported
 
+  Scenario: jobs in flight do not wait for workers that left long before a change of scheduler
+    A worker whose address no longer answers may be cut off and still at work, so its leases have to
+    expire. Their end is known from the time of the departure, not of the change of scheduler.
+
+    Given a scheduler of two workers, one of which leaves the directory and answers no more
+    When the scheduler is ended 4 s later
+    Then the next one starts an inherited job within 10.5 s of the departure
+
+  Scenario: a worker that returns is no longer recorded as departed before it gets orders
+    The next scheduler would count from the departure, and start tasks again that are still at work.
+
+    Given a scheduler of two workers, one of which leaves the directory and answers no more
+    When the worker is back in the directory 4 s later
+    Then no departure is recorded when it is asked again
+
+  Scenario: the time of a departure counts only as long as the worker has not returned
+    A reader may miss the record between two departures of a worker.
+
+    When the departure of a worker is read at 10 s, and another departure of it at 20 s
+    Then its runs count as ended no earlier than a lease after 20 s
+
   Scenario: start orders that wait for answers are limited
     Replays a change of scheduler with 400 tasks that can be started at once while no order is
     answered. All orders would wait for the processor of the scheduler's VM.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -142,9 +142,29 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class WorkersInUse:
-    """Workers on which the active scheduler may have started runs."""
+    """Workers on which the active scheduler may have started runs.
+
+    Args:
+        worker_ids: ids of the workers.
+        departures: identifier of the departure by worker id, for those that have left. No scheduler
+            renews a lease there after the record, so their runs end on their own.
+    """
 
     worker_ids: tuple[str, ...]
+    departures: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen(slots=True)
+class Departure:
+    """Departure of a worker in use.
+
+    Args:
+        departure_id: identifier, which tells it from other departures of the worker.
+        read_s: local time at which its record was first read, in seconds.
+    """
+
+    departure_id: str
+    read_s: float
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -339,6 +359,7 @@
         tenure: newest tenure record; None if there is none.
         tenure_offset: offset of that record.
         workers_in_use: ids of the workers on which runs may have been started.
+        departures: departures of these workers by id.
         vms: VMs of the deployment by name.
         undecodable_count: number of records that could not be decoded.
     """
@@ -348,6 +369,7 @@
         self.tenure: TenureRecord | None = None
         self.tenure_offset = -1
         self.workers_in_use: tuple[str, ...] = ()
+        self.departures: dict[str, Departure] = {}
         self.vms: dict[str, VmPresent] = {}
         self.undecodable_count = 0
         self._offsets: dict[str, int] = {}
@@ -393,8 +415,13 @@
             case TenureRecord():
                 self.tenure, self.tenure_offset = record, offset
                 return True
-            case WorkersInUse(worker_ids=worker_ids):
+            case WorkersInUse(worker_ids=worker_ids, departures=departures):
                 self.workers_in_use = worker_ids
+                read = {worker_id: Departure(d, now_s) for worker_id, d in departures.items()}
+                for worker_id, known in self.departures.items():
+                    if departures.get(worker_id) == known.departure_id:
+                        read[worker_id] = known
+                self.departures = read
                 return True
             case VmPresent(vm=vm):
                 self.vms[vm] = record
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -28,7 +28,7 @@
 )
 from ._gang_plans import GangPlanner
 from ._headroom import Headroom
-from ._journal import WorkflowClosed, WorkflowProgress, WorkflowState
+from ._journal import Departure, WorkflowClosed, WorkflowProgress, WorkflowState
 from ._names import TaskName
 from ._placement import assign_gang, assign_singles, placeable_count
 from ._placement_order import placement_order_key
@@ -44,6 +44,9 @@
 
 Time alone also makes room: times aside, reservations and places kept for urgent tasks expire."""
 
+DEPARTED_SILENCE_S = 2.0
+"""Time without an answer after which a worker that is not in the directory counts as departed."""
+
 
 @attrs.frozen(slots=True, kw_only=True)
 class Timing:
@@ -82,6 +85,7 @@
         timing: timeouts of the deployment.
         first_number: lowest run number of this tenure; higher than those of earlier tenures.
         workers_in_use: ids of the workers on which an earlier tenure may have started runs.
+        departures: departures of these workers by id.
         started_s: local time of the start of the tenure, in seconds.
         find_spec: returns the specification of a job, also of one that has ended.
 
@@ -96,6 +100,7 @@
         timing: Timing,
         first_number: int = 1,
         workers_in_use: Iterable[str] = (),
+        departures: Mapping[str, Departure] | None = None,
         started_s: float = 0.0,
         find_spec: Callable[[str], WorkflowSpec | None],
     ) -> None:
@@ -106,6 +111,7 @@
         self.run_times = RunTimes()
         self.outbox: list[Action] = []
         self._unreconciled = set(workers_in_use)
+        self._departures = dict(departures or {})
         self.runs = RunTable(
             self.jobs, self.workers, self.outbox, self.run_times, timing, find_spec
         )
@@ -228,6 +234,7 @@
             waited = now_s >= self.started_s + self.timing.inherited_wait_s and not any(
                 worker.reachable and not worker.has_reported for worker in self.workers.values()
             )
+            self._expire_departures(now_s)
             known = all(worker.has_reported for worker in self.workers.values())
             self._reconciled = waited or (known and not self._unreconciled)
             if self._reconciled:
@@ -235,6 +242,34 @@
                 self.assumed_ended_ids = frozenset(self._unreconciled | silent)
         return self._reconciled
 
+    def _expire_departures(self, now_s: float) -> None:
+        """Treat the runs on workers that left during an earlier tenure as ended in time.
+
+        Orders that were on the way when the departure was recorded may still have been carried out.
+        """
+        wait_s = self._lease_bound_s() + self.timing.start_repeats_s
+        for worker_id, departure in list(self._departures.items()):
+            if worker_id in self.workers:
+                del self._departures[worker_id]
+            elif now_s >= departure.read_s + wait_s:
+                del self._departures[worker_id]
+                self._unreconciled.discard(worker_id)
+
+    def find_departed(self, now_s: float) -> set[str]:
+        """Return the ids of the workers that have left the directory and do not answer any more.
+
+        Only workers that have answered in this tenure are included: the others do not know its
+        epoch, and may still accept orders of the earlier one.
+        """
+        return {
+            worker.worker_id
+            for worker in self.workers.values()
+            if not worker.in_directory
+            and not worker.reachable
+            and worker.reported_s is not None
+            and now_s >= worker.reported_s + DEPARTED_SILENCE_S
+        }
+
     def explain_waiting(self, now_s: float, age_s: float, rows_max: int) -> list[dict]:
         """Return log fields that describe the steps that have waited longest.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -106,12 +106,18 @@
             timing=timing,
             first_number=(record.ordinal - 1) * _RUN_NUMBERS_PER_TENURE + 1,
             workers_in_use=journal_state.workers_in_use,
+            departures=journal_state.departures,
             started_s=self._now_s(),
             find_spec=journal_state.find_spec,
         )
         for job_id, journaled in journal_state.jobs.items():
             self.scheduler.observe(JobAdded(job_id=job_id, journaled=journaled), self._now_s())
         self._worker_ids_in_use = set(journal_state.workers_in_use)
+        self._departures = {
+            worker_id: departure.departure_id
+            for worker_id, departure in journal_state.departures.items()
+        }
+        self._departures_count = 0
         self._directory: Mapping[str, WorkerInfo] = {}
         self._sessions: dict[str, tuple[WorkerSession, asyncio.Task]] = {}
         self._wake = asyncio.Event()
@@ -201,7 +207,7 @@
         if not self._loaded:
             return
         in_use = self._find_workers_in_use()
-        if in_use != self._worker_ids_in_use:
+        if in_use != self._worker_ids_in_use or not self._departures.keys().isdisjoint(directory):
             self._queue_workers_in_use(in_use)
             if not await self.flush() or self._closing:
                 return
@@ -221,25 +227,37 @@
     def _queue_workers_in_use(self, worker_ids: set[str]) -> None:
         """Queue the record of the workers in use; the records are appended in this order."""
         self._worker_ids_in_use = worker_ids
-        self._extra_records.append(WorkersInUse(worker_ids=tuple(sorted(worker_ids))))
+        self._departures = {
+            worker_id: departure_id
+            for worker_id, departure_id in self._departures.items()
+            if worker_id in worker_ids and worker_id not in self._directory
+        }
+        self._extra_records.append(
+            WorkersInUse(worker_ids=tuple(sorted(worker_ids)), departures=self._departures)
+        )
         self._records_pending.set()
 
     def _remove_departed_workers(self) -> None:
-        """End the sessions with workers that have left, and record the remaining ones.
+        """End the sessions with workers that have left, and record their departure.
 
-        The next scheduler waits for every recorded worker before it starts inherited jobs.
+        The next scheduler waits for every recorded worker before it starts inherited jobs. After a
+        departure was recorded, no lease is renewed there, so it knows when the runs have ended.
         """
         if not self._loaded:
             return
-        departed = self._sessions.keys() - self.scheduler.workers.keys() - self._directory.keys()
+        departed = self.scheduler.find_departed(self._now_s())
+        departed.update(self._sessions.keys() - self.scheduler.workers.keys())
+        departed = departed.intersection(self._sessions) - self._directory.keys()
         for worker_id in departed:
             _, task = self._sessions.pop(worker_id)
             task.cancel()
             self._background.spawn(self._platform.workers.forget_worker(worker_id))
+            self._departures_count += 1
+            self._departures[worker_id] = f"{self.record.epoch}.{self._departures_count}"
             _LOG.info("worker removed", extra={"worker": worker_id})
         in_use = self._find_workers_in_use()
-        if in_use < self._worker_ids_in_use:
-            self._queue_workers_in_use(in_use)
+        if departed or in_use < self._worker_ids_in_use:
+            self._queue_workers_in_use(in_use.intersection(self._worker_ids_in_use))
 
     def _open_session(self, info: WorkerInfo) -> None:
         session = WorkerSession(
