Let work without another place use kept places while half of the capacity is free

Callers saw a task stay queued beside an idle worker that it may run on, while another such worker was busy for long. Cause: places for urgent tasks are kept as long as their learned rate is above zero, which it never reaches. Other work might use them only if they are kept on all workers that can run it. Change: it may also do so if it finds no other place and less than half of all capacity is in use.

--- a/features/steps/workflow_recovery_steps.py
+++ b/features/steps/workflow_recovery_steps.py
@@ -172,6 +172,34 @@
     world.cancel("gang")
 
 
+@given(
+    "{count:d} workers, of which one with a label is idle but kept for urgent tasks,"
+    " and one is busy"
+)
+def keep_places(context, count):
+    world = make_small_world(context, workers_count=count)
+    for name, label in (("w0", LABEL), ("w1", LABEL), ("w1", "c")):
+        worker = world.workers[name]
+        worker.info = attrs.evolve(worker.info, labels=worker.info.labels | {label})
+    world.workers["w1"].run_time_s = 60.0
+    world.publish_directory()
+    world.submit("other", [make_step(1, required_label="c")])
+    queue = world.queue
+    for number in range(6):
+        world.queue = attrs.evolve(queue, priority=0)
+        world.submit(f"u{number}", [make_step(1)])
+        world.run(0.5)
+    world.queue = attrs.evolve(queue, name="r", priority=1)
+
+
+@when("a task arrives that requires the label of these two")
+def submit_labelled_task(context):
+    world = context.world
+    world.submit("a", [make_step(1, required_label=LABEL)])
+    world.run(2 * STEP_S)
+    assert [worker.worker_id for worker in world.scheduler.headroom.workers_] == ["w0"]
+
+
 @when("the cause is over and nothing else happens")
 def check_waiting(context):
     assert context.world.job_state("a") is WorkflowState.QUEUED, context.world.job_state("a")
--- a/features/workflow_recovery.feature
+++ b/features/workflow_recovery.feature
@@ -35,3 +35,11 @@
       | it refuses a start as unhealthy                       |
       | its entry is missing in the directory for a moment    |
       | its capacity is reserved for a gang that is cancelled |
+
+  Scenario: a task runs on places that are kept for urgent tasks while most workers are idle
+    Places are kept for as long as urgent tasks were ever seen. A task that only such workers and
+    busy ones may run would wait for the end of the long runs on the others.
+
+    Given 5 workers, of which one with a label is idle but kept for urgent tasks, and one is busy
+    When a task arrives that requires the label of these two
+    Then the task is complete within 7 s
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_headroom.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_headroom.py
@@ -12,6 +12,8 @@
 """Time for which the expected arrivals are covered; then enough runs have ended again."""
 _DECAY_S = 4.0
 """Time constant of the learned arrival rate, in seconds."""
+_SCARCE_SHARE = 0.5
+"""Used share of all capacity from which free places count as scarce."""
 _SIZE_WEIGHT = 0.05
 """Weight of a new job in the mean size of urgent tasks."""
 
@@ -28,12 +30,14 @@
         rate_: learned number of urgent tasks that arrive per second.
         size_: learned mean size of an urgent task; None before the first.
         workers_: workers on which places are kept.
+        is_scarce_: whether so much capacity is used that other work may not take kept places.
     """
 
     def __init__(self) -> None:
         self.rate_ = 0.0
         self.size_: ResourceVector | None = None
         self.workers_: frozenset[Worker] = frozenset()
+        self.is_scarce_ = False
         self._priority: int | None = None
         self._observed_s = 0.0
 
@@ -71,8 +75,10 @@
         self._decay(now_s)
         missing = self.rate_ * _WINDOW_S
         chosen = []
+        candidates = list(workers)
+        self.is_scarce_ = _used_share(candidates) >= _SCARCE_SHARE
         if self.size_ is not None:
-            for worker in workers:
+            for worker in candidates:
                 if missing <= 0:
                     break
                 missing -= fit_count(worker.free, self.size_)
@@ -86,6 +92,14 @@
         return free - self.size_.scaled(fit_count(free, self.size_))
 
 
+def _used_share(workers: list[Worker]) -> float:
+    """Return the used share of the capacity of all workers, by the resource that is used most."""
+    capacity, free = ResourceVector(), ResourceVector()
+    for worker in workers:
+        capacity, free = capacity + worker.info.capacity, free + worker.free
+    return (capacity - free).dominant_share(capacity)
+
+
 def _blend(mean: ResourceVector, size: ResourceVector) -> ResourceVector:
     def blend(old: int, new: int) -> int:
         return round(old + _SIZE_WEIGHT * (new - old))
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -506,7 +506,7 @@
         free_by_worker = self._free_capacity(step, workers, now_s)
         limited_by_worker = self._limit_to_headroom(step, free_by_worker)
         pairs = self._assign_tasks(step, limited_by_worker, indices, now_s)
-        if not pairs and self._runs_on_headroom_only(step, workers, now_s):
+        if not pairs and self._may_use_headroom(step, workers, now_s):
             pairs = self._assign_tasks(step, free_by_worker, indices, now_s)
         number = self.runs.next_number(step, indices) if step.spec.gang else 0
         for index, worker in pairs:
@@ -528,16 +528,17 @@
             worker: self.headroom.limit(worker, free) for worker, free in free_by_worker.items()
         }
 
-    def _runs_on_headroom_only(
-        self, step: Step, workers: Mapping[str, Worker], now_s: float
-    ) -> bool:
-        """Return whether places are kept on all workers that can run the tasks of a step.
+    def _may_use_headroom(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> bool:
+        """Return whether a step that finds no other place may use those kept for urgent tasks.
 
-        Otherwise, it would wait for as long as urgent tasks are expected.
+        It may while much of the capacity is free, or if places are kept on all workers that can run
+        its tasks. Otherwise, it would wait for as long as urgent tasks are expected.
         """
         kept = self.headroom.workers_
         if step.spec.gang or not any(worker.worker_id in workers for worker in kept):
             return False
+        if not self.headroom.is_scarce_:
+            return True
         if step.job.queue.approval is not None and any(
             worker_id not in step.asked and eventual_count(step, worker, now_s) > 0
             for worker_id, worker in workers.items()
@@ -571,7 +572,7 @@
         if step.job.queue.approval is None:
             return
         free_by_worker = self._free_capacity(step, workers, now_s, accept_expired=True)
-        if not self._runs_on_headroom_only(step, workers, now_s):
+        if not self._may_use_headroom(step, workers, now_s):
             # A ticket for a worker on which the step gets no place would expire unused.
             free_by_worker = self._limit_to_headroom(step, free_by_worker)
         pairs = assign_singles(step, free_by_worker, sorted(step.waiting), now_s)
