Use a worker that failed again on trial if no waiting task can probe it (fireflywharfd)

Callers of fireflywharfd saw gangs, and tasks that must not be repeated, wait for ever for a worker that had failed earlier and was sound and idle. Cause: only a successful probe restores a worker that was set aside, and only single restartable tasks are probes. The time between probes doubled up to 60 s. Change: probes every 4 s; without a task for a probe, the worker is used on trial 1.5 s later if other work waits, and its next failure sets it aside at once. Evidence: four examples of the new scenario failed before (nothing started within 7 s) and pass now; a further scenario guards the trial.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -34,6 +34,28 @@
     When one of two workers fails every task and jobs of one task arrive 4 s apart
     Then that worker is set aside before the fifth job
 
+  Scenario Outline: work that cannot probe a worker starts on it soon after it is sound again
+    Only single restartable tasks are used as probes. If none waits, the worker gets no probe, and
+    gangs and tasks that must not be repeated wait for ever.
+
+    Given a worker that has failed restartable tasks for <seconds> s, beside a full one
+    When it is sound and <work> arrives
+    Then <work> starts within 7 s
+
+    Examples:
+      | seconds | work                             |
+      | 3       | a gang                           |
+      | 30      | a gang                           |
+      | 3       | a task that must not be repeated |
+      | 30      | a task that must not be repeated |
+
+  Scenario: a worker on trial is set aside again by its first failure
+    It may still be faulty, and would fail the tasks of several jobs otherwise.
+
+    Given a worker that has failed restartable tasks for 10 s, beside a full one
+    When gangs arrive and it fails the first one after 10 s
+    Then it is set aside again
+
   Scenario: a job that misses its deadline is reported late once
     Fails if a job misses its deadline without a report, or if the report is repeated.
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+from behave import given as behave_given
 from behave import then, when
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
@@ -304,3 +305,65 @@
 def check_unknown_task(context):
     assert context.stops_before == [], context.stops_before
     assert context.stops_after
+
+
+@behave_given("a worker that has failed restartable tasks for {seconds:g} s, beside a full one")
+def fail_restartable_tasks(context, seconds):
+    world = context.world = World(FairShare(), 1, 2)
+    context.is_faulty, full_size = True, ResourceVector(4000, 512)
+
+    def end_attempts(worker):
+        for attempt_id, row in list(worker.running.items()):
+            failed = context.is_faulty and worker.vm.name == "w0"
+            if failed or row.size != full_size:
+                end = AttemptEnd.FAILED if failed else AttemptEnd.SUCCEEDED
+                world.end_attempt(worker, attempt_id, end)
+
+    world.end_attempts = end_attempts
+    for _ in range(round(seconds / STEP_S)):
+        submit_batch(world, 6)
+        world.step()
+    for job_id in world.specs:
+        world.send_event(JobCancelled(job_id))
+    while len(world.final_states) < len(world.specs):
+        world.step()
+    submit_batch(world, 1, full_size)
+    world.step()
+    assert world.scheduler.set_aside_workers() == ["w0"] and world.workers["w1"].running
+
+
+@when("it is sound and {work} arrives")
+def submit_other_work(context, work):
+    context.is_faulty = False
+    if work == "a gang":
+        context.world.submit(JobKind.GANG, 2, SIZES[0], True, "a")
+    else:
+        context.world.submit(JobKind.BATCH, 1, SIZES[0], False, "a")
+
+
+@then("{work} starts within {seconds:g} s")
+def check_other_work_starts(context, work, seconds):
+    world, job_id = context.world, list(context.world.specs)[-1]
+    started = False
+    for _ in range(round(seconds / STEP_S)):
+        world.step()
+        started = started or any(task.job_id == job_id for task in world.run_counts)
+    assert started, world.scheduler.explain(job_id, world.now_s)
+
+
+@when("gangs arrive and it fails the first one after {seconds:g} s")
+def fail_first_gang(context, seconds):
+    world = context.world
+    for _ in range(3):
+        world.submit(JobKind.GANG, 2, SIZES[0], True, "a")
+    context.set_aside_counts = []
+    for _ in range(round(seconds / STEP_S)):
+        world.step()
+        context.set_aside_counts.append(world.scheduler.set_aside_count)
+
+
+@then("it is set aside again")
+def check_set_aside_again(context):
+    counts = context.set_aside_counts
+    first_trial = counts.index(0)
+    assert 1 in counts[first_trial : first_trial + 4], counts
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_health.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_health.py
@@ -7,8 +7,12 @@
 from ._model import Attempt, Job, Worker
 
 FAILURES_TO_SET_ASIDE = 3
-PROBE_WAIT_MIN_S = 5.0
-PROBE_WAIT_MAX_S = 60.0
+PROBE_WAIT_S = 4.0
+"""Time between two probes of a worker that was set aside."""
+TRIAL_WAIT_S = 1.5
+"""Time after which a worker without a task for a probe is used again on trial.
+
+With the time between probes, it bounds the wait of work that no probe can serve by 7 s."""
 # Failures of a workload that fails more often than this are not attributed to the worker.
 WORKLOAD_FAILURE_FRACTION = 0.5
 WORKLOAD_COUNT_DECAY = 0.95
@@ -17,8 +21,8 @@
 @attrs.define(slots=True)
 class _WorkerRecord:
     failures: list[tuple[Job, int]] = attrs.field(factory=list)
-    probe_wait_s: float = PROBE_WAIT_MIN_S
     next_probe_s: float = 0.0
+    on_trial: bool = False
 
 
 class WorkerHealth:
@@ -67,14 +71,13 @@
             return False
         record = self.records_.setdefault(worker.name, _WorkerRecord())
         if worker.set_aside:
-            record.probe_wait_s = min(PROBE_WAIT_MAX_S, 2 * record.probe_wait_s)
-            record.next_probe_s = now_s + record.probe_wait_s
+            record.next_probe_s = now_s + PROBE_WAIT_S
             return True
         if workload_suspect:
             return False
         record.failures.append((attempt.job, attempt.attempt_id.task.index))
         jobs = {job.spec.job_id for job, _ in record.failures}
-        if len(jobs) >= FAILURES_TO_SET_ASIDE:
+        if record.on_trial or len(jobs) >= FAILURES_TO_SET_ASIDE:
             self._set_aside(worker, record, now_s)
             return True
         return False
@@ -96,13 +99,27 @@
             if job.failures.get(index, 0) > 0:
                 job.failures[index] -= 1
         record.failures.clear()
-        record.next_probe_s = now_s + record.probe_wait_s
+        record.on_trial = False
+        record.next_probe_s = now_s + PROBE_WAIT_S
         self.set_aside(worker, now_s)
 
     def is_trusted(self, worker: Worker) -> bool:
         """Return whether the worker may get tasks other than probes."""
         return not worker.set_aside
 
+    def begin_trial(self, worker: Worker, now_s: float) -> bool:
+        """Use a worker again if no probe has tested it in time; its next failure sets it aside.
+
+        Returns:
+            Whether the trial has begun.
+        """
+        record = self.records_.setdefault(worker.name, _WorkerRecord())
+        if now_s < record.next_probe_s + TRIAL_WAIT_S:
+            return False
+        record.on_trial = True
+        self.restore(worker, now_s)
+        return True
+
     def is_probe_due(self, worker: Worker, now_s: float) -> bool:
         """Return whether a probe may start now on a worker that was set aside."""
         record = self.records_.setdefault(worker.name, _WorkerRecord())
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_worker_prober.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_worker_prober.py
@@ -46,7 +46,11 @@
         return self.health_.record_end(attempt, succeeded, now_s)
 
     def start_due_probes(self, now_s: float) -> None:
-        """Start one waiting restartable task on each worker that is due for a probe."""
+        """Start one waiting restartable task on each worker that is due for a probe.
+
+        If only other work waits, the worker gets it on trial after a while. Otherwise, gangs and
+        tasks that must not be repeated would wait for ever.
+        """
         for worker in list(self._set_aside_workers.values()):
             if not worker.reported or worker.lost or worker.leaving:
                 continue
@@ -56,6 +60,11 @@
             if job is not None:
                 self.outbox.put(ProbeWorker(worker.name))
                 self.attempts.launch(job, worker, job.spec.size, now_s)
+            elif self._has_other_work() and self.health_.begin_trial(worker, now_s):
+                self.outbox.put(ProbeWorker(worker.name))
+
+    def _has_other_work(self) -> bool:
+        return any(job.queued and job.waiting_count for job in self.jobs.all())
 
     def _find_probe_job(self, worker: Worker) -> Job | None:
         examined = 0
