Stop a run whose start order may still reach the next process of its worker

Callers may see a task run twice after a worker has restarted under its id while a start order was delayed. Cause: an order names the id of the worker, not its process, and its deadline is a time on the clock of the earlier process. At the end of the process, the scheduler released all runs at once, also those whose order was still on its way. Change: a run whose order has no answer yet is ordered to stop instead, which the next process confirms by refusing the run. Without a next process, it is released once the order and a lease that it may have got have expired. Evidence: two new scenarios failed before ("a.0.0.0 runs twice", and a start after the job had ended) and pass now.

--- a/features/steps/workflow_recovery_steps.py
+++ b/features/steps/workflow_recovery_steps.py
@@ -7,7 +7,7 @@
 from workflow_world import STEP_S, WorkflowWorld, make_step
 
 from fireflywharf_core.resources import ResourceVector
-from fireflywharf_core.workflows import StartRun, WorkflowState
+from fireflywharf_core.workflows import StartRun, WorkerIncarnationEnded, WorkflowState
 
 LABEL = "b"
 WORK = {
@@ -203,3 +203,52 @@
 @when("the cause is over and nothing else happens")
 def check_waiting(context):
     assert context.world.job_state("a") is WorkflowState.QUEUED, context.world.job_state("a")
+
+
+@given("{count:d} workers and a start order to one of them that is delayed in the network")
+def delay_start_order(context, count):
+    world = context.world = WorkflowWorld(workers_count=count)
+    world.run(0.2)
+    for worker in world.workers.values():
+        worker.loses_start_orders = True
+    world.submit("a", [make_step(1)])
+    while not any(isinstance(action, StartRun) for action in world.actions):
+        world.step()
+    context.order = next(action for action in world.actions if isinstance(action, StartRun))
+    for worker in world.workers.values():
+        worker.loses_start_orders = False
+
+
+@when("the worker restarts under its id and the order arrives {pause_s:g} s later")
+def restart_worker(context, pause_s):
+    world, order = context.world, context.order
+    worker = world.workers[order.worker_id]
+    worker.restart()
+    world.publish_directory()
+    world.delayed_orders.append((world.now_s + pause_s, worker, order, world.epoch))
+    for other in world.workers.values():
+        other.run_time_s = 3.0
+    world.run(pause_s + 1.0)
+
+
+@when("the process of the worker ends, and one under its id accepts the order {pause_s:g} s later")
+def restart_worker_later(context, pause_s):
+    world, order = context.world, context.order
+    worker = world.workers[order.worker_id]
+    worker.reachable = False
+    world.scheduler.observe(WorkerIncarnationEnded(order.worker_id), world.now_s)
+    world.run(pause_s - STEP_S)
+    worker.restart()
+    worker.reachable = True
+    world.delayed_orders.append((world.now_s, worker, order, world.epoch))
+    for other in world.workers.values():
+        other.run_time_s = 3.0
+    world.run(1.0)
+
+
+@then("its task is complete within {seconds:g} s without a second run beside the first")
+def check_one_run(context, seconds):
+    world = context.world
+    world.run(seconds)
+    assert not world.violations, world.violations
+    assert world.job_state("a") is WorkflowState.COMPLETE, world.job_state("a")
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -87,6 +87,14 @@
     falls_silent_at_start: bool = False
     run_time_s: float = TASK_RUN_TIME_S
 
+    def restart(self):
+        """Replace the process by one that knows neither runs nor the epoch."""
+        self.info = attrs.evolve(self.info, incarnation=self.info.incarnation + 1)
+        self.epoch = self.last_serial = 0
+        self.active_runs.clear()
+        self.ends.clear()
+        self.highest_ended_numbers.clear()
+
     def end_run(self, key, kind):
         """End a run and add its end to the reported ones; ignore a run that is not active."""
         active_run = self.active_runs.pop(key, None)
@@ -477,7 +485,7 @@
         running, ended = reported_runs
         event = WorkerReported(
             worker_id=name,
-            incarnation=1,
+            incarnation=worker.info.incarnation,
             sent_s=self.now_s if sent_s is None else sent_s,
             running=running,
             ended=ended,
--- a/features/workflow_recovery.feature
+++ b/features/workflow_recovery.feature
@@ -43,3 +43,18 @@
     Given 5 workers, of which one with a label is idle but kept for urgent tasks, and one is busy
     When a task arrives that requires the label of these two
     Then the task is complete within 7 s
+
+  Scenario: a start order that reaches the next process of a worker runs its task once
+    An order in flight is not bound to the process, only to the id of the worker. If its task is
+    started elsewhere as soon as the process has ended, it runs twice.
+
+    Given 2 workers and a start order to one of them that is delayed in the network
+    When the worker restarts under its id and the order arrives 1 s later
+    Then its task is complete within 10 s without a second run beside the first
+
+  Scenario: a start order that reaches a process which begins later runs its task once
+    Guards the same while no process answers in between, so that no stop order can be confirmed.
+
+    Given 2 workers and a start order to one of them that is delayed in the network
+    When the process of the worker ends, and one under its id accepts the order 2 s later
+    Then its task is complete within 20 s without a second run beside the first
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -446,7 +446,14 @@
         worker.runs_end_s = now_s
         self._unreconciled.discard(worker_id)
         for run in list(worker.runs.values()):
-            self.runs.handle_lost(run, LossCause.PROCESS_ENDED, now_s)
+            if run.may_start_late(now_s):
+                # The next process under the id would accept the order, so it has to refuse the run.
+                self.runs.order_stop(run, StopCause.START_UNANSWERED, now_s)
+                worker.runs_end_s = max(
+                    worker.runs_end_s, run.late_start_until_s + self._lease_bound_s()
+                )
+            else:
+                self.runs.handle_lost(run, LossCause.PROCESS_ENDED, now_s)
 
     def _expire_workers(self, now_s: float) -> None:
         for worker in list(self.workers.values()):
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -76,6 +76,15 @@
     speed_read_percent: float = 0.0
     projected_s: float = 0.0
 
+    def may_start_late(self, now_s: float) -> bool:
+        """Return whether an order to start the run may still be on its way."""
+        return (
+            self.phase is not RunPhase.RUNNING
+            and self.refusals_count < self.starts_count
+            and not self.stop_answered
+            and now_s < self.late_start_until_s
+        )
+
     @property
     def is_finite(self) -> bool:
         """Whether the run ends without a stop order."""
