--- a/features/steps/workflow_recovery_steps.py
+++ b/features/steps/workflow_recovery_steps.py
@@ -7,7 +7,14 @@
 from workflow_world import STEP_S, WorkflowWorld, make_step
 
 from fireflywharf_core.resources import ResourceVector
-from fireflywharf_core.workflows import StartRun, WorkerIncarnationEnded, WorkflowState
+from fireflywharf_core.workflows import (
+    StartRun,
+    StepProgress,
+    WorkerIncarnationEnded,
+    WorkflowProgress,
+    WorkflowState,
+)
+from fireflywharf_core.workflows._state import GANG_INDEX
 
 LABEL = "b"
 WORK = {
@@ -252,3 +259,27 @@
     world.run(seconds)
     assert not world.violations, world.violations
     assert world.job_state("a") is WorkflowState.COMPLETE, world.job_state("a")
+
+
+@given("a journal with a failure of run {number:d} of {work}")
+def record_failure(context, number, work):
+    world = context.world = WorkflowWorld(workers_count=2)
+    is_gang = work == "a gang"
+    world.submit("a", [make_step(2 if is_gang else 1, gang=is_gang)])
+    failures = {GANG_INDEX if is_gang else 0: (number,)}
+    row = StepProgress(occurrence=0, step=0, done_bits=0, failures=failures)
+    world.append(WorkflowProgress(job_id="a", state=WorkflowState.RUNNING, steps=(row,)))
+
+
+@when("a scheduler whose first run number is {number:d} starts it again")
+def begin_tenure_with_number(context, number):
+    world = context.world
+    world.begin_tenure()
+    world.scheduler.runs.first_number = number
+    world.run(0.5)
+
+
+@then("that run has number {number:d}")
+def check_number(context, number):
+    starts = [action for action in context.world.actions if isinstance(action, StartRun)]
+    assert starts and {start.number for start in starts} == {number}, starts
--- a/features/workflow_recovery.feature
+++ b/features/workflow_recovery.feature
@@ -58,3 +58,16 @@
     Given 2 workers and a start order to one of them that is delayed in the network
     When the process of the worker ends, and one under its id accepts the order 2 s later
     Then its task is complete within 20 s without a second run beside the first
+
+  Scenario Outline: a new scheduler numbers its runs above the failed runs in the journal
+    Two candidates may begin their tenures with the same run numbers. A failure under a number that
+    was counted before is not counted again, so a task would get more attempts than it is allowed.
+
+    Given a journal with a failure of run 5 of <work>
+    When a scheduler whose first run number is 5 starts it again
+    Then that run has number 6
+
+    Examples:
+      | work   |
+      | a task |
+      | a gang |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -272,6 +272,13 @@
             index for index in range(self.spec.tasks_count) if not self.done_bits >> index & 1
         }
 
+    def raise_run_numbers(self) -> None:
+        """Number further runs above the counted failures, which are recognized by their numbers."""
+        for index, numbers in self.failures.items():
+            indices = range(self.spec.tasks_count) if index == GANG_INDEX else [index]
+            for task_index in indices:
+                self.run_numbers[task_index] = max(self.run_numbers.get(task_index, 0), *numbers, 0)
+
     def expire_ticket(self, worker_id: str) -> None:
         """Mark the ticket for a worker as expired, so that a new one is requested.
 
@@ -376,4 +383,5 @@
                 continue
             step.done_bits = row.done_bits
             step.failures = dict(row.failures)
+            step.raise_run_numbers()
             step.waiting = {i for i in step.waiting if not row.done_bits >> i & 1}
