Log the incarnation of a worker when runs are placed, lost or outlive its process

A loss named neither the process of the worker nor whether a report had ever listed the run, so that the logs could not tell a refused connection, a later process that holds the run, and a wrong directory entry apart. `run lost` and `run placed` now name the incarnation, `worker restarted` names both incarnations and where the later one was read (it was logged for reports only).

Measured: features/workflow_resilience.feature, the three scenarios on the log of losses pass. No decision changes.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -10,6 +10,7 @@
     DirectoryChanged,
     EndKind,
     Event,
+    IncarnationSource,
     JobAdded,
     JobCancelled,
     JobsRecorded,
@@ -26,6 +27,7 @@
     StopRun,
     WorkerIncarnationEnded,
     WorkerReported,
+    WorkerRestarted,
     WorkerSilent,
 )
 from ._journal import (
@@ -70,6 +72,7 @@
     "Directory",
     "DirectoryChanged",
     "EndKind",
+    "IncarnationSource",
     "Event",
     "JournaledWorkflow",
     "ApprovalRates",
@@ -101,6 +104,7 @@
     "WorkerInfo",
     "WorkerIncarnationEnded",
     "WorkerReported",
+    "WorkerRestarted",
     "WorkerSilent",
     "WorkersInUse",
     "WorkflowAccepted",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -62,6 +62,13 @@
     LEASE_EXPIRED = "the worker was silent until its leases had expired"
 
 
+class IncarnationSource(Enum):
+    """Where a later incarnation of a worker was read."""
+
+    DIRECTORY = "the directory"
+    REPORT = "a report of the worker"
+
+
 @attrs.frozen(slots=True)
 class ReportedRun:
     """A run that a worker reports as running."""
@@ -271,6 +278,8 @@
         cause: evidence for the end.
         phase: phase of the run in the view of the scheduler.
         report_age_s: time since the latest report of the worker, in seconds; None without one.
+        incarnation: latest known incarnation of the worker.
+        reported: whether a report has listed the run as running.
     """
 
     worker_id: str
@@ -279,6 +288,8 @@
     cause: LossCause
     phase: str
     report_age_s: float | None
+    incarnation: int
+    reported: bool
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -290,4 +301,21 @@
     number: int
 
 
-Action = StartRun | StopRun | AskApproval | RunLost | RunAdopted
+@attrs.frozen(slots=True, kw_only=True)
+class WorkerRestarted:
+    """Notice that the process of a worker has ended and that a later one has its id.
+
+    Args:
+        worker_id: the worker.
+        earlier: incarnation that has ended.
+        later: incarnation that has begun.
+        source: what showed the later incarnation.
+    """
+
+    worker_id: str
+    earlier: int
+    later: int
+    source: IncarnationSource
+
+
+Action = StartRun | StopRun | AskApproval | RunLost | RunAdopted | WorkerRestarted
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -199,6 +199,8 @@
                 cause=cause,
                 phase=run.phase.value,
                 report_age_s=None if reported_s is None else now_s - reported_s,
+                incarnation=run.worker.info.incarnation,
+                reported=run.reported,
             )
         )
         if run.checkpoint and run.step is not None:
@@ -234,6 +236,7 @@
         run = worker.runs.get((row.task, row.number))
         if run is None:
             run = self._adopt_run(worker, row, now_s)
+        run.reported = True
         if run.phase is RunPhase.STARTING:
             run.phase, run.phase_since_s = RunPhase.RUNNING, now_s
             self._mark_job_running(run)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -15,6 +15,7 @@
     ApprovalReceived,
     DirectoryChanged,
     Event,
+    IncarnationSource,
     JobAdded,
     JobCancelled,
     JobsRecorded,
@@ -24,6 +25,7 @@
     StopCause,
     WorkerIncarnationEnded,
     WorkerReported,
+    WorkerRestarted,
     WorkerSilent,
 )
 from ._gang_plans import GangPlanner
@@ -421,6 +423,7 @@
                 self.runs.capacity_version += 1
                 continue
             if info.incarnation != worker.info.incarnation and worker.info.incarnation:
+                self._note_restart(worker, info.incarnation, IncarnationSource.DIRECTORY)
                 self._end_incarnation(worker_id, now_s)
             elif info == worker.info:
                 continue
@@ -438,6 +441,16 @@
         timing = self.timing
         return timing.task_lease_s * (1 + timing.clock_drift) + timing.network_margin_s
 
+    def _note_restart(self, worker: Worker, later: int, source: IncarnationSource) -> None:
+        self.outbox.append(
+            WorkerRestarted(
+                worker_id=worker.worker_id,
+                earlier=worker.info.incarnation,
+                later=later,
+                source=source,
+            )
+        )
+
     def _end_incarnation(self, worker_id: str, now_s: float) -> None:
         worker = self.workers.get(worker_id)
         if worker is None:
@@ -471,6 +484,7 @@
             return
         known = worker.info.incarnation
         if event.incarnation and known and event.incarnation != known:
+            self._note_restart(worker, event.incarnation, IncarnationSource.REPORT)
             self._end_incarnation(event.worker_id, now_s)
             worker.info = attrs.evolve(worker.info, incarnation=event.incarnation)
         if not worker.is_usable(now_s):
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -49,6 +49,7 @@
         stop_answered: whether the worker has accepted a stop order.
         stop_cause: reason of the stop order; None before one is sent.
         checkpoint: latest checkpoint that the worker reported.
+        reported: whether a report has listed the run as running.
         speed_read_s: local time of the previous progress reading for the speed, in seconds.
         speed_read_percent: progress at that reading.
         projected_s: total run time at the latest speed, in seconds; 0 if unknown.
@@ -72,6 +73,7 @@
     stop_answered: bool = False
     stop_cause: StopCause | None = None
     checkpoint: str = ""
+    reported: bool = False
     speed_read_s: float = 0.0
     speed_read_percent: float = 0.0
     projected_s: float = 0.0
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
@@ -10,6 +10,7 @@
     RunLost,
     StartRun,
     StopRun,
+    WorkerRestarted,
     WorkflowScheduler,
 )
 
@@ -37,24 +38,40 @@
         self._reported_s = now_s
         self._reconciliation_logged = False
 
-    @staticmethod
-    def log_action(action: Action) -> None:
+    def log_action(self, action: Action) -> None:
         """Log an order to a worker, or a notice about a run."""
         match action:
             case StartRun() | StopRun() | RunLost() | RunAdopted():
                 fields = {"run": f"{action.task}#{action.number}", "worker": action.worker_id}
         match action:
             case StartRun():
-                _LOG.info("run placed", extra=fields)
+                worker = self._scheduler.workers.get(action.worker_id)
+                incarnation = None if worker is None else worker.info.incarnation
+                _LOG.info("run placed", extra=fields | {"worker_incarnation": incarnation})
             case StopRun(cause=cause, percent=percent):
                 fields |= {"cause": cause.value, "percent": percent}
                 _LOG.info("run stop ordered", extra=fields)
-            case RunLost(cause=cause, phase=phase, report_age_s=age_s):
-                age_s = None if age_s is None else round(age_s, 3)
-                fields |= {"cause": cause.value, "phase": phase, "report_age_s": age_s}
+            case RunLost(report_age_s=age_s):
+                fields |= {
+                    "cause": action.cause.value,
+                    "phase": action.phase,
+                    "report_age_s": None if age_s is None else round(age_s, 3),
+                    "worker_incarnation": action.incarnation,
+                    "reported": action.reported,
+                }
                 _LOG.warning("run lost; its task may be started again", extra=fields)
             case RunAdopted():
                 _LOG.info("run of an earlier tenure adopted", extra=fields)
+            case WorkerRestarted():
+                _LOG.info(
+                    "worker restarted",
+                    extra={
+                        "worker": action.worker_id,
+                        "earlier_incarnation": action.earlier,
+                        "worker_incarnation": action.later,
+                        "source": action.source.value,
+                    },
+                )
 
     def log_state(self, now_s: float) -> None:
         """Log the reconciliation of earlier runs once, and at intervals the steps that wait."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -131,10 +131,6 @@
         if report.incarnation and report.incarnation != self._incarnation:
             if self._incarnation:
                 self._acknowledged_serial = self._confirmed_serial = self._logged_serial = 0
-                _LOG.info(
-                    "worker restarted",
-                    extra={"worker": self.info.worker_id, "life": report.incarnation},
-                )
             self._incarnation = report.incarnation
         self._observe(
             WorkerReported(
