Ask for one run of a task across the restarts of its worker

Cause: a start order is bound to the id of a worker, and its answer doesn't tell which process gave it. Every known run counts as one of the earlier process when the directory or a report shows another one. Change: features/workflow_incarnations.feature with its steps; the product is unchanged. Events are passed one by one in virtual time.

--- /dev/null
+++ b/features/workflow_incarnations.feature
@@ -0,0 +1,94 @@
+Feature: Runs across the restarts of a worker under its id
+  A start order is bound to the id of a worker, not to its process, and its answer does not tell which
+  process gave it. The directory and the reports show a new process at different times. All times are
+  virtual.
+
+  Scenario: a run that the next process of a worker has confirmed runs its task once
+    The order may have reached the next process before the directory shows it. If the run counts as
+    one of the earlier process, its task is started elsewhere beside it.
+
+    Given a task whose start one of 2 workers has answered
+    When the directory shows a later incarnation of that worker
+    Then the task is not started a second time within 1 s
+    When the later incarnation reports the run as running
+    Then the task is not started a second time within 1 s
+    When the later incarnation reports the end of the run
+    Then the job is complete after one start
+
+  Scenario: a run that the next process has confirmed runs once if a report shows that process first
+    Guards the same if the report was requested before the start, so that it may lack the run.
+
+    Given a task whose start one of 2 workers has answered
+    When a report of the later incarnation that was requested before the start lacks the run
+    Then the task is not started a second time within 1 s
+    When the later incarnation reports the run as running
+    Then the task is not started a second time within 1 s
+    When the later incarnation reports the end of the run
+    Then the job is complete after one start
+
+  Scenario: a confirmed run that the next process does not know is started again
+    The earlier process confirmed it and has ended with it. A list that was requested after the answer
+    decides; without it, the task would never run.
+
+    Given a task whose start one of 2 workers has answered
+    When the directory shows a later incarnation of that worker
+    Then the task is not started a second time within 1 s
+    When a report of the later incarnation that was requested after the answer lacks the run
+    Then the task is started a second time at once, under a higher number
+
+  Scenario Outline: a run that the ended process had reported is started again at once
+    The next process cannot hold it, so waiting for its list or the leases would only delay the task.
+
+    Given a task that the first incarnation of a worker has reported as running
+    When <event>
+    Then the task is started a second time at once, under a higher number
+
+    Examples:
+      | event                                                                                   |
+      | the directory shows a later incarnation of that worker                                  |
+      | a report of the later incarnation that was requested after the answer lacks the run     |
+
+  Scenario Outline: an entry that shows an earlier process does not end the runs of the present one
+    A report may show a new process long before its entry is read. Until that, each change of the
+    directory shows the old entry and would end the process that is alive.
+
+    Given a task that the later incarnation of a worker has <run>
+    When the directory shows the earlier incarnation again
+    Then the task is not started a second time within 1 s
+    When the later incarnation reports the end of the run
+    Then the job is complete after one start
+
+    Examples:
+      | run                                |
+      | confirmed                          |
+      | confirmed and reported as running  |
+
+  Scenario Outline: a late report of the earlier process does not end the runs of the present one
+    Answers on different connections may overtake each other.
+
+    Given a task that the later incarnation of a worker has <run>
+    When a report of the earlier incarnation arrives late
+    Then the task is not started a second time within 1 s
+    When the later incarnation reports the end of the run
+    Then the job is complete after one start
+
+    Examples:
+      | run                                |
+      | confirmed                          |
+      | confirmed and reported as running  |
+
+  Scenario: the lease of a confirmed run counts from the answer to its start
+    A later process may have answered. The deadline in the order was a time on the clock of the
+    earlier one, so the lease is only bounded by its maximum from the receipt of the order.
+
+    Given a task whose start one of 2 workers has answered
+    When that worker answers no poll that was sent after the start
+    Then the task is started a second time within 1 s after a full lease from the answer, not earlier
+
+  Scenario: inherited jobs wait for a worker that restarted and left without a report
+    Orders of the earlier scheduler may have reached the next process, which knows no epoch and has
+    told nobody what it runs.
+
+    Given a job that an earlier scheduler has started on one of 2 workers
+    When a new scheduler sees that worker restart in the directory and leave it without a report
+    Then the job is started again after the wait for silent workers, not earlier
