Ask that acknowledgements reach only the process that reported the ends

Cause: an acknowledgement without a confirmed answer is sent again after silence, and over any connection. The next process of the worker counts its ends from 1 and forgets those that no one has read.

--- /dev/null
+++ b/features/workflow_acknowledgements.feature
@@ -0,0 +1,35 @@
+Feature: Acknowledgements reach only the process that reported the ends
+  A worker forgets the ends up to the number that it is told. A process that starts under the id of an
+  earlier one counts its ends from 1, so a number of the earlier one makes it forget ends that nobody
+  has read, and their tasks are started again.
+
+  Scenario: an acknowledgement is not repeated before the same process has reported again
+    After a poll that failed, nobody knows which process will get the next one.
+
+    Given a session with a worker whose first report has 2 ends
+    When the next poll fails and then the same process reports its ends again
+    Then the polls acknowledge "0 2 0 2"
+
+  Scenario Outline: an acknowledgement is never repeated to the next process of a worker
+    Guards the same if a new process answers after the silence, with or without ends of its own.
+
+    Given a session with a worker whose first report has 2 ends
+    When the next poll fails and then a new process reports <count> ends
+    Then the polls acknowledge "<numbers>"
+
+    Examples:
+      | count | numbers |
+      | 0     | 0 2 0 0 |
+      | 1     | 0 2 0 1 |
+
+  Scenario Outline: a poll that acknowledges ends does not reach a new process at the same address
+    A client that opens a new connection unasked sends the poll to whatever process listens now.
+
+    Given a worker that reports 2 ends over its first connection
+    When it closes that connection <time> and a new process answers all others
+    Then the first poll that the new process gets acknowledges nothing
+
+    Examples:
+      | time                            |
+      | after its report                |
+      | when the next poll has arrived  |
