Ask that only lists and leases end the runs of a worker

Cause: a refused connection, status 421 and an entry without `born` count as the end of a process. All runs of the worker are lost at once and started elsewhere while they are at work. A list without `born` is taken as one of any process. The product is unchanged.

--- a/features/platform_malformed.feature
+++ b/features/platform_malformed.feature
@@ -16,6 +16,10 @@
       | entry                                                      |
       | 4000 opening brackets                                      |
       | an entry whose "version" is nested 4000 deep               |
+      | an entry without "born"                                    |
+      | an entry whose "born" is 0                                 |
+      | an entry whose "born" is null                              |
+      | an entry whose "born" is 5.0                               |
       | an entry whose "born" is 1e400                             |
       | an entry whose "born" is 1e300                             |
       | an entry whose "born" is "5"                               |
--- a/features/steps/platform_malformed_steps.py
+++ b/features/steps/platform_malformed_steps.py
@@ -7,6 +7,7 @@
 import unittest.mock
 
 from behave import given, then, when
+from platform_inputs import ENTRY, REPORT, KeyedStore, encode_with, encode_without
 from workflow_daemon_steps import PresetLog
 from workflow_resilience_steps import WORKER, OneAnswerHttp
 from workflow_support import encode_log_record, make_job_record
@@ -27,23 +28,13 @@
 from fireflywharf_daemon.platform import Failed, FailureReason
 from fireflywharf_daemon.platform._exchange import HttpResponse
 from fireflywharf_daemon.platform._json_calls import call_json
-from fireflywharf_daemon.workflows import Answer, LogRecord, PollFailed, ReadRecords
+from fireflywharf_daemon.workflows import Answer, PollFailed
 from fireflywharf_daemon.workflows._journal import JournalReader
 from fireflywharf_platform import _sources
 from fireflywharf_platform._sources import StoreConfiguration, StoreDirectory, parse_worker
 from fireflywharf_platform._tasks import MalformedError, decode_json, parse_job
 from fireflywharf_platform._workers import WorkerClient
 
-ENTRY = {
-    "service": "s",
-    "address": "127.0.0.1:7000",
-    "zone": "d",
-    "version": "v1",
-    "state": "ready",
-    "born": 5,
-    "capacity": {"cpu": 16000, "mem_mb": 65536, "gpu": 0},
-    "labels": ["a", "r1"],
-}
 CONFIGURATION = {
     "version": 1,
     "routes": [
@@ -70,43 +61,12 @@
     "first_ms": 0,
     "interval_ms": 0,
 }
-REPORT = {
-    "clock_ms": 5,
-    "born": 1,
-    "running": [["a.0.0.0", 1, "", 5]],
-    "finished": [[1, "a.0.0.1", 1, "done", ""]],
-}
 ODD_VALUES = [
     *(None, True, False, 0, -1, 1, 2**53, 2**63, 2**70, 10**300, 1e-300, 1e300, 0.5),
     *("", "x", "\u0000", "9" * 400, "127.0.0.1:99999", [], [1], {}, {"a": 1}, [[[[1]]]]),
 ]
 
 
-def encode_with(valid, name, value_text):
-    """Return the JSON text of an object with one field replaced by a JSON text."""
-    rest = {key: value for key, value in valid.items() if key != name}
-    return f'{json.dumps(rest)[:-1]}, "{name}": {value_text}}}'.encode()
-
-
-class KeyedStore:
-    """Store with one keyed topic that the scenario writes."""
-
-    def __init__(self):
-        self.rows = []
-
-    def put(self, key, value):
-        """Add a record."""
-        self.rows.append((len(self.rows), LogRecord(key, value)))
-
-    async def newest_named(self, name, part=0):
-        """Return all records."""
-        return ReadRecords(len(self.rows), tuple(self.rows))
-
-    async def read_named(self, name, offset, **limits):
-        """Return the records from an offset on."""
-        return ReadRecords(len(self.rows), tuple(self.rows[offset:]))
-
-
 @given("a directory with a readable entry and {entry}")
 def create_directory(context, entry):
     context.store = store = KeyedStore()
@@ -118,6 +78,8 @@
         store.put("odd", encode_with(ENTRY, "version", "[" * 4000 + "]" * 4000))
     elif entry.endswith("line break"):
         store.put("odd\r\nX: 1", json.dumps(ENTRY).encode())
+    elif entry == 'an entry without "born"':
+        store.put("odd", encode_without(ENTRY, "born"))
     elif entry.endswith("cannot raise"):
         store.put("odd", json.dumps({**ENTRY, "address": "127.0.0.1:7001"}).encode())
         read = parse_worker
