--- a/features/steps/workflow_tenure_steps.py
+++ b/features/steps/workflow_tenure_steps.py
@@ -7,9 +7,19 @@
 from prometheus_client import CollectorRegistry
 from workflow_daemon_steps import PresetLog
 from workflow_partition_steps import MemoryLog
-from workflow_resilience_steps import WORKER
-
-from fireflywharf_core.workflows import JournalState, TenureRecord, Timing
+from workflow_resilience_steps import WORKER, shift_boot_time
+from workflow_world import WorkflowWorld, make_step
+
+from fireflywharf_core.workflows import (
+    DirectoryChanged,
+    JobAdded,
+    JobsRecorded,
+    JournalState,
+    StartResult,
+    TenureRecord,
+    Timing,
+    WorkerReported,
+)
 from fireflywharf_daemon.workflows import (
     Appended,
     AppendFenced,
@@ -213,3 +223,49 @@
 @then("the query has waited less than {limit_s:g} s")
 def check_waited(context, limit_s):
     assert context.waited_s < limit_s, context.waited_s
+
+
+class AcceptingWorkers:
+    """Gateway that keeps the start orders and confirms them."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def start(self, info, order, epoch):
+        """Confirm a start order."""
+        self.orders.append(order)
+        return StartResult.STARTED
+
+
+@given("an active scheduler that has decided to start a run")
+def decide_start(context):
+    context.workers = AcceptingWorkers()
+    context.scheduler = make_scheduler(MemoryLog(1), context.workers)
+    world = WorkflowWorld(workers_count=0)
+    world.submit("a", [make_step(1)])
+    report = WorkerReported(
+        worker_id=WORKER.worker_id,
+        incarnation=WORKER.incarnation,
+        sent_s=time.monotonic(),
+        running=(),
+        ended=(),
+    )
+    for event in (
+        DirectoryChanged({WORKER.worker_id: WORKER}),
+        report,
+        JobAdded(job_id="a", journaled=world.journal_state.jobs["a"]),
+        JobsRecorded(("a",)),
+    ):
+        context.scheduler.observe(event)
+    (context.order,) = context.scheduler.scheduler.decide(time.monotonic(), time.time())
+
+
+@when("its process is paused for {pause_s:g} s before the order is sent")
+def pause_before_order(context, pause_s):
+    with shift_boot_time(pause_s):
+        asyncio.run(context.scheduler._start_run(context.order))
+
+
+@then("{count:d} orders are sent")
+def check_orders(context, count):
+    assert len(context.workers.orders) == count, context.workers.orders
