Let the later process of a worker decide about runs that no report has listed

What callers saw: a task ran twice when its worker lost power for a moment and started again under its id.

Cause: a start order names the id of the worker and its answer does not tell which process gave it. When the directory or a report showed a later incarnation, every confirmed run counted as one of the earlier process, and its task was started elsewhere beside it. Also, the lease of such a run was bounded by the deadline in the order, a time on the clock of the earlier process; and a worker that was in use before the tenure counted as reconciled when the directory showed a restart, without any list of the later process.

Why this works: a run ends with a process only if a report of that process has listed it. All others stay until the first list of the later process, requested after the answer, shows them or not, or until the maximum lease from the answer has expired. A run that was listed is still started again at once.

--- a/features/steps/workflow_incarnation_steps.py
+++ b/features/steps/workflow_incarnation_steps.py
@@ -75,7 +75,8 @@
         self.world.now_s += POLL_S
         self.world.submit("a", [make_step(1)])
         self.world.record_progress()
-        (self.order,) = self.world.scheduler.decide(self.world.now_s, 0.0)
+        actions = self.world.scheduler.decide(self.world.now_s, 0.0)
+        (self.order,) = (action for action in actions if isinstance(action, StartRun))
         self.world.now_s += ANSWER_S
         self.answer(self.order)
         self.answered_s = self.world.now_s
--- a/features/workflow_incarnations.feature
+++ b/features/workflow_incarnations.feature
@@ -3,7 +3,6 @@
   process gave it. The directory and the reports show a new process at different times. All times are
   virtual.
 
-  @known_red
   Scenario: a run that the next process of a worker has confirmed runs its task once
     The order may have reached the next process before the directory shows it. If the run counts as
     one of the earlier process, its task is started elsewhere beside it.
@@ -16,7 +15,6 @@
     When the later incarnation reports the end of the run
     Then the job is complete after one start
 
-  @known_red
   Scenario: a run that the next process has confirmed runs once if a report shows that process first
     Guards the same if the report was requested before the start, so that it may lack the run.
 
@@ -28,7 +26,6 @@
     When the later incarnation reports the end of the run
     Then the job is complete after one start
 
-  @known_red
   Scenario: a confirmed run that the next process does not know is started again
     The earlier process confirmed it and has ended with it. A list that was requested after the answer
     decides; without it, the task would never run.
@@ -82,7 +79,6 @@
       | confirmed                          |
       | confirmed and reported as running  |
 
-  @known_red
   Scenario: the lease of a confirmed run counts from the answer to its start
     A later process may have answered. The deadline in the order was a time on the clock of the
     earlier one, so the lease is only bounded by its maximum from the receipt of the order.
@@ -91,7 +87,6 @@
     When that worker answers no poll that was sent after the start
     Then the task is started a second time within 1 s after a full lease from the answer, not earlier
 
-  @known_red
   Scenario: inherited jobs wait for a worker that restarted and left without a report
     Orders of the earlier scheduler may have reached the next process, which knows no epoch and has
     told nobody what it runs.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -130,6 +130,10 @@
         if run is None or run.phase is not RunPhase.STARTING:
             return
         run.start_open = False
+        if result is StartResult.STARTED:
+            # A process that began after the last report counts the lease from receipt of the order,
+            # because its clock has started anew.
+            worker.runs_end_s = max(worker.runs_end_s, now_s + self._timing.lease_bound_s)
         if result is not StartResult.UNKNOWN:
             self.start_window.observe(now_s - run.last_order_s, now_s)
         match result:
@@ -208,6 +212,25 @@
         self._release_run(run)
         self._abort_gang(run, StopCause.GANG_MEMBER_ENDED, now_s)
 
+    def handle_restart(self, worker: Worker, now_s: float) -> None:
+        """Process the end of a worker's process, which a later incarnation has shown.
+
+        Orders are addressed to the id of the worker, so the later process may have accepted some of
+        them. Only runs that a report has listed are known to have ended with the earlier process;
+        the first report of the later one decides about the others.
+        """
+        for run in list(worker.runs.values()):
+            if run.may_start_late(now_s):
+                # The later process has to refuse the run, or its lease has to expire.
+                self.order_stop(run, StopCause.START_UNANSWERED, now_s)
+                run.reported = run.stop_answered = False
+                self._unanswered[run] = None
+                worker.runs_end_s = max(
+                    worker.runs_end_s, run.late_start_until_s + self._timing.lease_bound_s
+                )
+            elif run.reported:
+                self.handle_lost(run, LossCause.PROCESS_ENDED, now_s)
+
     def handle_report(self, worker: Worker, event: WorkerReported, now_s: float) -> None:
         """Process the running and ended runs that a worker reported."""
         for end in event.ended:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -73,6 +73,11 @@
     start_repeats_s: float = 1.5
     network_margin_s: float = 0.3
 
+    @property
+    def lease_bound_s(self) -> float:
+        """Maximum time from sending a renewal until the runs that it kept alive have ended."""
+        return self.task_lease_s * (1 + self.clock_drift) + self.network_margin_s
+
 
 class WorkflowScheduler:
     """Assigns the tasks of all jobs to the workers of one deployment.
@@ -249,7 +254,7 @@
 
         Orders that were on the way when the departure was recorded may still have been carried out.
         """
-        wait_s = self._lease_bound_s() + self.timing.start_repeats_s
+        wait_s = self.timing.lease_bound_s + self.timing.start_repeats_s
         for worker_id, departure in list(self._departures.items()):
             if worker_id in self.workers:
                 del self._departures[worker_id]
@@ -435,11 +440,7 @@
         worker = self.workers.get(worker_id)
         if worker is not None:
             worker.reachable = False
-            worker.runs_end_s = max(worker.runs_end_s, renewed_s + self._lease_bound_s())
-
-    def _lease_bound_s(self) -> float:
-        timing = self.timing
-        return timing.task_lease_s * (1 + timing.clock_drift) + timing.network_margin_s
+            worker.runs_end_s = max(worker.runs_end_s, renewed_s + self.timing.lease_bound_s)
 
     def _note_restart(self, worker: Worker, later: int, source: IncarnationSource) -> None:
         self.outbox.append(
@@ -453,20 +454,9 @@
 
     def _end_incarnation(self, worker_id: str, now_s: float) -> None:
         worker = self.workers.get(worker_id)
-        if worker is None:
-            return
-        worker.has_reported = worker.reachable = False
-        worker.runs_end_s = now_s
-        self._unreconciled.discard(worker_id)
-        for run in list(worker.runs.values()):
-            if run.may_start_late(now_s):
-                # The next process under the id would accept the order, so it has to refuse the run.
-                self.runs.order_stop(run, StopCause.START_UNANSWERED, now_s)
-                worker.runs_end_s = max(
-                    worker.runs_end_s, run.late_start_until_s + self._lease_bound_s()
-                )
-            else:
-                self.runs.handle_lost(run, LossCause.PROCESS_ENDED, now_s)
+        if worker is not None:
+            worker.has_reported = worker.reachable = False
+            self.runs.handle_restart(worker, now_s)
 
     def _expire_workers(self, now_s: float) -> None:
         for worker in list(self.workers.values()):
@@ -494,7 +484,7 @@
         if event.ends_complete:
             worker.has_reported = True
             self._unreconciled.discard(event.worker_id)
-        worker.runs_end_s = max(worker.runs_end_s, now_s + self._lease_bound_s())
+        worker.runs_end_s = max(worker.runs_end_s, now_s + self.timing.lease_bound_s)
         self.runs.handle_report(worker, event, now_s)
 
     def _free_capacity(
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -80,12 +80,8 @@
 
     def may_start_late(self, now_s: float) -> bool:
         """Return whether an order to start the run may still be on its way."""
-        return (
-            self.phase is not RunPhase.RUNNING
-            and self.refusals_count < self.starts_count
-            and not self.stop_answered
-            and now_s < self.late_start_until_s
-        )
+        settled_count = self.refusals_count + (self.phase is RunPhase.RUNNING or self.reported)
+        return settled_count < self.starts_count and now_s < self.late_start_until_s
 
     @property
     def is_finite(self) -> bool:
