Ignore entries and reports of an earlier process of a worker

What callers saw: a task ran twice while its worker ran on undisturbed.

Cause: any incarnation that differed from the known one counted as a later one. After a report had shown a restart, each change of the directory before the worker's new entry ended the present process, and so did a late answer of the earlier process after the directory had shown the restart. All runs were lost and started elsewhere beside the first.

Why this works: the scheduler keeps the incarnations of a worker that have ended and takes nothing from what shows one of them.

--- a/features/workflow_incarnations.feature
+++ b/features/workflow_incarnations.feature
@@ -48,7 +48,6 @@
       | the directory shows a later incarnation of that worker                                  |
       | a report of the later incarnation that was requested after the answer lacks the run     |
 
-  @known_red
   Scenario Outline: an entry that shows an earlier process does not end the runs of the present one
     A report may show a new process long before its entry is read. Until that, each change of the
     directory shows the old entry and would end the process that is alive.
@@ -64,7 +63,6 @@
       | confirmed                          |
       | confirmed and reported as running  |
 
-  @known_red
   Scenario Outline: a late report of the earlier process does not end the runs of the present one
     Answers on different connections may overtake each other.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -161,8 +161,10 @@
                 self._apply_directory(workers, now_s)
             case WorkerSilent(worker_id, renewed_s):
                 self._handle_silence(worker_id, renewed_s)
-            case WorkerIncarnationEnded(worker_id):
-                self._end_incarnation(worker_id, now_s)
+            case WorkerIncarnationEnded(worker_id) if worker_id in self.workers:
+                worker = self.workers[worker_id]
+                worker.has_reported = worker.reachable = False
+                self.runs.handle_restart(worker, now_s)
 
     def decide(self, now_s: float, utc_s: float) -> list[Action]:
         """Place waiting steps and return the actions to execute now.
@@ -427,11 +429,10 @@
                 self.workers[worker_id] = worker
                 self.runs.capacity_version += 1
                 continue
-            if info.incarnation != worker.info.incarnation and worker.info.incarnation:
-                self._note_restart(worker, info.incarnation, IncarnationSource.DIRECTORY)
-                self._end_incarnation(worker_id, now_s)
-            elif info == worker.info:
+            if info == worker.info or info.incarnation in worker.ended_incarnations:
                 continue
+            if info.incarnation != worker.info.incarnation:
+                self._handle_restart(worker, info.incarnation, IncarnationSource.DIRECTORY, now_s)
             used = worker.info.capacity - worker.free
             worker.info, worker.free = info, info.capacity - used
             self.runs.capacity_version += 1
@@ -442,21 +443,17 @@
             worker.reachable = False
             worker.runs_end_s = max(worker.runs_end_s, renewed_s + self.timing.lease_bound_s)
 
-    def _note_restart(self, worker: Worker, later: int, source: IncarnationSource) -> None:
+    def _handle_restart(
+        self, worker: Worker, later: int, source: IncarnationSource, now_s: float
+    ) -> None:
+        """Process the end of a worker's process, which a later incarnation has shown."""
+        earlier = worker.info.incarnation
         self.outbox.append(
-            WorkerRestarted(
-                worker_id=worker.worker_id,
-                earlier=worker.info.incarnation,
-                later=later,
-                source=source,
-            )
+            WorkerRestarted(worker_id=worker.worker_id, earlier=earlier, later=later, source=source)
         )
-
-    def _end_incarnation(self, worker_id: str, now_s: float) -> None:
-        worker = self.workers.get(worker_id)
-        if worker is not None:
-            worker.has_reported = worker.reachable = False
-            self.runs.handle_restart(worker, now_s)
+        worker.ended_incarnations.add(earlier)
+        worker.has_reported = worker.reachable = False
+        self.runs.handle_restart(worker, now_s)
 
     def _expire_workers(self, now_s: float) -> None:
         for worker in list(self.workers.values()):
@@ -472,10 +469,11 @@
         worker = self.workers.get(event.worker_id)
         if worker is None:
             return
-        known = worker.info.incarnation
-        if event.incarnation and known and event.incarnation != known:
-            self._note_restart(worker, event.incarnation, IncarnationSource.REPORT)
-            self._end_incarnation(event.worker_id, now_s)
+        if event.incarnation in worker.ended_incarnations:
+            # A late answer of an earlier process says nothing about the present one.
+            return
+        if event.incarnation != worker.info.incarnation:
+            self._handle_restart(worker, event.incarnation, IncarnationSource.REPORT, now_s)
             worker.info = attrs.evolve(worker.info, incarnation=event.incarnation)
         if not worker.is_usable(now_s):
             self.runs.capacity_version += 1
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -127,7 +127,9 @@
     """A worker with its free capacity.
 
     Args:
-        info: entry of the worker in the directory.
+        info: entry of the worker in the directory; its incarnation is the latest one known.
+        ended_incarnations: earlier incarnations, which the directory or a late report may show
+            again.
         free: capacity minus the demand of all runs.
         runs: runs by task and run number.
         finite_demand: demand of the finite runs.
@@ -147,6 +149,7 @@
 
     info: WorkerInfo
     free: ResourceVector
+    ended_incarnations: set[int] = attrs.field(factory=set)
     runs: dict[tuple[TaskName, int], Run] = attrs.field(factory=dict)
     finite_demand: ResourceVector = ResourceVector()
     reported_s: float | None = None
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -212,7 +212,8 @@
             if not await self.flush() or self._closing:
                 return
         self.observe(DirectoryChanged(directory))
-        for worker_id, info in directory.items():
+        for worker_id in directory:
+            info = self.scheduler.workers[worker_id].info
             entry = self._sessions.get(worker_id)
             if entry is None:
                 self._open_session(info)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import attrs
+
 from fireflywharf_core.workflows import (
     Event,
     WorkerIncarnationEnded,
@@ -128,10 +130,10 @@
         if self._silent:
             self._silent = False
             _LOG.info("worker answers again", extra={"worker": self.info.worker_id})
-        if report.incarnation and report.incarnation != self._incarnation:
-            if self._incarnation:
-                self._acknowledged_serial = self._confirmed_serial = self._logged_serial = 0
+        if report.incarnation != self._incarnation:
+            self._acknowledged_serial = self._confirmed_serial = self._logged_serial = 0
             self._incarnation = report.incarnation
+            self.info = attrs.evolve(self.info, incarnation=report.incarnation)
         self._observe(
             WorkerReported(
                 worker_id=self.info.worker_id,
