Take a worker that refuses connections for silent, not for ended

What callers saw: dozens of tasks ran twice while one worker refused connections for less than a second and ran on.

Cause: a refused connection, and status 421, counted as the end of the process (PollIncarnationEnded, WorkerIncarnationEnded), so that all runs of the worker were lost at once and started elsewhere. No sentence of the protocol says that; docs/platform.md had it as an assumption.

Why this works: the event and the result are gone. Such a worker is silent; its runs end with a list that does not have them, with a later incarnation that a report or the directory shows, or with their leases. A start that got 421 certainly had no effect, so its task may be placed elsewhere at once.

Two scenarios of workflow_starts.feature asked for the wrong behaviour and are replaced: "a worker whose process has exited is not recorded as in use" took a refused connection for the exit; now such a worker has to stay recorded while its leases last. "the departure of a worker is recorded without a further change of the directory" asked the next scheduler to start inherited jobs at once; now within a lease of the departure, as after silence.

--- a/features/platform_worker_processes.feature
+++ b/features/platform_worker_processes.feature
@@ -2,7 +2,6 @@
   Only a list that the next process gives of its runs, or the lapse of the leases, shows that the runs
   of a process have ended. A worker that cannot be asked for a moment may be at work.
 
-  @known_red
   Scenario Outline: a worker that cannot be asked counts as silent, not as ended
     A worker refuses connections for a moment while its open ones are reset and its runs go on. If
     they count as ended, each of them is started elsewhere beside the first.
@@ -15,7 +14,6 @@
       | refuses the connection              |
       | answers that it is another process  |
 
-  @known_red
   Scenario: a run goes on while its worker refuses connections
     Guards the whole way from the refused connection to the decision.
 
@@ -52,7 +50,6 @@
     Then the worker is in the directory and has lost no run
     And its job is complete after one start
 
-  @known_red
   Scenario: a start that another process refuses ends no other run
     Another process at the address says nothing about the one that runs the tasks of the worker.
 
--- a/features/steps/workflow_recovery_steps.py
+++ b/features/steps/workflow_recovery_steps.py
@@ -10,7 +10,6 @@
 from fireflywharf_core.workflows import (
     StartRun,
     StepProgress,
-    WorkerIncarnationEnded,
     WorkflowProgress,
     WorkflowState,
 )
@@ -243,7 +242,6 @@
     world, order = context.world, context.order
     worker = world.workers[order.worker_id]
     worker.reachable = False
-    world.scheduler.observe(WorkerIncarnationEnded(order.worker_id), world.now_s)
     world.run(pause_s - STEP_S)
     worker.restart()
     worker.reachable = True
--- a/features/workflow_starts.feature
+++ b/features/workflow_starts.feature
@@ -10,20 +10,20 @@
     Then the other 2 are to be recorded as in use
     And all 3 are while the runs of an earlier scheduler are not reconciled
 
-  Scenario: a worker whose process has exited is not recorded as in use
-    Replays workers that are emptied and taken away right before the scheduler is killed. The next
-    one would wait 12.5 s for workers that it cannot ask any more.
+  Scenario: a worker that has left and refuses connections is recorded until its leases have expired
+    It may refuse them while its runs go on. If it is no longer recorded, the next scheduler starts
+    their tasks elsewhere.
 
     Given a scheduler with 3 workers
-    When one of them leaves the directory and its process has exited
-    Then the other 2 are to be recorded as in use
+    When one of them leaves the directory and has refused connections for 6 s
+    Then all 3 are still to be recorded as in use
 
   Scenario: the departure of a worker is recorded without a further change of the directory
-    Replays workers that have left 1 s before the scheduler is killed. All jobs in flight would wait
+    Replays workers that have left 4 s before the scheduler is killed. All jobs in flight would wait
     12.5 s for them.
 
-    When one of two workers leaves, its process ends, and the scheduler ends 1 s later without a further change of the directory
-    Then the next one starts an inherited job as soon as the other worker has reported
+    When one of two workers leaves, then answers no more, and the scheduler ends 4 s later without a further change of the directory
+    Then the next one starts an inherited job within 10.5 s of the departure
 
   Scenario: jobs in flight do not wait for workers that left long before a change of scheduler
     A worker whose address no longer answers may be cut off and still at work, so its leases have to
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -160,13 +160,6 @@
     renewed_s: float
 
 
-@attrs.frozen(slots=True)
-class WorkerIncarnationEnded:
-    """The process of a worker has exited, and all of its runs with it."""
-
-    worker_id: str
-
-
 @attrs.frozen(slots=True)
 class StartAnswered:
     """Result of an order to start a run."""
@@ -217,7 +210,6 @@
     | DirectoryChanged
     | WorkerReported
     | WorkerSilent
-    | WorkerIncarnationEnded
     | StartAnswered
     | StopAnswered
     | ApprovalReceived
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -142,11 +142,11 @@
                 run.phase, run.phase_since_s = RunPhase.RUNNING, now_s
                 self._mark_job_running(run)
                 return
-            case StartResult.UNKNOWN | StartResult.STALE_EPOCH | StartResult.OTHER_INCARNATION:
+            case StartResult.UNKNOWN | StartResult.STALE_EPOCH:
                 return
             case StartResult.UNHEALTHY:
                 worker.set_aside_until_s = max(worker.set_aside_until_s, now_s + _UNHEALTHY_PAUSE_S)
-            case StartResult.NOT_SENT:
+            case StartResult.NOT_SENT | StartResult.OTHER_INCARNATION:
                 worker.reachable = False
             case StartResult.NO_TICKET if run.step is not None:
                 run.step.expire_ticket(worker_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -23,7 +23,6 @@
     StartAnswered,
     StopAnswered,
     StopCause,
-    WorkerIncarnationEnded,
     WorkerReported,
     WorkerRestarted,
     WorkerSilent,
@@ -161,10 +160,6 @@
                 self._apply_directory(workers, now_s)
             case WorkerSilent(worker_id, renewed_s):
                 self._handle_silence(worker_id, renewed_s)
-            case WorkerIncarnationEnded(worker_id) if worker_id in self.workers:
-                worker = self.workers[worker_id]
-                worker.has_reported = worker.reachable = False
-                self.runs.handle_restart(worker, now_s)
 
     def decide(self, now_s: float, utc_s: float) -> list[Action]:
         """Place waiting steps and return the actions to execute now.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -25,7 +25,6 @@
     StopRun,
     TenureRecord,
     Timing,
-    WorkerIncarnationEnded,
     WorkerInfo,
     WorkersInUse,
     WorkflowAccepted,
@@ -357,8 +356,6 @@
         if result is StartResult.STALE_EPOCH:
             self._end_tenure(f"worker {order.worker_id} rejected the epoch as stale")
             return
-        if result is StartResult.OTHER_INCARNATION:
-            self.observe(WorkerIncarnationEnded(order.worker_id))
         self.observe(StartAnswered(order.worker_id, order.task, order.number, result))
 
     async def _stop_run(self, order: StopRun) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -47,15 +47,9 @@
 
 @attrs.frozen(slots=True)
 class NotSent:
-    """The request was not sent, because the connection could not be established.
-
-    Args:
-        reason: cause of the failure.
-        refused: whether nothing listens at the address.
-    """
+    """The request was not sent, because the connection could not be established."""
 
     reason: str
-    refused: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -178,8 +172,7 @@
         except aiohttp.ConnectionTimeoutError:
             return NotSent("connecting timed out")
         except aiohttp.ClientConnectorError as error:
-            refused = isinstance(error.os_error, ConnectionRefusedError)
-            return NotSent(str(error.os_error), refused)
+            return NotSent(str(error.os_error))
         except TimeoutError:
             return NoAnswer("no answer in time")
         except (aiohttp.ClientError, OSError) as error:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -178,21 +178,14 @@
     """The worker has seen an epoch above that of the scheduler."""
 
 
-@attrs.frozen(slots=True)
-class PollIncarnationEnded:
-    """The addressed worker process has exited."""
-
-    reason: str
-
-
 @attrs.frozen(slots=True)
 class PollFailed:
-    """The worker did not answer, or its answer could not be used."""
+    """The worker did not answer, or its answer could not be used; its runs may go on."""
 
     reason: str
 
 
-PollResult = WorkerReport | PollFenced | PollIncarnationEnded | PollFailed
+PollResult = WorkerReport | PollFenced | PollFailed
 
 
 class WorkerGateway(Protocol):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -11,14 +11,13 @@
 
 from fireflywharf_core.workflows import (
     Event,
-    WorkerIncarnationEnded,
     WorkerInfo,
     WorkerReported,
     WorkerSilent,
 )
 
 from ._background import result_or_default
-from ._interfaces import PollFailed, PollFenced, PollIncarnationEnded, WorkerGateway, WorkerReport
+from ._interfaces import PollFailed, PollFenced, WorkerGateway, WorkerReport
 from ._metrics import WorkflowMetrics
 
 _LOG = logging.getLogger(__name__)
@@ -106,10 +105,6 @@
                 case PollFenced():
                     self._on_fenced(self.info.worker_id)
                     await asyncio.sleep(_RETRY_S)
-                case PollIncarnationEnded(reason):
-                    self._mark_silent(reason)
-                    self._observe(WorkerIncarnationEnded(self.info.worker_id))
-                    await asyncio.sleep(_RETRY_S)
                 case PollFailed(reason):
                     wait_s = 0.0
                     self._mark_silent(reason)
