Ask that ends are acknowledged after their worker closed a connection

Cause: an acknowledgement that is bound to one connection could be withheld for good, and the worker would keep and send its ends for ever. Change: a scenario in features/workflow_acknowledgements.feature; the server of the steps takes the incarnation of the process behind its other connections, and its two rows have shorter messages. No check is changed.

--- a/features/steps/workflow_acknowledgement_steps.py
+++ b/features/steps/workflow_acknowledgement_steps.py
@@ -1,6 +1,7 @@
 """Steps for the acknowledgement of ended runs in sessions with workers."""
 
 import asyncio
+import contextlib
 import functools
 import json
 
@@ -100,36 +101,40 @@
     assert context.polls.acknowledged == expected, context.polls.acknowledged
 
 
-class RestartingWorker:
-    """Server whose first connection leads to one process, and all others to the next one.
+class ClosingWorker:
+    """Server whose first connection leads to a process that closes it.
 
     Args:
-        ends_count: number of ends that the first process reports.
-        answers_once: whether the first process closes its connection right after its report, and
-            not when the next poll arrives.
+        ends_count: number of ends that this process reports.
+        closes_early: whether it closes the connection right after its report, and not when the next
+            poll arrives.
+        next_incarnation: incarnation of the process that answers all other connections.
     """
 
-    def __init__(self, ends_count, answers_once):
+    def __init__(self, ends_count, closes_early, next_incarnation):
         self.ends_count = ends_count
-        self.answers_once = answers_once
+        self.closes_early = closes_early
+        self.next_incarnation = next_incarnation
         self.connections_count = 0
-        self.polls = {EARLIER: [], LATER: []}
+        self.first_polls = []
+        self.other_polls = []
 
     async def serve(self, reader, writer):
         """Answer the polls on a connection."""
         self.connections_count += 1
-        incarnation = EARLIER if self.connections_count == 1 else LATER
-        polls = self.polls[incarnation]
+        is_first = self.connections_count == 1
+        polls = self.first_polls if is_first else self.other_polls
+        incarnation = EARLIER if is_first else self.next_incarnation
         try:
             while True:
                 polls.append(await self._read_poll(reader))
-                if incarnation == EARLIER and len(polls) > 1:
+                if is_first and len(polls) > 1:
                     break
                 writer.write(self._make_answer(incarnation))
                 await writer.drain()
-                if incarnation == EARLIER and self.answers_once:
+                if is_first and self.closes_early:
                     break
-        except asyncio.IncompleteReadError:
+        except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             writer.close()
@@ -150,33 +155,50 @@
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(data)}\r\n\r\n"
         return head.encode() + data
 
+    def acknowledges_ends(self):
+        """Return whether a poll on another connection than the first acknowledges the ends."""
+        return any(poll.get("acknowledged") == self.ends_count for poll in self.other_polls)
+
+
+async def run_socket_session(worker, is_over):
+    """Run a session over real connections until `is_over` returns true."""
+    http = HttpClient(4)
+    await http.open()
+    server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
+    info = attrs.evolve(WORKER, address=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    try:
+        await run_session(info, WorkerClient(http, 6.0), is_over)
+    finally:
+        server.close()
+        await http.close()
+
 
 @given("a worker that reports {count:d} ends over its first connection")
-def describe_restarting_worker(context, count):
+def describe_closing_worker(context, count):
     context.ends_count = count
 
 
 @when("it closes that connection {time} and a new process answers all others")
-def run_restarting_worker(context, time):
-    worker = RestartingWorker(context.ends_count, answers_once=time == "after its report")
-    context.polls_by_process = worker.polls
-
-    async def run():
-        http = HttpClient(4)
-        await http.open()
-        server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        info = attrs.evolve(WORKER, address=f"127.0.0.1:{port}")
-        try:
-            await run_session(info, WorkerClient(http, 6.0), lambda: worker.polls[LATER])
-        finally:
-            server.close()
-            await http.close()
-
-    asyncio.run(run())
+def close_and_restart(context, time):
+    closes_early = time == "after its report"
+    context.worker = worker = ClosingWorker(context.ends_count, closes_early, LATER)
+    asyncio.run(run_socket_session(worker, lambda: worker.other_polls))
 
 
 @then("the first poll that the new process gets acknowledges nothing")
 def check_first_poll(context):
-    polls = context.polls_by_process
-    assert not polls[LATER][0].get("acknowledged"), polls
+    first = context.worker.other_polls[0]
+    assert not first.get("acknowledged"), (context.worker.first_polls, first)
+
+
+@when("it closes that connection after its report and the same process answers all others")
+def close_and_answer(context):
+    context.worker = ClosingWorker(context.ends_count, True, EARLIER)
+    with contextlib.suppress(TimeoutError):
+        asyncio.run(run_socket_session(context.worker, context.worker.acknowledges_ends))
+
+
+@then("a later poll acknowledges the {count:d} ends")
+def check_acknowledged_later(context, count):
+    assert context.worker.ends_count == count
+    assert context.worker.acknowledges_ends(), context.worker.other_polls[:9]
--- a/features/workflow_acknowledgements.feature
+++ b/features/workflow_acknowledgements.feature
@@ -33,3 +33,10 @@
       | time                            |
       | after its report                |
       | when the next poll has arrived  |
+
+  Scenario: ends are acknowledged although their worker closed the connection of its report
+    Guards against ends that are kept and sent for ever, as the same process answers on a new one.
+
+    Given a worker that reports 2 ends over its first connection
+    When it closes that connection after its report and the same process answers all others
+    Then a later poll acknowledges the 2 ends
