Ask that the parser reports an entry without the start of its process as malformed

Cause: the directory hides an entry after any error, so the examples of platform_malformed.feature don't tell which one was raised. Change: an outline in features/platform_worker_processes.feature with its steps; the product is unchanged. Result on, `behave features/platform_worker_processes.feature`: 10 failed, 7 passed, of which the new outline failed without "born" and with 0 (no error: "ASSERT FAILED") and passed with null, 5.0, "5" and true, which are kept as guards.

--- a/features/platform_worker_processes.feature
+++ b/features/platform_worker_processes.feature
@@ -37,6 +37,21 @@
       | whose "born" is "5"    |
       | whose "born" is true   |
 
+  Scenario Outline: an entry without the start of its process is malformed
+    It names no worker. Any other error of the parser would be logged as a fault of the product.
+
+    When an entry <described> is parsed
+    Then it is malformed
+
+    Examples:
+      | described              |
+      | without "born"         |
+      | whose "born" is 0      |
+      | whose "born" is null   |
+      | whose "born" is 5.0    |
+      | whose "born" is "5"    |
+      | whose "born" is true   |
+
   Scenario: an entry without the start of its process names no worker and ends no run
     Such an entry comes from another writer. If it is read as one of another process, all runs of the
     worker are started elsewhere beside the first.
--- a/features/steps/platform_worker_process_steps.py
+++ b/features/steps/platform_worker_process_steps.py
@@ -23,7 +23,8 @@
 )
 from fireflywharf_daemon.workflows import Answer, HttpClient, WorkflowMetrics
 from fireflywharf_daemon.workflows._sessions import WorkerSession
-from fireflywharf_platform._sources import StoreDirectory
+from fireflywharf_platform._sources import StoreDirectory, parse_worker
+from fireflywharf_platform._tasks import MalformedError
 from fireflywharf_platform._workers import WorkerClient
 
 RUN_TIME_S = 4.0
@@ -77,6 +78,25 @@
     context.poll_result = asyncio.run(poll(http))
 
 
+@when('an entry without "born" is parsed')
+def parse_without_start(context):
+    parse_entry(context, encode_without(ENTRY, "born"))
+
+
+@when('an entry whose "born" is {value} is parsed')
+def parse_with_odd_start(context, value):
+    parse_entry(context, encode_with(ENTRY, "born", value))
+
+
+def parse_entry(context, content):
+    """Parse an entry and keep the error."""
+    context.error = None
+    try:
+        parse_worker("w0", content)
+    except MalformedError as error:
+        context.error = error
+
+
 @given("a task that runs on one of 2 workers")
 def start_task(context):
     """Start a task on workers whose entries are read from a store."""
