Check the permission of a tenure again right before a start order is sent

What callers saw: suspected, not seen. A scheduler that was paused between its decision and the order acts on a permission that has run out. The next process of a worker, which knows no epoch and has another clock than the one that the deadline was made for, accepts the order beside a run of the successor.

Cause: the age of the latest confirmed append was checked before a decision, not before its orders were sent.

Evidence: features/workflow_tenure.feature, "a start order that waited during a pause of its scheduler is not sent", failed on: the order was sent 7 s after the confirmation.

Why this works: the check is made on a clock that counts pauses, right before the request. The order counts as not sent, which is true.

--- a/features/workflow_tenure.feature
+++ b/features/workflow_tenure.feature
@@ -39,7 +39,6 @@
     When the next read is answered
     Then the query has waited less than 0.3 s
 
-  @known_red
   Scenario Outline: a start order that waited during a pause of its scheduler is not sent
     The permission to act runs out between the decision and the sending, and a successor may have
     started the task elsewhere. The next process of the worker, which knows no epoch and has another
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -337,12 +337,16 @@
         worker = self.scheduler.workers.get(order.worker_id)
         if worker is None:
             return
-        result = await result_or_default(
-            self._platform.workers.start(worker.info, order, self.record.epoch),
-            StartResult.UNKNOWN,
-            "worker",
-            worker=order.worker_id,
-        )
+        result = StartResult.NOT_SENT
+        # The process may have been paused since the decision, and a later process of the worker
+        # knows no epoch with which it could refuse the order.
+        if self._may_renew():
+            result = await result_or_default(
+                self._platform.workers.start(worker.info, order, self.record.epoch),
+                StartResult.UNKNOWN,
+                "worker",
+                worker=order.worker_id,
+            )
         self._metrics.starts.labels(result.value).inc()
         if result is not StartResult.STARTED:
             _LOG.info(
