Order a run to stop again if its worker restarts after it confirmed the stop

What callers saw: suspected, not seen. A start order that is still on its way when its worker restarts is accepted by the later process, although the stop was confirmed, and the task runs twice.

Cause: a worker that has accepted a stop refuses the run from then on, but its later process has forgotten that. The scheduler kept the confirmation, and took the deadline of the order, a time on the clock of the earlier process, as a bound for the later one too.

Why this works: after a restart, such a run waits until the later process has accepted the stop and a list without the run has come, or until no process has answered for a lease after the order.

--- a/features/steps/workflow_incarnation_steps.py
+++ b/features/steps/workflow_incarnation_steps.py
@@ -12,6 +12,7 @@
     StartAnswered,
     StartResult,
     StartRun,
+    StopAnswered,
     StopRun,
     WorkerReported,
     WorkerSilent,
@@ -37,6 +38,7 @@
         self.other_rows = []
         self.actions = []
         self.order = None
+        self.start_result = StartResult.STARTED
 
     def report(self, worker_id, incarnation, *, sent_s=None, running=(), ended=()):
         """Pass a report to the scheduler; by default, its poll was sent just now."""
@@ -61,8 +63,15 @@
         self.world.scheduler.observe(DirectoryChanged(directory), self.world.now_s)
 
     def answer(self, order):
-        """Confirm a start order."""
-        event = StartAnswered(order.worker_id, order.task, order.number, StartResult.STARTED)
+        """Answer a start order; the worker of the scenario gives the result that it tells."""
+        is_scripted = order.worker_id == self.order.worker_id
+        result = self.start_result if is_scripted else StartResult.STARTED
+        event = StartAnswered(order.worker_id, order.task, order.number, result)
+        self.world.scheduler.observe(event, self.world.now_s)
+
+    def answer_stop(self):
+        """Confirm the order to stop the run of the scenario."""
+        event = StopAnswered(self.order.worker_id, self.order.task, self.order.number)
         self.world.scheduler.observe(event, self.world.now_s)
 
     def start_task(self, incarnation):
@@ -110,6 +119,44 @@
     context.scripted.start_task(EARLIER)
 
 
+@given("a task whose start has no answer, so that its worker is ordered to stop it")
+def order_stop(context):
+    scripted = context.scripted = ScriptedWorkers()
+    scripted.start_result = StartResult.UNKNOWN
+    scripted.start_task(EARLIER)
+    scripted.advance(2.5)
+    assert isinstance(scripted.actions[-1], StopRun), scripted.actions
+    scripted.actions.clear()
+
+
+@when("the worker answers the stop and restarts, and {source} shows the later incarnation")
+def restart_after_stop(context, source):
+    scripted = context.scripted
+    scripted.answer_stop()
+    if source == "the directory":
+        scripted.publish_incarnation(LATER)
+    else:
+        scripted.report_scripted(LATER)
+
+
+@then("the task waits for {seconds:g} s while the later incarnation reports no run")
+def check_waiting(context, seconds):
+    scripted = context.scripted
+    for _ in range(round(seconds / POLL_S)):
+        scripted.advance(POLL_S)
+        scripted.report_scripted(LATER)
+    assert not scripted.further_starts(), scripted.further_starts()
+
+
+@when("the later incarnation answers the stop as well")
+def answer_later_stop(context):
+    scripted = context.scripted
+    scripted.start_result = StartResult.STARTED
+    scripted.answer_stop()
+    scripted.advance(STEP_S)
+    scripted.report_scripted(LATER)
+
+
 @given("a task that the first incarnation of a worker has reported as running")
 def report_first(context):
     start_task(context)
--- a/features/workflow_incarnations.feature
+++ b/features/workflow_incarnations.feature
@@ -77,6 +77,20 @@
       | confirmed                          |
       | confirmed and reported as running  |
 
+  Scenario Outline: a stop that the earlier process confirmed does not bind the next one
+    The next process has forgotten it, and would accept a start order that is still on its way.
+
+    Given a task whose start has no answer, so that its worker is ordered to stop it
+    When the worker answers the stop and restarts, and <source> shows the later incarnation
+    Then the task waits for 6 s while the later incarnation reports no run
+    When the later incarnation answers the stop as well
+    Then the task is started a second time at once, under a higher number
+
+    Examples:
+      | source        |
+      | the directory |
+      | a report      |
+
   Scenario: the lease of a confirmed run counts from the answer to its start
     A later process may have answered. The deadline in the order was a time on the clock of the
     earlier one, so the lease is only bounded by its maximum from the receipt of the order.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -166,7 +166,6 @@
         if run is not None and run.phase is RunPhase.STOPPING and not run.stop_answered:
             run.stop_answered = True
             run.phase_since_s = now_s
-            run.late_start_until_s = 0.0
 
     def _mark_job_running(self, run: Run) -> None:
         job = None if run.step is None else run.step.job
@@ -221,13 +220,15 @@
         """
         for run in list(worker.runs.values()):
             if run.may_start_late(now_s):
-                # The later process has to refuse the run, or its lease has to expire.
+                # The later process has to refuse the run, or its lease has to expire. The deadline
+                # of the order is a time on another clock than that of the later process.
                 self.order_stop(run, StopCause.START_UNANSWERED, now_s)
                 run.reported = run.stop_answered = False
                 self._unanswered[run] = None
                 worker.runs_end_s = max(
                     worker.runs_end_s, run.late_start_until_s + self._timing.lease_bound_s
                 )
+                run.needs_stop_answer = True
             elif run.reported:
                 self.handle_lost(run, LossCause.PROCESS_ENDED, now_s)
 
@@ -248,7 +249,11 @@
                 continue
             if run.phase is RunPhase.STARTING and event.sent_s <= run.late_start_until_s:
                 continue
-            if run.phase is RunPhase.STOPPING and event.sent_s <= run.late_start_until_s:
+            if (
+                run.phase is RunPhase.STOPPING
+                and not run.stop_answered
+                and (run.needs_stop_answer or event.sent_s <= run.late_start_until_s)
+            ):
                 # A delayed start order can still arrive while the stop order is unanswered.
                 continue
             self.handle_lost(run, LossCause.NOT_REPORTED, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -47,6 +47,8 @@
         starts_count: number of start orders sent.
         refusals_count: number of start orders that certainly had no effect.
         stop_answered: whether the worker has accepted a stop order.
+        needs_stop_answer: whether only an accepted stop order shows that no start order can take
+            effect any more, because the worker has restarted since the order.
         stop_cause: reason of the stop order; None before one is sent.
         checkpoint: latest checkpoint that the worker reported.
         reported: whether a report has listed the run as running.
@@ -71,6 +73,7 @@
     starts_count: int = 0
     refusals_count: int = 0
     stop_answered: bool = False
+    needs_stop_answer: bool = False
     stop_cause: StopCause | None = None
     checkpoint: str = ""
     reported: bool = False
