Count the end of a run that was adopted although its task needs none

What callers saw: suspected, not seen alone.

Cause: a run that is adopted while its task has another one belongs to no step, and the end of a run without a step was ignored.

Evidence: features/workflow_incarnations.feature, "the end of a run that is no longer needed still counts for its task", failed before the change: the job was still running.

Measured: all of features/workflow_incarnations.feature passes.

--- a/features/steps/workflow_incarnation_steps.py
+++ b/features/steps/workflow_incarnation_steps.py
@@ -157,6 +157,17 @@
     scripted.report_scripted(LATER)
 
 
+@when("the other worker reports a run of the task as running, and then as done")
+def report_other_run(context):
+    scripted = context.scripted
+    (other,) = scripted.world.workers.keys() - {scripted.order.worker_id}
+    number = scripted.order.number + 1
+    scripted.report(other, EARLIER, running=[ReportedRun(scripted.order.task, number, "", 1)])
+    end = ReportedEnd(1, scripted.order.task, number, EndKind.DONE, "")
+    scripted.report(other, EARLIER, ended=[end])
+    scripted.advance(0.2)
+
+
 @given("a task that the first incarnation of a worker has reported as running")
 def report_first(context):
     start_task(context)
--- a/features/workflow_incarnations.feature
+++ b/features/workflow_incarnations.feature
@@ -91,6 +91,14 @@
       | the directory |
       | a report      |
 
+  Scenario: the end of a run that is no longer needed still counts for its task
+    Two runs of a task are known, and the one that was found later ends first. If its end is not
+    counted but acknowledged, the task is started again after an end that was taken note of.
+
+    Given a task whose start one of 2 workers has answered
+    When the other worker reports a run of the task as running, and then as done
+    Then the job is complete after one start
+
   Scenario: the lease of a confirmed run counts from the answer to its start
     A later process may have answered. The deadline in the order was a time on the clock of the
     earlier one, so the lease is only bounded by its maximum from the receipt of the order.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -326,7 +326,8 @@
 
     def _handle_end(self, worker: Worker, end: ReportedEnd, now_s: float) -> None:
         run = worker.runs.get((end.task, end.number))
-        step = run.step if run is not None else self._find_step(end.task)
+        # A run that was ordered to stop because its task needs no run may still end as done.
+        step = self._find_step(end.task) if run is None or run.step is None else run.step
         if step is not None and not step.job.state.is_final:
             self._record_end(worker, step, end, run, now_s)
         if run is not None:
