Let the stand-in executors lose power, refuse, be cut off and execute orders late

Rules about runs that overlap could only be checked against executors that never restart under their id. The stand-ins now have lives: a power loss without a trace for open connections, a crash, a closed listener, silence, late orders and odd entries of the directory. They record starts, ends, acknowledgements and lapses as plain data. Runs of one task at once are kept apart by number, and an acknowledged number also forgets ends that come later in the same life.

--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/__init__.py
@@ -3,8 +3,22 @@
 They implement the platform's protocol and therefore use its names.
 """
 
+from ._events import EndsAcknowledged, Event, FaultNoted, LeaseLapsed, RunEnded, RunStarted
 from ._executor import StandInExecutor
+from ._faulty_executor import FaultyExecutor
 from ._stand_ins import PlatformStandIns
 from ._store import StandInStore, StoreFault
 
-__all__ = ["PlatformStandIns", "StandInExecutor", "StandInStore", "StoreFault"]
+__all__ = [
+    "EndsAcknowledged",
+    "Event",
+    "FaultNoted",
+    "FaultyExecutor",
+    "LeaseLapsed",
+    "PlatformStandIns",
+    "RunEnded",
+    "RunStarted",
+    "StandInExecutor",
+    "StandInStore",
+    "StoreFault",
+]
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from concurrent.futures import Future
 
 from aiohttp import web
 
+from ._events import Event
 from ._executor import StandInExecutor
+from ._faulty_executor import FaultyExecutor
+from ._gangs import GangBoard
 from ._store import StandInStore
 
 SERVICE = "svc"
@@ -18,6 +22,7 @@
 ADVISED_PREFIX = "/advised/"
 CALL_TIMEOUT_S = 10.0
 SHUTDOWN_TIMEOUT_S = 0.1
+TICK_S = 0.01
 
 
 def make_configuration(version: int) -> dict:
@@ -50,13 +55,37 @@
     Args:
         executors_count: number of executors.
         work_s: run time of a task in seconds.
+        workers_count: number of executors with faults (`workers`).
+        seed: seed of the faults that these executors draw themselves.
+
+    Attributes:
+        events: what the executors with faults have seen.
     """
 
-    def __init__(self, executors_count: int = 2, work_s: float = 0.2) -> None:
+    def __init__(
+        self,
+        executors_count: int = 2,
+        work_s: float = 0.2,
+        workers_count: int = 0,
+        seed: int = 0,
+    ) -> None:
         self.store = StandInStore()
+        self.events: list[Event] = []
         self.executors = [
             StandInExecutor(f"i-{index:08x}", work_s) for index in range(executors_count)
         ]
+        gangs = GangBoard()
+        self.workers = [
+            FaultyExecutor(
+                f"i-{0xFA000000 + index:08x}",
+                self._put_entry,
+                random.Random(f"{seed}:{index}"),
+                work_s=work_s,
+                gangs=gangs,
+                events=self.events,
+            )
+            for index in range(workers_count)
+        ]
         self.advised: list[str] = []
         self.store_address = ""
         self.advice_address = ""
@@ -92,6 +121,13 @@
         future: Future = asyncio.run_coroutine_threadsafe(invoke(), self._loop)
         return future.result(CALL_TIMEOUT_S)
 
+    def run(self, coroutine: Coroutine) -> object:
+        """Run a coroutine in the event loop of the servers without a time limit."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result()
+
+    def _put_entry(self, executor_id: str, entry: object) -> None:
+        self.store.put("keyed.servers", executor_id, entry)
+
     async def _start_servers(self) -> None:
         self.store_address = await self._start_server(self.store.serve)
         self.advice_address = await self._start_server(self._advise)
@@ -114,6 +150,11 @@
                     "sequence": 1,
                 },
             )
+        for worker in self.workers:
+            await worker.listener.listen()
+            worker.register()
+        if self.workers:
+            self._ticker = asyncio.get_running_loop().create_task(self._tick())
         self.store.put("keyed.servers", "i-broken", b"not json")
         self.store.put("keyed.op", "config", make_configuration(1))
 
@@ -135,7 +176,18 @@
         allowed = [[worker, f"ticket-{worker}"] for worker in body["workers"][:1]]
         return web.json_response({"allowed": allowed, "validity_ms": 2000})
 
+    async def _tick(self) -> None:
+        """End the runs of the executors with faults when they are due, also without a call."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            for worker in self.workers:
+                if worker.is_up:
+                    worker.end_due_runs()
+
     async def _stop_servers(self) -> None:
+        for worker in self.workers:
+            worker.listener.stop_listening()
+            worker.listener.reset_connections()
         for runner in self._runners:
             await runner.cleanup()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
