--- a/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/__init__.py
@@ -22,11 +22,22 @@
 )
 from ._vm_list import VmListStandIn
 from ._worker import WorkerSettings, WorkerStandIn
+from ._worker_checks import (
+    Breach,
+    JobAnswer,
+    TaskRun,
+    check_answers,
+    check_finished,
+    check_twice,
+    collect_runs,
+    describe_breach,
+)
 from ._workload import Submission, Workload, WorkloadPlan, outcome_table, waiting_times_s
 
 __all__ = [
     "NO_FAULTS",
     "Answer",
+    "Breach",
     "Call",
     "CallResult",
     "CheckpointStore",
@@ -34,6 +45,13 @@
     "Domain",
     "HistoryRecorder",
     "FaultSettings",
+    "JobAnswer",
+    "TaskRun",
+    "check_answers",
+    "check_finished",
+    "check_twice",
+    "collect_runs",
+    "describe_breach",
     "StandInLease",
     "LogSettings",
     "LogStandIn",
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
@@ -244,6 +244,15 @@
         self.unacknowledged_ends = [end for end in self.unacknowledged_ends if end[0] > number]
         self.events.append(EndsAcknowledged(time.monotonic(), self.executor_id, self.life, number))
 
+    def _percent(self, run: Run, now_s: float) -> int:
+        """Return the share of the work that a run has done; a gang works once all are present."""
+        ends_s = run.ends_s
+        if run.members_count:
+            ends_s = self.gangs.find(run.task, run.number).ends_s
+        if ends_s is None or run.work_s <= 0:
+            return 0
+        return max(0, min(99, int(100 * (1 - (ends_s - now_s) / run.work_s))))
+
     async def _handle_hold(self, body: dict) -> web.Response:
         """Renew the lease and answer as soon as a run has ended, or after `wait_ms`."""
         if "deadline_ms" in body:
@@ -256,6 +265,9 @@
             if self.life != life:
                 break
             self.end_due_runs()
-        running = [[run.task, run.number, "", 50] for run in self.runs.values()]
+        now_s = time.monotonic()
+        running = [
+            [run.task, run.number, "", self._percent(run, now_s)] for run in self.runs.values()
+        ]
         finished = self.unacknowledged_ends[:LISTED_ENDS_MAX]
         return self._answer(200, {"running": running, "finished": finished})
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_listener.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -23,7 +22,8 @@
 
     def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]) -> None:
         self.port = reserve_port("127.0.0.1")
-        self._server = web.Server(handler, access_log=None)
+        self._handler = handler
+        self._server: web.Server | None = None
         self._socket: asyncio.Server | None = None
 
     @property
@@ -33,6 +33,8 @@
 
     async def listen(self) -> None:
         """Accept connections from now on."""
+        if self._server is None:
+            self._server = web.Server(self._handler, access_log=None)
         if self._socket is None:
             self._socket = await asyncio.get_running_loop().create_server(
                 self._server, "127.0.0.1", self.port, backlog=BACKLOG
@@ -51,8 +53,7 @@
                 connection.transport.abort()
 
     async def close(self) -> None:
-        """Stop listening and end all connections."""
+        """Stop listening and close all connections."""
         self.stop_listening()
-        self.reset_connections()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._server.shutdown(SHUTDOWN_TIMEOUT_S), 1.0)
+        if self._server is not None:
+            await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
@@ -185,9 +185,7 @@
                     worker.end_due_runs()
 
     async def _stop_servers(self) -> None:
-        for worker in self.workers:
-            worker.listener.stop_listening()
-            worker.listener.reset_connections()
+        await asyncio.gather(*(worker.listener.close() for worker in self.workers))
         for runner in self._runners:
             await runner.cleanup()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
