--- a/features/steps/worker_soak.py
+++ b/features/steps/worker_soak.py
@@ -183,10 +183,16 @@
         return ", ".join(counts)
 
     def describe(self, breaches_count=3):
-        """Return the first breaches with the events that concern them, as lines."""
+        """Return breaches, the first of each kind first, with their events, as lines."""
+        seen = collections.Counter()
+        ranked = []
+        for breach in self.breaches:
+            seen[breach.rule, breach.kind] += 1
+            ranked.append((seen[breach.rule, breach.kind], breach))
+        ranked.sort(key=lambda row: row[0])
         return [
             line
-            for breach in self.breaches[:breaches_count]
+            for _, breach in ranked[:breaches_count]
             for line in describe_breach(breach, self.events)
         ]
 
