--- a/features/steps/worker_faults_steps.py
+++ b/features/steps/worker_faults_steps.py
@@ -259,6 +259,23 @@
     time.sleep(0.5)
 
 
+@given("the worker forgets only ends that are listed")
+def forget_listed_ends(context):
+    context.worker.forgets_later_ends = False
+
+
+@then("the worker lists the ends with numbers 1 and 2")
+def check_both_ends(context):
+    assert [end[0] for end in context.caller.hold()[1]["finished"]] == [1, 2]
+
+
+@then("after ends up to 1 are acknowledged again the worker lists the end with number 2 only")
+def check_forgotten_end(context):
+    _, body = context.caller.hold(acknowledged=1)
+    assert [end[0] for end in body["finished"]] == [2], body
+    assert len(list_events(context, EndsAcknowledged)) == 2
+
+
 @then("the worker lists the end with number 2 only")
 def check_listed_ends(context):
     assert [end[0] for end in context.caller.hold()[1]["finished"]] == [2]
--- a/features/steps/worker_soak.py
+++ b/features/steps/worker_soak.py
@@ -64,6 +64,8 @@
         workers_count: number of workers.
         daemons_count: number of daemons.
         jobs_per_s: rate of the submissions.
+        forgets_later_ends: whether a number that is acknowledged also forgets ends that come later
+            in the same life of a worker; otherwise it forgets those that are listed.
     """
 
     seed: int
@@ -72,6 +74,7 @@
     workers_count: int = 8
     daemons_count: int = 3
     jobs_per_s: float = 8.0
+    forgets_later_ends: bool = True
 
 
 class WorkerSoak:
@@ -92,7 +95,11 @@
         self.breaches, self.events, self.kept_folders = [], [], []
         self.summary = ""
         self.deployment = PlatformDeployment(
-            0, executors_count=0, workers_count=plan.workers_count, seed=plan.seed
+            0,
+            executors_count=0,
+            workers_count=plan.workers_count,
+            seed=plan.seed,
+            forgets_later_ends=plan.forgets_later_ends,
         )
         self.world = self.deployment.world
         self.proxies = [FaultProxy(self.world.store_address) for _ in range(plan.daemons_count)]
@@ -160,7 +167,7 @@
         finished = check_finished(final, self.events, room)
         lost = check_answers(accepted_s, answers, faults_s, self.events, MAX_ATTEMPTS)
         known = {breach.subject for breach in finished}
-        self.breaches = check_twice(self.events) + finished
+        self.breaches = check_twice(self.events, self.plan.forgets_later_ends) + finished
         self.breaches += [breach for breach in lost if breach.subject not in known]
         self.summary = self._summarize(final)
 
--- a/features/steps/worker_soak_steps.py
+++ b/features/steps/worker_soak_steps.py
@@ -60,6 +60,11 @@
     assert [breach.kind for breach in breaches] == expected, breaches
 
 
+@then("the check for runs of one task, with only listed ends forgotten, finds {found}")
+def check_found_twice_listed(context, found):
+    assert_kinds(check_twice(context.events, forgets_later_ends=False), found)
+
+
 @then("the check for runs of one task finds {found}")
 def check_found_twice(context, found):
     assert_kinds(check_twice(context.events), found)
--- a/features/worker_faults.feature
+++ b/features/worker_faults.feature
@@ -52,6 +52,13 @@
     And runs 1 of two tasks have ended
     Then the worker lists the end with number 2 only
 
+  Scenario: where only listed ends are forgotten, an early number forgets an end once it comes again
+    Given the worker forgets only ends that are listed
+    When ends up to 1 are acknowledged before any has occurred
+    And runs 1 of two tasks have ended
+    Then the worker lists the ends with numbers 1 and 2
+    And after ends up to 1 are acknowledged again the worker lists the end with number 2 only
+
   Scenario Outline: a start is answered as the state of the task demands
     When a start of run 2 is answered with 200
     And <event>
--- a/features/worker_soak.feature
+++ b/features/worker_soak.feature
@@ -42,6 +42,17 @@
       | run 1 ends done at 2.0 s, run 2 starts on b at 3.0 s                           | nothing |
       | run 1 ends done at 2.0 s, lapse at 2.4 s, ack 1 at 2.5 s, run 2 starts on b at 3.0 s | nothing |
 
+  Scenario Outline: where only listed ends are forgotten, an early number is no acknowledgement
+    Guards against a breach that is counted though the end is listed to the daemons as before.
+
+    Given a history in which <history>
+    Then the check for runs of one task, with only listed ends forgotten, finds <found>
+
+    Examples:
+      | history                                                                        | found      |
+      | ack 7 at 0.5 s, run 1 ends done at 2.0 s, run 2 starts on b at 3.0 s           | nothing    |
+      | ack 7 at 0.5 s, run 1 ends done at 2.0 s, ack 7 at 2.5 s, run 2 starts on b at 3.0 s | after done |
+
   Scenario Outline: the check for lost jobs finds a planted violation and nothing else
     Guards against a check that cannot fail. A job with one task is accepted at 1.0 s.
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_worker_checks.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_worker_checks.py
@@ -89,10 +89,17 @@
 
 
 def _noted_s(
-    end: RunEnded, acknowledged: list[EndsAcknowledged], lapses: list[LeaseLapsed]
+    end: RunEnded,
+    acknowledged: list[EndsAcknowledged],
+    lapses: list[LeaseLapsed],
+    forgets_later_ends: bool,
 ) -> float | None:
     """Return when an end was taken note of: its number was acknowledged before the lease lapsed."""
-    times_s = [row.time_s for row in acknowledged if row.end_number >= end.end_number]
+    times_s = [
+        row.time_s
+        for row in acknowledged
+        if row.end_number >= end.end_number and (forgets_later_ends or row.time_s >= end.time_s)
+    ]
     if end.end_number == 0 or not times_s:
         return None
     noted_s = max(end.time_s, min(times_s))
@@ -100,8 +107,14 @@
     return None if has_lapsed else noted_s
 
 
-def collect_runs(events: Iterable[Event]) -> list[TaskRun]:
-    """Return all runs of a history, in the order of their starts."""
+def collect_runs(events: Iterable[Event], forgets_later_ends: bool = True) -> list[TaskRun]:
+    """Return all runs of a history, in the order of their starts.
+
+    Args:
+        events: what the workers have seen.
+        forgets_later_ends: whether a number that is acknowledged before its end occurs counts as
+            an acknowledgement of this end.
+    """
     starts, ends = {}, {}
     acknowledged, lapses = defaultdict(list), defaultdict(list)
     for event in events:
@@ -120,7 +133,7 @@
         if end is None:
             runs.append(TaskRun(*key, start.time_s))
         else:
-            noted_s = _noted_s(end, acknowledged[key[:2]], lapses[key[:2]])
+            noted_s = _noted_s(end, acknowledged[key[:2]], lapses[key[:2]], forgets_later_ends)
             runs.append(TaskRun(*key, start.time_s, end.time_s, end.how, noted_s))
     return sorted(runs, key=lambda run: run.started_s)
 
@@ -142,13 +155,14 @@
     return Breach("TWICE", later.task, kind, detail, (earlier, later))
 
 
-def check_twice(events: Iterable[Event]) -> list[Breach]:
+def check_twice(events: Iterable[Event], forgets_later_ends: bool = True) -> list[Breach]:
     """Return the starts of runs beside another one or after an end that was taken note of.
 
-    A start counts once, also if it breaks the rule with several earlier runs.
+    A start counts once, also if it breaks the rule with several earlier runs. The arguments are
+    those of `collect_runs`.
     """
     runs_of_tasks = defaultdict(list)
-    for run in collect_runs(events):
+    for run in collect_runs(events, forgets_later_ends):
         runs_of_tasks[run.task].append(run)
     breaches = []
     for runs in runs_of_tasks.values():
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
@@ -64,6 +64,8 @@
     Attributes:
         life: number of the process under this id.
         clock_rate: speed of the executor's clock.
+        forgets_later_ends: whether an acknowledged number also forgets the ends up to it that
+            come later in the same life, and not only those that are listed.
         born: start of the process in milliseconds since the epoch of Unix.
         highest_fencing_token: highest fencing token of an accepted call.
         lease_end_s: time in seconds at which the leases of all runs expire.
@@ -89,6 +91,7 @@
         self.gangs = GangBoard() if gangs is None else gangs
         self.events = [] if events is None else events
         self.clock_rate = 1.0
+        self.forgets_later_ends = True
         self.life = 0
         self.born = 0
         self._clock_from_s = 0.0
@@ -160,9 +163,7 @@
         self.highest_run_numbers[run.task] = max(
             self.highest_run_numbers.get(run.task, 0), run.number
         )
-        # A number that was acknowledged before its end occurred, as by a call that was meant for
-        # an earlier process, forgets the end as well.
-        if number > self.highest_acknowledged:
+        if number > self.highest_acknowledged or not self.forgets_later_ends:
             self.unacknowledged_ends.append([number, run.task, run.number, end_kind, ""])
         # Expired runs are detected late; they end when they were due, not at this call.
         now_s = time.monotonic()
@@ -238,10 +239,11 @@
         return self._answer(200, {})
 
     def _acknowledge(self, number: int) -> None:
-        if number <= self.highest_acknowledged:
+        ends = [end for end in self.unacknowledged_ends if end[0] > number]
+        if number <= self.highest_acknowledged and len(ends) == len(self.unacknowledged_ends):
             return
-        self.highest_acknowledged = number
-        self.unacknowledged_ends = [end for end in self.unacknowledged_ends if end[0] > number]
+        self.highest_acknowledged = max(self.highest_acknowledged, number)
+        self.unacknowledged_ends = ends
         self.events.append(EndsAcknowledged(time.monotonic(), self.executor_id, self.life, number))
 
     def _percent(self, run: Run, now_s: float) -> int:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
@@ -23,6 +23,7 @@
 CALL_TIMEOUT_S = 10.0
 SHUTDOWN_TIMEOUT_S = 0.1
 TICK_S = 0.01
+CLOCK_RATE_MIN = 0.98
 
 
 def make_configuration(version: int) -> dict:
@@ -56,7 +57,8 @@
         executors_count: number of executors.
         work_s: run time of a task in seconds.
         workers_count: number of executors with faults (`workers`).
-        seed: seed of the faults that these executors draw themselves.
+        seed: seed of the faults that these executors draw themselves, and of their clocks.
+        forgets_later_ends: attribute of these executors.
 
     Attributes:
         events: what the executors with faults have seen.
@@ -68,6 +70,7 @@
         work_s: float = 0.2,
         workers_count: int = 0,
         seed: int = 0,
+        forgets_later_ends: bool = True,
     ) -> None:
         self.store = StandInStore()
         self.events: list[Event] = []
@@ -86,6 +89,10 @@
             )
             for index in range(workers_count)
         ]
+        rng = random.Random(seed)
+        for worker in self.workers:
+            worker.clock_rate = rng.uniform(CLOCK_RATE_MIN, 1.0)
+            worker.forgets_later_ends = forgets_later_ends
         self.advised: list[str] = []
         self.store_address = ""
         self.advice_address = ""
--- a/tools/run_worker_soak.py
+++ b/tools/run_worker_soak.py
@@ -24,6 +24,12 @@
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--rate", type=float, default=8.0, help="jobs per second")
+    parser.add_argument(
+        "--forget",
+        choices=["later", "listed"],
+        default="later",
+        help="ends that an acknowledged number forgets: also later ones, or only listed ones",
+    )
     parser.add_argument("--show", type=int, default=3, help="breaches that are printed per seed")
     return parser.parse_args()
 
@@ -39,6 +45,7 @@
             arguments.workers,
             arguments.daemons,
             arguments.rate,
+            arguments.forget == "later",
         )
         soak = WorkerSoak(plan)
         soak.run()
