Close the stand-in workers without pending requests, show fewer events of a breach

Requests without an answer were cancelled at the end of a run, for which the HTTP library logs an unhandled exception. They now end with their connection.

--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_worker_checks.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_worker_checks.py
@@ -259,23 +259,41 @@
     return breaches
 
 
+def _find_covering(events: Iterable[Event], task: str) -> set[EndsAcknowledged]:
+    """Return, for each listed end of a task, the first acknowledgement that covers its number."""
+    ordered = sorted(events, key=lambda event: event.time_s)
+    ends = [row for row in ordered if isinstance(row, RunEnded) and row.task == task]
+    covering = set()
+    for end in ends:
+        found = (
+            row
+            for row in ordered
+            if isinstance(row, EndsAcknowledged)
+            and (row.worker, row.life) == (end.worker, end.life)
+            and row.end_number >= end.end_number > 0
+        )
+        covering |= {row for row in [next(found, None)] if row is not None}
+    return covering
+
+
 def describe_breach(breach: Breach, events: Iterable[Event], margin_s: float = 2.5) -> list[str]:
     """Return a breach and the events that concern its runs, with their times, as lines."""
     lines = [f"{breach.rule} {breach.subject}: {breach.detail}"]
     if not breach.runs:
         return lines
     workers = {run.worker for run in breach.runs}
+    covering = _find_covering(events, breach.runs[0].task)
     from_s = min(run.started_s for run in breach.runs) - margin_s
     to_s = max(min(run.ended_s, run.started_s + margin_s) for run in breach.runs) + margin_s
     for event in sorted(events, key=lambda event: event.time_s):
-        if not from_s <= event.time_s <= to_s:
+        if not from_s <= event.time_s <= to_s and event not in covering:
             continue
         match event:
             case RunStarted() if event.task == breach.subject:
                 what = f"start of run {event.number}"
             case RunEnded() if event.task == breach.subject:
                 what = f"end of run {event.number}: {event.how}, end number {event.end_number}"
-            case EndsAcknowledged() if event.worker in workers:
+            case EndsAcknowledged() if event in covering:
                 what = f"ends up to {event.end_number} acknowledged"
             case LeaseLapsed() if event.worker in workers:
                 what = "lease lapsed"
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_listener.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_listener.py
@@ -10,7 +10,9 @@
 from .._ports import reserve_port
 
 BACKLOG = 512
-SHUTDOWN_TIMEOUT_S = 0.1
+SHUTDOWN_TIMEOUT_S = 2.5
+"""Longer than a call may wait for an end."""
+RESET_PAUSE_S = 0.1
 
 
 class Listener:
@@ -56,4 +58,6 @@
         """Stop listening and close all connections."""
         self.stop_listening()
         if self._server is not None:
+            self.reset_connections()
+            await asyncio.sleep(RESET_PAUSE_S)
             await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
