Give requests without an answer one once their connection is closed; name tasks in timelines

An exception in place of the answer was logged for each of them. The timeline of a lost job now shows the events of its tasks.

--- a/packages/fireflywharf-testing/src/fireflywharf_testing/_worker_checks.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/_worker_checks.py
@@ -172,6 +172,15 @@
     return breaches
 
 
+def _find_failed_jobs(events: Iterable[Event], max_attempts: int) -> set[str]:
+    """Return the ids of the jobs that may be shown as failed."""
+    counts: dict[str, int] = defaultdict(int)
+    for event in events:
+        if isinstance(event, RunEnded) and event.how == "failed":
+            counts[event.task] += 1
+    return {task.partition(".")[0] for task, count in counts.items() if count >= max_attempts}
+
+
 def check_answers(
     accepted_s: Mapping[str, float],
     answers: Iterable[JobAnswer],
@@ -188,13 +197,7 @@
         events: what the workers have seen.
         max_attempts: number of ends `failed` of one task after which its job has failed.
     """
-    failed_counts: dict[str, int] = defaultdict(int)
-    for event in events:
-        if isinstance(event, RunEnded) and event.how == "failed":
-            failed_counts[event.task] += 1
-    may_fail = {
-        task.partition(".")[0] for task, count in failed_counts.items() if count >= max_attempts
-    }
+    may_fail = _find_failed_jobs(events, max_attempts)
 
     def is_in_touch(answer: JobAnswer) -> bool:
         return not any(
@@ -259,10 +262,10 @@
     return breaches
 
 
-def _find_covering(events: Iterable[Event], task: str) -> set[EndsAcknowledged]:
-    """Return, for each listed end of a task, the first acknowledgement that covers its number."""
+def _find_covering(events: Iterable[Event], tasks: set[str]) -> set[EndsAcknowledged]:
+    """Return, the first acknowledgement that covers each listed end of some tasks."""
     ordered = sorted(events, key=lambda event: event.time_s)
-    ends = [row for row in ordered if isinstance(row, RunEnded) and row.task == task]
+    ends = [row for row in ordered if isinstance(row, RunEnded) and row.task in tasks]
     covering = set()
     for end in ends:
         found = (
@@ -281,18 +284,19 @@
     lines = [f"{breach.rule} {breach.subject}: {breach.detail}"]
     if not breach.runs:
         return lines
-    workers = {run.worker for run in breach.runs}
-    covering = _find_covering(events, breach.runs[0].task)
+    workers, tasks = {run.worker for run in breach.runs}, {run.task for run in breach.runs}
+    covering = _find_covering(events, tasks)
     from_s = min(run.started_s for run in breach.runs) - margin_s
     to_s = max(min(run.ended_s, run.started_s + margin_s) for run in breach.runs) + margin_s
     for event in sorted(events, key=lambda event: event.time_s):
         if not from_s <= event.time_s <= to_s and event not in covering:
             continue
         match event:
-            case RunStarted() if event.task == breach.subject:
-                what = f"start of run {event.number}"
-            case RunEnded() if event.task == breach.subject:
-                what = f"end of run {event.number}: {event.how}, end number {event.end_number}"
+            case RunStarted() if event.task in tasks:
+                what = f"start of {event.task} run {event.number}"
+            case RunEnded() if event.task in tasks:
+                listed = f"{event.how}, end number {event.end_number}"
+                what = f"end of {event.task} run {event.number}: {listed}"
             case EndsAcknowledged() if event in covering:
                 what = f"ends up to {event.end_number} acknowledged"
             case LeaseLapsed() if event.worker in workers:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
@@ -24,15 +24,11 @@
 """Times after a connection attempt at which the kernel of the peer repeats it."""
 
 
-async def stay_silent(transport: asyncio.BaseTransport | None) -> None:
-    """Give no answer for as long as the connection of a request is open.
-
-    Raises:
-        ConnectionResetError: the connection is closed.
-    """
+async def stay_silent(transport: asyncio.BaseTransport | None) -> web.Response:
+    """Wait until the connection of a request is closed; return an answer that no one gets."""
     while transport is not None and not transport.is_closing():
         await asyncio.sleep(SILENCE_CHECK_S)
-    raise ConnectionResetError("the connection of the request is closed")
+    return web.Response(status=503)
 
 
 class FaultyExecutor(StandInExecutor):
@@ -212,22 +208,21 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request, unless a fault prevents it."""
         body = await request.json()
-        if self.is_cut:
-            await stay_silent(request.transport)
-        await self._reach_process(request.transport)
+        if self.is_cut or not await self._reach_process(request.transport):
+            return await stay_silent(request.transport)
         if request.headers.get("X-Fireflywharf-Expected-Instance") != self.executor_id:
             return web.Response(status=421)
         call, life = request.path.rpartition("/")[2], self.life
         if call in ORDERS and self._rng.random() < self.late_share:
             self._execute_late(call, body)
-            await stay_silent(request.transport)
+            return await stay_silent(request.transport)
         response = await self.execute(call, body)
         if self.is_cut or not self.is_up or self.life != life:
-            await stay_silent(request.transport)
+            return await stay_silent(request.transport)
         return response
 
-    async def _reach_process(self, transport: asyncio.BaseTransport | None) -> None:
-        """Return once the request has reached the process that its connection belongs to."""
+    async def _reach_process(self, transport: asyncio.BaseTransport | None) -> bool:
+        """Return whether a request has reached the process that its connection belongs to."""
         if not self.is_up:
             sent_s = time.monotonic()
             await self._started.wait()
@@ -237,10 +232,11 @@
                 retries_s = [sent_s + s for s in CONNECT_RETRIES_S if sent_s + s > now_s]
                 await asyncio.sleep(retries_s[0] - now_s if retries_s else 0.0)
         if transport is None or transport.is_closing() or not self.is_up or self.is_cut:
-            await stay_silent(transport)
+            return False
         if self._lives_of_connections.setdefault(transport, self.life) != self.life:
             transport.abort()
-            await stay_silent(transport)
+            return False
+        return True
 
     def _execute_late(self, call: str, body: dict) -> None:
         task = asyncio.get_running_loop().create_task(self._wait_and_execute(call, body, self.life))
