Let a later report tell which process of a worker is the present one

What callers would see: tasks that run twice, and a worker that is never used again while its runs are kept for ever.

Cause: of two incarnations that differ, the one shown last counted as the later one, and what had counted as ended stayed so. A worker that restarts twice may show its second process last (an entry that lags, a late answer); then the living third one was taken for ended, and all of its reports were ignored. A session could also acknowledge ends of a report that the scheduler had ignored.

Evidence: in features/workflow_incarnations.feature, "a process that was never seen before its successor does not replace it" (both examples: run 2 started beside run 1) and "a report that was requested later tells which process of a worker is present" (not usable) failed before the change.

Why this works: a report that was requested after the known incarnation was shown comes from a process that lived after that, so it tells which one is present. An earlier request, and an entry with a lower incarnation, tell nothing new. The session applies the same rule before it passes on and acknowledges a report.

Measured: these scenarios pass.

--- a/features/steps/workflow_incarnation_steps.py
+++ b/features/steps/workflow_incarnation_steps.py
@@ -19,7 +19,7 @@
     WorkflowState,
 )
 
-EARLIER, LATER = 1, 2
+EARLIER, LATER, THIRD = 1, 2, 3
 POLL_S = 1.0
 """Time from the sending of the poll that is open when the task is started to the start order."""
 ANSWER_S = 0.4
@@ -62,10 +62,25 @@
         directory[name] = attrs.evolve(directory[name], incarnation=incarnation)
         self.world.scheduler.observe(DirectoryChanged(directory), self.world.now_s)
 
+    def begin_incarnation(self, incarnation, by_report):
+        """Let both workers report as their first incarnation, then show a further one of them."""
+        for name in self.world.workers:
+            self.report(name, EARLIER)
+        self.world.now_s += POLL_S
+        if by_report:
+            for name in self.world.workers:
+                self.report(name, incarnation)
+            return
+        for worker in self.world.workers.values():
+            worker.info = attrs.evolve(worker.info, incarnation=incarnation)
+        self.world.publish_directory()
+
     def answer(self, order):
         """Answer a start order; the worker of the scenario gives the result that it tells."""
         is_scripted = order.worker_id == self.order.worker_id
         result = self.start_result if is_scripted else StartResult.STARTED
+        if is_scripted:
+            self.answered_s = self.world.now_s
         event = StartAnswered(order.worker_id, order.task, order.number, result)
         self.world.scheduler.observe(event, self.world.now_s)
 
@@ -88,7 +103,6 @@
         (self.order,) = (action for action in actions if isinstance(action, StartRun))
         self.world.now_s += ANSWER_S
         self.answer(self.order)
-        self.answered_s = self.world.now_s
 
     def advance(self, seconds):
         """Advance the time while the other worker answers and reports."""
@@ -168,6 +182,46 @@
     scripted.advance(0.2)
 
 
+@given("a task whose start one of 2 workers has left unanswered")
+def start_unanswered(context):
+    context.scripted = ScriptedWorkers()
+    context.scripted.start_result = StartResult.UNKNOWN
+    context.scripted.start_task(EARLIER)
+
+
+@given(
+    "a task on the third incarnation of a worker, which {source} has shown right after the first"
+)
+def start_on_third(context, source):
+    scripted = context.scripted = ScriptedWorkers()
+    scripted.begin_incarnation(THIRD, by_report=source == "a report")
+    scripted.start_task(THIRD)
+    scripted.report_scripted(THIRD, running=scripted.running_rows())
+    scripted.advance(0.2)
+
+
+@when("{source} shows the second incarnation")
+def show_second(context, source):
+    if source == "the directory":
+        context.scripted.publish_incarnation(LATER)
+    else:
+        context.scripted.report_scripted(LATER, sent_s=context.scripted.polled_s)
+
+
+@when("reports of the first incarnation arrive that were requested after that")
+def report_first_again(context):
+    for _ in range(2):
+        context.scripted.advance(0.2)
+        context.scripted.report_scripted(EARLIER)
+
+
+@then("the worker is usable")
+def check_usable(context):
+    scripted = context.scripted
+    worker = scripted.world.scheduler.workers[scripted.order.worker_id]
+    assert worker.is_usable(scripted.world.now_s), worker
+
+
 @given("a task that the first incarnation of a worker has reported as running")
 def report_first(context):
     start_task(context)
@@ -223,11 +277,12 @@
     context.scripted.advance(0.2)
 
 
-@when("the later incarnation reports the end of the run")
-def report_end(context):
+@when("the {ordinal} incarnation reports the end of the run")
+def report_end(context, ordinal):
     order = context.scripted.order
     end = ReportedEnd(1, order.task, order.number, EndKind.DONE, "")
-    context.scripted.report_scripted(LATER, ended=[end])
+    incarnation = {"later": LATER, "third": THIRD}[ordinal]
+    context.scripted.report_scripted(incarnation, ended=[end])
     context.scripted.advance(0.2)
 
 
@@ -272,7 +327,8 @@
     scripted = context.scripted
     timing = scripted.world.scheduler.timing
     lease_s = timing.task_lease_s * (1 + timing.clock_drift) + timing.network_margin_s
-    starts = scripted.further_starts()
+    first = scripted.order.number
+    starts = [order for order in scripted.further_starts() if order.number > first]
     assert len(starts) == 1, starts
     waited_s = starts[0].ordered_s - scripted.answered_s
     assert lease_s <= waited_s <= lease_s + seconds, f"started after {waited_s:.2f} s"
--- a/features/workflow_incarnations.feature
+++ b/features/workflow_incarnations.feature
@@ -77,6 +77,29 @@
       | confirmed                          |
       | confirmed and reported as running  |
 
+  Scenario Outline: a process that was never seen before its successor does not replace it
+    A worker may restart twice before anything shows the first restart. If the successor counted as
+    ended, none of its reports would be used any more.
+
+    Given a task on the third incarnation of a worker, which <source> has shown right after the first
+    When <late> shows the second incarnation
+    Then the task is not started a second time within 1 s
+    When the third incarnation reports the end of the run
+    Then the job is complete after one start
+
+    Examples:
+      | source        | late          |
+      | a report      | the directory |
+      | the directory | a late report |
+
+  Scenario: a report that was requested later tells which process of a worker is present
+    Guards against a worker that is never used again after a wrong entry of the directory.
+
+    Given a task that the first incarnation of a worker has reported as running
+    When the directory shows a later incarnation of that worker
+    And reports of the first incarnation arrive that were requested after that
+    Then the worker is usable
+
   Scenario Outline: a stop that the earlier process confirmed does not bind the next one
     The next process has forgotten it, and would accept a start order that is still on its way.
 
@@ -99,14 +122,19 @@
     When the other worker reports a run of the task as running, and then as done
     Then the job is complete after one start
 
-  Scenario: the lease of a confirmed run counts from the answer to its start
-    A later process may have answered. The deadline in the order was a time on the clock of the
+  Scenario Outline: the lease of a run counts from the answer to its start or the lack of one
+    A later process may have accepted it. The deadline in the order was a time on the clock of the
     earlier one, so the lease is only bounded by its maximum from the receipt of the order.
 
-    Given a task whose start one of 2 workers has answered
+    Given <task>
     When that worker answers no poll that was sent after the start
     Then the task is started a second time within 1 s after a full lease from the answer, not earlier
 
+    Examples:
+      | task                                                    |
+      | a task whose start one of 2 workers has answered        |
+      | a task whose start one of 2 workers has left unanswered |
+
   Scenario: inherited jobs wait for a worker that restarted and left without a report
     Orders of the earlier scheduler may have reached the next process, which knows no epoch and has
     told nobody what it runs.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -426,6 +426,9 @@
                 continue
             if info == worker.info or info.incarnation in worker.ended_incarnations:
                 continue
+            if info.incarnation < worker.info.incarnation:
+                # An earlier process, unless the clock was set back; then the next report tells.
+                continue
             if info.incarnation != worker.info.incarnation:
                 self._handle_restart(worker, info.incarnation, IncarnationSource.DIRECTORY, now_s)
             used = worker.info.capacity - worker.free
@@ -446,7 +449,9 @@
         self.outbox.append(
             WorkerRestarted(worker_id=worker.worker_id, earlier=earlier, later=later, source=source)
         )
+        worker.ended_incarnations.discard(later)
         worker.ended_incarnations.add(earlier)
+        worker.incarnation_shown_s = now_s
         worker.has_reported = worker.reachable = False
         self.runs.handle_restart(worker, now_s)
 
@@ -464,16 +469,16 @@
         worker = self.workers.get(event.worker_id)
         if worker is None:
             return
-        if event.incarnation in worker.ended_incarnations:
-            # A late answer of an earlier process says nothing about the present one.
-            return
         if event.incarnation != worker.info.incarnation:
+            if event.sent_s < worker.incarnation_shown_s:
+                # It may be a late answer of an earlier process.
+                return
             self._handle_restart(worker, event.incarnation, IncarnationSource.REPORT, now_s)
             worker.info = attrs.evolve(worker.info, incarnation=event.incarnation)
         if not worker.is_usable(now_s):
             self.runs.capacity_version += 1
         worker.reachable = True
-        worker.reported_s = now_s
+        worker.reported_s = worker.incarnation_shown_s = now_s
         if event.ends_complete:
             worker.has_reported = True
             self._unreconciled.discard(event.worker_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -51,7 +51,7 @@
             effect any more, because the worker has restarted since the order.
         stop_cause: reason of the stop order; None before one is sent.
         checkpoint: latest checkpoint that the worker reported.
-        reported: whether a report has listed the run as running.
+        reported: whether a report of the worker's present process has listed the run as running.
         speed_read_s: local time of the previous progress reading for the speed, in seconds.
         speed_read_percent: progress at that reading.
         projected_s: total run time at the latest speed, in seconds; 0 if unknown.
@@ -131,8 +131,8 @@
 
     Args:
         info: entry of the worker in the directory; its incarnation is the latest one known.
-        ended_incarnations: earlier incarnations, which the directory or a late report may show
-            again.
+        ended_incarnations: earlier incarnations, which the directory may show again.
+        incarnation_shown_s: local time at which the present incarnation was last shown, in seconds.
         free: capacity minus the demand of all runs.
         runs: runs by task and run number.
         finite_demand: demand of the finite runs.
@@ -153,6 +153,7 @@
     info: WorkerInfo
     free: ResourceVector
     ended_incarnations: set[int] = attrs.field(factory=set)
+    incarnation_shown_s: float = float("-inf")
     runs: dict[tuple[TaskName, int], Run] = attrs.field(factory=dict)
     finite_demand: ResourceVector = ResourceVector()
     reported_s: float | None = None
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -217,7 +217,7 @@
             if entry is None:
                 self._open_session(info)
             else:
-                entry[0].info = info
+                entry[0].update_info(info)
 
     def _find_workers_in_use(self) -> set[str]:
         """Return the ids of the workers on which runs may be started or alive."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -36,7 +36,7 @@
     """Polls one worker and keeps the leases of its runs alive during one tenure.
 
     Args:
-        info: directory entry of the worker.
+        info: directory entry of the worker, with the latest incarnation that is known.
         epoch: fencing token of the tenure.
         gateway: sends the polls.
         observe: called with each event of the worker.
@@ -69,10 +69,22 @@
         self._acknowledged_serial = 0
         self._confirmed_serial = 0
         self._logged_serial = 0
-        self._incarnation = 0
+        self._incarnation_shown_s = float("-inf")
         self._silent = False
         self._renewed_s = 0.0
 
+    def update_info(self, info: WorkerInfo) -> None:
+        """Use a new directory entry of the worker."""
+        if info.incarnation != self.info.incarnation:
+            self._begin_incarnation(info.incarnation)
+        self.info = info
+
+    def _begin_incarnation(self, incarnation: int) -> None:
+        """Forget the serial numbers of the earlier process."""
+        self.info = attrs.evolve(self.info, incarnation=incarnation)
+        self._incarnation_shown_s = time.monotonic()
+        self._acknowledged_serial = self._confirmed_serial = self._logged_serial = 0
+
     async def run(self) -> None:
         """Poll until cancelled."""
         wait_s = 0.0
@@ -97,6 +109,8 @@
                 worker=self.info.worker_id,
             )
             match result:
+                case WorkerReport() if self._is_outdated(result, sent_s):
+                    wait_s = 0.0
                 case WorkerReport():
                     wait_s = 0.0 if self._silent else POLL_WAIT_S
                     if result.acknowledgement_sent:
@@ -123,14 +137,17 @@
             return self._acknowledged_serial
         return 0
 
+    def _is_outdated(self, report: WorkerReport, sent_s: float) -> bool:
+        """Return whether a report may be from an earlier process than the one known by now."""
+        is_other = report.incarnation != self.info.incarnation
+        return is_other and sent_s < self._incarnation_shown_s
+
     def _handle_report(self, report: WorkerReport, sent_s: float) -> None:
         if self._silent:
             self._silent = False
             _LOG.info("worker answers again", extra={"worker": self.info.worker_id})
-        if report.incarnation != self._incarnation:
-            self._acknowledged_serial = self._confirmed_serial = self._logged_serial = 0
-            self._incarnation = report.incarnation
-            self.info = attrs.evolve(self.info, incarnation=report.incarnation)
+        if report.incarnation != self.info.incarnation:
+            self._begin_incarnation(report.incarnation)
         self._observe(
             WorkerReported(
                 worker_id=self.info.worker_id,
