Bound the lease of a run whose start got no answer from that moment

What callers would see: a task that runs twice after a worker restarted, took a start order, and fell silent before it had answered. Found by the review, not seen.

Cause: the full lease was counted from the answer only if the start was confirmed while the run was still starting. A process that began after the last report may also have accepted an order without an answer, or one whose run is being stopped already, and its clock makes the deadline in the order meaningless.

Evidence: features/workflow_incarnations.feature, "the lease of a run counts from the answer to its start or the lack of one", second example: "started after 4.40 s" before the change, a full lease is 6.42 s.

Measured: all of features/workflow_incarnations.feature passes.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -127,13 +127,15 @@
         """Process the result of an order to start a run."""
         worker = self._workers.get(worker_id)
         run = None if worker is None else worker.runs.get((task, number))
-        if run is None or run.phase is not RunPhase.STARTING:
+        if run is None:
             return
-        run.start_open = False
-        if result is StartResult.STARTED:
+        if result in (StartResult.STARTED, StartResult.UNKNOWN):
             # A process that began after the last report counts the lease from receipt of the order,
             # because its clock has started anew.
             worker.runs_end_s = max(worker.runs_end_s, now_s + self._timing.lease_bound_s)
+        if run.phase is not RunPhase.STARTING:
+            return
+        run.start_open = False
         if result is not StartResult.UNKNOWN:
             self.start_window.observe(now_s - run.last_order_s, now_s)
         match result:
