--- a/features/steps/workflow_acknowledgement_steps.py
+++ b/features/steps/workflow_acknowledgement_steps.py
@@ -162,12 +162,21 @@
 
 async def run_socket_session(worker, is_over):
     """Run a session over real connections until `is_over` returns true."""
+
+    async def use(info, client):
+        await run_session(info, client, is_over)
+
+    await serve_worker(worker, use)
+
+
+async def serve_worker(worker, use):
+    """Serve a worker over real connections while `use` runs with its entry and a client."""
     http = HttpClient(4)
     await http.open()
     server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
     info = attrs.evolve(WORKER, address=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
     try:
-        await run_session(info, WorkerClient(http, 6.0), is_over)
+        await use(info, WorkerClient(http, 6.0))
     finally:
         server.close()
         await http.close()
@@ -202,3 +211,25 @@
 def check_acknowledged_later(context, count):
     assert context.worker.ends_count == count
     assert context.worker.acknowledges_ends(), context.worker.other_polls[:9]
+
+
+@when("it closes that connection and another worker at its address is polled before it")
+def poll_two_workers(context):
+    context.worker = ClosingWorker(context.ends_count, True, LATER)
+
+    async def poll(info, client):
+        other = attrs.evolve(info, worker_id="other")
+        for polled, acknowledged in ((info, 0), (other, 0), (info, context.ends_count)):
+            await client.poll_worker(
+                polled, epoch=1, acknowledged=acknowledged, wait_s=0.0, renew=True
+            )
+            # The end of the connection has to be read before the next poll.
+            await asyncio.sleep(0.05)
+
+    asyncio.run(serve_worker(context.worker, poll))
+
+
+@then("no poll that the new process gets acknowledges ends")
+def check_later_polls(context):
+    polls = context.worker.other_polls
+    assert len(polls) == 2 and not any(poll["acknowledged"] for poll in polls), polls
--- a/features/workflow_acknowledgements.feature
+++ b/features/workflow_acknowledgements.feature
@@ -22,6 +22,13 @@
       | 0     | 0 2 0 0 |
       | 1     | 0 2 0 1 |
 
+  Scenario: an acknowledgement does not follow another worker to a new process at the same address
+    The entry of a worker that has crashed may stay in the directory beside that of its successor.
+
+    Given a worker that reports 2 ends over its first connection
+    When it closes that connection and another worker at its address is polled before it
+    Then no poll that the new process gets acknowledges ends
+
   Scenario Outline: a poll that acknowledges ends does not reach a new process at the same address
     A client that opens a new connection unasked sends the poll to whatever process listens now.
 
