Let the scenario of a power loss not depend on the speed of the machine

On a machine at a load of over 20 the call that was to wait across the power loss was answered before it, since the task of 0.3 s had ended: one failure in one run of the file beside other jobs.

--- a/features/steps/worker_faults_steps.py
+++ b/features/steps/worker_faults_steps.py
@@ -12,6 +12,7 @@
 
 from fireflywharf_testing.platform_stand_ins import (
     EndsAcknowledged,
+    FaultNoted,
     PlatformStandIns,
     RunEnded,
     RunStarted,
@@ -119,13 +120,21 @@
     begin_fault(context, context.worker.lose_power(outage_s))
 
 
-@when("the worker loses power for {outage_s:f} s while a call waits on an open connection")
-def lose_power_during_call(context, outage_s):
+@given("its tasks take {work_s:f} s")
+def set_work(context, work_s):
+    context.worker.work_s = work_s
+
+
+@when(
+    "the worker loses power for {outage_s:f} s while a call of {wait_s:f} s waits"
+    " on an open connection"
+)
+def lose_power_during_call(context, outage_s, wait_s):
     context.waiting = Caller(context.worker)
     context.answers = []
 
     def wait():
-        context.answers.append(context.waiting.hold(timeout_s=5.0, wait_ms=100))
+        context.answers.append(context.waiting.hold(timeout_s=5.0, wait_ms=int(wait_s * 1000)))
 
     context.thread = threading.Thread(target=wait, daemon=True)
     context.thread.start()
@@ -154,11 +163,12 @@
     assert body["clock_ms"] < 5000, body
 
 
-@then('run {number:d} ended as "{how}" within {seconds:f} s of the power loss')
-def check_ended_at_loss(context, number, how, seconds):
+@then('run {number:d} ended as "{how}" at the time of the power loss')
+def check_ended_at_loss(context, number, how):
     end = wait_for_event(context, RunEnded, 0.1)
     assert (end.number, end.how) == (number, how), end
-    assert abs(end.time_s - context.fault_s) < seconds, (end, context.fault_s)
+    lost_s = list_events(context, FaultNoted)[0].time_s
+    assert abs(end.time_s - lost_s) < 0.01, (end, lost_s)
 
 
 @when("the worker loses power for {outage_s:f} s and a start is sent on a new connection")
--- a/features/worker_faults.feature
+++ b/features/worker_faults.feature
@@ -6,12 +6,13 @@
     Given a stand-in worker that runs tasks of 0.3 s
 
   Scenario: a power loss shows nothing until something is sent after the restart
+    Given its tasks take 10.0 s
     When a start of run 1 is answered with 200
-    And the worker loses power for 0.3 s while a call waits on an open connection
-    Then the waiting call has no answer 1.0 s later
+    And the worker loses power for 0.3 s while a call of 1.5 s waits on an open connection
+    Then the waiting call has no answer 2.0 s later
     And a call on the old connection is reset
     And a call on a new connection shows a later life without runs, ends and fences
-    And run 1 ended as "gone" within 0.1 s of the power loss
+    And run 1 ended as "gone" at the time of the power loss
 
   Scenario: a call whose connection could not be opened during an outage reaches the next life late
     When the worker loses power for 0.3 s and a start is sent on a new connection
