--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -214,7 +214,7 @@
         self._abort_gang(run, StopCause.GANG_MEMBER_ENDED, now_s)
 
     def handle_restart(self, worker: Worker, now_s: float) -> None:
-        """Process the end of a worker's process, which a later incarnation has shown.
+        """Process the runs of a worker whose process has ended, as a later incarnation shows.
 
         Orders are addressed to the id of the worker, so the later process may have accepted some of
         them. Only runs that a report has listed are known to have ended with the earlier process;
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -444,7 +444,7 @@
     def _handle_restart(
         self, worker: Worker, later: int, source: IncarnationSource, now_s: float
     ) -> None:
-        """Process the end of a worker's process, which a later incarnation has shown."""
+        """Take a later incarnation of a worker as the present one, and note the restart."""
         earlier = worker.info.incarnation
         self.outbox.append(
             WorkerRestarted(worker_id=worker.worker_id, earlier=earlier, later=later, source=source)
