Build the directory entry of a stand-in worker in one place

Cause: the entry was written out twice, in the stand-ins with and without faults, with the name of the service as a literal in one of them.

Change: StandInExecutor.make_entry serves both; the fields and values are the same.

--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_executor.py
@@ -12,6 +12,8 @@
 from ._events import EndsAcknowledged, Event, LeaseLapsed, RunEnded, RunStarted
 from ._gangs import GangBoard
 
+SERVICE = "svc"
+
 MAX_HOLD_S = 6.0
 WAIT_MAX_S = 2.0
 GANG_TIMEOUT_S = 3.0
@@ -121,6 +123,22 @@
         for run in list(self.runs.values()):
             self._remove_run(run, "gone", time.monotonic(), 0)
 
+    def make_entry(self, address: str, capacity: dict) -> dict:
+        """Return the entry of the directory for the present process at an address."""
+        return {
+            "service": SERVICE,
+            "address": address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": capacity,
+            "labels": ["a", "r1-1"],
+            "born": self.born,
+            "sequence": 1,
+        }
+
     def clock_ms(self) -> int:
         """Return the clock of the executor in milliseconds."""
         return int((time.monotonic() - self._clock_from_s) * self.clock_rate * 1000)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
@@ -74,19 +74,7 @@
 
     def entry(self) -> dict:
         """Return the entry of the present process."""
-        return {
-            "service": "svc",
-            "address": self.listener.address,
-            "zone": "zone-a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "capacity": {"cpu": 16000, "mem_mb": 65536, "gpu": 0},
-            "labels": ["a", "r1-1"],
-            "born": self.born,
-            "sequence": 1,
-        }
+        return self.make_entry(self.listener.address, {"cpu": 16000, "mem_mb": 65536, "gpu": 0})
 
     def register(self) -> None:
         """Write the entry of the present process."""
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
@@ -11,12 +11,11 @@
 from aiohttp import web
 
 from ._events import Event
-from ._executor import StandInExecutor
+from ._executor import SERVICE, StandInExecutor
 from ._faulty_executor import FaultyExecutor
 from ._gangs import GangBoard
 from ._store import StandInStore
 
-SERVICE = "svc"
 HOST = "queue.example"
 PREFIX = "/jobs/"
 ADVISED_PREFIX = "/advised/"
@@ -140,23 +139,8 @@
         self.advice_address = await self._start_server(self._advise)
         for executor in self.executors:
             address = await self._start_server(executor.serve)
-            self.store.put(
-                "keyed.servers",
-                executor.executor_id,
-                {
-                    "service": SERVICE,
-                    "address": address,
-                    "zone": "zone-a",
-                    "version": "v1",
-                    "slots": 8,
-                    "state": "ready",
-                    "cold_remaining_ms": 0,
-                    "capacity": {"cpu": 8000, "mem_mb": 16000, "gpu": 0},
-                    "labels": ["a", "r1-1"],
-                    "born": executor.born,
-                    "sequence": 1,
-                },
-            )
+            entry = executor.make_entry(address, {"cpu": 8000, "mem_mb": 16000, "gpu": 0})
+            self.store.put("keyed.servers", executor.executor_id, entry)
         for worker in self.workers:
             await worker.listener.listen()
             worker.register()
