Log the age of the latest confirmation when runs are placed or lost

With this age, a lease that is counted by one tenure alone can be told from a permission that a repeated append prolongs. No decision changes.

Measured: the scenarios of features/workflow_resilience.feature pass, with the new field checked in one of them.

--- a/features/steps/workflow_resilience_steps.py
+++ b/features/steps/workflow_resilience_steps.py
@@ -41,6 +41,7 @@
 from fireflywharf_platform._store import StoreClient
 from fireflywharf_platform._workers import WorkerClient
 
+CONFIRMATION_AGE_S = 0.125
 WORKER = WorkerInfo(
     worker_id="w0",
     incarnation=1,
@@ -404,7 +405,7 @@
         rows.append((message, extra))
 
     logger = logging.getLogger("fireflywharf_daemon.workflows._decision_log")
-    decision_log = DecisionLog(world.scheduler, 1, world.now_s)
+    decision_log = DecisionLog(world.scheduler, 1, world.now_s, lambda: CONFIRMATION_AGE_S)
     known_count = len(world.actions)
     with (
         unittest.mock.patch.object(logger, "info", keep),
@@ -443,6 +444,7 @@
     lost = [fields for message, fields in context.rows if message.startswith("run lost")]
     assert [fields["cause"] for fields in lost] == [cause], context.rows
     assert lost[0]["run"] == "a.0.0.0#1" and lost[0]["worker"] == "w0", lost
+    assert lost[0]["confirmation_age_s"] == CONFIRMATION_AGE_S, lost
 
 
 @when("another scheduler takes over and the worker answers it")
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -124,7 +124,9 @@
         self._flush_futures: list[asyncio.Future] = []
         self._extra_records: list[JournalRecord | LogRecord] = []
         self._journal_state = journal_state
-        self._decision_log = DecisionLog(self.scheduler, record.epoch, self._now_s())
+        self._decision_log = DecisionLog(
+            self.scheduler, record.epoch, self._now_s(), lambda: writer.confirmation_age_s
+        )
         self._background = BackgroundTasks(
             "scheduler", lambda: self._end_tenure("a background task of the scheduler failed")
         )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from fireflywharf_core.workflows import (
     Action,
@@ -30,11 +31,20 @@
         scheduler: the scheduler.
         epoch: fencing token of the tenure.
         now_s: current local time, in seconds.
+        find_confirmation_age_s: returns the time since the latest record that the journal has
+            confirmed was sent, in seconds.
     """
 
-    def __init__(self, scheduler: WorkflowScheduler, epoch: int, now_s: float) -> None:
+    def __init__(
+        self,
+        scheduler: WorkflowScheduler,
+        epoch: int,
+        now_s: float,
+        find_confirmation_age_s: Callable[[], float],
+    ) -> None:
         self._scheduler = scheduler
         self._epoch = epoch
+        self._find_confirmation_age_s = find_confirmation_age_s
         self._reported_s = now_s
         self._reconciliation_logged = False
 
@@ -47,7 +57,8 @@
             case StartRun():
                 worker = self._scheduler.workers.get(action.worker_id)
                 incarnation = None if worker is None else worker.info.incarnation
-                _LOG.info("run placed", extra=fields | {"worker_incarnation": incarnation})
+                fields |= {"worker_incarnation": incarnation, **self._describe_permission()}
+                _LOG.info("run placed", extra=fields)
             case StopRun(cause=cause, percent=percent):
                 fields |= {"cause": cause.value, "percent": percent}
                 _LOG.info("run stop ordered", extra=fields)
@@ -58,6 +69,7 @@
                     "report_age_s": None if age_s is None else round(age_s, 3),
                     "worker_incarnation": action.incarnation,
                     "reported": action.reported,
+                    **self._describe_permission(),
                 }
                 _LOG.warning("run lost; its task may be started again", extra=fields)
             case RunAdopted():
@@ -73,6 +85,10 @@
                     },
                 )
 
+    def _describe_permission(self) -> dict:
+        """Return a log field that shows whether a successor may have been active already."""
+        return {"confirmation_age_s": round(self._find_confirmation_age_s(), 3)}
+
     def log_state(self, now_s: float) -> None:
         """Log the reconciliation of earlier runs once, and at intervals the steps that wait."""
         self._log_reconciliation(now_s)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -146,7 +146,12 @@
                     unanswered += isinstance(result, AppendUncertain)
                     _LOG.warning(
                         "append of the scheduler is repeated",
-                        extra={"reason": reason, "epoch": self.epoch, "sequence": writer.sequence},
+                        extra={
+                            "reason": reason,
+                            "epoch": self.epoch,
+                            "sequence": writer.sequence,
+                            "confirmation_age_s": round(self.confirmation_age_s, 3),
+                        },
                     )
             await asyncio.sleep(pause_s)
             pause_s = min(0.4, pause_s * 2)
