Count the lease of a silent worker only up to the latest confirmation of the tenure

Cause: a scheduler that is cut off together with some workers took the runs of the workers outside for ended 6.42 s after its own latest renewal. Its successor renewed them meanwhile. The permission of the old one (6 s from the sending of the latest confirmed append) was still valid, so it started the tasks again on workers inside, which did not know the later epoch. The wait for inherited runs (12.5 s) and for recorded departures (7.9 s) rested on the same belief.

Change: each confirmed append tells the scheduler when it was sent. What is concluded from elapsed time alone holds only if an append was sent at or after that time and is confirmed: then no later tenure had begun, and nobody else had renewed the lease. If something waits for that, a record is appended at once, not with the next renewal.

Result: the scenarios of this commit pass. A worker that is really gone is given up at most one renewal later.

--- a/features/steps/workflow_tenure_steps.py
+++ b/features/steps/workflow_tenure_steps.py
@@ -16,6 +16,7 @@
     JobsRecorded,
     JournalState,
     StartResult,
+    TenureConfirmed,
     TenureRecord,
     Timing,
     WorkerReported,
@@ -257,6 +258,7 @@
         JobsRecorded(("a",)),
     ):
         context.scheduler.observe(event)
+    context.scheduler.observe(TenureConfirmed(time.monotonic()))
     (context.order,) = context.scheduler.scheduler.decide(time.monotonic(), time.time())
 
 
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -27,6 +27,7 @@
     StepSpec,
     StopAnswered,
     StopRun,
+    TenureConfirmed,
     Timing,
     WorkerInfo,
     WorkerReported,
@@ -322,12 +323,13 @@
             self.acknowledged[name] = max(self.acknowledged[name], serial)
 
     def record_progress(self):
-        """Append the progress of the scheduler's jobs and confirm it."""
+        """Append the progress of the scheduler's jobs and confirm it and the tenure."""
         progress = self.scheduler.pop_progress()
         for record in progress:
             self.append(record)
         recorded = JobsRecorded(tuple(record.job_id for record in progress))
         self.scheduler.observe(recorded, self.now_s)
+        self.scheduler.observe(TenureConfirmed(self.now_s), self.now_s)
 
     def _is_poll_answered(self, name, worker):
         """Return whether a worker answers a poll now: with an end, or after the interval."""
--- /dev/null
+++ b/features/workflow_split.feature
@@ -0,0 +1,72 @@
+Feature: Several schedulers at the same time
+  A scheduler that is cut off from the journal may act for a while beside its successor. What it
+  believes about the workers that it does not reach is then decided by the successor. The workers
+  judge: a task runs twice if another run of it is active on any worker, or if its end as done was
+  acknowledged or is in the journal. All times are virtual.
+
+  Scenario Outline: a superseded scheduler does not start runs again that its successor keeps alive
+    The lease of a silent worker counts from the renewals of all tenures, not only from its own.
+
+    Given tasks that work for <seconds> s
+    When <cut>, for 6 to 12.5 s
+    Then no task runs twice and all jobs end
+
+    Examples:
+      | seconds | cut                                                       |
+      | 8       | everything is cut at once                                 |
+      | 8       | the workers are cut 0.4 s before the journal              |
+      | 8       | the workers are cut 2.5 s before the journal              |
+      | 8       | the journal is cut 0.4 s before the workers               |
+      | 8       | the journal is cut 2.5 s before the workers               |
+      | 8       | the main partition of the journal is cut with the workers |
+      | 20      | everything is cut at once                                 |
+      | 20      | the workers are cut 0.4 s before the journal              |
+      | 20      | the workers are cut 2.5 s before the journal              |
+      | 20      | the journal is cut 0.4 s before the workers               |
+      | 20      | the journal is cut 2.5 s before the workers               |
+      | 20      | the main partition of the journal is cut with the workers |
+
+  Scenario Outline: a superseded scheduler does not start tasks again that have ended elsewhere
+    Guards the same if the run that it takes for lost has ended as done at its successor.
+
+    Given tasks that work for <seconds> s
+    When <cut>, for 6 to 12.5 s
+    Then the successor has acknowledged the ends during the cut
+    And no task runs twice and all jobs end
+
+    Examples:
+      | seconds | cut                                          |
+      | 3       | everything is cut at once                    |
+      | 4       | the workers are cut 0.4 s before the journal |
+      | 4       | the workers are cut 2.5 s before the journal |
+
+  Scenario Outline: the wait for inherited runs proves nothing to a superseded scheduler
+    It never heard from the worker of the first scheduler, whose run the third one keeps alive.
+
+    Given tasks that work for 20 s
+    When a second scheduler is cut off <seconds> s after its start, before it hears from that side
+    Then no task runs twice and all jobs end
+
+    Examples:
+      | seconds |
+      | 7       |
+      | 8       |
+
+  Scenario: a recorded departure proves nothing to a superseded scheduler
+    The worker may have come back to the successor before its runs have ended.
+
+    Given tasks that work for 20 s
+    When the worker departs, and the third scheduler uses it again while the second is cut off
+    Then no task runs twice and all jobs end
+
+  Scenario Outline: the runs of a worker that is really gone are started again in time
+    Waiting for a confirmation may cost one renewal interval, not more.
+
+    Given a task whose worker answers polls after <poll> s, without any cut
+    When the worker is silent for good
+    Then the task is started elsewhere within 7 s and one renewal interval
+
+    Examples:
+      | poll |
+      | 0    |
+      | 1.5  |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -111,6 +111,17 @@
     job_ids: tuple[str, ...]
 
 
+@attrs.frozen(slots=True)
+class TenureConfirmed:
+    """The journal has accepted a record of the tenure, so no later tenure had begun before.
+
+    Args:
+        sent_s: local time at which the record was sent, in seconds.
+    """
+
+    sent_s: float
+
+
 @attrs.frozen(slots=True)
 class JobCancelled:
     """The cancellation of a job was read from the journal."""
@@ -206,6 +217,7 @@
 Event = (
     JobAdded
     | JobsRecorded
+    | TenureConfirmed
     | JobCancelled
     | DirectoryChanged
     | WorkerReported
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reconciliation.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reconciliation.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from ._confirmation import TenureConfirmation
 from ._journal import Departure
 from ._state import Worker
 from ._timing import Timing
@@ -12,8 +13,12 @@
 class Reconciliation:
     """Tells when all runs of earlier tenures are known or have ended.
 
+    Waits count only up to the latest confirmation of the tenure: a later one may renew
+    the leases of the same runs.
+
     Args:
         workers: workers by id.
+        confirmation: tells up to when no later tenure had begun.
         timing: timeouts of the deployment.
         workers_in_use: ids of the workers on which an earlier tenure may have started runs.
         departures: departures of these workers by id.
@@ -27,12 +32,14 @@
     def __init__(
         self,
         workers: Mapping[str, Worker],
+        confirmation: TenureConfirmation,
         timing: Timing,
         workers_in_use: Iterable[str],
         departures: Mapping[str, Departure],
         started_s: float,
     ) -> None:
         self._workers = workers
+        self._confirmation = confirmation
         self._timing = timing
         self._unreconciled = set(workers_in_use)
         self._departures = dict(departures)
@@ -48,7 +55,8 @@
         if self.assumed_ended_ids is None:
             # A silent worker has ended its runs after the wait; one that answers may still hold
             # ends that it has not reported.
-            waited = now_s >= self._started_s + self._timing.inherited_wait_s and not any(
+            wait_end_s = self._started_s + self._timing.inherited_wait_s
+            waited = self._confirmation.covers(wait_end_s, now_s) and not any(
                 worker.reachable and not worker.has_reported for worker in self._workers.values()
             )
             self._expire_departures(now_s)
@@ -67,6 +75,6 @@
         for worker_id, departure in list(self._departures.items()):
             if worker_id in self._workers:
                 del self._departures[worker_id]
-            elif now_s >= departure.read_s + wait_s:
+            elif self._confirmation.covers(departure.read_s + wait_s, now_s):
                 del self._departures[worker_id]
                 self._unreconciled.discard(worker_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -8,6 +8,7 @@
 
 from ..resources import ResourceVector
 from ._approvals import TicketTracker
+from ._confirmation import TenureConfirmation
 from ._estimates import RunTimes
 from ._events import (
     Action,
@@ -23,6 +24,7 @@
     StartAnswered,
     StopAnswered,
     StopCause,
+    TenureConfirmed,
     WorkerReported,
     WorkerRestarted,
     WorkerSilent,
@@ -85,8 +87,9 @@
         self.workers: dict[str, Worker] = {}
         self.run_times = RunTimes()
         self.outbox: list[Action] = []
+        self.confirmation = TenureConfirmation()
         self.reconciliation = Reconciliation(
-            self.workers, timing, workers_in_use, departures or {}, started_s
+            self.workers, self.confirmation, timing, workers_in_use, departures or {}, started_s
         )
         self.runs = RunTable(
             self.jobs, self.workers, self.outbox, self.run_times, timing, find_spec
@@ -122,6 +125,9 @@
                 for job_id in job_ids:
                     if job_id in self.jobs:
                         self.jobs[job_id].recorded = True
+            case TenureConfirmed(sent_s):
+                if self.confirmation.observe(sent_s):
+                    self.runs.capacity_version += 1
             case JobCancelled(job_id):
                 self._handle_cancellation(job_id, now_s)
             case DirectoryChanged(workers):
@@ -345,7 +351,8 @@
 
     def _expire_workers(self, now_s: float) -> None:
         for worker in list(self.workers.values()):
-            if worker.reachable or now_s < worker.runs_end_s:
+            # A later tenure may have renewed the leases.
+            if worker.reachable or not self.confirmation.covers(worker.runs_end_s, now_s):
                 continue
             for run in list(worker.runs.values()):
                 self.runs.handle_lost(run, LossCause.LEASE_EXPIRED, now_s)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -23,6 +23,7 @@
     StartRun,
     StopAnswered,
     StopRun,
+    TenureConfirmed,
     TenureRecord,
     Timing,
     WorkerInfo,
@@ -332,7 +333,9 @@
                         self._background.spawn(self._request_approval(action))
             self._remove_departed_workers()
             self._decision_log.log_state(self._now_s())
-            if any(job.dirty for job in self.scheduler.jobs.values()):
+            if self.scheduler.confirmation.is_wanted or any(
+                job.dirty for job in self.scheduler.jobs.values()
+            ):
                 self._records_pending.set()
 
     async def _start_run(self, order: StartRun) -> None:
@@ -431,6 +434,11 @@
     def _observe_recorded(self, progress: list[WorkflowProgress]) -> None:
         if progress:
             self.observe(JobsRecorded(tuple(record.job_id for record in progress)))
+        confirmed = TenureConfirmed(self._writer.confirmed_s)
+        if self.scheduler.confirmation.is_wanted:
+            self.observe(confirmed)
+        else:
+            self.scheduler.observe(confirmed, self._now_s())
 
     async def _record_loop(self) -> None:
         """Append progress, other records and tenure renewals in groups."""
@@ -450,7 +458,9 @@
             records, self._extra_records = self._extra_records, []
             progress = self.scheduler.pop_progress()
             records += progress
-            if not self._resigning and self._now_s() >= renewed_s + RENEWAL_S - _APPEND_BATCH_S:
+            is_due = self._now_s() >= renewed_s + RENEWAL_S - _APPEND_BATCH_S
+            is_wanted = self.scheduler.confirmation.is_wanted and not records
+            if not self._resigning and (is_due or is_wanted):
                 renewal += 1
                 renewed_s = self._now_s()
                 self._delete_expired_jobs()
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -78,6 +78,9 @@
         epoch: fencing token of the tenure.
         on_appended: called with the offset of each record that has become durable, and the record.
         metrics: counts results and durations.
+
+    Attributes:
+        confirmed_s: local time at which the latest confirmed append was sent, in seconds.
     """
 
     def __init__(
@@ -88,7 +91,8 @@
         metrics: WorkflowMetrics,
     ) -> None:
         self.epoch = epoch
-        self._confirmed_s = boot_time_s()
+        self.confirmed_s = time.monotonic()
+        self._confirmed_boot_s = boot_time_s()
         self._log = log
         self._on_appended = on_appended
         self._metrics = metrics
@@ -98,7 +102,7 @@
     @property
     def confirmation_age_s(self) -> float:
         """Seconds since the latest confirmed append of the tenure was sent."""
-        return boot_time_s() - self._confirmed_s
+        return boot_time_s() - self._confirmed_boot_s
 
     async def append(
         self, records: list[JournalRecord | LogRecord], fail_fast: bool = False
@@ -134,7 +138,7 @@
                     self._times.observe(took_s)
                     # The answer may have waited while the process was paused, and a successor may
                     # have begun meanwhile, so only the start of the append is certain.
-                    self._confirmed_s = sent_boot_s
+                    self.confirmed_s, self._confirmed_boot_s = sent_s, sent_boot_s
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
