Start a task whose run was found missing again only after a confirmation of the tenure

Callers would see a task started again after its end as done was acknowledged (TWICE).

Cause: a later process of a worker knows no epoch, so its lists also reach a superseded scheduler. They lack a run whose end the successor has acknowledged at the earlier process. The old scheduler took that for a loss and started the task on another worker.

Change: a task whose run was found missing (a later process, or a list without the run) is placed again only if a record that was sent after the loss was learned is confirmed. No later tenure had begun by then, so nobody else can have acknowledged the end. A gang waits as a whole. Ends that a worker lists, and starts that it refused, need no such wait: they stay true, and the successor starts inherited tasks only when every worker has reported to it and thus refuses the lower epoch, or has been silent until the permission and the leases of the old one have run out.

--- a/features/workflow_split.feature
+++ b/features/workflow_split.feature
@@ -59,6 +59,20 @@
     When the worker departs, and the third scheduler uses it again while the second is cut off
     Then no task runs twice and all jobs end
 
+  Scenario Outline: a later process of a worker starts no task again that the successor saw done
+    A later process knows no epoch, so it answers a superseded scheduler as well.
+
+    Given tasks that work for 1.5 s
+    When its worker restarts after the successor has noted the end, and the old one <learns>
+    Then no task runs twice and all jobs end
+
+    Examples:
+      | learns                                        |
+      | reads its list and reaches no other worker    |
+      | reads its list and reaches other workers      |
+      | reads its list and has read none with the run |
+      | reads the directory and reaches other workers |
+
   Scenario Outline: the runs of a worker that is really gone are started again in time
     Waiting for a confirmation may cost one renewal interval, not more.
 
@@ -70,3 +84,10 @@
       | poll |
       | 0    |
       | 1.5  |
+
+  Scenario: the run of a worker that has restarted is started again in time
+    Guards the same for a loss that a later process shows.
+
+    Given a task whose worker answers polls after 0 s, without any cut
+    When the worker restarts and reports
+    Then the task is started again within 0.1 s and one renewal interval
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -208,8 +208,12 @@
                 reported=run.reported,
             )
         )
-        if run.checkpoint and run.step is not None:
-            self._keep_checkpoint(run.step, run.task.index, run.checkpoint)
+        if run.step is not None:
+            if run.checkpoint:
+                self._keep_checkpoint(run.step, run.task.index, run.checkpoint)
+            if cause is not LossCause.LEASE_EXPIRED:
+                # A later tenure may have acknowledged its end; that of a lease is confirmed before.
+                run.step.lost_s[run.task.index] = now_s
         self._release_run(run)
         self._abort_gang(run, StopCause.GANG_MEMBER_ENDED, now_s)
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -406,7 +406,9 @@
             return
         if not self.ticket_tracker.request_tickets(step, workers, now_s):
             return
-        indices = sorted(step.waiting)
+        indices = self._find_startable_tasks(step, now_s)
+        if not indices:
+            return
         free_by_worker = self._free_capacity(step, workers, now_s)
         limited_by_worker = self._limit_to_headroom(step, free_by_worker)
         pairs = self._assign_tasks(step, limited_by_worker, indices, now_s)
@@ -422,6 +424,19 @@
         else:
             self._renew_tickets(step, workers, now_s)
 
+    def _find_startable_tasks(self, step: Step, now_s: float) -> list[int]:
+        """Return the waiting tasks that may be started; those of a gang only together.
+
+        A task whose run was found missing waits for a confirmation: a later tenure may have
+        acknowledged the end of that run.
+        """
+        indices = [
+            index
+            for index in sorted(step.waiting)
+            if self.confirmation.covers(step.lost_s.get(index, float("-inf")), now_s)
+        ]
+        return [] if step.spec.gang and len(indices) < len(step.waiting) else indices
+
     def _limit_to_headroom(
         self, step: Step, free_by_worker: dict[Worker, ResourceVector]
     ) -> dict[Worker, ResourceVector]:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -236,6 +236,7 @@
         runs: current run by task index.
         waiting: indices of the tasks that are neither done nor running.
         run_numbers: highest run number by task index.
+        lost_s: local time, in seconds, at which the latest run was found missing, by task index.
         checkpoints: checkpoint to resume from, by task index.
         avoided: id of the worker of the latest failed run, by task index.
         tickets: ticket and its local expiry time by id of an approved worker.
@@ -259,6 +260,7 @@
     runs: dict[int, Run] = attrs.field(factory=dict)
     waiting: set[int] = attrs.field(factory=set)
     run_numbers: dict[int, int] = attrs.field(factory=dict)
+    lost_s: dict[int, float] = attrs.field(factory=dict)
     checkpoints: dict[int, str] = attrs.field(factory=dict)
     avoided: dict[int, str] = attrs.field(factory=dict)
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
