Count a confirmation from the first attempt of an append that may have taken effect

Callers would see a task at work twice (TWICE).

Cause: an append without an answer is repeated, and the log answers a repetition as it answered the attempt that took effect ("A repeat of one of the last five appends receives its first response again"). Nothing says that it does not do so after a later epoch. The confirmation counted from the sending of the last attempt, so it could lie after the beginning of the successor and prolong the permission of the old scheduler by as long as it had repeated the append.

Change: the confirmation counts from the first attempt that got no answer, or from the attempt itself if there was none. A rejected attempt had no effect and does not count.

After an append that took long, the next one renews the permission.

--- a/features/steps/workflow_election_steps.py
+++ b/features/steps/workflow_election_steps.py
@@ -203,6 +203,31 @@
         context.age_s = writer.confirmation_age_s
 
 
+@when("an append gets no answer for {seconds:d} s and the log answers its repetition")
+def repeat_append(context, seconds):
+    clock = unittest.mock.Mock(return_value=100.0)
+
+    class ForgetfulLog(SerialLog):
+        """Log whose first answer is lost."""
+
+        answers_count = 0
+
+        async def append(self, *row, **options):
+            """Append; answer only a repetition."""
+            result = await super().append(*row, **options)
+            self.answers_count += 1
+            if self.answers_count > 1:
+                return result
+            clock.return_value += seconds
+            return AppendUncertain("no answer in time")
+
+    metrics = WorkflowMetrics(CollectorRegistry())
+    with unittest.mock.patch("time.clock_gettime", clock):
+        writer = JournalWriter(ForgetfulLog(0.0), 70000, lambda *row: None, metrics)
+        asyncio.run(writer.append([make_job_record("a")]))
+        context.age_s = writer.confirmation_age_s
+
+
 @when("{count:d} daemons stand for election after the same tenure")
 def make_many_candidates(context, count):
     context.epochs = []
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -111,6 +111,13 @@
     When the process is paused for 5 s while the answer of an append waits
     Then the latest confirmation of the tenure is at least 5 s old
 
+  Scenario: the answer to a repeated append confirms the tenure only up to its first attempt
+    The log answers a repetition as it answered the attempt that took effect. A successor may have
+    begun in between, and the scheduler would go on beside it for another 6 s.
+
+    When an append gets no answer for 5 s and the log answers its repetition
+    Then the latest confirmation of the tenure is at least 5 s old
+
   Scenario: two candidates for one tenure get different epochs
     The epoch is the fencing token. Workers cannot tell two schedulers with the same one apart.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -122,6 +122,7 @@
         self._sequence += 1
         pause_s = 0.05
         unanswered = 0
+        stored_from_s: tuple[float, float] | None = None
         while True:
             sent_s, sent_boot_s = time.monotonic(), boot_time_s()
             result = await self._log.append(
@@ -136,9 +137,11 @@
             match result:
                 case Appended(offset):
                     self._times.observe(took_s)
-                    # The answer may have waited while the process was paused, and a successor may
-                    # have begun meanwhile, so only the start of the append is certain.
-                    self.confirmed_s, self._confirmed_boot_s = sent_s, sent_boot_s
+                    # A successor may have begun while the process was paused, or before the log
+                    # repeated the answer of an attempt that took effect earlier, so only the start
+                    # of the first such attempt is certain.
+                    stored_from_s = stored_from_s or (sent_s, sent_boot_s)
+                    self.confirmed_s, self._confirmed_boot_s = stored_from_s
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
@@ -147,7 +150,9 @@
                 case AppendRejected() if fail_fast and not unanswered:
                     return result
                 case AppendRejected(reason) | AppendUncertain(reason):
-                    unanswered += isinstance(result, AppendUncertain)
+                    if isinstance(result, AppendUncertain):
+                        unanswered += 1
+                        stored_from_s = stored_from_s or (sent_s, sent_boot_s)
                     _LOG.warning(
                         "append of the scheduler is repeated",
                         extra={
