Cut the network of the worker soak in two, with daemons and workers on both sides

Cause: the worker soak cuts one worker off from all daemons, or one daemon from the store, never a daemon together with workers from the rest. So it has no case in which a superseded scheduler still reaches workers while its successor reaches others.

Change: the mix `partitions`, also a kind of `all`. The smaller side has one or two daemons, in three of four cuts with the scheduler, and none to most of the workers. Kinds: at once; workers first; store first; only part 0 of the topics of the store; with the daemons inside stopped for a part of it. A worker finds the daemon that calls by the fencing token, from the tenure records in the store. A cut daemon counts as impaired while the store is cut, as for `store silent`; the checks are unchanged. Half of the tasks of this mix work 4 to 20 s; those of `all` stay short. Messages between daemons are not cut: neither address nor call names the sender.

With the drop of calls and of part 0 taken out of the rig, on trial, scenarios of the cut fail.

--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -64,6 +64,10 @@
         if mode == "reset":
             self.abort_connections()
 
+    def forwards_from(self, port):
+        """Return whether an open connection to the target comes from this local port."""
+        return any(writer.get_extra_info("sockname")[1] == port for writer in self._writers)
+
     def abort_connections(self):
         """Abort all open connections."""
         for writer in list(self._writers):
--- a/features/steps/worker_soak.py
+++ b/features/steps/worker_soak.py
@@ -15,7 +15,7 @@
 from platform_processes import PlatformDaemon, PlatformDeployment
 from run_folders import keep_run_folders
 from soak import FaultProxy
-from worker_soak_client import Clients
+from worker_soak_client import WORK_MAX_S, Clients
 from worker_soak_faults import Faults
 
 from fireflywharf_testing import check_answers, check_finished, check_twice, describe_breach
@@ -25,6 +25,10 @@
 IDLE_S = 3.0
 WARM_UP_S = 2.0
 MAX_ATTEMPTS = 3
+LONG_WORK_MAX_S = {"partitions": 20.0}
+"""Longest run time of a task by mix, if it is not `WORK_MAX_S`.
+
+A run must outlast its lease and the election of a scheduler to be given up while it is at work."""
 ROOM_TASKS_COUNT = 16
 """Tasks of the largest size that fit on one worker."""
 
@@ -66,6 +70,7 @@
         jobs_per_s: rate of the submissions.
         forgets_later_ends: whether a number that is acknowledged also forgets ends that come later
             in the same life of a worker; otherwise it forgets those that are listed.
+        work_max_s: longest run time of a task; follows from the mix.
     """
 
     seed: int
@@ -75,6 +80,11 @@
     daemons_count: int = 3
     jobs_per_s: float = 8.0
     forgets_later_ends: bool = True
+    work_max_s: float = attrs.field()
+
+    @work_max_s.default
+    def _find_work_max_s(self):
+        return LONG_WORK_MAX_S.get(self.mix, WORK_MAX_S)
 
 
 class WorkerSoak:
@@ -112,7 +122,7 @@
                 WorkerSoakDaemon(f"vm-{index}", proxied_world, str(self.deployment.folder))
             )
         rng = random.Random(f"clients {plan.seed}")
-        self.clients = Clients(self.deployment.daemons, rng)
+        self.clients = Clients(self.deployment.daemons, rng, plan.work_max_s)
         self.faults = None
         if plan.mix != "none":
             rng = random.Random(f"faults {plan.seed}")
--- a/features/steps/worker_soak_client.py
+++ b/features/steps/worker_soak_client.py
@@ -17,12 +17,20 @@
 PATH_PREFIX = "/jobs/"
 POLL_PAUSE_S = 0.25
 WORK_MIN_S, WORK_MAX_S = 0.5, 4.0
+LONG_SHARE = 0.5
 JOB_SHAPES = ("single", "single", "single", "wide", "gang", "steps")
 
 
-def make_job(rng):
+def draw_work_s(rng, longest_s):
+    """Return a run time in seconds; half of the tasks are short if longer ones are allowed."""
+    if longest_s > WORK_MAX_S and rng.random() < LONG_SHARE:
+        return round(rng.uniform(WORK_MAX_S, longest_s), 2)
+    return round(rng.uniform(WORK_MIN_S, WORK_MAX_S), 2)
+
+
+def make_job(rng, work_max_s=WORK_MAX_S):
     """Return the body of a random submission: a single task, a wide job, a gang or two steps."""
-    work_s = round(rng.uniform(WORK_MIN_S, WORK_MAX_S), 2)
+    work_s = draw_work_s(rng, work_max_s)
     step = {
         "count": 1,
         "cpu": rng.choice([500, 1000]),
@@ -55,6 +63,7 @@
     Args:
         daemons: the daemons.
         rng: source of the jobs and their times.
+        work_max_s: longest run time of a task.
 
     Attributes:
         accepted_s: time of the acceptance of each accepted job, by id.
@@ -62,8 +71,8 @@
         submitted_count: number of submitted jobs.
     """
 
-    def __init__(self, daemons, rng):
-        self.daemons, self.rng = daemons, rng
+    def __init__(self, daemons, rng, work_max_s=WORK_MAX_S):
+        self.daemons, self.rng, self.work_max_s = daemons, rng, work_max_s
         self.accepted_s, self.answers = {}, []
         self.submitted_count = 0
         self._clients = [Client(daemons[number % len(daemons)]) for number in range(CLIENTS_COUNT)]
@@ -91,7 +100,7 @@
         while time.monotonic() < end_s:
             self.submitted_count += 1
             job_id = f"{self.rng.getrandbits(64):016x}"
-            call = asyncio.create_task(self._submit(job_id, make_job(self.rng)))
+            call = asyncio.create_task(self._submit(job_id, make_job(self.rng, self.work_max_s)))
             self._calls.add(call)
             call.add_done_callback(self._calls.discard)
             await asyncio.sleep(self.rng.uniform(0.5, 1.5) / jobs_per_s)
--- a/features/steps/worker_soak_faults.py
+++ b/features/steps/worker_soak_faults.py
@@ -4,6 +4,8 @@
 import signal
 import time
 
+from worker_soak_partitions import Network, draw_partition
+
 from fireflywharf_testing.platform_stand_ins import FaultNoted, StoreFault
 
 MIXES = {
@@ -14,6 +16,7 @@
     "entries": ["odd entry", "odd entry", "earlier entry"],
     "cuts": ["cut", "cut", "late orders"],
     "daemons": ["kill", "stop", "term", "store silent", "store"],
+    "partitions": ["partition"],
 }
 """Kinds of faults by name of the mix; the mix `all` has all kinds."""
 DAEMON_FAULTS = frozenset({"kill", "stop", "term", "store silent"})
@@ -21,6 +24,9 @@
 ODD_ENTRIES = ["no born", "wrong types", "broken"]
 WORKER_SECONDS_PER_FAULT = 12.0
 """Mean time between two series of faults, times the number of workers."""
+PARTITION_PAUSE_S = 6.0
+"""Mean time between two series of cuts of the network, if there are no other faults."""
+PARTITIONS_MAX_COUNT = 2
 SERIES_SHARE = 0.3
 SERIES_MAX_COUNT = 4
 TERM_TIMEOUT_S = 8.0
@@ -53,6 +59,8 @@
     def __init__(self, world, daemons, proxies, mix, rng):
         self.world, self.daemons, self.proxies, self.rng = world, daemons, proxies, rng
         self.kinds = list_kinds(mix)
+        names = [daemon.name for daemon in daemons]
+        self.network = Network(world, daemons, dict(zip(names, proxies, strict=True)))
         self.daemon_faults_s = {daemon.name: [] for daemon in daemons}
         self.count = 0
         self._end_s = 0.0
@@ -64,6 +72,8 @@
         """Start faults for a while and wait until all have ended."""
         self._end_s = time.monotonic() + seconds
         pause_s = WORKER_SECONDS_PER_FAULT / len(self.world.workers)
+        if self.kinds == MIXES["partitions"]:
+            pause_s = PARTITION_PAUSE_S
         while True:
             await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
             if time.monotonic() > self._end_s - 1.0:
@@ -90,6 +100,8 @@
                 await self._harm_daemon(kind)
             elif kind == "store":
                 await self._harm_store()
+            elif kind == "partition":
+                await self._harm_network()
             else:
                 await self._harm_worker(kind, worker)
             await asyncio.sleep(self.rng.uniform(0.1, 1.5))
@@ -168,6 +180,22 @@
         self.daemon_faults_s[daemon.name].append((begin_s, time.monotonic()))
         self._impaired_daemons.discard(index)
 
+    async def _harm_network(self):
+        """Cut the network in two, so that a daemon without another fault is on the larger side."""
+        names = [daemon.name for daemon in self.daemons]
+        free = [name for index, name in enumerate(names) if index not in self._impaired_daemons]
+        if len(free) < 2 or len(self.network.partitions) >= PARTITIONS_MAX_COUNT:
+            return
+        workers = [worker.executor_id for worker in self.world.workers]
+        partition = draw_partition(self.rng, free, workers, self.network.scheduler)
+        partition.duration_s = self._duration_s(partition.duration_s, partition.duration_s)
+        indexes = {names.index(name) for name in partition.daemons}
+        self._impaired_daemons |= indexes
+        begin_s = await self.network.cut(partition)
+        for name in partition.daemons:
+            self.daemon_faults_s[name].append((begin_s, time.monotonic()))
+        self._impaired_daemons -= indexes
+
     async def _restart(self, daemon, kind):
         daemon.send_signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
         limit_s = time.monotonic() + TERM_TIMEOUT_S
--- a/features/steps/worker_soak_steps.py
+++ b/features/steps/worker_soak_steps.py
@@ -28,6 +28,16 @@
     context.soak.run()
 
 
+@when(
+    "{workers:d} workers and {daemons:d} daemons run jobs for {seconds:d} s"
+    ' under the faults "{mix}" of seed {seed:d}'
+)
+def run_larger_worker_soak(context, workers, daemons, seconds, mix, seed):
+    plan = SoakPlan(seed, mix, seconds, workers_count=workers, daemons_count=daemons)
+    context.soak = WorkerSoak(plan)
+    context.soak.run()
+
+
 @then("no task ran twice and no job was lost")
 def check_worker_soak(context):
     soak = context.soak
--- a/features/worker_faults.feature
+++ b/features/worker_faults.feature
@@ -39,6 +39,61 @@
     Then a call on the old connection has no answer within 0.3 s
     And run 1 ends as "done"
 
+  Scenario Outline: a cut in two drops the calls between the sides and no others
+    When the journal names "<daemon>" as the holder of fencing token 7
+    And the network is cut for 0.5 s with "vm-0" and <workers> inside
+    Then a call with fencing token <token> <result>
+    And 0.5 s later a call with fencing token <token> is answered
+
+    Examples:
+      | daemon | workers    | token | result                     |
+      | vm-0   | the worker | 7     | is answered                |
+      | vm-0   | no worker  | 7     | has no answer within 0.3 s |
+      | vm-1   | the worker | 7     | has no answer within 0.3 s |
+      | vm-1   | no worker  | 7     | is answered                |
+      | vm-0   | the worker | 8     | has no answer within 0.3 s |
+      | vm-0   | no worker  | 8     | is answered                |
+
+  Scenario: a run of a worker that is cut off with a daemon goes on
+    When the journal names "vm-1" as the holder of fencing token 7
+    And a start of run 1 is answered with 200
+    And the network is cut for 0.8 s with "vm-0" and the worker inside
+    Then a call with fencing token 7 has no answer within 0.3 s
+    And run 1 ends as "done"
+
+  Scenario: an answer that is due during a cut is dropped
+    When the journal names "vm-0" as the holder of fencing token 7
+    And a call with fencing token 7 that waits 0.5 s is sent
+    And the network is cut for 0.8 s with "vm-0" and no worker inside
+    Then the waiting call has no answer 2.0 s later
+
+  Scenario Outline: a cut in two drops the calls of the smaller side to the store
+    When the network is cut for 0.5 s, <kind>, with "vm-0" and no worker inside
+    Then a read of part <part> of the journal by "<daemon>" <result>
+    And 0.5 s later a read of part <part> of the journal by "<daemon>" is answered
+
+    Examples:
+      | kind                     | daemon | part | result                     |
+      | at once                  | vm-0   | 0    | has no answer within 0.3 s |
+      | at once                  | vm-0   | 1    | has no answer within 0.3 s |
+      | at once                  | vm-1   | 0    | is answered                |
+      | only part 0 of the store | vm-0   | 0    | has no answer within 0.3 s |
+      | only part 0 of the store | vm-0   | 1    | is answered                |
+      | only part 0 of the store | vm-1   | 0    | is answered                |
+
+  Scenario Outline: a cut in two steps drops first the one, then the other
+    When the journal names "vm-0" as the holder of fencing token 7
+    And the network is cut for 2.0 s, <kind>, with "vm-0" and no worker inside
+    Then a call with fencing token 7 <call>
+    And a read of part 0 of the journal by "vm-0" <read>
+    And 0.7 s later a call with fencing token 7 has no answer within 0.2 s
+    And a read of part 0 of the journal by "vm-0" has no answer within 0.2 s
+
+    Examples:
+      | kind          | call                       | read                       |
+      | workers first | has no answer within 0.2 s | is answered                |
+      | store first   | is answered                | has no answer within 0.2 s |
+
   Scenario: a late order is executed after its caller has given up
     When the worker delays all orders and a start of run 1 is sent
     Then the start has no answer and run 1 begins 2 to 12 s later
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
@@ -12,25 +12,17 @@
 
 from ._events import FaultNoted
 from ._executor import StandInExecutor
-from ._listener import Listener
+from ._listener import Listener, stay_silent
 
 ENTRY_EXPIRY_S = 4.5
 """Three intervals of the heartbeats, after which the entry of a silent executor is removed."""
 HEARTBEAT_S = 1.5
 LATE_ORDER_MIN_S, LATE_ORDER_MAX_S = 2.0, 12.0
-SILENCE_CHECK_S = 0.05
 ORDERS = ("run-start", "run-stop")
 CONNECT_RETRIES_S = (1.0, 3.0, 7.0)
 """Times after a connection attempt at which the kernel of the peer repeats it."""
 
 
-async def stay_silent(transport: asyncio.BaseTransport | None) -> web.Response:
-    """Wait until the connection of a request is closed; return an answer that no one gets."""
-    while transport is not None and not transport.is_closing():
-        await asyncio.sleep(SILENCE_CHECK_S)
-    return web.Response(status=503)
-
-
 class FaultyExecutor(StandInExecutor):
     """Simulates an executor with faults of its process, its connections and its entry.
 
@@ -43,6 +35,8 @@
     Attributes:
         is_up: whether a process runs under this id.
         is_cut: whether all that arrives is dropped, while the process runs on.
+        drops_call: tells by the fencing token of a call whether the network drops the call and its
+            answer.
         late_share: share of the orders that are executed late and get no answer.
     """
 
@@ -55,6 +49,7 @@
     ) -> None:
         self.is_up = True
         self.is_cut = False
+        self.drops_call: Callable[[int], bool] = lambda fencing_token: False
         self.late_share = 0.0
         self._put_entry = put_entry
         self._rng = rng
@@ -196,7 +191,11 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request, unless a fault prevents it."""
         body = await request.json()
-        if self.is_cut or not await self._reach_process(request.transport):
+        token = body.get("fencing_token", 0)
+        if self._is_unreachable(token) or not await self._reach_process(request.transport):
+            return await stay_silent(request.transport)
+        # A cut may have begun while the process was down.
+        if self._is_unreachable(token):
             return await stay_silent(request.transport)
         if request.headers.get("X-Fireflywharf-Expected-Instance") != self.executor_id:
             return web.Response(status=421)
@@ -205,10 +204,14 @@
             self._execute_late(call, body)
             return await stay_silent(request.transport)
         response = await self.execute(call, body)
-        if self.is_cut or not self.is_up or self.life != life:
+        if self._is_unreachable(token) or not self.is_up or self.life != life:
             return await stay_silent(request.transport)
         return response
 
+    def _is_unreachable(self, fencing_token: int) -> bool:
+        """Return whether a call and its answer are dropped at this time."""
+        return self.is_cut or self.drops_call(fencing_token)
+
     async def _reach_process(self, transport: asyncio.BaseTransport | None) -> bool:
         """Return whether a request has reached the process that its connection belongs to."""
         if not self.is_up:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_listener.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_listener.py
@@ -13,6 +13,14 @@
 SHUTDOWN_TIMEOUT_S = 2.5
 """Longer than a call may wait for an end."""
 RESET_PAUSE_S = 0.1
+SILENCE_CHECK_S = 0.05
+
+
+async def stay_silent(transport: asyncio.BaseTransport | None) -> web.Response:
+    """Wait until the connection of a request is closed; return an answer that no one gets."""
+    while transport is not None and not transport.is_closing():
+        await asyncio.sleep(SILENCE_CHECK_S)
+    return web.Response(status=503)
 
 
 class Listener:
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_store.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_store.py
@@ -5,12 +5,15 @@
 import asyncio
 import base64
 import struct
+from collections.abc import Callable
 from enum import Enum
 
 import attrs
 import msgspec
 from aiohttp import web
 
+from ._listener import stay_silent
+
 LENGTH_PREFIX = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 KEYED_PREFIX = "keyed."
@@ -89,9 +92,13 @@
         fault: fault in force.
         late_s: delay in seconds of appends under `StoreFault.APPLIED_LATE`.
         calls: number of calls by name of the call.
+        drops_request: tells whether the network drops a request and its answer.
+        observe_record: called with topic, key and value of each record of a keyed topic.
     """
 
     def __init__(self) -> None:
+        self.drops_request: Callable[[web.BaseRequest], bool] = lambda request: False
+        self.observe_record: Callable[[str, str, bytes], None] = lambda name, key, value: None
         self.topics: dict[str, Topic] = {}
         self.fault = StoreFault.NONE
         self.late_s = 1.0
@@ -132,6 +139,7 @@
                     topic.newest_by_key[key] = (topic.end_offset, value)
                 else:
                     topic.newest_by_key.pop(key, None)
+                self.observe_record(name, key, value)
             topic.records.append(record)
         if records:
             topic.records_added.set()
@@ -139,7 +147,15 @@
         return {"offset": offset, "end": topic.end_offset}
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one HTTP request."""
+        """Answer one HTTP request, unless the network drops it or its answer."""
+        if self.drops_request(request):
+            return await stay_silent(request.transport)
+        response = await self._serve_call(request)
+        if self.drops_request(request):
+            return await stay_silent(request.transport)
+        return response
+
+    async def _serve_call(self, request: web.BaseRequest) -> web.StreamResponse:
         call = request.path.rpartition("/")[2]
         self.calls[call] = self.calls.get(call, 0) + 1
         if self.fault is StoreFault.DOWN:
