Add a seed with a network cut in two to the feature of the worker soak

The scenario fails on this code: a scheduler that is cut off with some workers gives up runs that its successor keeps alive and starts their tasks again. It is a real fault; the product is unchanged here.

--- a/features/worker_soak.feature
+++ b/features/worker_soak.feature
@@ -16,6 +16,17 @@
       | refusals | 1    |
       | all      | 1    |
 
+  Scenario Outline: no task runs twice and no job is lost while the network is cut in two
+    Guards against a scheduler that is cut off from the store and from some workers, gives up runs there
+    that its successor keeps alive, and starts their tasks again on the workers that it still reaches.
+
+    When <workers> workers and <daemons> daemons run jobs for <seconds> s under the faults "<mix>" of seed <seed>
+    Then no task ran twice and no job was lost
+
+    Examples:
+      | mix        | seed | workers | daemons | seconds |
+      | partitions | 2    | 12      | 5       | 22      |
+
   Scenario Outline: the check for runs of one task finds a planted violation and nothing else
     Guards against a check that cannot fail. In each history run 1 starts on worker "a" at 1.0 s; the end
     with number 1 of a life is its first one.
