--- a/features/workflow_partitions.feature
+++ b/features/workflow_partitions.feature
@@ -40,6 +40,14 @@
     Then the further job has started within 0.5 s
     And the job with progress waits for the silent worker
 
+  Scenario: a new scheduler knows all progress that was recorded before its tenure
+    The pages of the newest records are not a snapshot. They may have its tenure record, but not the
+    progress that the earlier scheduler stored in between; such jobs would count as not started.
+
+    Given a log whose history was dropped, and whose pages lack the latest progress
+    When a candidate reads up to its own tenure record
+    Then it knows the job with this progress
+
   Scenario: a cancellation that the earlier scheduler did not record is shown by all daemons
     Only the scheduler reads the submissions and cancellations, so it must record the state.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -56,6 +56,8 @@
 _ELECTION_INTERVAL_S = 0.1
 _CATCH_UP_TIMEOUT_S = 5.0
 """Timeout for reading the journal up to the daemon's own tenure record."""
+_CATCH_UP_PAUSE_S = 0.005
+"""Pause between two checks whether that record has been read."""
 _READ_CHECK_S = 0.6
 """Timeout of the read before a candidacy; the slowest log answers in 0.3 s."""
 _CONFIGURATION_RETRY_S = 0.3
@@ -321,7 +323,7 @@
         if not isinstance(result, Appended):
             _LOG.info("candidacy failed", extra={"epoch": tenure.epoch})
             return
-        if not await self._read_own_tenure(tenure) or self._stopping:
+        if not await self._read_own_tenure(tenure, result.offset) or self._stopping:
             return
         self.active_scheduler = ActiveScheduler(
             tenure,
@@ -344,17 +346,26 @@
             extra={"epoch": tenure.epoch, "jobs": len(self.active_scheduler.scheduler.jobs)},
         )
 
-    async def _read_own_tenure(self, tenure: TenureRecord) -> bool:
-        """Read up to the tenure record of this daemon, and return whether it is the newest one."""
+    async def _read_own_tenure(self, tenure: TenureRecord, offset: int) -> bool:
+        """Read up to the tenure record of this daemon, and return whether it is the newest one.
+
+        Args:
+            tenure: the record.
+            offset: its offset; negative if the log did not tell it.
+        """
         limit_s = time.monotonic() + _CATCH_UP_TIMEOUT_S
-        while (
-            self.reader.journal_state.tenure.epoch if self.reader.journal_state.tenure else 0
-        ) < tenure.epoch:
+        while not self.reader.has_read(offset) or self._read_epoch() < tenure.epoch:
             await self.reader.refresh(0.5)
+            await asyncio.sleep(_CATCH_UP_PAUSE_S)
             if time.monotonic() > limit_s:
                 _LOG.warning("own tenure record was not read", extra={"epoch": tenure.epoch})
                 return False
-        return self.reader.journal_state.tenure.epoch == tenure.epoch
+        return self._read_epoch() == tenure.epoch
+
+    def _read_epoch(self) -> int:
+        """Return the epoch of the newest tenure that was read; 0 without one."""
+        tenure = self.reader.journal_state.tenure
+        return 0 if tenure is None else tenure.epoch
 
     def _handle_tenure_end(self, reason: str) -> None:
         active_scheduler, self.active_scheduler = self.active_scheduler, None
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -117,6 +117,14 @@
         """Whether the state is recent enough to deny that a job exists."""
         return self.loaded and self.age_s < STALE_S
 
+    def has_read(self, offset: int) -> bool:
+        """Return whether the state includes all records up to an offset.
+
+        The pages of the newest records are not a snapshot: they may include a record, but not those
+        that were stored shortly before it.
+        """
+        return self.loaded and self.offset > offset
+
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
