Send no start order late to a worker that may have restarted since the decision

Cause: a start order is addressed to the id of a worker, and a process that has just started accepts any epoch. A scheduler that was paused for some seconds, within its permission of 6 s, still sent orders that it had decided before; and an order without an answer was repeated although the worker had become silent. A successor may have started the task elsewhere by then, and the restarted worker accepts the order as well.

Change: an order that has waited longer than orders are repeated (1.5 s, by the boot clock) is not sent, and none is repeated while its worker is silent. A shorter time between decision and arrival remains; it needs a successor that is reconciled, and a restart of the worker, within it.

Result: "a start order that waited during a pause of its scheduler is not sent" failed for a pause of 2 s, and "a start order without an answer is not repeated to a worker that has become silent" failed (one order each); both pass.

--- a/features/steps/workflow_incarnation_steps.py
+++ b/features/steps/workflow_incarnation_steps.py
@@ -369,3 +369,16 @@
     assert len(starts) == 2, starts
     waited_s = starts[1].ordered_s - context.began_s
     assert waited_s >= wait_s, f"started after {waited_s:.2f} s; {world.violations}"
+
+
+@when("that worker becomes silent")
+def silence_scripted_worker(context):
+    scripted = context.scripted
+    event = WorkerSilent(scripted.order.worker_id, scripted.world.now_s)
+    scripted.world.scheduler.observe(event, scripted.world.now_s)
+
+
+@then("the order is not repeated within {seconds:g} s")
+def check_not_repeated(context, seconds):
+    context.scripted.advance(seconds)
+    assert not context.scripted.further_starts(), context.scripted.further_starts()
--- a/features/workflow_incarnations.feature
+++ b/features/workflow_incarnations.feature
@@ -36,6 +36,14 @@
     When a report of the later incarnation that was requested after the answer lacks the run
     Then the task is started a second time at once, under a higher number
 
+  Scenario: a start order without an answer is not repeated to a worker that has become silent
+    It may have restarted since. If the scheduler was superseded, its successor may have started the
+    task elsewhere, and the next process, which knows no epoch, would accept the repetition.
+
+    Given a task whose start one of 2 workers has left unanswered
+    When that worker becomes silent
+    Then the order is not repeated within 1.4 s
+
   Scenario Outline: a run that the ended process had reported is started again at once
     The next process cannot hold it, so waiting for its list or the leases would only delay the task.
 
--- a/features/workflow_tenure.feature
+++ b/features/workflow_tenure.feature
@@ -40,9 +40,9 @@
     Then the query has waited less than 0.3 s
 
   Scenario Outline: a start order that waited during a pause of its scheduler is not sent
-    The permission to act runs out between the decision and the sending, and a successor may have
-    started the task elsewhere. The next process of the worker, which knows no epoch and has another
-    clock than the one that the deadline was made for, would accept the order.
+    A successor may have started the task elsewhere between the decision and the sending, also before
+    the permission to act runs out. The next process of the worker, which knows no epoch and has
+    another clock than the one that the deadline was made for, would accept the order.
 
     Given an active scheduler that has decided to start a run
     When its process is paused for <pause_s> s before the order is sent
@@ -51,4 +51,5 @@
     Examples:
       | pause_s | count |
       | 0       | 1     |
+      | 2       | 0     |
       | 7       | 0     |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -446,8 +446,9 @@
         worker_id = run.worker.worker_id
         if now_s < run.phase_since_s + self._timing.start_repeats_s:
             ticket, expires_s = run.step.tickets.get(worker_id, ("", float("inf")))
-            # With an expired ticket, a report of the worker shows whether the run has started.
-            if now_s < expires_s:
+            # With an expired ticket, a report of the worker shows whether the run has started. A
+            # silent worker may have restarted, and its next process would accept any epoch.
+            if now_s < expires_s and run.worker.reachable:
                 self.order_start(run, ticket, now_s)
             return
         run.step.avoided[run.task.index] = worker_id
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -39,6 +39,7 @@
 )
 
 from ._background import BackgroundTasks, result_or_default
+from ._clocks import boot_time_s
 from ._decision_log import DecisionLog
 from ._election import CONFIRMATION_S, RENEWAL_S, JournalWriter
 from ._interfaces import AppendFenced, LogRecord, PlatformServices
@@ -326,7 +327,7 @@
                         read_s = self._unstarted_read_s.pop(action.task.step_name.job_id, None)
                         if read_s is not None:
                             self._metrics.first_start_s.observe(self._now_s() - read_s)
-                        self._background.spawn(self._start_run(action))
+                        self._background.spawn(self._start_run(action, boot_time_s()))
                     case StopRun():
                         self._background.spawn(self._stop_run(action))
                     case AskApproval():
@@ -338,14 +339,21 @@
             ):
                 self._records_pending.set()
 
-    async def _start_run(self, order: StartRun) -> None:
+    async def _start_run(self, order: StartRun, decided_boot_s: float) -> None:
+        """Send a start order, unless it has waited for too long.
+
+        Args:
+            order: the order.
+            decided_boot_s: boot time of the decision, in seconds.
+        """
         worker = self.scheduler.workers.get(order.worker_id)
         if worker is None:
             return
         result = StartResult.NOT_SENT
         # The process may have been paused since the decision, and a later process of the worker
         # knows no epoch with which it could refuse the order.
-        if self._may_renew():
+        waited_s = boot_time_s() - decided_boot_s
+        if self._may_renew() and waited_s < self.scheduler.timing.start_repeats_s:
             result = await result_or_default(
                 self._platform.workers.start(worker.info, order, self.record.epoch),
                 StartResult.UNKNOWN,
