Derive the wait for silent workers from the lease of the deployment

Callers of a deployment with leases above 6 s would see tasks at work twice after a change of scheduler (TWICE). The present deployments have 6 s.

Change: the wait is the time of the permission (6 s) and the bound of the lease. It is 12.42 s for leases of 6 s; 6 s and 6 s at 98% of the speed are 12.13 s.

Result: the examples with 8 s (12.5 s is too short) and 6 s of the new scenario hold; with the constant, the one with 8 s does not.

--- a/features/steps/workflow_start_steps.py
+++ b/features/steps/workflow_start_steps.py
@@ -21,6 +21,7 @@
     StartRun,
     StepName,
     StopRun,
+    Timing,
     WorkersInUse,
     WorkflowSpec,
     WorkflowState,
@@ -378,3 +379,13 @@
 @then("its runs count as ended no earlier than a lease after {read_s:g} s")
 def check_read_time(context, read_s):
     assert context.state.departures["w0"].read_s == read_s, context.state.departures
+
+
+@given("a deployment with leases of {lease_s:g} s")
+def set_lease(context, lease_s):
+    context.timing = Timing(task_lease_s=lease_s)
+
+
+@then("a new scheduler waits for more than {wait_s:g} s for a worker that is silent")
+def check_inherited_wait(context, wait_s):
+    assert context.timing.inherited_wait_s > wait_s, context.timing
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_timing.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_timing.py
@@ -12,9 +12,8 @@
     Args:
         task_lease_s: lease of a run; without renewal, a run ends after this time.
         clock_drift: maximum relative rate error of a worker's clock.
+        permission_s: time without a confirmed record after which a scheduler acts no more.
         start_validity_s: time after which a worker refuses a delayed start order.
-        inherited_wait_s: time after which the runs on a worker that never answered in this tenure
-            have ended.
         repeat_s: time after which an unanswered order is repeated.
         start_repeats_s: time after which an unanswered start order is no longer repeated.
         network_margin_s: allowance for orders in transit.
@@ -22,8 +21,8 @@
 
     task_lease_s: float = 6.0
     clock_drift: float = 0.02
+    permission_s: float = 6.0
     start_validity_s: float = 4.0
-    inherited_wait_s: float = 12.5
     repeat_s: float = 0.6
     start_repeats_s: float = 1.5
     network_margin_s: float = 0.3
@@ -32,3 +31,8 @@
     def lease_bound_s(self) -> float:
         """Maximum time from sending a renewal until the runs that it kept alive have ended."""
         return self.task_lease_s * (1 + self.clock_drift) + self.network_margin_s
+
+    @property
+    def inherited_wait_s(self) -> float:
+        """Time after which the runs on a worker that never answered in this tenure have ended."""
+        return self.permission_s + self.lease_bound_s
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -41,7 +41,7 @@
 from ._background import BackgroundTasks, result_or_default
 from ._clocks import boot_time_s
 from ._decision_log import DecisionLog
-from ._election import CONFIRMATION_S, RENEWAL_S, JournalWriter
+from ._election import RENEWAL_S, JournalWriter
 from ._interfaces import AppendFenced, LogRecord, PlatformServices
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalBalancer
@@ -280,7 +280,7 @@
         self._sessions[info.worker_id] = (session, task)
 
     def _may_renew(self) -> bool:
-        return self._writer.confirmation_age_s < CONFIRMATION_S
+        return self._writer.confirmation_age_s < self.scheduler.timing.permission_s
 
     async def flush(self) -> bool:
         """Wait until everything observed so far is durable, or the tenure has ended.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -64,10 +64,6 @@
 """Low bits of an epoch; they give two candidates for the same tenure different epochs."""
 _EPOCH_RANK_BITS = 8
 """Bits above the random ones; of two simultaneous candidates, the better-ranked one wins."""
-CONFIRMATION_S = 6.0
-"""Time without a confirmed append after which a scheduler stops renewing leases.
-
-A successor waits this long plus one lease for workers that it cannot reach."""
 
 
 class JournalWriter:
