--- a/features/steps/workflow_append_steps.py
+++ b/features/steps/workflow_append_steps.py
@@ -19,9 +19,9 @@
     Topic,
     WorkflowMetrics,
 )
+from fireflywharf_daemon.workflows._append_timeouts import AppendTimeouts
 from fireflywharf_daemon.workflows._election import JournalWriter
 from fireflywharf_daemon.workflows._journal import (
-    AppendTimeouts,
     GroupAppender,
     JournalAppender,
     JournalReader,
--- a/features/steps/workflow_start_steps.py
+++ b/features/steps/workflow_start_steps.py
@@ -228,7 +228,7 @@
 
 @when("the order is executed")
 def execute_order(context):
-    asyncio.run(context.scheduler._request_approval(context.order))
+    asyncio.run(context.scheduler._orders.request_approval(context.order))
 
 
 @then("another step may send a long request")
--- a/features/steps/workflow_steps.py
+++ b/features/steps/workflow_steps.py
@@ -405,7 +405,7 @@
 def submit_gang(context, count, reserved):
     world = context.world
     if reserved == "no capacity":
-        world.scheduler.reservations = NoReservations(world.scheduler.workers, None)
+        world.scheduler.placer.reservations = NoReservations(world.scheduler.workers, None)
     world.queue = attrs.evolve(world.queue, priority=0)
     world.submit("a", [make_step(count, gang=True)])
 
--- a/features/steps/workflow_tenure_steps.py
+++ b/features/steps/workflow_tenure_steps.py
@@ -266,7 +266,7 @@
 def pause_before_order(context, pause_s):
     decided_boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
     with shift_boot_time(pause_s):
-        asyncio.run(context.scheduler._start_run(context.order, decided_boot_s))
+        asyncio.run(context.scheduler._orders.start_run(context.order, decided_boot_s))
 
 
 @then("{count:d} orders are sent")
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 from ..resources import ResourceVector
+from ._ends import EndRecorder
 from ._estimates import RunTimes
 from ._events import (
     Action,
@@ -24,7 +25,7 @@
 from ._names import TaskName
 from ._specs import WorkflowSpec
 from ._start_window import StartWindow
-from ._state import GANG_INDEX, Job, Run, RunPhase, Step, Worker
+from ._state import Job, Run, RunPhase, Step, Worker
 from ._worker_health import WorkerHealth
 
 _UNHEALTHY_PAUSE_S = 1.0
@@ -66,9 +67,11 @@
         self._jobs = jobs
         self._workers = workers
         self._outbox = outbox
-        self._run_times = run_times
         self._timing = timing
         self.worker_health = WorkerHealth(run_times)
+        self._ends = EndRecorder(
+            run_times, self.worker_health, self.order_stop, self.order_stop_all
+        )
         self.start_window = StartWindow()
         self.starting_count = 0
         self._find_spec = find_spec
@@ -210,7 +213,7 @@
         )
         if run.step is not None:
             if run.checkpoint:
-                self._keep_checkpoint(run.step, run.task.index, run.checkpoint)
+                self._ends.keep_checkpoint(run.step, run.task.index, run.checkpoint)
             if cause is not LossCause.LEASE_EXPIRED:
                 # A later tenure may have acknowledged its end; that of a lease is confirmed before.
                 run.step.lost_s[run.task.index] = now_s
@@ -335,7 +338,7 @@
         # A run that was ordered to stop because its task needs no run may still end as done.
         step = self._find_step(end.task) if run is None or run.step is None else run.step
         if step is not None and not step.job.state.is_final:
-            self._record_end(worker, step, end, run, now_s)
+            self._ends.record(worker, step, end, run, now_s)
         if run is not None:
             self._release_run(run)
             if end.kind not in (EndKind.DONE, EndKind.STOPPED):
@@ -349,55 +352,6 @@
         job.create_occurrence(task.step_name.occurrence)
         return job.steps.get((task.step_name.occurrence, task.step_name.step))
 
-    def _keep_checkpoint(self, step: Step, index: int, checkpoint: str) -> None:
-        step.checkpoints[0 if step.spec.gang else index] = checkpoint
-
-    def _record_end(
-        self, worker: Worker, step: Step, end: ReportedEnd, run: Run | None, now_s: float
-    ) -> None:
-        index = end.task.index
-        step.run_numbers[index] = max(step.run_numbers.get(index, 0), end.number)
-        if end.checkpoint:
-            self._keep_checkpoint(step, index, end.checkpoint)
-        match end.kind:
-            case EndKind.DONE if not step.spec.long_running:
-                self._handle_success(worker, step, index, run, now_s)
-            case EndKind.FAILED if not step.spec.long_running and not step.is_done(index):
-                self._handle_failure(worker, step, end, now_s)
-        step.job.dirty = True
-
-    def _handle_success(
-        self, worker: Worker, step: Step, index: int, run: Run | None, now_s: float
-    ) -> None:
-        self.worker_health.record_success(worker)
-        if step.is_done(index):
-            return
-        if run is not None:
-            self._run_times.observe(step, now_s - run.started_s)
-        step.mark_done(index)
-        job = step.job
-        if job.is_complete:
-            job.state = WorkflowState.COMPLETE
-        elif job.state is WorkflowState.QUEUED:
-            job.state = WorkflowState.RUNNING
-        other = step.runs.get(index)
-        if other is not None and other is not run and not step.spec.gang:
-            self.order_stop(other, StopCause.TASK_DONE, now_s)
-
-    def _handle_failure(self, worker: Worker, step: Step, end: ReportedEnd, now_s: float) -> None:
-        index = end.task.index
-        step.avoided[index] = worker.worker_id
-        if step.spec.gang:
-            index = GANG_INDEX
-        counted = step.failures.get(index, ())
-        if end.number in counted:
-            return
-        self.worker_health.record_failure(worker, step.job.job_id, now_s)
-        step.failures[index] = (*counted, end.number)
-        if len(step.failures[index]) >= step.job.queue.max_attempts:
-            step.job.state = WorkflowState.FAILED
-            self.order_stop_all(step.job, StopCause.JOB_FAILED, now_s)
-
     def order_start(self, run: Run, ticket: str, now_s: float) -> None:
         """Send or repeat the order to start a run."""
         timing, step = self._timing, run.step
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from ..resources import ResourceVector
 from ._approvals import TicketTracker
 from ._confirmation import TenureConfirmation
 from ._estimates import RunTimes
@@ -32,23 +31,15 @@
 from ._gang_plans import GangPlanner
 from ._headroom import Headroom
 from ._journal import Departure, WorkflowClosed, WorkflowProgress, WorkflowState
-from ._names import TaskName
-from ._placement import assign_gang, assign_singles
 from ._placement_order import placement_order_key
 from ._reconciliation import Reconciliation
-from ._reservations import Reservations, eventual_count
+from ._reservations import Reservations
 from ._runs import RunTable
 from ._specs import WorkflowSpec
-from ._state import Job, Run, RunPhase, Step, Worker
+from ._state import Job, Step, Worker
+from ._step_placement import StepPlacer
 from ._timing import Timing
 
-PLACEMENT_RETRY_S = 0.03
-"""Minimum time between attempts to place a step; a tenth of the slack of the most urgent jobs."""
-BLOCKED_RETRY_S = 1.0
-"""Maximum time between attempts to place a step, whether or not capacity has become free.
-
-Time alone also makes room: times aside, reservations and places kept for urgent tasks expire."""
-
 DEPARTED_SILENCE_S = 2.0
 """Time without an answer after which a worker that is not in the directory counts as departed."""
 
@@ -96,8 +87,11 @@
         )
         self.runs.first_number = first_number
         self.ticket_tracker = TicketTracker(self.workers, self.outbox)
-        self.reservations = Reservations(self.workers, GangPlanner(self.run_times))
         self.headroom = Headroom()
+        reservations = Reservations(self.workers, GangPlanner(self.run_times))
+        self.placer = StepPlacer(
+            self.runs, self.ticket_tracker, reservations, self.headroom, self.confirmation
+        )
         self._closed: list[str] = []
         self._unrecorded_cancellations: list[WorkflowProgress] = []
 
@@ -166,27 +160,11 @@
         for step in ready:
             if self.runs.starting_count >= self.runs.start_window.limit_:
                 break
-            if self._should_place(step, now_s):
-                self._place_step(step, usable[step.job.queue.service], now_s)
+            if self.placer.should_place(step, now_s):
+                self.placer.place(step, usable[step.job.queue.service], now_s)
         actions, self.outbox[:] = list(self.outbox), []
         return actions
 
-    def _should_place(self, step: Step, now_s: float) -> bool:
-        """Return whether another attempt to place a step may succeed.
-
-        At full load, hundreds of steps wait and every run that ends triggers a decision, so steps
-        are skipped for a while if no capacity has become free since the last attempt.
-        """
-        if step.blocked_version == -1:
-            return True
-        if now_s < max(step.retry_s, step.last_attempt_s + PLACEMENT_RETRY_S):
-            return False
-        return (
-            step.blocked_version != self.runs.capacity_version
-            or step.job.queue.approval is not None
-            or now_s >= step.last_attempt_s + BLOCKED_RETRY_S
-        )
-
     def workers_to_record(self, recorded: Iterable[str], now_s: float) -> set[str]:
         """Return the ids of the workers on which runs may have been started.
 
@@ -386,140 +364,3 @@
             self.reconciliation.add_worker(event.worker_id)
         worker.runs_end_s = max(worker.runs_end_s, now_s + self.timing.lease_bound_s)
         self.runs.handle_report(worker, event, now_s)
-
-    def _free_capacity(
-        self, step: Step, workers: Mapping[str, Worker], now_s: float, accept_expired: bool = False
-    ) -> dict[Worker, ResourceVector]:
-        """Return the available capacity of the workers that may run a step.
-
-        Workers with expired tickets are included if `accept_expired` is true.
-        """
-        if step.job.queue.approval is None:
-            return {worker: worker.available_capacity(step, now_s) for worker in workers.values()}
-        allowed = [
-            workers[worker_id]
-            for worker_id in step.tickets
-            if worker_id in workers
-            and self.ticket_tracker.is_allowed(step, worker_id, now_s, accept_expired)
-        ]
-        return {worker: worker.available_capacity(step, now_s) for worker in allowed}
-
-    def _place_step(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
-        step.blocked_version, step.last_attempt_s = self.runs.capacity_version, now_s
-        if step.spec.gang and step.runs:
-            # A member has ended or did not start, so the gang cannot be complete.
-            for run in step.runs.values():
-                self.runs.order_stop(run, StopCause.GANG_MEMBER_ENDED, now_s)
-            return
-        if not self.ticket_tracker.request_tickets(step, workers, now_s):
-            return
-        indices = self._find_startable_tasks(step, now_s)
-        if not indices:
-            return
-        free_by_worker = self._free_capacity(step, workers, now_s)
-        limited_by_worker = self._limit_to_headroom(step, free_by_worker)
-        pairs = self._assign_tasks(step, limited_by_worker, indices, now_s)
-        if not pairs and self._may_use_headroom(step, workers, now_s):
-            pairs = self._assign_tasks(step, free_by_worker, indices, now_s)
-        number = self.runs.next_number(step, indices) if step.spec.gang else 0
-        for index, worker in pairs:
-            self._start_run(step, index, worker, number, now_s)
-        if not step.waiting:
-            self.reservations.release(step)
-        elif step.spec.gang:
-            self._reserve_for_gang(step, workers, now_s)
-        else:
-            self._renew_tickets(step, workers, now_s)
-
-    def _find_startable_tasks(self, step: Step, now_s: float) -> list[int]:
-        """Return the waiting tasks that may be started; those of a gang only together.
-
-        A task whose run was found missing waits for a confirmation: a later tenure may have
-        acknowledged the end of that run or moved it.
-        """
-        indices = [
-            index
-            for index in sorted(step.waiting)
-            if self.confirmation.covers(step.lost_s.get(index, float("-inf")), now_s)
-        ]
-        return [] if step.spec.gang and len(indices) < len(step.waiting) else indices
-
-    def _limit_to_headroom(
-        self, step: Step, free_by_worker: dict[Worker, ResourceVector]
-    ) -> dict[Worker, ResourceVector]:
-        """Return the capacity without the places that are kept for urgent tasks."""
-        if self.headroom.is_urgent(step.job) or step.gang_plan is not None:
-            return free_by_worker
-        return {
-            worker: self.headroom.limit(worker, free) for worker, free in free_by_worker.items()
-        }
-
-    def _may_use_headroom(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> bool:
-        """Return whether a step that finds no other place may use those kept for urgent tasks.
-
-        It may while much of the capacity is free, or if places are kept on all workers that can run
-        its tasks. Otherwise, it would wait for as long as urgent tasks are expected.
-        """
-        kept = self.headroom.workers_
-        if step.spec.gang or not any(worker.worker_id in workers for worker in kept):
-            return False
-        if not self.headroom.is_scarce_:
-            return True
-        if step.job.queue.approval is not None and any(
-            worker_id not in step.asked and eventual_count(step, worker, now_s) > 0
-            for worker_id, worker in workers.items()
-        ):
-            # Further workers may be approved.
-            return False
-        allowed = self._free_capacity(step, workers, now_s, accept_expired=True)
-        able = [worker for worker in allowed if eventual_count(step, worker, now_s) > 0]
-        return bool(able) and kept.issuperset(able)
-
-    def _reserve_for_gang(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
-        """Reserve capacity for a gang and renew its tickets before it is expected to start."""
-        allowed = self._free_capacity(step, workers, now_s, accept_expired=True)
-        plan = self.reservations.reserve(step, allowed, now_s)
-        if plan is not None and step.job.queue.approval is not None:
-            self.ticket_tracker.renew_gang_tickets(step, plan, now_s)
-
-    def _assign_tasks(
-        self,
-        step: Step,
-        free_by_worker: dict[Worker, ResourceVector],
-        indices: list[int],
-        now_s: float,
-    ) -> list[tuple[int, Worker]]:
-        if step.spec.gang:
-            return assign_gang(step, free_by_worker, indices, now_s) or []
-        return assign_singles(step, free_by_worker, indices, now_s)
-
-    def _renew_tickets(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
-        """Request new tickets for workers that have capacity for the waiting tasks."""
-        if step.job.queue.approval is None:
-            return
-        free_by_worker = self._free_capacity(step, workers, now_s, accept_expired=True)
-        if not self._may_use_headroom(step, workers, now_s):
-            # A ticket for a worker on which the step gets no place would expire unused.
-            free_by_worker = self._limit_to_headroom(step, free_by_worker)
-        pairs = assign_singles(step, free_by_worker, sorted(step.waiting), now_s)
-        chosen = dict.fromkeys(worker for _, worker in pairs)
-        self.ticket_tracker.renew_tickets(step, list(chosen), now_s)
-
-    def _start_run(self, step: Step, index: int, worker: Worker, number: int, now_s: float) -> None:
-        number = number or self.runs.next_number(step, [index])
-        task = TaskName(step.name, index)
-        self.runs.starting_count += 1
-        run = Run(
-            task=task,
-            number=number,
-            step=step,
-            worker=worker,
-            demand=step.spec.demand,
-            phase=RunPhase.STARTING,
-            phase_since_s=now_s,
-            started_s=now_s,
-            progressed_s=now_s,
-            speed_read_s=now_s,
-        )
-        self.runs.add(run)
-        self.runs.order_start(run, self.ticket_tracker.find_ticket(step, worker.worker_id), now_s)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable, Mapping
 
 from fireflywharf_core.workflows import (
-    ApprovalFailed,
-    ApprovalReceived,
     AskApproval,
     DirectoryChanged,
     Event,
@@ -18,10 +16,7 @@
     JobsRecorded,
     JournalRecord,
     JournalState,
-    StartAnswered,
-    StartResult,
     StartRun,
-    StopAnswered,
     StopRun,
     TenureConfirmed,
     TenureRecord,
@@ -32,18 +27,17 @@
     WorkflowCancelled,
     WorkflowProgress,
     WorkflowScheduler,
-    approval_request_ms,
     encode_record,
-    has_short_requests,
     job_keys,
 )
 
-from ._background import BackgroundTasks, result_or_default
+from ._background import BackgroundTasks
 from ._clocks import boot_time_s
 from ._decision_log import DecisionLog
 from ._election import RENEWAL_S, JournalWriter
 from ._interfaces import AppendFenced, LogRecord, PlatformServices
 from ._metrics import WorkflowMetrics
+from ._orders import OrderSender
 from ._peers import ApprovalBalancer
 from ._sessions import WorkerSession
 from ._submissions import Submissions
@@ -64,6 +58,23 @@
 """Size of the range of run numbers of a tenure; later tenures use higher numbers."""
 
 
+def _make_scheduler(
+    record: TenureRecord, journal_state: JournalState, timing: Timing, now_s: float
+) -> WorkflowScheduler:
+    """Return the scheduler of a tenure, which knows the jobs in the journal."""
+    scheduler = WorkflowScheduler(
+        timing=timing,
+        first_number=(record.ordinal - 1) * _RUN_NUMBERS_PER_TENURE + 1,
+        workers_in_use=journal_state.workers_in_use,
+        departures=journal_state.departures,
+        started_s=now_s,
+        find_spec=journal_state.find_spec,
+    )
+    for job_id, journaled in journal_state.jobs.items():
+        scheduler.observe(JobAdded(job_id=job_id, journaled=journaled), now_s)
+    return scheduler
+
+
 class ActiveScheduler:
     """Runs the scheduler for one tenure.
 
@@ -103,16 +114,7 @@
         self._closing = False
         self._resigning = False
         self._now_s = time.monotonic
-        self.scheduler = WorkflowScheduler(
-            timing=timing,
-            first_number=(record.ordinal - 1) * _RUN_NUMBERS_PER_TENURE + 1,
-            workers_in_use=journal_state.workers_in_use,
-            departures=journal_state.departures,
-            started_s=self._now_s(),
-            find_spec=journal_state.find_spec,
-        )
-        for job_id, journaled in journal_state.jobs.items():
-            self.scheduler.observe(JobAdded(job_id=job_id, journaled=journaled), self._now_s())
+        self.scheduler = _make_scheduler(record, journal_state, timing, self._now_s())
         self._worker_ids_in_use = set(journal_state.workers_in_use)
         self._departures = {
             worker_id: departure.departure_id
@@ -130,10 +132,11 @@
             self.scheduler, record.epoch, self._now_s(), lambda: writer.confirmation_age_s
         )
         self._background = BackgroundTasks(
-            "scheduler", lambda: self._end_tenure("a background task of the scheduler failed")
+            "scheduler", lambda: self.end_tenure("a background task of the scheduler failed")
         )
         self._approvals = approvals
         self._metrics = metrics
+        self._orders = OrderSender(self, platform_services.workers, approvals, metrics)
         self._unstarted_read_s: dict[str, float] = {}
 
     def start(self) -> None:
@@ -176,7 +179,8 @@
             _LOG.warning("resignation was not recorded", extra={"epoch": self.record.epoch})
         await self.close()
 
-    def _end_tenure(self, reason: str) -> None:
+    def end_tenure(self, reason: str) -> None:
+        """End the tenure, unless it has ended already."""
         if not self._closing:
             self._closing = True
             self._on_tenure_end(reason)
@@ -199,7 +203,7 @@
                 self._unstarted_read_s.pop(job_id, None)
                 self.observe(JobCancelled(job_id))
             case TenureRecord() if record.epoch > self.record.epoch:
-                self._end_tenure(f"tenure {record.epoch} of {record.holder} began")
+                self.end_tenure(f"tenure {record.epoch} of {record.holder} began")
 
     async def handle_directory(self, directory: Mapping[str, WorkerInfo]) -> None:
         """Process a new directory.
@@ -270,16 +274,17 @@
             gateway=self._platform.workers,
             observe=self.observe,
             flush=self.flush,
-            on_fenced=lambda worker_id: self._end_tenure(
+            on_fenced=lambda worker_id: self.end_tenure(
                 f"worker {worker_id} rejected the epoch as stale"
             ),
-            may_renew=self._may_renew,
+            may_renew=self.may_renew,
             metrics=self._metrics,
         )
         task = self._background.spawn(session.run())
         self._sessions[info.worker_id] = (session, task)
 
-    def _may_renew(self) -> bool:
+    def may_renew(self) -> bool:
+        """Return whether the tenure was confirmed recently enough to act."""
         return self._writer.confirmation_age_s < self.scheduler.timing.permission_s
 
     async def flush(self) -> bool:
@@ -315,7 +320,7 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            if not self._may_renew():
+            if not self.may_renew():
                 continue
             self.scheduler.ticket_tracker.long_requests_max = (
                 self._approvals.long_requests_vms_count
@@ -327,11 +332,11 @@
                         read_s = self._unstarted_read_s.pop(action.task.step_name.job_id, None)
                         if read_s is not None:
                             self._metrics.first_start_s.observe(self._now_s() - read_s)
-                        self._background.spawn(self._start_run(action, boot_time_s()))
+                        self._background.spawn(self._orders.start_run(action, boot_time_s()))
                     case StopRun():
-                        self._background.spawn(self._stop_run(action))
+                        self._background.spawn(self._orders.stop_run(action))
                     case AskApproval():
-                        self._background.spawn(self._request_approval(action))
+                        self._background.spawn(self._orders.request_approval(action))
             self._remove_departed_workers()
             self._decision_log.log_state(self._now_s())
             if self.scheduler.confirmation.is_wanted or any(
@@ -339,88 +344,6 @@
             ):
                 self._records_pending.set()
 
-    async def _start_run(self, order: StartRun, decided_boot_s: float) -> None:
-        """Send a start order, unless it has waited for too long.
-
-        Args:
-            order: the order.
-            decided_boot_s: boot time of the decision, in seconds.
-        """
-        worker = self.scheduler.workers.get(order.worker_id)
-        if worker is None:
-            return
-        result = StartResult.NOT_SENT
-        # The process may have been paused since the decision, and a later process of the worker
-        # knows no epoch with which it could refuse the order.
-        waited_s = boot_time_s() - decided_boot_s
-        if self._may_renew() and waited_s < self.scheduler.timing.start_repeats_s:
-            result = await result_or_default(
-                self._platform.workers.start(worker.info, order, self.record.epoch),
-                StartResult.UNKNOWN,
-                "worker",
-                worker=order.worker_id,
-            )
-        self._metrics.starts.labels(result.value).inc()
-        if result is not StartResult.STARTED:
-            _LOG.info(
-                "run was not started",
-                extra={
-                    "run": f"{order.task}#{order.number}",
-                    "worker": order.worker_id,
-                    "result": result.value,
-                },
-            )
-        if result is StartResult.STALE_EPOCH:
-            self._end_tenure(f"worker {order.worker_id} rejected the epoch as stale")
-            return
-        self.observe(StartAnswered(order.worker_id, order.task, order.number, result))
-
-    async def _stop_run(self, order: StopRun) -> None:
-        worker = self.scheduler.workers.get(order.worker_id)
-        if worker is None:
-            return
-        stopped = await result_or_default(
-            self._platform.workers.stop(worker.info, order, self.record.epoch),
-            False,
-            "worker",
-            worker=order.worker_id,
-        )
-        if stopped:
-            self.observe(StopAnswered(order.worker_id, order.task, order.number))
-
-    async def _request_approval(self, order: AskApproval) -> None:
-        step = self.scheduler.find_step(order.step)
-        if step is None:
-            self.observe(ApprovalFailed(order.step))
-            return
-        approval = step.job.queue.approval
-        cost_ms = approval_request_ms(approval, len(order.worker_ids))
-        asked_s = self._now_s()
-        granted = await self._approvals.ask(
-            order.step, order.worker_ids, cost_ms, short=has_short_requests(approval)
-        )
-        _LOG.info(
-            "approval answered",
-            extra={
-                "job_id": order.step.job_id,
-                "step": str(order.step),
-                "named": len(order.worker_ids),
-                "allowed": None if granted is None else len(granted.tickets),
-                "ms": round((self._now_s() - asked_s) * 1000),
-            },
-        )
-        if granted is None:
-            self.observe(ApprovalFailed(order.step))
-            return
-        self.observe(
-            ApprovalReceived(
-                step=order.step,
-                tickets=granted.tickets,
-                asked=order.worker_ids,
-                expires_s=self._now_s() + granted.validity_s,
-            )
-        )
-
     async def _append(self, record: JournalRecord) -> bool:
         """Append through the record loop, which is the only user of the writer."""
         self._extra_records.append(record)
@@ -481,7 +404,7 @@
                     )
                 )
             if records and isinstance(await self._writer.append(records), AppendFenced):
-                self._end_tenure("the journal rejected the epoch as stale")
+                self.end_tenure("the journal rejected the epoch as stale")
                 return
             self._observe_recorded(progress)
             self._resolve_flushes(flushes_count, True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -28,6 +28,7 @@
 )
 
 from ._active_scheduler import ActiveScheduler
+from ._append_timeouts import AppendTimeouts
 from ._approvals import ApprovalQueue
 from ._background import BackgroundTasks
 from ._election import Election, JournalWriter
@@ -36,7 +37,6 @@
 from ._journal import (
     FOLLOWER_PAUSE_S,
     SCHEDULER_PAUSE_S,
-    AppendTimeouts,
     JournalAppender,
     JournalReader,
 )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -23,17 +23,19 @@
     encode_record,
 )
 
+from ._append_timeouts import AppendTimeouts
 from ._clocks import boot_time_s
 from ._interfaces import (
     Appended,
     AppendFenced,
     AppendRejected,
+    AppendResult,
     AppendUncertain,
     LogRecord,
     SharedLog,
     Writer,
 )
-from ._journal import AppendTimeouts, journal_partition
+from ._journal import journal_partition
 from ._metrics import WorkflowMetrics
 
 _LOG = logging.getLogger(__name__)
@@ -120,24 +122,14 @@
         unanswered = 0
         stored_from_s: tuple[float, float] | None = None
         while True:
-            sent_s, sent_boot_s = time.monotonic(), boot_time_s()
-            result = await self._log.append(
-                journal_partition(MAIN_PARTITION),
-                encoded,
-                timeout_s=self._times.predict(unanswered),
-                writer=writer,
-            )
-            took_s = time.monotonic() - sent_s
-            self._metrics.appends.labels(type(result).__name__).inc()
-            self._metrics.append_s.observe(took_s)
+            sent_s = time.monotonic(), boot_time_s()
+            result = await self._try_append(encoded, writer, self._times.predict(unanswered))
             match result:
                 case Appended(offset):
-                    self._times.observe(took_s)
                     # A successor may have begun while the process was paused, or before the log
                     # repeated the answer of an attempt that took effect earlier, so only the start
                     # of the first such attempt is certain.
-                    stored_from_s = stored_from_s or (sent_s, sent_boot_s)
-                    self.confirmed_s, self._confirmed_boot_s = stored_from_s
+                    self.confirmed_s, self._confirmed_boot_s = stored_from_s or sent_s
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
@@ -148,7 +140,7 @@
                 case AppendRejected(reason) | AppendUncertain(reason):
                     if isinstance(result, AppendUncertain):
                         unanswered += 1
-                        stored_from_s = stored_from_s or (sent_s, sent_boot_s)
+                        stored_from_s = stored_from_s or sent_s
                     _LOG.warning(
                         "append of the scheduler is repeated",
                         extra={
@@ -161,6 +153,20 @@
             await asyncio.sleep(pause_s)
             pause_s = min(0.4, pause_s * 2)
 
+    async def _try_append(
+        self, records: list[LogRecord], writer: Writer, timeout_s: float
+    ) -> AppendResult:
+        sent_s = time.monotonic()
+        result = await self._log.append(
+            journal_partition(MAIN_PARTITION), records, timeout_s=timeout_s, writer=writer
+        )
+        took_s = time.monotonic() - sent_s
+        self._metrics.appends.labels(type(result).__name__).inc()
+        self._metrics.append_s.observe(took_s)
+        if isinstance(result, Appended):
+            self._times.observe(took_s)
+        return result
+
 
 class Election:
     """Decides when this daemon stands for election.
--- /dev/null
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_orders.py
@@ -0,0 +1,138 @@
+"""Orders of the active scheduler to workers and its requests for approval."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from fireflywharf_core.workflows import (
+    ApprovalFailed,
+    ApprovalReceived,
+    AskApproval,
+    StartAnswered,
+    StartResult,
+    StartRun,
+    StopAnswered,
+    StopRun,
+    approval_request_ms,
+    has_short_requests,
+)
+
+from ._background import result_or_default
+from ._clocks import boot_time_s
+from ._interfaces import WorkerGateway
+from ._metrics import WorkflowMetrics
+from ._peers import ApprovalBalancer
+
+if TYPE_CHECKING:
+    from ._active_scheduler import ActiveScheduler
+
+_LOG = logging.getLogger(__name__)
+
+
+class OrderSender:
+    """Sends the orders of one tenure and passes the answers to its scheduler.
+
+    Args:
+        tenure: the tenure.
+        workers: sends orders to workers.
+        approvals: distributes approval requests.
+        metrics: counts results.
+    """
+
+    def __init__(
+        self,
+        tenure: ActiveScheduler,
+        workers: WorkerGateway,
+        approvals: ApprovalBalancer,
+        metrics: WorkflowMetrics,
+    ) -> None:
+        self._tenure = tenure
+        self._workers = workers
+        self._approvals = approvals
+        self._metrics = metrics
+
+    async def start_run(self, order: StartRun, decided_boot_s: float) -> None:
+        """Send a start order, unless it has waited for too long.
+
+        Args:
+            order: the order.
+            decided_boot_s: boot time of the decision, in seconds.
+        """
+        worker = self._tenure.scheduler.workers.get(order.worker_id)
+        if worker is None:
+            return
+        result = StartResult.NOT_SENT
+        # The process may have been paused since the decision, and a later process of the worker
+        # knows no epoch with which it could refuse the order.
+        waited_s = boot_time_s() - decided_boot_s
+        if self._tenure.may_renew() and waited_s < self._tenure.scheduler.timing.start_repeats_s:
+            result = await result_or_default(
+                self._workers.start(worker.info, order, self._tenure.record.epoch),
+                StartResult.UNKNOWN,
+                "worker",
+                worker=order.worker_id,
+            )
+        self._metrics.starts.labels(result.value).inc()
+        if result is not StartResult.STARTED:
+            _LOG.info(
+                "run was not started",
+                extra={
+                    "run": f"{order.task}#{order.number}",
+                    "worker": order.worker_id,
+                    "result": result.value,
+                },
+            )
+        if result is StartResult.STALE_EPOCH:
+            self._tenure.end_tenure(f"worker {order.worker_id} rejected the epoch as stale")
+            return
+        self._tenure.observe(StartAnswered(order.worker_id, order.task, order.number, result))
+
+    async def stop_run(self, order: StopRun) -> None:
+        """Send a stop order."""
+        worker = self._tenure.scheduler.workers.get(order.worker_id)
+        if worker is None:
+            return
+        stopped = await result_or_default(
+            self._workers.stop(worker.info, order, self._tenure.record.epoch),
+            False,
+            "worker",
+            worker=order.worker_id,
+        )
+        if stopped:
+            self._tenure.observe(StopAnswered(order.worker_id, order.task, order.number))
+
+    async def request_approval(self, order: AskApproval) -> None:
+        """Request tickets for a step."""
+        step = self._tenure.scheduler.find_step(order.step)
+        if step is None:
+            self._tenure.observe(ApprovalFailed(order.step))
+            return
+        approval = step.job.queue.approval
+        cost_ms = approval_request_ms(approval, len(order.worker_ids))
+        asked_s = time.monotonic()
+        granted = await self._approvals.ask(
+            order.step, order.worker_ids, cost_ms, short=has_short_requests(approval)
+        )
+        _LOG.info(
+            "approval answered",
+            extra={
+                "job_id": order.step.job_id,
+                "step": str(order.step),
+                "named": len(order.worker_ids),
+                "allowed": None if granted is None else len(granted.tickets),
+                "ms": round((time.monotonic() - asked_s) * 1000),
+            },
+        )
+        if granted is None:
+            self._tenure.observe(ApprovalFailed(order.step))
+            return
+        self._tenure.observe(
+            ApprovalReceived(
+                step=order.step,
+                tickets=granted.tickets,
+                asked=order.worker_ids,
+                expires_s=time.monotonic() + granted.validity_s,
+            )
+        )
