Break two import cycles between the parted modules

The description of waiting steps imports the scheduler, which does not import it; the sending of orders names what it needs of a tenure by a protocol of its own.

Measured: features/documentation.feature and the features of the tenure and of resilience pass.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from ._placement import placeable_count
 from ._reservations import eventual_count
+from ._scheduler import WorkflowScheduler
 from ._state import Step
 
-if TYPE_CHECKING:
-    from ._scheduler import WorkflowScheduler
-
 
 def explain_waiting(
     scheduler: WorkflowScheduler, now_s: float, age_s: float, rows_max: int
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_orders.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_orders.py
@@ -4,17 +4,20 @@
 
 import logging
 import time
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from fireflywharf_core.workflows import (
     ApprovalFailed,
     ApprovalReceived,
     AskApproval,
+    Event,
     StartAnswered,
     StartResult,
     StartRun,
     StopAnswered,
     StopRun,
+    TenureRecord,
+    WorkflowScheduler,
     approval_request_ms,
     has_short_requests,
 )
@@ -25,12 +28,30 @@
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalBalancer
 
-if TYPE_CHECKING:
-    from ._active_scheduler import ActiveScheduler
-
 _LOG = logging.getLogger(__name__)
 
 
+class Tenure(Protocol):
+    """The term of an active scheduler.
+
+    Attributes:
+        record: its record in the journal.
+        scheduler: its scheduler.
+    """
+
+    record: TenureRecord
+    scheduler: WorkflowScheduler
+
+    def may_renew(self) -> bool:
+        """Return whether the tenure was confirmed recently enough to act."""
+
+    def observe(self, event: Event) -> None:
+        """Process an event and trigger a decision."""
+
+    def end_tenure(self, reason: str) -> None:
+        """End the tenure, unless it has ended already."""
+
+
 class OrderSender:
     """Sends the orders of one tenure and passes the answers to its scheduler.
 
@@ -43,7 +64,7 @@
 
     def __init__(
         self,
-        tenure: ActiveScheduler,
+        tenure: Tenure,
         workers: WorkerGateway,
         approvals: ApprovalBalancer,
         metrics: WorkflowMetrics,
