Start runs only within the shortest silence before an election since the latest confirmation

Cause: a worker can restart under its id while a poll of a superseded scheduler is open, which notices it up to 2.3 s later. The order is addressed to the id, the new process knows no epoch, and its clock has started anew. If the successor, to which all workers had reported, has started the task elsewhere, it runs twice. The confirmation since the first report concerns the process that reported last, not the one that gets the order.

Change: runs are started, and start orders sent or repeated, only within 1 s of the sending of the latest confirmed record: no VM stands for election sooner. The permission to renew leases stays at 6 s. This replaces the bound of 1.5 s on orders that wait. A confirmation that something waits for always triggers a decision; the log of waiting steps tells the age of the confirmation and the tasks that are held for one. Three names are clearer.

--- a/features/steps/platform_worker_process_steps.py
+++ b/features/steps/platform_worker_process_steps.py
@@ -4,7 +4,6 @@
 import functools
 import json
 import socket
-import time
 
 import attrs
 from behave import given, then, when
@@ -218,7 +217,5 @@
     actions = world.scheduler.decide(world.now_s, 0.0)
     (order,) = (action for action in actions if isinstance(action, StartRun))
     context.refused = attrs.evolve(order, worker_id=context.order.worker_id)
-    asyncio.run(
-        daemon_scheduler._orders.start_run(context.refused, time.clock_gettime(time.CLOCK_BOOTTIME))
-    )
+    asyncio.run(daemon_scheduler._orders.start_run(context.refused))
     world.run(0.2)
--- a/features/steps/workflow_tenure_steps.py
+++ b/features/steps/workflow_tenure_steps.py
@@ -264,9 +264,8 @@
 
 @when("its process is paused for {pause_s:g} s before the order is sent")
 def pause_before_order(context, pause_s):
-    decided_boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
     with shift_boot_time(pause_s):
-        asyncio.run(context.scheduler._orders.start_run(context.order, decided_boot_s))
+        asyncio.run(context.scheduler._orders.start_run(context.order))
 
 
 @then("{count:d} orders are sent")
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_confirmation.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_confirmation.py
@@ -25,14 +25,14 @@
         return self._wanted_s > self.confirmed_s
 
     def observe(self, sent_s: float) -> bool:
-        """Process a confirmation, and return whether it is one that something waited for.
+        """Process a confirmation, and return whether something waited for one.
 
         Args:
             sent_s: local time at which the accepted record was sent, in seconds.
         """
         was_wanted = self.is_wanted
         self.confirmed_s = max(self.confirmed_s, sent_s)
-        return was_wanted and not self.is_wanted
+        return was_wanted
 
     def covers(self, time_s: float, now_s: float) -> bool:
         """Return whether no later tenure had begun at a time; if unknown, want a confirmation.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reconciliation.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reconciliation.py
@@ -46,7 +46,7 @@
         self._started_s = started_s
         self.assumed_ended_ids: frozenset[str] | None = None
 
-    def add_worker(self, worker_id: str) -> None:
+    def mark_reconciled(self, worker_id: str) -> None:
         """Record that the earlier runs on a worker are known or have ended."""
         self._unreconciled.discard(worker_id)
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -215,7 +215,8 @@
             if run.checkpoint:
                 self._ends.keep_checkpoint(run.step, run.task.index, run.checkpoint)
             if cause is not LossCause.LEASE_EXPIRED:
-                # A later tenure may have acknowledged its end; that of a lease is confirmed before.
+                # A later tenure may have acknowledged its end. Whether a lease has expired was
+                # already decided with a confirmation.
                 run.step.lost_s[run.task.index] = now_s
         self._release_run(run)
         self._abort_gang(run, StopCause.GANG_MEMBER_ENDED, now_s)
@@ -375,11 +376,15 @@
             )
         )
 
-    def repeat_unanswered_orders(self, now_s: float) -> None:
+    def repeat_unanswered_orders(self, now_s: float, may_start: bool) -> None:
         """Repeat unanswered orders; stop runs whose start stays unanswered for too long.
 
         An order is not repeated while its answer may still come, because the repetitions would
         queue behind it if this VM is slow.
+
+        Args:
+            now_s: current local time, in seconds.
+            may_start: whether the tenure was confirmed recently enough to start runs.
         """
         self.starting_count = 0
         for run in list(self._unanswered):
@@ -394,15 +399,15 @@
             if run.phase is RunPhase.STOPPING:
                 self._send_stop(run, now_s)
             elif not run.start_open:
-                self._repeat_start(run, now_s)
+                self._repeat_start(run, now_s, may_start)
 
-    def _repeat_start(self, run: Run, now_s: float) -> None:
+    def _repeat_start(self, run: Run, now_s: float, may_start: bool) -> None:
         worker_id = run.worker.worker_id
         if now_s < run.phase_since_s + self._timing.start_repeats_s:
             ticket, expires_s = run.step.tickets.get(worker_id, ("", float("inf")))
             # With an expired ticket, a report of the worker shows whether the run has started. A
             # silent worker may have restarted, and its next process would accept any epoch.
-            if now_s < expires_s and run.worker.reachable:
+            if may_start and now_s < expires_s and run.worker.reachable:
                 self.order_start(run, ticket, now_s)
             return
         run.step.avoided[run.task.index] = worker_id
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -136,7 +136,10 @@
             now_s: current local time, in seconds.
             utc_s: seconds since the Unix epoch, for jobs with scheduled times.
         """
-        self.runs.repeat_unanswered_orders(now_s)
+        # A worker that has restarted unnoticed accepts any epoch, so no run is started once a
+        # successor may have begun.
+        may_start = self.confirmation.covers(now_s - self.timing.start_permission_s, now_s)
+        self.runs.repeat_unanswered_orders(now_s, may_start)
         self._expire_workers(now_s)
         if self.runs.worker_health.end_probations(now_s):
             self.runs.capacity_version += 1
@@ -157,7 +160,7 @@
         self.headroom.choose_workers(
             (worker for workers in usable.values() for worker in workers.values()), now_s
         )
-        for step in ready:
+        for step in ready if may_start else ():
             if self.runs.starting_count >= self.runs.start_window.limit_:
                 break
             if self.placer.should_place(step, now_s):
@@ -340,7 +343,7 @@
                 continue
             for run in list(worker.runs.values()):
                 self.runs.handle_lost(run, LossCause.LEASE_EXPIRED, now_s)
-            self.reconciliation.add_worker(worker.worker_id)
+            self.reconciliation.mark_reconciled(worker.worker_id)
             if not worker.in_directory:
                 del self.workers[worker.worker_id]
 
@@ -361,6 +364,6 @@
         if event.ends_complete:
             if not worker.has_reported:
                 worker.has_reported, worker.first_reported_s = True, now_s
-            self.reconciliation.add_worker(event.worker_id)
+            self.reconciliation.mark_reconciled(event.worker_id)
         worker.runs_end_s = max(worker.runs_end_s, now_s + self.timing.lease_bound_s)
         self.runs.handle_report(worker, event, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
@@ -42,6 +42,11 @@
                 None if step.approval_asked_s is None else round(now_s - step.approval_asked_s, 2)
             ),
             "accounted": scheduler.is_reconciled(now_s),
+            "confirmation_age_s": round(now_s - scheduler.confirmation.confirmed_s, 2),
+            "held": sum(
+                step.lost_s.get(index, float("-inf")) > scheduler.confirmation.confirmed_s
+                for index in step.waiting
+            ),
             "open_starts": scheduler.runs.starting_count,
             "open_starts_max": round(scheduler.runs.start_window.limit_),
             "headroom_workers": len(scheduler.headroom.workers_),
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -32,7 +32,6 @@
 )
 
 from ._background import BackgroundTasks
-from ._clocks import boot_time_s
 from ._decision_log import DecisionLog
 from ._election import RENEWAL_S, JournalWriter
 from ._interfaces import AppendFenced, LogRecord, PlatformServices
@@ -115,6 +114,7 @@
         self._resigning = False
         self._now_s = time.monotonic
         self.scheduler = _make_scheduler(record, journal_state, timing, self._now_s())
+        self.scheduler.observe(TenureConfirmed(writer.confirmed_s), self._now_s())
         self._worker_ids_in_use = set(journal_state.workers_in_use)
         self._departures = {
             worker_id: departure.departure_id
@@ -283,8 +283,12 @@
         task = self._background.spawn(session.run())
         self._sessions[info.worker_id] = (session, task)
 
+    def may_start(self) -> bool:
+        """Return whether the tenure was confirmed recently enough to start runs."""
+        return self._writer.confirmation_age_s < self.scheduler.timing.start_permission_s
+
     def may_renew(self) -> bool:
-        """Return whether the tenure was confirmed recently enough to act."""
+        """Return whether the tenure was confirmed recently enough to renew leases."""
         return self._writer.confirmation_age_s < self.scheduler.timing.permission_s
 
     async def flush(self) -> bool:
@@ -332,7 +336,7 @@
                         read_s = self._unstarted_read_s.pop(action.task.step_name.job_id, None)
                         if read_s is not None:
                             self._metrics.first_start_s.observe(self._now_s() - read_s)
-                        self._background.spawn(self._orders.start_run(action, boot_time_s()))
+                        self._background.spawn(self._orders.start_run(action))
                     case StopRun():
                         self._background.spawn(self._orders.stop_run(action))
                     case AskApproval():
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
@@ -58,7 +58,7 @@
             case StartRun():
                 worker = self._scheduler.workers.get(action.worker_id)
                 incarnation = None if worker is None else worker.info.incarnation
-                fields |= {"worker_incarnation": incarnation, **self._describe_permission()}
+                fields |= {"worker_incarnation": incarnation, **self._describe_confirmation()}
                 _LOG.info("run placed", extra=fields)
             case StopRun(cause=cause, percent=percent):
                 fields |= {"cause": cause.value, "percent": percent}
@@ -70,7 +70,7 @@
                     "report_age_s": None if age_s is None else round(age_s, 3),
                     "worker_incarnation": action.incarnation,
                     "reported": action.reported,
-                    **self._describe_permission(),
+                    **self._describe_confirmation(),
                 }
                 _LOG.warning("run lost; its task may be started again", extra=fields)
             case RunAdopted():
@@ -86,7 +86,7 @@
                     },
                 )
 
-    def _describe_permission(self) -> dict:
+    def _describe_confirmation(self) -> dict:
         """Return a log field that shows whether a successor may have been active already."""
         return {"confirmation_age_s": round(self._find_confirmation_age_s(), 3)}
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -120,7 +120,7 @@
         self._sequence += 1
         pause_s = 0.05
         unanswered = 0
-        stored_from_s: tuple[float, float] | None = None
+        earliest_sent_s: tuple[float, float] | None = None
         while True:
             sent_s = time.monotonic(), boot_time_s()
             result = await self._try_append(encoded, writer, self._times.predict(unanswered))
@@ -129,7 +129,7 @@
                     # A successor may have begun while the process was paused, or before the log
                     # repeated the answer of an attempt that took effect earlier, so only the start
                     # of the first such attempt is certain.
-                    self.confirmed_s, self._confirmed_boot_s = stored_from_s or sent_s
+                    self.confirmed_s, self._confirmed_boot_s = earliest_sent_s or sent_s
                     for index, record in enumerate(encoded if offset >= 0 else ()):
                         self._on_appended(offset + index, record)
                     return result
@@ -140,7 +140,7 @@
                 case AppendRejected(reason) | AppendUncertain(reason):
                     if isinstance(result, AppendUncertain):
                         unanswered += 1
-                        stored_from_s = stored_from_s or sent_s
+                        earliest_sent_s = earliest_sent_s or sent_s
                     _LOG.warning(
                         "append of the scheduler is repeated",
                         extra={
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_orders.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_orders.py
@@ -23,7 +23,6 @@
 )
 
 from ._background import result_or_default
-from ._clocks import boot_time_s
 from ._interfaces import WorkerGateway
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalBalancer
@@ -42,8 +41,8 @@
     record: TenureRecord
     scheduler: WorkflowScheduler
 
-    def may_renew(self) -> bool:
-        """Return whether the tenure was confirmed recently enough to act."""
+    def may_start(self) -> bool:
+        """Return whether the tenure was confirmed recently enough to start runs."""
 
     def observe(self, event: Event) -> None:
         """Process an event and trigger a decision."""
@@ -74,21 +73,15 @@
         self._approvals = approvals
         self._metrics = metrics
 
-    async def start_run(self, order: StartRun, decided_boot_s: float) -> None:
-        """Send a start order, unless it has waited for too long.
-
-        Args:
-            order: the order.
-            decided_boot_s: boot time of the decision, in seconds.
-        """
+    async def start_run(self, order: StartRun) -> None:
+        """Send a start order, unless the permission to start runs has expired meanwhile."""
         worker = self._tenure.scheduler.workers.get(order.worker_id)
         if worker is None:
             return
         result = StartResult.NOT_SENT
         # The process may have been paused since the decision, and a later process of the worker
         # knows no epoch with which it could refuse the order.
-        waited_s = boot_time_s() - decided_boot_s
-        if self._tenure.may_renew() and waited_s < self._tenure.scheduler.timing.start_repeats_s:
+        if self._tenure.may_start():
             result = await result_or_default(
                 self._workers.start(worker.info, order, self._tenure.record.epoch),
                 StartResult.UNKNOWN,
