--- a/features/workflow_split.feature
+++ b/features/workflow_split.feature
@@ -81,6 +81,45 @@
     When the successor starts it elsewhere and another worker restarts and reports to the old one
     Then no task runs twice and all jobs end
 
+  Scenario: a superseded scheduler starts no waiting task on a worker whose restart it cannot know
+    The answer to its open poll comes later, and the new process accepts any epoch.
+
+    Given a task that the only worker that the scheduler reaches has refused to start
+    When that worker restarts during an open poll, after the successor has started it elsewhere
+    Then no task runs twice and all jobs end
+
+  Scenario Outline: a later process of a known worker is used only after a further confirmation
+    The earlier confirmation only proves that no successor had begun when it was sent; one may have
+    begun since, and have heard from the earlier process.
+
+    Given a scheduler with a waiting task whose worker has reported and was confirmed afterwards
+    When a later process of the worker reports <seconds> s after the confirmation
+    Then the task is started only after a confirmation that was sent since that report
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 0.6     |
+
+  Scenario Outline: an empty list of a restarted worker does not prove that earlier runs are known
+    A successor may have noted the end of a run that the earlier process held.
+
+    Given a second scheduler that has heard from one of two workers that the first one used
+    When the other one, which has restarted, reports an empty list <seconds> s later
+    Then the task is started only after a confirmation that was sent since that report
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 0.6     |
+
+  Scenario: a gang with a missing run is not started in part before a confirmation
+    Its other members, which have been stopped, need none, but alone they occupy workers in vain.
+
+    Given a gang of two whose members run on two workers, without a successor
+    When one of the workers restarts while the journal is silent for 0.6 s
+    Then all runs of the gang began together, after a confirmation, and the jobs end
+
   Scenario: no random history lets a task run twice or holds a job for ever
     Guards what no other scenario names.
 
