Test from when the daemon counts a confirmation, and that a wanted one is requested and used at once

Test files only.

Mutation of, and what fails with it (each applied alone and taken back): - TenureConfirmed(now) in ActiveScheduler._observe_recorded: "a slow answer", "0.301 s after the sending, with the answer after 0.300 s". - JournalWriter counts from the last attempt: 4 of 7 examples of "an append confirms its tenure", "monotonic time: 0.154 s after attempt 1"; on the monotonic clock only: the same 4, "0.151 s after attempt 1"; on the boot clock only: the same 4, "boot time: age 0.101 s, not 0.251 to 0.252 s". - It counts from the answer: 7 of 7 examples, "0.100 s after attempt 1", and "a slow answer". - Rejected attempts count: 3 examples, "-0.151 s after attempt 2". - `is_wanted` not in the condition of _record_loop, or not in _decision_loop: "requested and used at once", "0 tenure records after the report". - No wake in _observe_recorded: the same, "0 start orders within 0.7 s". - Without a want: `is_due = True` in _record_loop fails it with 1 tenure record before the report; `is_wanted` always true with 2 after it.

The last scenario needs a log that takes 0.05 s. With one that answers at once it failed on the unchanged product ("0 start orders within 0.7 s") and passed with PLACEMENT_RETRY_S = 0: the decision that the confirmation triggers comes within 0.03 s of the attempt before, which is too early to place the step again. With the interval of the product, the next regular decision comes 0.1 s later. Not changed here.

Not run: the other features.

--- a/features/workflow_tenure.feature
+++ b/features/workflow_tenure.feature
@@ -53,3 +53,37 @@
       | 0       | 1     |
       | 2       | 0     |
       | 7       | 0     |
+
+  Scenario: a slow answer does not make the latest confirmation of a tenure seem younger
+    A successor may have begun between the sending of an append and its answer.
+
+    Given an active scheduler on a log that answers an append after 0.3 s
+    When the log has answered the first append
+    Then the scheduler counts the confirmation from the sending of that append
+
+  Scenario Outline: an append confirms its tenure from the first attempt that may have been stored
+    The log answers a repetition as it answered the attempt that took effect, after which a
+    successor may have begun. A rejected attempt had no effect; counted, it would hold up starts.
+
+    When the attempts of an append end with <answers>
+    Then the confirmation counts from attempt <number>, on both clocks
+
+    Examples:
+      | answers                      | number |
+      | stored                       | 1      |
+      | no answer, stored            | 1      |
+      | no answer, no answer, stored | 1      |
+      | no answer, rejected, stored  | 1      |
+      | rejected, stored             | 2      |
+      | rejected, no answer, stored  | 2      |
+      | rejected, rejected, stored   | 3      |
+
+  Scenario: a confirmation that a task waits for is requested and used at once
+    If it came with the next renewal or the next regular decision, each start after the first report
+    of a worker would be late by up to 0.25 s.
+
+    Given an active scheduler that renews its tenure and decides without a cause only every 30 s
+    And a log that answers an append after 0.05 s
+    When a worker reports for the first time while a task waits for it
+    Then one tenure record is appended and the task is started within 0.2 s
+    And no tenure record was appended before the report
