--- a/features/daemon_partitions.feature
+++ b/features/daemon_partitions.feature
@@ -19,6 +19,7 @@
     Then a task starts in "centro" after that
     And the load ends without a violated guarantee
 
+  @known_red
   Scenario: all regions are partitioned from each other
     Given daemons in 3 failure domains under load, with "pacifico,caribe" embedded
     When "centro" is partitioned from the other failure domains
