Close idle connections to an address once another one gave no answer

Cause: a request that times out closed its own connection only. The client took the idle connection that had been unused for longest, so one request was lost for each idle connection, and a stop order is repeated each 0.6 s. The poll of the same worker had shown the silence 2.3 s after it began, on its dedicated connection, and nothing was concluded from it. The same held for reads of the log and for requests to peers and to the approval service.

Change: HttpClient has a pool for each address. A request without an answer on a connection that had answered before closes the idle connections, dedicated or not, that have not answered since it was sent. A long poll that is cancelled in time, and a new connection without an answer, close none. Connections to peers and to the approval service, whose answers may take seconds, are kept idle for 1 s only. The client logs how many it closes. A request that got no connection in time is now reported as not sent.

Evidence: the daemons' regular requests (polls of workers, reads of the log) show a silence within 2.4 s, whatever the size of the pool.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -63,6 +63,11 @@
 _CONFIGURATION_RETRY_S = 0.3
 _PEER_CONNECTIONS = 8
 """Maximum number of connections to a peer; further requests would only wait in its queue."""
+_PEER_KEEPALIVE_S = 1.0
+"""Time for which an idle connection to a peer is kept.
+
+A request for approval shows only after seconds that its connection has gone silent, and no regular
+request shows it earlier."""
 _ANNOUNCE_INTERVAL_S = 2.0
 """Timeout of an attempt to record the address of this VM, and the pause after it."""
 
@@ -96,7 +101,7 @@
         )
         self._appender = JournalAppender(platform_services.log, times)
         self._approvals = ApprovalQueue(platform_services.approvals)
-        self._peer_http = HttpClient(_PEER_CONNECTIONS)
+        self._peer_http = HttpClient(_PEER_CONNECTIONS, _PEER_KEEPALIVE_S)
         self._peer_server = PeerServer(
             self._approvals, self._handle_peer_record, self._handle_peer_tickets
         )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -4,21 +4,33 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
-from collections.abc import AsyncIterator, Mapping
+import time
+from collections.abc import AsyncIterator, Iterator, Mapping
 from enum import Enum
+from urllib.parse import urlsplit
 
 import aiohttp
 import attrs
 import msgspec
 
+from ._connections import ConnectionPool, PooledConnection
+
+_LOG = logging.getLogger(__name__)
+
 CONNECT_S = 0.6
 """Connection timeout; a new attempt is faster than the resending of a lost SYN after one second."""
 USER_TIMEOUT_MS = 1500
 """Time without a TCP acknowledgement after which the kernel drops a connection.
 
 Without it, a network partition or a silenced connection would go unnoticed."""
-_KEEPALIVE_S = 60.0
+KEEPALIVE_S = 60.0
+"""Time for which an idle connection is kept by default; some services price new ones."""
+SILENCE_S = 0.4
+"""Time for which an answer is overdue until the request counts as unanswered.
+
+The slowest service answers in 0.3 s."""
 _STALL_MIN_S = 0.05
 """Delay of a timer from which the event loop counts as stalled."""
 _TURNS_AFTER_STALL_COUNT = 8
@@ -126,46 +138,95 @@
             handle.cancel()
 
 
+@attrs.frozen(slots=True)
+class _AddressPools:
+    """The connections to one address."""
+
+    shared: ConnectionPool
+    dedicated: ConnectionPool
+
+    def __iter__(self) -> Iterator[ConnectionPool]:
+        return iter((self.shared, self.dedicated))
+
+
 class HttpClient:
     """HTTP client that reuses connections and never retries a request.
 
     Args:
         connections_max: maximum number of connections per address.
+        keepalive_s: time after which an idle connection is not used any more, in seconds.
     """
 
-    def __init__(self, connections_max: int) -> None:
+    def __init__(self, connections_max: int, keepalive_s: float = KEEPALIVE_S) -> None:
         self._connections_max = connections_max
-        self._session: aiohttp.ClientSession | None = None
-        self._dedicated_session: aiohttp.ClientSession | None = None
+        self._keepalive_s = keepalive_s
+        self._pools: dict[str, _AddressPools] = {}
+        self._swept_s = time.monotonic()
+        self._cookie_jar: aiohttp.DummyCookieJar | None = None
+        self._trace = aiohttp.TraceConfig()
+        self._trace.on_connection_create_start.append(_keep_connection)
 
     async def open(self) -> None:
-        """Create the sessions; requires a running event loop."""
-        self._session = self._make_session(self._connections_max)
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_create_start.append(_keep_connection)
-        self._dedicated_session = self._make_session(1, trace)
-
-    @staticmethod
-    def _make_session(connections_max: int, *traces: aiohttp.TraceConfig) -> aiohttp.ClientSession:
+        """Prepare the client; requires a running event loop."""
+        self._cookie_jar = aiohttp.DummyCookieJar()
+
+    def _make_session(self, *traces: aiohttp.TraceConfig) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=connections_max,
-                keepalive_timeout=_KEEPALIVE_S,
+                limit=1,
+                keepalive_timeout=self._keepalive_s,
                 socket_factory=_make_socket,
                 use_dns_cache=False,
             ),
             auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
+            cookie_jar=self._cookie_jar,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             trace_configs=list(traces),
         )
 
+    def _find_pools(self, address: str) -> _AddressPools:
+        now_s = time.monotonic()
+        if now_s > self._swept_s + self._keepalive_s:
+            self._swept_s = now_s
+            self._close_expired(now_s)
+        pools = self._pools.get(address)
+        if pools is None:
+            pools = self._pools[address] = _AddressPools(
+                shared=ConnectionPool(self._connections_max, self._keepalive_s, self._make_session),
+                dedicated=ConnectionPool(
+                    1, self._keepalive_s, lambda: self._make_session(self._trace)
+                ),
+            )
+        return pools
+
+    def _close_expired(self, now_s: float) -> None:
+        for address, pools in list(self._pools.items()):
+            for pool in pools:
+                pool.close_idle(now_s - self._keepalive_s)
+            if all(pool.is_unused for pool in pools):
+                del self._pools[address]
+
+    def _close_suspects(self, address: str, unanswered: PooledConnection) -> None:
+        """Close the idle connections that may have gone silent together with another one.
+
+        Open connections to an address may go silent, without a reset, while new ones work. Each
+        idle one would then cost another request. Those that have answered since the request was
+        sent are kept. A new connection without an answer shows nothing about the others.
+        """
+        if not unanswered.was_open:
+            return
+        closed_count = sum(pool.close_idle(unanswered.sent_s) for pool in self._pools[address])
+        if closed_count:
+            _LOG.info(
+                "idle connections closed, as another one gave no answer",
+                extra={"address": address, "closed": closed_count},
+            )
+
     async def close(self) -> None:
         """Close all connections."""
-        for session in (self._session, self._dedicated_session):
-            if session is not None:
-                await session.close()
+        for pools in self._pools.values():
+            for pool in pools:
+                await pool.close()
 
     async def call(
         self,
@@ -175,6 +236,7 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        wait_s: float = 0.0,
         silence_s: float | None = None,
         connection: Connection = Connection.ANY,
     ) -> HttpOutcome:
@@ -186,35 +248,49 @@
             timeout_s: total timeout, in seconds.
             body: request body.
             headers: additional headers.
-            silence_s: maximum silence within the response, in seconds; None for no limit.
+            wait_s: time for which the server may hold the request before it answers, in seconds.
+            silence_s: maximum silence within the response beyond `wait_s`, in seconds; None for no
+                limit.
             connection: connection that the request may use.
         """
-        is_shared = connection is Connection.ANY
-        session = self._session if is_shared else self._dedicated_session
+        address = urlsplit(url).netloc
+        pools = self._find_pools(address)
+        pool = pools.shared if connection is Connection.ANY else pools.dedicated
+        sock_read_s = None if silence_s is None else wait_s + silence_s
+        pooled: PooledConnection | None = None
         try:
-            async with (
-                stall_tolerant_timeout(timeout_s),
-                session.request(
+            async with stall_tolerant_timeout(timeout_s), pool.reserve() as pooled:
+                async with pooled.session.request(
                     method,
                     url,
                     data=body,
                     headers=headers,
-                    timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_S, sock_read=silence_s),
+                    timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_S, sock_read=sock_read_s),
                     allow_redirects=False,
                     trace_request_ctx=connection,
-                ) as response,
-            ):
-                return Answer(response.status, await response.read())
+                ) as response:
+                    answer = Answer(response.status, await response.read())
+                pooled.answered_s = time.monotonic()
+                return answer
         except _ConnectionChangedError as error:
             return NotSent(str(error))
         except aiohttp.ConnectionTimeoutError:
             return NotSent("connecting timed out")
         except aiohttp.ClientConnectorError as error:
             return NotSent(str(error.os_error))
+        except asyncio.CancelledError:
+            # A caller may limit the duration by itself, or may have lost its interest.
+            if pooled is not None and time.monotonic() - pooled.sent_s >= wait_s + SILENCE_S:
+                self._close_suspects(address, pooled)
+            raise
         except TimeoutError:
-            return NoAnswer("no answer in time")
+            if pooled is None:
+                return NotSent("all connections were in use")
+            reason = "no answer in time"
         except (aiohttp.ClientError, OSError) as error:
-            return NoAnswer(f"{type(error).__name__}: {error}")
+            reason = f"{type(error).__name__}: {error}"
+        self._close_suspects(address, pooled)
+        return NoAnswer(reason)
 
     async def call_json(
         self,
@@ -223,6 +299,7 @@
         *,
         timeout_s: float,
         headers: Mapping[str, str] | None = None,
+        wait_s: float = 0.0,
         connection: Connection = Connection.ANY,
     ) -> HttpOutcome:
         """Send a POST request with a JSON body."""
@@ -232,5 +309,6 @@
             timeout_s=timeout_s,
             body=msgspec.json.encode(value),
             headers={"Content-Type": "application/json", **(headers or {})},
+            wait_s=wait_s,
             connection=connection,
         )
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/__init__.py
@@ -6,10 +6,12 @@
 from ._events import EndsAcknowledged, Event, FaultNoted, LeaseLapsed, RunEnded, RunStarted
 from ._executor import StandInExecutor
 from ._faulty_executor import FaultyExecutor
+from ._silence import Direction, SilenceableServer
 from ._stand_ins import PlatformStandIns
 from ._store import StandInStore, StoreFault
 
 __all__ = [
+    "Direction",
     "EndsAcknowledged",
     "Event",
     "FaultNoted",
@@ -18,6 +20,7 @@
     "PlatformStandIns",
     "RunEnded",
     "RunStarted",
+    "SilenceableServer",
     "StandInExecutor",
     "StandInStore",
     "StoreFault",
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
@@ -14,6 +14,7 @@
 from ._executor import SERVICE, StandInExecutor
 from ._faulty_executor import FaultyExecutor
 from ._gangs import GangBoard
+from ._silence import Direction, SilenceableServer
 from ._store import StandInStore
 
 HOST = "queue.example"
@@ -61,6 +62,8 @@
 
     Attributes:
         events: what the executors with faults have seen.
+        executor_servers: servers of the executors without faults.
+        configuration: newest configuration of the operator.
     """
 
     def __init__(
@@ -93,6 +96,9 @@
             worker.clock_rate = rng.uniform(CLOCK_RATE_MIN, 1.0)
             worker.forgets_later_ends = forgets_later_ends
         self.advised: list[str] = []
+        self.configuration: dict = {}
+        self._store_server = SilenceableServer(self.store.serve)
+        self.executor_servers = [SilenceableServer(executor.serve) for executor in self.executors]
         self.store_address = ""
         self.advice_address = ""
         self._loop = asyncio.new_event_loop()
@@ -131,14 +137,27 @@
         """Run a coroutine in the event loop of the servers without a time limit."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result()
 
+    def silence_store(self, direction: Direction) -> int:
+        """Make all open connections to the store silent, and return their number."""
+        return self.call(self._store_server.silence, direction)
+
+    def silence_executors(self, direction: Direction) -> int:
+        """Make all open connections to the executors silent, and return their number."""
+        return sum(self.call(server.silence, direction) for server in self.executor_servers)
+
+    def put_configuration(self, configuration: dict) -> None:
+        """Write a configuration as the operator does."""
+        self.configuration = configuration
+        self.store.put("keyed.op", "config", configuration)
+
     def _put_entry(self, executor_id: str, entry: object) -> None:
         self.store.put("keyed.servers", executor_id, entry)
 
     async def _start_servers(self) -> None:
-        self.store_address = await self._start_server(self.store.serve)
+        self.store_address = await self._start_server(self._store_server.serve)
         self.advice_address = await self._start_server(self._advise)
-        for executor in self.executors:
-            address = await self._start_server(executor.serve)
+        for executor, server in zip(self.executors, self.executor_servers, strict=True):
+            address = await self._start_server(server.serve)
             entry = executor.make_entry(address, {"cpu": 8000, "mem_mb": 16000, "gpu": 0})
             self.store.put("keyed.servers", executor.executor_id, entry)
         for worker in self.workers:
@@ -147,7 +166,7 @@
         if self.workers:
             self._ticker = asyncio.get_running_loop().create_task(self._tick())
         self.store.put("keyed.servers", "i-broken", b"not json")
-        self.store.put("keyed.op", "config", make_configuration(1))
+        self.put_configuration(make_configuration(1))
 
     async def _start_server(self, handler) -> str:
         runner = web.ServerRunner(
