--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -395,7 +395,14 @@
         """
         if self._offsets.get(key, -1) >= offset:
             return None
+        changed = self._apply_value(offset, key, value, now_s, utc_s)
+        # Set last, so that a record whose application failed is applied when it is read again.
         self._offsets[key] = offset
+        return changed
+
+    def _apply_value(
+        self, offset: int, key: str, value: bytes, now_s: float, utc_s: float | None
+    ) -> JournalRecord | None:
         if not value:
             self._delete_key(key)
             self._deleted.append((now_s, key, offset))
