Close idle connections of fireflywharfd's pools once another one gave no answer

The pools of the daemon fireflywharfd limited it by a maximum idle time of 10 s and by using the newest connection first, but still lost one request for each connection that had been in use shortly before the silence.

The new scenario of features/platform_clients.feature failed before: 4 of the 4 requests after the silence got no answer, and with the change only the first one.

--- a/features/platform_clients.feature
+++ b/features/platform_clients.feature
@@ -34,6 +34,12 @@
     When a request with a budget of 5.0 s and a read timeout of 0.3 s is sent to it
     Then the target outcome is "Failed" with reason "silent" within 1.0 s
 
+  Scenario: the other pooled connections are replaced after one request without an answer
+    Guards against a lost request for each connection that has gone silent while it was idle.
+    Given a target that behaves as "slow" behind a proxy
+    When 6 requests are sent to it at once, its connections go silent, and 4 follow one by one
+    Then 1 of the 4 requests failed
+
   Scenario: a pooled connection that the target has closed is replaced before the request is sent
     Given a target that behaves as "answer once and close"
     When 5 requests are sent to it one after another
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_pool.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/platform/_pool.py
@@ -1,5 +1,6 @@
 """Bounded connection pools, one for each address."""
 
+import logging
 import threading
 import time
 from collections.abc import Callable
@@ -9,6 +10,8 @@
 from ._exchange import HttpRequest, HttpResponse, PooledConnection, open_connection, run_exchange
 from ._outcomes import Failed, RefusalReason, RefusedBeforeRun
 
+_LOG = logging.getLogger(__name__)
+
 # A request with less time left when it gets a connection is not sent: the response could not arrive
 # in time, and the outcome would be unknown instead of not run.
 MIN_SEND_BUDGET_S = 0.005
@@ -87,6 +90,24 @@
         for connection in expired:
             connection.close()
 
+    def _close_suspects(self, sent_s: float) -> None:
+        """Close the idle connections that may have gone silent together with another one.
+
+        They have not answered since `sent_s`, when a request was sent that got no complete answer
+        on a connection that had worked before. Each of them would cost a further request.
+        """
+        with self._lock:
+            suspects = [c for c in self._idle if c.last_used_s < sent_s]
+            self._idle = [c for c in self._idle if c.last_used_s >= sent_s]
+        for connection in suspects:
+            connection.close()
+        if suspects:
+            _LOG.info(
+                "%d idle connections to %s closed, as another one gave no answer",
+                len(suspects),
+                self.address,
+            )
+
     def _send_on_connection(
         self, request: HttpRequest, validate: Callable[[HttpResponse], Any] | None
     ) -> Any:
@@ -100,6 +121,7 @@
                 connection = opened
             is_new, connection.is_new = connection.is_new, False
             reusable = False
+            sent_s = time.monotonic()
             try:
                 outcome = run_exchange(connection, request)
                 # The peer closed a pooled connection before any byte was sent: use another one.
@@ -109,6 +131,8 @@
                     reusable = outcome.reusable
                     outcome = outcome if validate is None else validate(outcome)
                     reusable = reusable and not isinstance(outcome, Failed)
+                elif isinstance(outcome, Failed) and not is_new:
+                    self._close_suspects(sent_s)
                 return outcome
             finally:
                 self._return_connection(connection, reusable)
