Find a mesh connection that is silent although the peer still sends

The mesh replaces a connection on which a peer has not reacted for 5 s. Each frame of the peer counted as a reaction, also heartbeats that it sends on a connection of its own. A connection that went silent in one direction, or of which only that to the peer went silent, was therefore never replaced.

Only frames that a peer sends after it has received one count now: pongs, answers, refusals and failed calls.

The new scenario of features/mesh.feature failed before: the peer was not reached within 7 s.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -63,6 +63,13 @@
     When "a" sends heartbeats to the silent peer for 6.5 s
     Then the silent peer has seen a second connection
 
+  Scenario: a connection that goes silent is replaced although the peer still sends
+    Guards against a connection that is never replaced, because the frames that the peer sends on its
+    own connection count as reactions.
+    Given a peer "c" behind a proxy that sends heartbeats to "a" every 0.2 s
+    When "a" has called "c" and the connections of the proxy go silent
+    Then "a" sends heartbeats and reaches "c" again within 7.0 s
+
   Scenario: damaged and unknown frames are dropped and counted
     When random frames and frames of a newer version are sent to "a"
     Then "a" has counted them and still answers
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_link.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_link.py
@@ -136,11 +136,18 @@
                     return True
         return False
 
-    def note_received(self) -> None:
-        """Record that a frame of the peer arrived."""
+    def note_received(self, is_reaction: bool) -> None:
+        """Record that a frame of the peer arrived.
+
+        Args:
+            is_reaction: whether the peer sent it because of a frame that it received on this
+                connection. Other frames arrive on a connection of the peer, and show nothing about
+                this one.
+        """
         self.last_received_s = time.monotonic()
-        self._first_unanswered_s = None
-        self._pinged = False
+        if is_reaction:
+            self._first_unanswered_s = None
+            self._pinged = False
 
     def refresh_connection(self) -> bool:
         """Update `connection_id` from the socket.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/mesh/_mesh.py
@@ -45,6 +45,8 @@
 # Wait before sockets are closed, because nng then drops frames that its transport has not written.
 FLUSH_WAIT_S = 0.05
 _REPLACED_BY_NEWER = (Heartbeat, DomainDigest)
+_REACTIONS = frozenset({FrameKind.PONG, FrameKind.ANSWER, FrameKind.REFUSED, FrameKind.FAILED})
+"""Kinds of frames that a peer sends only after it has received one."""
 
 
 class Mesh:
@@ -361,7 +363,7 @@
         address = frame.sender.address
         link = self._links.get(address)
         if link is not None:
-            link.note_received()
+            link.note_received(frame.kind in _REACTIONS)
         match frame.kind:
             case FrameKind.PING:
                 self._put_control(address, FrameKind.PONG, b"")
