Keep idle connections for messages between daemons for the usual time

A record that a daemon has stored, and tickets, are sent to the scheduler when a job is accepted. With connections that were kept idle for 1 s, nearly each of these messages opened one first, which costs a round trip before the job starts. Only the requests for approval, whose timeout is 4 s, need the short time; they have a client of their own now. A silent connection costs one message, which has a timeout of 1 s and whose content the scheduler also reads from the log.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -63,11 +63,11 @@
 _CONFIGURATION_RETRY_S = 0.3
 _PEER_CONNECTIONS = 8
 """Maximum number of connections to a peer; further requests would only wait in its queue."""
-_PEER_KEEPALIVE_S = 1.0
-"""Time for which an idle connection to a peer is kept.
+_APPROVAL_KEEPALIVE_S = 1.0
+"""Time for which an idle connection for requests for approval is kept.
 
-A request for approval shows only after seconds that its connection has gone silent, and no regular
-request shows it earlier."""
+Such a request shows only after seconds that its connection has gone silent. Messages show it after
+one second, and would be delayed by opening connections."""
 _ANNOUNCE_INTERVAL_S = 2.0
 """Timeout of an attempt to record the address of this VM, and the pause after it."""
 
@@ -101,13 +101,17 @@
         )
         self._appender = JournalAppender(platform_services.log, times)
         self._approvals = ApprovalQueue(platform_services.approvals)
-        self._peer_http = HttpClient(_PEER_CONNECTIONS, _PEER_KEEPALIVE_S)
+        self._peer_http = HttpClient(_PEER_CONNECTIONS)
+        self._approvals_http = HttpClient(_PEER_CONNECTIONS, _APPROVAL_KEEPALIVE_S)
         self._peer_server = PeerServer(
             self._approvals, self._handle_peer_record, self._handle_peer_tickets
         )
         self._peer_client = PeerClient(self._peer_http)
         self._balancer = ApprovalBalancer(
-            self._approvals, self._peer_http, presence.vm, lambda: self.reader.journal_state.vms
+            self._approvals,
+            self._approvals_http,
+            presence.vm,
+            lambda: self.reader.journal_state.vms,
         )
         self._approval_rates = ApprovalRates()
         self.workflow_service = WorkflowService(
@@ -128,6 +132,7 @@
     async def start(self) -> None:
         """Start the servers and all loops."""
         await self._peer_http.open()
+        await self._approvals_http.open()
         host, _, port = self._presence.address.rpartition(":")
         await self._peer_server.open(host, int(port))
         for loop in (
@@ -154,6 +159,7 @@
         await self._background.close()
         await self._peer_server.close()
         await self._peer_http.close()
+        await self._approvals_http.close()
 
     async def _announce(self) -> None:
         """Record the address of this VM in the journal."""
