Count an idle connection as working only if it answered since the lost answer was due

A long poll that is held for 1.2 s and times out after 2.4 s was sent before the silence began. An idle connection that had answered between the two counted as working, though it was silent: the next read of the configuration could wait for a second timeout, 4.2 s after the silence in all, with 4 s allowed. The time from which an answer counts is now that at which the lost one was due.

The new scenario of features/workflow_connections.feature fails without the change of _http.py.

--- a/features/platform_silence.feature
+++ b/features/platform_silence.feature
@@ -32,3 +32,18 @@
       | requests | once                 |
       | answers  | once                 |
       | answers  | twice, 1.5 s between |
+
+  Scenario Outline: leases and the tenure are renewed after all connections have gone silent
+    Guards against leases that lapse, and against a scheduler that is replaced, because each renewal is
+    sent to another silent connection.
+
+    Given 2 daemons on the platform with 12 idle connections to a worker that runs a lasting job
+    When the connections to the workers and to the store lose <lost> <times>
+    And the daemons run on for 8 s
+    Then no run has lapsed and the lasting job still has its first run
+    And the 3 tasks of another job start within 2 s
+
+    Examples:
+      | lost     | times                |
+      | requests | once                 |
+      | answers  | twice, 1.5 s between |
--- a/features/steps/platform_silence_steps.py
+++ b/features/steps/platform_silence_steps.py
@@ -53,6 +53,7 @@
     deployment = start_deployment(context, executors_count=1)
     submit(deployment.daemons[0], LASTING_ID, make_job(1, LASTING_WORK_S))
     wait_for(lambda: find_runs(context, LASTING_ID), 5.0, "the lasting job did not start")
+    context.first_number = next(iter(deployment.world.executors[0].runs))[1]
     submit(deployment.daemons[0], BURST_ID, make_job(BURST_TASKS_COUNT, BURST_WORK_S))
     wait_for(
         lambda: len(find_runs(context, BURST_ID)) == BURST_TASKS_COUNT, 5.0, "no burst of tasks"
@@ -78,6 +79,9 @@
             count, minimum = world.silence_executors(direction), BURST_TASKS_COUNT
         case "store":
             count, minimum = world.silence_store(direction), STORE_CONNECTIONS_MIN
+        case "workers and to the store":
+            count, minimum = world.silence_executors(direction), BURST_TASKS_COUNT
+            world.silence_store(direction)
     assert is_repeated or count >= minimum, count
 
 
@@ -100,6 +104,20 @@
     assert status == 200, status
 
 
+@when("the daemons run on for {seconds:g} s")
+def wait(context, seconds):
+    time.sleep(seconds)
+
+
+@then("no run has lapsed and the lasting job still has its first run")
+def check_renewed(context):
+    executors = context.deployment.world.executors
+    ends = [end for executor in executors for end in executor.history if end[2] == "lapsed"]
+    assert not ends, ends
+    runs = [run for executor in executors for run in executor.runs if run[0].startswith(LASTING_ID)]
+    assert len(runs) == 1 and runs[0][1] == context.first_number, runs
+
+
 @then("the task of the job ends within {seconds:g} s")
 def check_ended(context, seconds):
     wait_for(lambda: not find_runs(context, LASTING_ID), seconds, "the cancelled task runs on")
--- a/features/steps/workflow_connection_steps.py
+++ b/features/steps/workflow_connection_steps.py
@@ -114,6 +114,21 @@
     assert isinstance(outcome, NoAnswer), outcome
 
 
+@when("{count:d} requests are answered during a long poll," " and then all connections lose {lost}")
+def silence_during_poll(context, count, lost):
+    world = context.world
+
+    async def run():
+        poll = asyncio.create_task(world.call(POLL_S, POLL_S + TIMEOUT_S, wait_s=POLL_S))
+        await asyncio.sleep(ANSWER_DELAY_S)
+        await world.call_concurrently(count)
+        world.server.silence(Direction(lost))
+        return await poll
+
+    outcome = world.run(run())
+    assert isinstance(outcome, NoAnswer), outcome
+
+
 @when("a caller gives up a request after {seconds:g} s")
 def give_up(context, seconds):
     async def run():
--- a/features/workflow_connections.feature
+++ b/features/workflow_connections.feature
@@ -25,6 +25,13 @@
     And a long poll on the dedicated connection gets no answer
     Then 0 of the next 4 requests of the client gets no answer
 
+  Scenario: connections that answered before a long poll was due are closed with it
+    Guards against a second timeout, because an answer from before the silence counts as a sign of life.
+
+    Given a server to which a client has 12 idle connections
+    When 11 requests are answered during a long poll, and then all connections lose answers
+    Then 0 of the next 4 requests of the client gets no answer
+
   Scenario: an unanswered request shows that the idle dedicated connection is silent
     Guards against a poll, which renews leases, that waits for its timeout after an order has shown the
     silence.
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -206,16 +206,24 @@
             if all(pool.is_unused for pool in pools):
                 del self._pools[address]
 
-    def _close_suspects(self, address: str, unanswered: PooledConnection) -> None:
+    def _close_suspects(
+        self, address: str, unanswered: PooledConnection, wait_s: float = 0.0
+    ) -> None:
         """Close the idle connections that may have gone silent together with another one.
 
         Open connections to an address may go silent, without a reset, while new ones work. Each
-        idle one would then cost another request. Those that have answered since the request was
-        sent are kept. A new connection without an answer shows nothing about the others.
+        idle one would then cost another request. Those that have answered since the answer to the
+        request was due are kept. A new connection without an answer shows nothing about the others.
+
+        Args:
+            address: host and port.
+            unanswered: connection on which a request got no answer.
+            wait_s: time for which the server may have held that request, in seconds.
         """
         if not unanswered.was_open:
             return
-        closed_count = sum(pool.close_idle(unanswered.sent_s) for pool in self._pools[address])
+        due_s = unanswered.sent_s + wait_s
+        closed_count = sum(pool.close_idle(due_s) for pool in self._pools[address])
         if closed_count:
             _LOG.info(
                 "idle connections closed, as another one gave no answer",
@@ -281,16 +289,16 @@
         except asyncio.CancelledError:
             # A caller may limit the duration by itself, or may have lost its interest.
             if pooled is not None and time.monotonic() - pooled.sent_s >= wait_s + SILENCE_S:
-                self._close_suspects(address, pooled)
+                self._close_suspects(address, pooled, wait_s)
             raise
         except TimeoutError:
             if pooled is None:
                 return NotSent("all connections were in use")
-            reason = "no answer in time"
+            self._close_suspects(address, pooled, wait_s)
+            return NoAnswer("no answer in time")
         except (aiohttp.ClientError, OSError) as error:
-            reason = f"{type(error).__name__}: {error}"
-        self._close_suspects(address, pooled)
-        return NoAnswer(reason)
+            self._close_suspects(address, pooled)
+            return NoAnswer(f"{type(error).__name__}: {error}")
 
     async def call_json(
         self,
