Play connections that go silent in the worker soak

The mix `silences` makes the open connections to all workers, or to the store, silent for good in one of both directions, beside restarts of workers and kills of daemons. It is part of the mix `all`, so seed 1 of that mix plays other faults than before; the mixes with other names are unchanged.

--- a/features/steps/worker_soak_faults.py
+++ b/features/steps/worker_soak_faults.py
@@ -6,7 +6,7 @@
 
 from worker_soak_partitions import Network, draw_partition
 
-from fireflywharf_testing.platform_stand_ins import FaultNoted, StoreFault
+from fireflywharf_testing.platform_stand_ins import Direction, FaultNoted, StoreFault
 
 MIXES = {
     "restarts": ["restart"],
@@ -17,6 +17,7 @@
     "cuts": ["cut", "cut", "late orders"],
     "daemons": ["kill", "stop", "term", "store silent", "store"],
     "partitions": ["partition"],
+    "silences": ["silent workers", "silent log", "restart", "kill"],
 }
 """Kinds of faults by name of the mix; the mix `all` has all kinds."""
 DAEMON_FAULTS = frozenset({"kill", "stop", "term", "store silent"})
@@ -102,6 +103,10 @@
                 await self._harm_store()
             elif kind == "partition":
                 await self._harm_network()
+            elif kind == "silent workers":
+                self._silence(self.world.worker_servers)
+            elif kind == "silent log":
+                self._silence([self.world.store_server])
             else:
                 await self._harm_worker(kind, worker)
             await asyncio.sleep(self.rng.uniform(0.1, 1.5))
@@ -153,6 +158,15 @@
         for rows in self.daemon_faults_s.values():
             rows.append((begin_s, time.monotonic()))
 
+    def _silence(self, servers):
+        """Make all connections to some servers that are open now silent for good."""
+        direction = self.rng.choice(list(Direction))
+        count = sum(server.silence(direction) for server in servers)
+        self._note(f"{count} open connections to {len(servers)} servers lose {direction.value}")
+        now_s = time.monotonic()
+        for rows in self.daemon_faults_s.values():
+            rows.append((now_s, now_s))
+
     async def _harm_daemon(self, kind):
         """Harm a daemon, unless it would be the last one without a fault."""
         free = [index for index in range(len(self.daemons)) if index not in self._impaired_daemons]
--- a/features/worker_soak.feature
+++ b/features/worker_soak.feature
@@ -14,6 +14,7 @@
       | mix      | seed |
       | restarts | 1    |
       | refusals | 1    |
+      | silences | 4101 |
       | all      | 1    |
 
   Scenario Outline: no task runs twice and no job is lost while the network is cut in two
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
@@ -13,6 +13,7 @@
 from ._events import FaultNoted
 from ._executor import StandInExecutor
 from ._listener import Listener, stay_silent
+from ._silence import SilenceableServer
 
 ENTRY_EXPIRY_S = 4.5
 """Three intervals of the heartbeats, after which the entry of a silent executor is removed."""
@@ -38,6 +39,7 @@
         drops_call: tells by the fencing token of a call whether the network drops the call and its
             answer.
         late_share: share of the orders that are executed late and get no answer.
+        server: server whose open connections can go silent.
     """
 
     def __init__(
@@ -57,7 +59,8 @@
         # A connection belongs to the process that has served it first.
         self._lives_of_connections: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
         self._started = asyncio.Event()
-        self.listener = Listener(self.serve)
+        self.server = SilenceableServer(self.serve)
+        self.listener = Listener(self.server.serve)
         self._earlier_entry: dict | None = None
         super().__init__(executor_id, **arguments)
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
@@ -62,7 +62,9 @@
 
     Attributes:
         events: what the executors with faults have seen.
+        store_server: server of the store.
         executor_servers: servers of the executors without faults.
+        worker_servers: servers of the executors with faults.
         configuration: newest configuration of the operator.
     """
 
@@ -97,8 +99,9 @@
             worker.forgets_later_ends = forgets_later_ends
         self.advised: list[str] = []
         self.configuration: dict = {}
-        self._store_server = SilenceableServer(self.store.serve)
+        self.store_server = SilenceableServer(self.store.serve)
         self.executor_servers = [SilenceableServer(executor.serve) for executor in self.executors]
+        self.worker_servers = [worker.server for worker in self.workers]
         self.store_address = ""
         self.advice_address = ""
         self._loop = asyncio.new_event_loop()
@@ -139,7 +142,7 @@
 
     def silence_store(self, direction: Direction) -> int:
         """Make all open connections to the store silent, and return their number."""
-        return self.call(self._store_server.silence, direction)
+        return self.call(self.store_server.silence, direction)
 
     def silence_executors(self, direction: Direction) -> int:
         """Make all open connections to the executors silent, and return their number."""
@@ -154,7 +157,7 @@
         self.store.put("keyed.servers", executor_id, entry)
 
     async def _start_servers(self) -> None:
-        self.store_address = await self._start_server(self._store_server.serve)
+        self.store_address = await self._start_server(self.store_server.serve)
         self.advice_address = await self._start_server(self._advise)
         for executor, server in zip(self.executors, self.executor_servers, strict=True):
             address = await self._start_server(server.serve)
