Continue a stream of fireflywharfd behind the records that an answer contains

The reader continued at the offset that an answer named. An answer that lacked records, none at all or some in the middle, made it skip them for good. No log that answers so is known; the rule that a position advances only with the values read now holds here as well. An answer with a gap is ignored, as one that begins at another offset was before.

Three of the four new cases of features/log_readers.feature failed before. The features of streams, membership, contracts, elections, histories and retention passed once each with the change.

--- a/features/log_readers.feature
+++ b/features/log_readers.feature
@@ -51,3 +51,17 @@
     Given a store whose next read of the directory is cut off before the first record
     When the directory is polled 2 times
     Then it has the worker of that record
+
+  Scenario Outline: an answer for a stream of fireflywharfd lacks records
+    Guards against a reader that continues behind records that the answer lacks.
+
+    When a stream has 5 records and an answer contains <answered>, with the end <end>
+    Then the reader continues at <next> and is <state>
+    And it knows all records after an answer with all of them
+
+    Examples:
+      | answered | end | next | state          |
+      | none     | 5   | 0    | not at the end |
+      | 0 1      | 5   | 2    | not at the end |
+      | 0 1 3 4  | 5   | 0    | not at the end |
+      | none     | 0   | 0    | at the end     |
--- a/packages/fireflywharf-core/src/fireflywharf_core/log/_reader.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/log/_reader.py
@@ -83,7 +83,9 @@
         self.truncation = None
         start = max(self.next_offset, answer.first_available)
         entries = [entry for entry in answer.entries if entry.offset >= start]
-        is_misplaced = bool(entries) and entries[0].offset != start
+        is_misplaced = [entry.offset for entry in entries] != list(
+            range(start, start + len(entries))
+        )
         if answer.next_offset < self.next_offset or is_misplaced:
             self.ignored_answers_count_ += 1
             return []
@@ -91,8 +93,9 @@
         if answer.first_available > self.next_offset:
             self.truncation = Truncation(self.next_offset, answer.first_available)
             self.truncated_count_ += 1
-        self.at_end = not answer.entries
-        self.next_offset = max(start, answer.next_offset)
+        # An answer that promises records behind those that it contains must not skip them.
+        self.next_offset = start + len(entries)
+        self.at_end = not answer.entries and answer.next_offset <= start
         return [record for entry in entries if (record := self._decode(entry)) is not None]
 
     def _decode(self, entry: LogEntry) -> ReadRecord | None:
