--- a/features/log_readers.feature
+++ b/features/log_readers.feature
@@ -45,6 +45,13 @@
     When the configuration is read
     Then the new configuration is returned by one of the next 2 calls
 
+  Scenario: a malformed configuration lies between two new ones
+    Guards against a reader that stops at a version that it cannot parse.
+
+    Given a store with a malformed configuration between two new ones
+    When the configuration is read
+    Then the new configuration is returned by one of the next 2 calls
+
   Scenario: an answer promises records and contains none
     Guards against a reader that continues at the promised end.
 
--- a/features/steps/log_reader_steps.py
+++ b/features/steps/log_reader_steps.py
@@ -14,6 +14,9 @@
 from platform_inputs import ENTRY
 from platform_processes import ROOT
 
+from fireflywharf_core.log import StreamReader
+from fireflywharf_core.platform import LogEntry, ReadAnswer
+from fireflywharf_core.records import RECORD_CODEC, WorkerRemoved
 from fireflywharf_core.workflows import VmPresent, decode_record, encode_record
 from fireflywharf_daemon.workflows import Answer, NoAnswer, NotSent
 from fireflywharf_daemon.workflows._journal import JournalReader
@@ -286,6 +289,13 @@
     asyncio.run(context.reader.read())
 
 
+@given("a store with a malformed configuration between two new ones")
+def store_malformed_between(context):
+    open_configuration(context, "config", b"{")
+    context.log.append(*make_record("configuration", "config", 3))
+    context.newest_version = 3
+
+
 @when("the configuration is read")
 def read_configuration_once(context):
     asyncio.run(context.reader.read())
@@ -317,3 +327,30 @@
 @then("it has the worker of that record")
 def check_directory(context):
     assert context.reader.shown == {"i-1": 1, "i-2": 2}, context.reader.shown
+
+
+def make_entries(offsets):
+    return [
+        LogEntry(offset, "vm#0", offset, 0, RECORD_CODEC.encode(WorkerRemoved(f"w{offset}")))
+        for offset in offsets
+    ]
+
+
+@when("a stream has {count:d} records and an answer contains {answered}, with the end {end:d}")
+def answer_partly(context, count, answered, end):
+    offsets = [] if answered == "none" else [int(word) for word in answered.split()]
+    context.reader, context.entries = StreamReader("s", RECORD_CODEC), make_entries(range(count))
+    context.records = context.reader.on_read(ReadAnswer(make_entries(offsets), end, 0))
+
+
+@then("the reader continues at {offset:d} and is {state}")
+def check_position(context, offset, state):
+    assert context.reader.next_offset == offset == len(context.records), context.records
+    assert context.reader.at_end == (state == "at the end"), context.reader.at_end
+
+
+@then("it knows all records after an answer with all of them")
+def check_all_records(context):
+    entries = context.entries
+    context.records += context.reader.on_read(ReadAnswer(entries, len(entries), 0))
+    assert [row.offset for row in context.records] == list(range(len(entries)))
--- a/features/steps/mesh_steps.py
+++ b/features/steps/mesh_steps.py
@@ -10,11 +10,9 @@
 from hypothesis import given as given_values
 from hypothesis import settings
 from hypothesis import strategies as st
-from silencing_proxy import SilencingProxy
 
 from fireflywharf_core.messages import Acknowledged, Heartbeat, JobAnswer, JobQuery
 from fireflywharf_daemon.mesh import CallRefused, Mesh, NoAnswer, Unreachable
-from fireflywharf_daemon.mesh._frames import Sender
 from fireflywharf_testing import reserve_port, wait_until
 
 QUEUE_MAX = 100
@@ -129,58 +127,6 @@
     assert all(when_s < slow_s for job_id, when_s in times.items() if job_id.startswith("short"))
 
 
-class ProxiedPeer(Peer):
-    """A peer that others reach only through a proxy."""
-
-    def __init__(self, name, port):
-        super().__init__(name, port)
-        self.proxy = SilencingProxy(("127.0.0.1", port))
-        self.address = self.proxy.address
-        # Others reply to this address, and know the peer by it.
-        self.mesh._sender = Sender(self.mesh.incarnation, self.address)
-
-    def close(self):
-        self.mesh.close()
-        self.proxy.close()
-
-
-@given('a peer "c" behind a proxy that sends heartbeats to "a" every {interval_s:g} s')
-def start_proxied_peer(context, interval_s):
-    peer = context.proxied_peer = ProxiedPeer("c", reserve_port("127.0.0.1"))
-    ended = threading.Event()
-
-    def send():
-        sequence = 0
-        while not ended.wait(interval_s):
-            sequence += 1
-            peer.mesh.send(context.peers["a"].address, build_heartbeat(sequence))
-
-    sender = threading.Thread(target=send)
-    sender.start()
-    context.add_cleanup(peer.close)
-    context.add_cleanup(sender.join)
-    context.add_cleanup(ended.set)
-
-
-@when('"a" has called "c" and the connections of the proxy go silent')
-def silence_proxy(context):
-    a, c = context.peers["a"], context.proxied_peer
-    assert isinstance(a.mesh.call(c.address, JobQuery("x"), 2000), JobAnswer)
-    c.proxy.silence()
-
-
-@then('"a" sends heartbeats and reaches "c" again within {limit_s:g} s')
-def check_reached_again(context, limit_s):
-    a, c = context.peers["a"], context.proxied_peer
-
-    def is_reached():
-        a.mesh.send(c.address, build_heartbeat(1))
-        return isinstance(a.mesh.call(c.address, JobQuery("x"), 200), JobAnswer)
-
-    assert not is_reached()
-    assert wait_until(is_reached, limit_s)
-
-
 @given('"a" has called "b"')
 def call_once(context):
     a, b = context.peers["a"], context.peers["b"]
--- a/features/steps/platform_clients_steps.py
+++ b/features/steps/platform_clients_steps.py
@@ -12,7 +12,6 @@
 import urllib.request
 
 from behave import given, then, when
-from silencing_proxy import SilencingProxy
 
 from fireflywharf_core.jobs import AttemptId, TaskId
 from fireflywharf_core.platform import StartAttempt, StopAttempt, VmInfo, VmRole
@@ -195,34 +194,6 @@
     context.add_cleanup(context.target_client.close)
 
 
-@given('a target that behaves as "{behaviour}" behind a proxy')
-def start_proxied_target(context, behaviour):
-    start_target(context, behaviour)
-    host, _, port = context.target.address.partition(":")
-    context.proxy = SilencingProxy((host, int(port)))
-    context.add_cleanup(context.proxy.close)
-    context.target.address = context.proxy.address
-
-
-@when(
-    "{first:d} requests are sent to it at once, its connections go silent,"
-    " and {count:d} follow one by one"
-)
-def send_before_and_after_silence(context, first, count):
-    send_concurrently(context, first, 5.0, first + 2)
-    assert all(isinstance(outcome, Success) for outcome in context.target_outcomes)
-    context.proxy.silence()
-    context.target_outcomes = [
-        send_request(context, number, 0.6, first + 2) for number in range(count)
-    ]
-
-
-@then("{failed:d} of the {count:d} requests failed")
-def check_failed_count(context, failed, count):
-    found = [outcome for outcome in context.target_outcomes if isinstance(outcome, Failed)]
-    assert (len(found), len(context.target_outcomes)) == (failed, count), context.target_outcomes
-
-
 @when("a request with a budget of {budget_s:g} s is sent to it")
 def send_single_request(context, budget_s):
     send_with_read_timeout(context, budget_s, None)
--- a/features/steps/state_log_steps.py
+++ b/features/steps/state_log_steps.py
@@ -434,27 +434,3 @@
     assert context.next.number == 3 and context.done == {0}
     assert context.fold.tasks_of("j-1") == {}
     assert context.fold.due_records(1000.0) == [] == context.fold.due_records(2000.0)
-
-
-def make_entries(offsets):
-    return [LogEntry(offset, "vm#0", offset, 0, make_payload(offset)) for offset in offsets]
-
-
-@when("a stream has {count:d} records and an answer contains {answered}, with the end {end:d}")
-def answer_partly(context, count, answered, end):
-    offsets = [] if answered == "none" else [int(word) for word in answered.split()]
-    context.reader, context.entries = make_reader("s"), make_entries(range(count))
-    context.records = context.reader.on_read(ReadAnswer(make_entries(offsets), end, 0))
-
-
-@then("the reader continues at {offset:d} and is {state}")
-def check_position(context, offset, state):
-    assert context.reader.next_offset == offset == len(context.records), context.records
-    assert context.reader.at_end == (state == "at the end"), context.reader.at_end
-
-
-@then("it knows all records after an answer with all of them")
-def check_all_records(context):
-    entries = context.entries
-    context.records += context.reader.on_read(ReadAnswer(entries, len(entries), 0))
-    assert [row.offset for row in context.records] == list(range(len(entries)))
