--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_connections.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_connections.py
@@ -105,7 +105,7 @@
         task.add_done_callback(self._closing.discard)
 
     async def close(self) -> None:
-        """Close all idle connections; those in use are closed after their requests."""
+        """Close all idle connections; the pool must not be used afterwards."""
         self._keepalive_s = float("-inf")
         self.close_idle(float("inf"))
         await asyncio.gather(*self._closing)
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_silence.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_silence.py
@@ -41,6 +41,10 @@
         self._silent.update(dict.fromkeys(found, direction))
         return len(found)
 
+    def silence_one(self, transport: asyncio.BaseTransport) -> None:
+        """Lose the answers on one connection."""
+        self._silent[transport] = Direction.ANSWERS
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request, unless its connection is silent."""
         transport = request.transport
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_stand_ins.py
@@ -148,6 +148,25 @@
         """Make all open connections to the executors silent, and return their number."""
         return sum(self.call(server.silence, direction) for server in self.executor_servers)
 
+    def add_store_server(
+        self, rejects: Callable[[web.BaseRequest], web.StreamResponse | None]
+    ) -> tuple[str, SilenceableServer]:
+        """Serve the store at a further address.
+
+        Args:
+            rejects: returns the answer with which a request is rejected, or None.
+
+        Returns:
+            The address and the server.
+        """
+
+        async def serve(request: web.BaseRequest) -> web.StreamResponse:
+            rejection = rejects(request)
+            return await self.store.serve(request) if rejection is None else rejection
+
+        server = SilenceableServer(serve)
+        return self.call(self._start_server, server.serve), server
+
     def put_configuration(self, configuration: dict) -> None:
         """Write a configuration as the operator does."""
         self.configuration = configuration
