--- a/features/steps/connection_soak.py
+++ b/features/steps/connection_soak.py
@@ -32,7 +32,7 @@
 REJECTING_SHARE = 0.7
 REJECTION_KINDS = ["429", "503", "reset", "no answer"]
 WAVE = {"wave": 1, "machines": ["m-1"], "duration_s": 60, "cap": 1}
-SEED_QUEUES_COUNT = 8
+FIRST_QUEUES_COUNT = 8
 
 
 @attrs.define
@@ -42,10 +42,12 @@
     Args:
         share: share of the calls that are rejected.
         kind: status of the answer, `reset` or `no answer`.
+        rng: draws which calls are rejected; used only by the thread of the stand-ins.
     """
 
     share: float
     kind: str
+    rng: random.Random = attrs.field(repr=False)
 
 
 class ConnectionSoak:
@@ -70,13 +72,13 @@
         self._begin_s = time.monotonic()
         self.deployment = PlatformDeployment(0, executors_count=EXECUTORS_COUNT)
         self.world = world = self.deployment.world
-        self._store_servers = []
+        self._store_servers = {}
         for index in range(daemons_count):
             name = f"vm-{index}"
             address, server = world.add_store_server(
                 lambda request, name=name: self._reject(name, request)
             )
-            self._store_servers.append(server)
+            self._store_servers[name] = server
             addresses = SimpleNamespace(store_address=address, advice_address=world.advice_address)
             folder = str(self.deployment.folder)
             self.deployment.daemons.append(PlatformDaemon(name, addresses, folder))
@@ -87,7 +89,7 @@
     def run(self):
         """Run all rounds, and keep the logs if a rule was broken."""
         try:
-            for _ in range(SEED_QUEUES_COUNT):
+            for _ in range(FIRST_QUEUES_COUNT):
                 self._add_queue()
             self._put_configuration()
             self.deployment.start()
@@ -110,26 +112,31 @@
     def _reject(self, name, request):
         """Return the answer to a call that is rejected; runs in the thread of the stand-ins."""
         rejection = self._rejections.get(name)
-        if rejection is None or self._rng_rejections.random() >= rejection.share:
+        if rejection is None or rejection.rng.random() >= rejection.share:
             return None
         match rejection.kind:
             case "reset":
                 request.transport.abort()
             case "no answer":
-                self._store_servers[int(name[3:])].silence_one(request.transport)
+                self._store_servers[name].silence_one(request.transport)
         return web.Response(status=int(rejection.kind) if rejection.kind.isdigit() else 503)
 
     def _silence(self):
         target, direction = self._rng.choice(["workers", "store"]), self._rng.choice([*Direction])
-        servers = self.world.executor_servers if target == "workers" else self._store_servers
+        servers = self._store_servers.values()
+        if target == "workers":
+            servers = self.world.executor_servers
         count = sum(self.world.call(server.silence, direction) for server in servers)
         self._note(f"{count} connections to the {target} lose {direction.value}")
 
     def _begin_rejections(self):
         count = max(1, len(self.deployment.daemons) // 3)
         daemons = self._rng.sample(self.deployment.daemons, count)
-        rejection = Rejection(self._rng.uniform(0.5, 0.95), self._rng.choice(REJECTION_KINDS))
-        self._rng_rejections = random.Random(self._rng.random())
+        rejection = Rejection(
+            self._rng.uniform(0.5, 0.95),
+            self._rng.choice(REJECTION_KINDS),
+            random.Random(self._rng.random()),
+        )
         self._rejections = {daemon.name: rejection for daemon in daemons}
         self._note(f"the store rejects calls of {sorted(self._rejections)}: {rejection}")
 
