--- a/packages/fireflywharf-core/src/fireflywharf_core/contracts/_contract.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/contracts/_contract.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from ..resources import ResourceVector
+
 UNLIMITED: Literal["unlimited"] = "unlimited"
 
 Limit = int | Literal["unlimited"]
@@ -27,6 +29,17 @@
     memory_mb: Limit
     accelerators_count: Limit
 
+    def allows(self, held: ResourceVector) -> bool:
+        """Return whether these resources may be in use at the same time."""
+        return all(
+            limit == UNLIMITED or amount <= limit
+            for amount, limit in (
+                (held.processors_millicores, self.processors_millicores),
+                (held.memory_mb, self.memory_mb),
+                (held.accelerators_count, self.accelerators_count),
+            )
+        )
+
 
 @attrs.frozen(slots=True, kw_only=True)
 class TeamQuota:
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_engine.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_engine.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from ..accounts import Account
 from ..contracts import Contract
 from ..jobs import JobSpec
 from ..resources import ResourceVector
@@ -12,7 +13,7 @@
 from ._policy import FairShare
 from ._queue import WaitingQueue
 from ._reclaim import Reclaimer
-from ._share_ledger import Account, ShareLedger
+from ._share_ledger import ShareLedger
 from ._worker_pools import WorkerPools
 
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_fair_share.py
@@ -4,6 +4,7 @@
 import math
 import random
 
+from ..accounts import Account
 from ..contracts import Contract
 from ..jobs import JobKind, JobSpec
 from ..resources import ResourceVector
@@ -20,7 +21,7 @@
 from ._queue import SizeClass, SizeQueue, WaitingQueue
 from ._reclaim import Reclaimer
 from ._share_balancer import ShareBalancer
-from ._share_ledger import Account, ShareLedger
+from ._share_ledger import ShareLedger
 from ._short_task_reserve import ShortTaskReserve
 from ._state_changes import (
     AttemptChargeChanged,
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_forecast.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_forecast.py
@@ -4,6 +4,7 @@
 
 import math
 
+from ..accounts import Account
 from ..jobs import JobKind, JobSpec
 from ..resources import ResourceVector
 from ..results import ResultCode
@@ -11,7 +12,6 @@
 from ._engine import PolicyEngine
 from ._model import Job, Pool
 from ._share_balancer import ShareBalancer
-from ._share_ledger import Account
 
 # Jobs of each size queue that are examined to estimate the work ahead of a new job.
 SAMPLED_JOBS = 64
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_share_balancer.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_share_balancer.py
@@ -4,10 +4,10 @@
 
 from itertools import islice
 
+from ..accounts import Account
 from ..contracts import ReclaimStep
 from ._engine import PolicyEngine
 from ._model import Attempt, Job, Worker
-from ._share_ledger import Account
 
 # Relative distance from the fair share within which no running task is reclaimed.
 SHARE_TOLERANCE = 0.02
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_share_ledger.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_share_ledger.py
@@ -2,9 +2,8 @@
 
 import math
 
-import attrs
-
-from ..contracts import UNLIMITED, Contract, Quota
+from ..accounts import Account
+from ..contracts import Contract
 from ..resources import ResourceVector
 from ._model import Attempt
 from ._policy import Charging
@@ -13,50 +12,6 @@
 USAGE_STEPS = 50
 
 
-def _limit_or_infinity(limit: object) -> float:
-    return math.inf if limit == UNLIMITED else limit
-
-
-@attrs.define(slots=True, eq=False)
-class Account:
-    """Resource usage of one customer or team.
-
-    Args:
-        name: customer or team.
-        weight: weight of its fair share.
-        quota: limits on the resources it holds at a time.
-        priority: priority among customers with equal weighted usage; higher is served first.
-        held: resources it holds now.
-        held_share: dominant share of `held`.
-        decayed_share_seconds: past usage in share-seconds, decayed exponentially with the window.
-        updated_s: time up to which `decayed_share_seconds` is computed.
-        teams: accounts of the customer's teams by name.
-        contract: contract in force; None for a team.
-    """
-
-    name: str
-    weight: float
-    quota: Quota
-    priority: int = 0
-    held: ResourceVector = ResourceVector()
-    held_share: float = 0.0
-    decayed_share_seconds: float = 0.0
-    updated_s: float = 0.0
-    teams: dict[str, "Account"] = attrs.field(factory=dict)
-    contract: Contract | None = None
-
-    def has_quota_for(self, size: ResourceVector, tasks_count: int = 1) -> bool:
-        """Return whether the quota allows more tasks of a size."""
-        held, quota = self.held, self.quota
-        return (
-            held.processors_millicores + size.processors_millicores * tasks_count
-            <= _limit_or_infinity(quota.processors_millicores)
-            and held.memory_mb + size.memory_mb * tasks_count <= _limit_or_infinity(quota.memory_mb)
-            and held.accelerators_count + size.accelerators_count * tasks_count
-            <= _limit_or_infinity(quota.accelerators_count)
-        )
-
-
 class ShareLedger:
     """Tracks the dominant-resource usage of customers, with exponential decay of past usage.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_urgent_starter.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/scheduling/_urgent_starter.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from ..accounts import Account
 from ..resources import ResourceVector
 from ..results import ResultCode
 from ._engine import PolicyEngine
 from ._model import Job, Pool, Worker
-from ._share_ledger import Account
 
 MAX_RECLAIMS_PER_DECISION = 16
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -25,6 +25,7 @@
     StopAnswered,
     StopCause,
     StopRun,
+    TeamsChanged,
     TenureConfirmed,
     WorkerReported,
     WorkerRestarted,
@@ -50,6 +51,7 @@
     job_keys,
     vm_key,
 )
+from ._keys import TeamKeys
 from ._names import StepName, TaskName
 from ._scheduler import WorkflowScheduler
 from ._specs import (
@@ -100,6 +102,8 @@
     "StopCause",
     "StopRun",
     "TaskName",
+    "TeamKeys",
+    "TeamsChanged",
     "TenureConfirmed",
     "TenureRecord",
     "Timing",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..contracts import TeamQuota
 from ._journal import JournaledWorkflow
 from ._names import StepName, TaskName
 from ._specs import Directory
@@ -136,6 +137,13 @@
     workers: Directory
 
 
+@attrs.frozen(slots=True)
+class TeamsChanged:
+    """A new version of the teams, with their weights and quotas, was read."""
+
+    teams: tuple[TeamQuota, ...]
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class WorkerReported:
     """A worker reported its running and ended runs.
@@ -220,6 +228,7 @@
     | TenureConfirmed
     | JobCancelled
     | DirectoryChanged
+    | TeamsChanged
     | WorkerReported
     | WorkerSilent
     | StartAnswered
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -58,12 +58,14 @@
         queue: configuration of its queue at that time.
         spec: the submitted specification.
         accepted_utc_s: time of acceptance, in seconds since the Unix epoch.
+        team: team whose key submitted it; empty without teams.
     """
 
     job_id: str
     queue: Queue
     spec: WorkflowSpec
     accepted_utc_s: float
+    team: str = ""
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -113,12 +115,15 @@
         state: current state.
         steps: progress of the steps.
         queue: name of the queue of a waiting job; empty otherwise.
+        team: team of the job; empty without teams. Daemons that do not read the submissions learn
+            from it who may ask for the job.
     """
 
     job_id: str
     state: WorkflowState
     steps: tuple[StepProgress, ...] = ()
     queue: str = ""
+    team: str = ""
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -219,6 +224,7 @@
     state: str
     steps: list[tuple[int, int, bytes, dict[int, tuple[int, ...]]]]
     queue: str = ""
+    team: str = ""
 
 
 _CODEC = TaggedCodec(
@@ -243,12 +249,13 @@
             return f"c{job_id}", _CODEC.encode(record)
         case WorkflowClosed(job_id=job_id):
             return f"a{job_id}", _CODEC.encode(record)
-        case WorkflowProgress(job_id=job_id, state=state, steps=steps, queue=queue):
+        case WorkflowProgress(job_id=job_id, state=state, steps=steps, queue=queue, team=team):
             rows = [
                 (row.occurrence, row.step, _BitsetCodec.pack(row.done_bits), row.failures)
                 for row in steps
             ]
-            return f"p{job_id}", _CODEC.encode(_PackedProgress(job_id, state.value, rows, queue))
+            packed = _PackedProgress(job_id, state.value, rows, queue, team)
+            return f"p{job_id}", _CODEC.encode(packed)
         case TenureRecord():
             return TENURE_KEY, _CODEC.encode(record)
         case WorkersInUse():
@@ -275,7 +282,9 @@
         StepProgress(occurrence=k, step=s, done_bits=_BitsetCodec.unpack(bits), failures=failures)
         for k, s, bits, failures in record.steps
     )
-    return WorkflowProgress(job_id=record.job_id, state=state, steps=steps, queue=record.queue)
+    return WorkflowProgress(
+        job_id=record.job_id, state=state, steps=steps, queue=record.queue, team=record.team
+    )
 
 
 def vm_key(vm: str) -> str:
@@ -311,6 +320,7 @@
         progress: newest progress; None before the first.
         final_s: local time at which the final state was read, in seconds.
         closed: whether the job has ended and its acceptance was replaced.
+        team: team of the job, which is kept after its acceptance was replaced; empty without teams.
     """
 
     accepted: WorkflowAccepted | None = None
@@ -320,6 +330,7 @@
     progress: WorkflowProgress | None = None
     final_s: float | None = None
     closed: bool = False
+    team: str = ""
 
     @property
     def exists(self) -> bool:
@@ -440,7 +451,7 @@
                 # A delayed append can arrive after the job has ended.
                 if job.closed or job.accepted is not None:
                     return False
-                job.accepted, job.offset = record, offset
+                job.accepted, job.offset, job.team = record, offset, record.team
                 age_s = 0.0 if utc_s is None else utc_s - record.accepted_utc_s
                 job.accepted_s = now_s - min(AGE_MAX_S, max(0.0, age_s))
             case WorkflowClosed():
@@ -451,6 +462,7 @@
                 job.cancelled = True
             case WorkflowProgress():
                 job.progress = record
+                job.team = record.team or job.team
         if (job.state.is_final or job.closed) and job.final_s is None:
             job.final_s = now_s
         self._update_pending(record.job_id, job)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -266,6 +266,7 @@
             min(now_s, journaled.accepted_s),
             inherited=has_progress,
             recorded=has_progress,
+            team=journaled.team,
         )
         job.dirty = not has_progress
         if has_progress:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
@@ -6,7 +6,9 @@
 
 import attrs
 
+from ..contracts import TeamQuota
 from ..resources import ResourceVector
+from ._keys import TeamKeys
 from ._names import TaskName
 
 
@@ -122,6 +124,7 @@
         stretch: factor on the summed run time of a job's steps in its completion objective.
         grace_ms: constant part of that objective, in milliseconds.
         approval: cost of approval requests; None if steps need no approval.
+        is_public: whether calls need no key of a team.
     """
 
     name: str
@@ -133,6 +136,7 @@
     stretch: float = 2.0
     grace_ms: float = 0.0
     approval: Approval | None = None
+    is_public: bool = False
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -144,12 +148,18 @@
         queues: all queues.
         standby_services: services whose workers are switched off.
         max_body_bytes: maximum length of a request body, in bytes.
+        teams: teams with their weights, in owed jobs per second, and their quotas.
+        keys: keys of the teams.
+        requires_keys: whether calls of queues that are not public need the key of a team.
     """
 
     version: int
     queues: tuple[Queue, ...]
     standby_services: frozenset[str] = frozenset()
     max_body_bytes: int = 1 << 20
+    teams: tuple[TeamQuota, ...] = ()
+    keys: TeamKeys = attrs.field(factory=TeamKeys)
+    requires_keys: bool = False
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of `host` with the longest matching path prefix, or None."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -341,6 +341,7 @@
         state: current state, to be stored in the journal.
         steps: steps by occurrence and index.
         dirty: whether progress must be stored.
+        team: team of the job; empty without teams.
     """
 
     job_id: str
@@ -352,6 +353,7 @@
     state: WorkflowState = WorkflowState.QUEUED
     steps: dict[tuple[int, int], Step] = attrs.field(factory=dict)
     dirty: bool = False
+    team: str = ""
 
     def create_occurrence(self, occurrence: int) -> None:
         """Create the steps of an occurrence that do not exist yet."""
@@ -378,6 +380,7 @@
             job_id=self.job_id,
             state=self.state,
             queue=self.queue.name if self.state is WorkflowState.QUEUED else "",
+            team=self.team,
             steps=tuple(
                 row for row in rows if not self.state.is_final and (row.done_bits or row.failures)
             ),
