--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -261,6 +261,9 @@
             if step.gang_plan.start_s <= now_s + answer_s + _RENEWAL_LEAD_S:
                 return []
             count_tasks = self._count_fitting_tasks
+        unasked = [row for row in workers.items() if row[0] not in step.asked]
+        if not unasked:
+            return []
         missing = float(len(step.waiting))
         for worker_id in step.tickets:
             worker = workers.get(worker_id)
@@ -268,11 +271,10 @@
             if missing <= 0:
                 return []
         candidates = []
-        for worker_id, worker in workers.items():
-            if worker_id not in step.asked:
-                count = count_tasks(step, worker, now_s)
-                if count > 0:
-                    candidates.append((count, worker_id))
+        for worker_id, worker in unasked:
+            count = count_tasks(step, worker, now_s)
+            if count > 0:
+                candidates.append((count, worker_id))
         if not candidates:
             return []
         approval_rate = self.approval_rates.predict(step.job.queue.name)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_headroom.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_headroom.py
@@ -94,9 +94,16 @@
 
 def _used_share(workers: list[Worker]) -> float:
     """Return the used share of the capacity of all workers, by the resource that is used most."""
-    capacity, free = ResourceVector(), ResourceVector()
-    for worker in workers:
-        capacity, free = capacity + worker.info.capacity, free + worker.free
+    capacities = [worker.info.capacity for worker in workers]
+    frees = [worker.free for worker in workers]
+    capacity, free = (
+        ResourceVector(
+            sum(vector.processors_millicores for vector in vectors),
+            sum(vector.memory_mb for vector in vectors),
+            sum(vector.accelerators_count for vector in vectors),
+        )
+        for vectors in (capacities, frees)
+    )
     return (capacity - free).dominant_share(capacity)
 
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -14,14 +14,20 @@
 
 def fit_count(free: ResourceVector, size: ResourceVector) -> int:
     """Return how many times `size` fits into `free`."""
+    # Called for every worker and waiting step in each decision; the built-in `min` and `max` take
+    # half of the time.
     count = UNLIMITED
     if size.processors_millicores > 0:
         count = free.processors_millicores // size.processors_millicores
     if size.memory_mb > 0:
-        count = min(count, free.memory_mb // size.memory_mb)
+        by_memory = free.memory_mb // size.memory_mb
+        if by_memory < count:
+            count = by_memory
     if size.accelerators_count > 0:
-        count = min(count, free.accelerators_count // size.accelerators_count)
-    return max(0, count)
+        by_accelerators = free.accelerators_count // size.accelerators_count
+        if by_accelerators < count:
+            count = by_accelerators
+    return count if count > 0 else 0
 
 
 def limit_count(step: Step, worker: Worker, count: int) -> int:
@@ -30,6 +36,8 @@
     Label requirements, the maximum number of tasks per worker and the probation of failing workers
     are taken into account.
     """
+    if count <= 0:
+        return 0
     spec = step.spec
     if spec.required_label and spec.required_label not in worker.info.labels:
         return 0
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -160,10 +160,10 @@
         self.headroom.choose_workers(
             (worker for workers in usable.values() for worker in workers.values()), now_s
         )
-        for step in ready if may_start else ():
+        for position, step in enumerate(ready if may_start else ()):
             if self.runs.starting_count >= self.runs.start_window.limit_:
                 break
-            if self.placer.should_place(step, now_s):
+            if self.placer.should_place(step, position, now_s):
                 self.placer.place(step, usable[step.job.queue.service], now_s)
         actions, self.outbox[:] = list(self.outbox), []
         return actions
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -188,6 +188,8 @@
 
     def available_capacity(self, step: Step, now_s: float) -> ResourceVector:
         """Return the free capacity that is not reserved for other steps."""
+        if not self.reservations:
+            return self.free
         free = self.free
         for holder, reservation in list(self.reservations.items()):
             if now_s >= reservation.until_s:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
@@ -17,6 +17,13 @@
 
 PLACEMENT_RETRY_S = 0.03
 """Minimum time between attempts to place a step; a tenth of the slack of the most urgent jobs."""
+PROMPT_STEPS_COUNT = 32
+"""Number of waiting steps, in the order of placement, that are tried again after each change."""
+CROWDED_RETRY_S = 0.1
+"""Minimum time between attempts to place a step behind `PROMPT_STEPS_COUNT` others.
+
+Urgent jobs have a slack of some tenths of a second, so they are not delayed in this way. All steps
+that have just arrived or got tickets are tried at once."""
 BLOCKED_RETRY_S = 1.0
 """Maximum time between attempts to place a step, whether or not capacity has become free.
 
@@ -48,15 +55,25 @@
         self.headroom = headroom
         self.confirmation = confirmation
 
-    def should_place(self, step: Step, now_s: float) -> bool:
+    def should_place(self, step: Step, position: int, now_s: float) -> bool:
         """Return whether another attempt to place a step may succeed.
 
-        At full load, hundreds of steps wait and every run that ends triggers a decision, so steps
-        are skipped for a while if no capacity has become free since the last attempt.
+        Load pattern: in a burst, hundreds of steps wait, and every run that ends triggers a
+        decision. If each of them tries to place every step, the decisions take all of the
+        scheduler's processor, and the urgent jobs that arrive meanwhile wait for it. Steps are
+        therefore skipped for a while if no capacity has become free since the last attempt, or if
+        many others come before them.
+
+        Args:
+            step: the step.
+            position: number of waiting steps that come before it in the order of placement.
+            now_s: current local time, in seconds.
         """
         if step.blocked_version == -1:
             return True
-        if now_s < max(step.retry_s, step.last_attempt_s + PLACEMENT_RETRY_S):
+        is_prompt = position < PROMPT_STEPS_COUNT or self.headroom.is_urgent(step.job)
+        interval_s = PLACEMENT_RETRY_S if is_prompt else CROWDED_RETRY_S
+        if now_s < max(step.retry_s, step.last_attempt_s + interval_s):
             return False
         return (
             step.blocked_version != self.runs.capacity_version
