Check the keys of teams at the entry, by the latest configuration and its age

Deployments with teams need each call to prove its team, and a revoked key must end within a bound also at a VM that is cut off, suspended or just started. The configuration source now reports when the latest read was sent that showed the newest version, and KeyCheck decides from that age: 401 only while a new key would be known, 503 where the configuration is too old to accept or refuse. Submissions, queries and cancellations carry the caller's team; another team's job is answered with 410, its id with 409. Without teams in the configuration or in the settings, no check takes effect.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -51,6 +51,7 @@
     job_keys,
     vm_key,
 )
+from ._key_check import KeyAccepted, KeyCheck, KeyDecision, KeyUndecidable, KeyUnknown
 from ._keys import TeamKeys
 from ._names import StepName, TaskName
 from ._scheduler import WorkflowScheduler
@@ -86,6 +87,11 @@
     "JournalState",
     "MAIN_PARTITION",
     "JournalRecord",
+    "KeyAccepted",
+    "KeyCheck",
+    "KeyDecision",
+    "KeyUndecidable",
+    "KeyUnknown",
     "LossCause",
     "ReportedEnd",
     "ReportedRun",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -451,7 +451,10 @@
                 # A delayed append can arrive after the job has ended.
                 if job.closed or job.accepted is not None:
                     return False
-                job.accepted, job.offset, job.team = record, offset, record.team
+                job.accepted, job.offset = record, offset
+                # The scheduler has recorded the team of the first acceptance.
+                if job.progress is None or not job.team:
+                    job.team = record.team
                 age_s = 0.0 if utc_s is None else utc_s - record.accepted_utc_s
                 job.accepted_s = now_s - min(AGE_MAX_S, max(0.0, age_s))
             case WorkflowClosed():
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
@@ -1,5 +1,6 @@
 """Daemon for workflows: caller interface, journal, leader election and the active scheduler."""
 
+from ._clocks import boot_time_s
 from ._daemon import WorkflowDaemon
 from ._http import Answer, Connection, HttpClient, HttpOutcome, NoAnswer, NotSent
 from ._interfaces import (
@@ -26,17 +27,22 @@
 from ._metrics import WorkflowMetrics
 from ._service import (
     Accepted,
+    AdmittedCall,
+    JobOfOtherTeam,
     JobStateReply,
     PendingCountReply,
     Rejected,
     Reply,
+    Unauthorized,
     Uncertain,
     UnknownJob,
+    UnknownQueue,
     WorkflowService,
 )
 
 __all__ = [
     "Accepted",
+    "AdmittedCall",
     "Answer",
     "AppendFenced",
     "AppendRejected",
@@ -51,6 +57,7 @@
     "PollFenced",
     "HttpClient",
     "HttpOutcome",
+    "JobOfOtherTeam",
     "JobStateReply",
     "WorkerReport",
     "LogRecord",
@@ -67,9 +74,12 @@
     "Reply",
     "PlatformServices",
     "Topic",
+    "Unauthorized",
     "Uncertain",
     "UnknownJob",
+    "UnknownQueue",
     "WorkflowDaemon",
     "WorkflowMetrics",
     "Writer",
+    "boot_time_s",
 ]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -13,6 +13,7 @@
     ApprovalReceived,
     Configuration,
     JournalRecord,
+    KeyCheck,
     StepName,
     TenureRecord,
     Timing,
@@ -80,6 +81,7 @@
         platform_services: external services.
         timing: timeouts of the deployment.
         metrics: counters and histograms.
+        key_check: decides which keys of callers are accepted.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         platform_services: PlatformServices,
         timing: Timing,
         metrics: WorkflowMetrics,
+        key_check: KeyCheck | None = None,
     ) -> None:
         self._presence = presence
         self._metrics = metrics
@@ -121,6 +124,7 @@
             self._request_first_tickets,
             self._handle_stored,
             metrics,
+            key_check,
         )
         self._election = Election(presence, self._rng, lambda: self.reader.journal_state.vms)
         self._directory: Mapping[str, WorkerInfo] = {}
@@ -194,16 +198,15 @@
     async def _configuration_loop(self) -> None:
         known: Configuration | None = None
         while True:
-            newer = await self._platform.configuration.next_version(known)
+            source = self._platform.configuration
+            newer = await source.next_version(known)
+            # Nothing is awaited between the read and this call, so that no call of a caller is
+            # checked with the earlier keys and the later age.
+            self.workflow_service.apply_configuration(newer, source.complete_s)
             if newer is None:
                 await asyncio.sleep(_CONFIGURATION_RETRY_S)
                 continue
             known = newer
-            self.workflow_service.configuration = newer
-            _LOG.info(
-                "configuration applied",
-                extra={"version": newer.version, "queues": len(newer.queues)},
-            )
 
     async def _directory_loop(self) -> None:
         while True:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -43,11 +43,11 @@
 
     Args:
         status: HTTP status code.
-        body: response body.
+        body: response body; left out of the representation, as it may contain keys of teams.
     """
 
     status: int
-    body: bytes
+    body: bytes = attrs.field(repr=False)
 
     def json(self) -> dict:
         """Return the body as a JSON object; empty if it is not one."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -36,10 +36,13 @@
 
 @attrs.frozen(slots=True)
 class LogRecord:
-    """A record of a log; the key is empty in a topic without keys."""
+    """A record of a log; the key is empty in a topic without keys.
+
+    The value is left out of the representation, because a configuration contains keys of teams.
+    """
 
     key: str
-    value: bytes
+    value: bytes = attrs.field(repr=False)
 
 
 @attrs.frozen(slots=True)
@@ -150,7 +153,15 @@
 
 
 class ConfigurationSource(Protocol):
-    """Source of the operators' configuration."""
+    """Source of the operators' configuration.
+
+    Attributes:
+        complete_s: boot time, in seconds, at which the latest read was sent after which the newest
+            version was known; negative infinity before the first one. A read counts only if it
+            returned everything that the source had and the newest version could be used.
+    """
+
+    complete_s: float
 
     async def next_version(self, known: Configuration | None) -> Configuration | None:
         """Wait for a version newer than `known`; None if there is none or it could not be read."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
@@ -31,6 +31,19 @@
 
         self.submissions = counter("submissions_total", "Submissions by outcome.", "outcome")
         self.rejections = counter("rejections_total", "Rejected submissions.", "reason")
+        self.unauthorized = counter(
+            "unauthorized_total", "Calls that were refused for want of a key.", "queue"
+        )
+        self.stale_key_rejections = counter(
+            "stale_key_rejections_total",
+            "Calls that were rejected because the configuration was too old to check their key.",
+            "queue",
+        )
+        self.configuration_age_s = Gauge(
+            "fireflywharf_configuration_age_seconds",
+            "Time since the latest read was sent that showed the newest configuration.",
+            registry=registry,
+        )
         self.starts = counter("run_starts_total", "Orders to start a run by result.", "result")
         self.ends = counter("run_ends_total", "Ends of runs as workers listed them.", "how")
         self.appends = counter(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -13,6 +13,10 @@
     Configuration,
     JournaledWorkflow,
     JournalRecord,
+    KeyAccepted,
+    KeyCheck,
+    KeyUndecidable,
+    KeyUnknown,
     Queue,
     WorkflowAccepted,
     WorkflowCancelled,
@@ -21,6 +25,7 @@
     job_keys,
 )
 
+from ._clocks import boot_time_s
 from ._interfaces import Appended, AppendRejected
 from ._journal import JournalAppender, JournalReader
 from ._metrics import WorkflowMetrics
@@ -38,6 +43,7 @@
 """Timeout of reading a partition of submissions for a query."""
 _RETRY_AFTER_S = 1
 """Retry delay for callers after a rejection because of a log outage; outages last seconds."""
+_OUTDATED = "the configuration is outdated"
 
 
 @attrs.frozen(slots=True)
@@ -65,6 +71,21 @@
     """The job does not exist."""
 
 
+@attrs.frozen(slots=True)
+class JobOfOtherTeam:
+    """The submitted id is that of a job of another team; nothing was stored."""
+
+
+@attrs.frozen(slots=True)
+class UnknownQueue:
+    """No queue serves the path."""
+
+
+@attrs.frozen(slots=True)
+class Unauthorized:
+    """The call needs the key of a team and has none."""
+
+
 @attrs.frozen(slots=True)
 class JobStateReply:
     """State of a job."""
@@ -79,7 +100,45 @@
     count: int
 
 
-Reply = Accepted | Rejected | Uncertain | UnknownJob | JobStateReply | PendingCountReply
+Reply = (
+    Accepted
+    | Rejected
+    | Uncertain
+    | UnknownJob
+    | JobOfOtherTeam
+    | UnknownQueue
+    | Unauthorized
+    | JobStateReply
+    | PendingCountReply
+)
+
+
+@attrs.frozen(slots=True)
+class AdmittedCall:
+    """A call that may be served.
+
+    Args:
+        queue: queue that it addresses.
+        team: team of the caller; empty if the call needs no key.
+    """
+
+    queue: Queue
+    team: str
+
+
+def _may_access(team: str, job: JournaledWorkflow) -> bool:
+    """Return whether a team may ask for a job.
+
+    A job that was recorded before there were teams, or that came from a public queue, has none.
+    """
+    return job.team in ("", team)
+
+
+def _log_other_team(job_id: str, queue_name: str, call: str) -> None:
+    _LOG.info(
+        "call refused",
+        extra={"job_id": job_id, "queue": queue_name, "reason": f"{call} of another team's job"},
+    )
 
 
 class WorkflowService:
@@ -92,6 +151,7 @@
         on_accept: called with each submitted job while it is being stored.
         on_stored: called with each record that has become durable, and its offset.
         metrics: counts outcomes and durations.
+        key_check: decides which keys of callers are accepted.
 
     Attributes:
         configuration: current configuration; None until one has been read.
@@ -105,6 +165,7 @@
         on_accept: Callable[[WorkflowAccepted], None],
         on_stored: Callable[[JournalRecord, int], None],
         metrics: WorkflowMetrics,
+        key_check: KeyCheck | None = None,
     ) -> None:
         self._reader = reader
         self._submissions = submissions
@@ -112,33 +173,115 @@
         self._on_accept = on_accept
         self._on_stored = on_stored
         self._metrics = metrics
+        self._key_check = KeyCheck() if key_check is None else key_check
         self.configuration: Configuration | None = None
+        self._configuration_complete_s = float("-inf")
+        metrics.configuration_age_s.set_function(lambda: self.configuration_age_s)
+
+    def apply_configuration(self, newer: Configuration | None, complete_s: float) -> None:
+        """Replace the configuration, and set the time up to which it is known to be the newest.
+
+        Args:
+            newer: newer version; None if there is none.
+            complete_s: see `ConfigurationSource`.
+        """
+        self._configuration_complete_s = complete_s
+        if newer is None:
+            return
+        self.configuration = newer
+        _LOG.info(
+            "configuration applied",
+            extra={
+                "version": newer.version,
+                "queues": len(newer.queues),
+                "teams": len(newer.teams),
+            },
+        )
+
+    @property
+    def configuration_age_s(self) -> float:
+        """Time for which a newer configuration may have existed unknown to this VM, in seconds."""
+        return boot_time_s() - self._configuration_complete_s
 
     @property
     def is_ready(self) -> bool:
         """Whether callers can be served."""
-        return self.configuration is not None and self._reader.is_current
+        return (
+            self.configuration is not None
+            and self._reader.is_current
+            and self._key_check.can_accept(self.configuration, self.configuration_age_s)
+        )
 
-    def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue that a request addresses, or None."""
-        return self.configuration.find_queue(host, path)
+    def admit(self, host: str, path: str, key: str | None) -> AdmittedCall | Reply:
+        """Return the queue and the team of a call, or the reply that refuses it.
+
+        Args:
+            host: host name that the call addresses.
+            path: path that it addresses.
+            key: key of the caller's team; None without one.
+        """
+        if self.configuration is None:
+            return Rejected("no configuration yet", _RETRY_AFTER_S)
+        age_s = self.configuration_age_s
+        queue = self.configuration.find_queue(host, path)
+        if queue is None:
+            if self._key_check.can_refuse(self.configuration, age_s):
+                return UnknownQueue()
+            return self._reject_outdated("", age_s)
+        match self._key_check.decide(self.configuration, queue, key, age_s):
+            case KeyAccepted(team):
+                return AdmittedCall(queue, team)
+            case KeyUnknown():
+                self._metrics.unauthorized.labels(queue.name).inc()
+                reason = "no key" if key is None else "unknown key"
+                _LOG.info("call refused", extra={"queue": queue.name, "reason": reason})
+                return Unauthorized()
+            case KeyUndecidable():
+                return self._reject_outdated(queue.name, age_s)
+
+    def _reject_outdated(self, queue_name: str, age_s: float) -> Rejected:
+        self._metrics.stale_key_rejections.labels(queue_name).inc()
+        _LOG.info(
+            "call rejected",
+            extra={
+                "queue": queue_name,
+                "reason": _OUTDATED,
+                "configuration_age_s": round(min(age_s, 1e6), 3),
+            },
+        )
+        return Rejected(_OUTDATED, _RETRY_AFTER_S)
 
-    async def submit(self, queue: Queue, job_id: str, spec: WorkflowSpec) -> Reply:
-        """Store a job; a repeated submission has no further effect."""
+    async def submit(
+        self, queue: Queue, job_id: str, spec: WorkflowSpec, *, team: str = ""
+    ) -> Reply:
+        """Store a job; a repeated submission by the same team has no further effect.
+
+        Args:
+            queue: queue of the job.
+            job_id: id of the job.
+            spec: specification of the job.
+            team: team of the caller; empty without one.
+        """
         started_s = time.monotonic()
-        reply = await self._submit(queue, job_id, spec, started_s)
+        reply = await self._submit(queue, job_id, spec, team, started_s)
         self._metrics.submissions.labels(type(reply).__name__.lower()).inc()
         self._metrics.submission_s.observe(time.monotonic() - started_s)
         return reply
 
     async def _submit(
-        self, queue: Queue, job_id: str, spec: WorkflowSpec, started_s: float
+        self, queue: Queue, job_id: str, spec: WorkflowSpec, team: str, started_s: float
     ) -> Reply:
-        if self._find_job(job_id) is not None:
-            return Accepted()
+        known = self._find_job(job_id)
+        if known is not None:
+            if _may_access(team, known):
+                return Accepted()
+            _log_other_team(job_id, queue.name, "submission")
+            return JobOfOtherTeam()
         if not self._reader.is_current:
             return self._reject(queue, job_id, "the journal cannot be read")
-        record = WorkflowAccepted(job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time())
+        record = WorkflowAccepted(
+            job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time(), team=team
+        )
         future = self._appender.put_record(record, started_s + STORE_TIMEOUT_S)
         self._on_accept(record)
         result = await asyncio.shield(future)
@@ -169,12 +312,17 @@
         )
         return Rejected(reason, _RETRY_AFTER_S)
 
-    async def get_state(self, job_id: str) -> Reply:
-        """Return the state of a job."""
+    async def get_state(self, job_id: str, *, team: str = "") -> Reply:
+        """Return the state of a job of a team; a job of another team is unknown to it."""
         known = self._find_job(job_id)
         if known is None or not known.state.is_final:
             known = await self._read_job(job_id)
-        return JobStateReply(known.state) if isinstance(known, JournaledWorkflow) else known
+        if not isinstance(known, JournaledWorkflow):
+            return known
+        if not _may_access(team, known):
+            _log_other_team(job_id, known.queue_name, "query")
+            return UnknownJob()
+        return JobStateReply(known.state)
 
     async def _read_job(self, job_id: str) -> JournaledWorkflow | UnknownJob | Rejected:
         """Read the journal, and return the job or the reply that it cannot be found."""
@@ -202,14 +350,17 @@
     def _reject_unread(self) -> Rejected:
         return Rejected("the journal cannot be read", _RETRY_AFTER_S)
 
-    async def cancel(self, job_id: str) -> Reply:
-        """Cancel a job; a job that has ended is left unchanged."""
+    async def cancel(self, job_id: str, *, team: str = "") -> Reply:
+        """Cancel a job of a team; a job that has ended is left unchanged."""
         deadline_s = time.monotonic() + STORE_TIMEOUT_S
         known = self._find_job(job_id)
         if known is None:
             known = await self._read_job(job_id)
         if not isinstance(known, JournaledWorkflow):
             return known
+        if not _may_access(team, known):
+            _log_other_team(job_id, known.queue_name, "cancellation")
+            return UnknownJob()
         if known.state.is_final:
             return Accepted()
         record = WorkflowCancelled(job_id=job_id)
