Make the scenarios of team keys fail without each check they guard

32 checks were taken out one at a time. Four that no scenario noticed now have one: a malformed version that counts as read, a read that is held after an outage, the older of two versions applied, and a clock that stands still in suspension. Two that are left change nothing observable: the age before the first read, when there is no configuration either, and whether teams are removed from the value before its other fields are decoded.

--- a/features/steps/team_keys_world.py
+++ b/features/steps/team_keys_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import unittest.mock
 from types import SimpleNamespace
 
@@ -17,8 +18,6 @@
     WorkflowMetrics,
     WorkflowService,
 )
-from fireflywharf_daemon.workflows import _service as service_module
-from fireflywharf_platform import _sources
 from fireflywharf_platform._entry import EntryServer
 from fireflywharf_platform._sources import StoreConfiguration
 
@@ -53,8 +52,11 @@
             return ReadFailed(self.fault)
         return await super().newest_named(name, part)
 
-    async def read_named(self, name, offset, *, wait_s, **limits):
-        """Return the records from an offset on, after `wait_s` if there are none."""
+    async def read_named(self, name, offset, *, wait_s, max_kb=1024):
+        """Return the records from an offset on, after `wait_s` if there are none.
+
+        Every record counts as larger than the least limit of an answer.
+        """
         self.held_s = 0.0
         match self.fault:
             case "answers":
@@ -63,7 +65,7 @@
                     self.held_s = wait_s
                     self.world.now_s += wait_s
                     self.on_hold()
-                return answer
+                return ReadRecords(answer.end, answer.rows[:1] if max_kb == 1 else answer.rows)
             case "truncates reads":
                 return ReadRecords(len(self.rows), ())
             case "loses the end of its topics":
@@ -111,10 +113,14 @@
 
     def __init__(self, context, check, requires_keys=True):
         self.now_s = 1000.0
-        for module in (_sources, service_module):
-            patch = unittest.mock.patch.object(module, "boot_time_s", lambda: self.now_s)
-            patch.start()
-            context.add_cleanup(patch.stop)
+        read_clock = time.clock_gettime
+        patch = unittest.mock.patch.object(
+            time,
+            "clock_gettime",
+            lambda clock: self.now_s if clock == time.CLOCK_BOOTTIME else read_clock(clock),
+        )
+        patch.start()
+        context.add_cleanup(patch.stop)
         self.store = HeldStore(self)
         self.source = StoreConfiguration(
             self.store, requires_keys=requires_keys, age_limit_s=check.age_limit_s
--- a/features/team_keys.feature
+++ b/features/team_keys.feature
@@ -87,6 +87,18 @@
     When the store answers and the VM reads the configuration
     Then calls with "k1" and "k2" get 200 and 401
 
+  Scenario: a read after an outage is not held
+    Guards against a VM that rejects calls for as long as the store holds its first read after an outage,
+    although the store answers.
+
+    Given a VM that requires keys and has read the keys "k1 of austral"
+    When the store does not answer
+    And the VM reads the configuration and 9 s pass
+    Then a call with "k1" gets 503
+    When the store answers and the VM reads the configuration
+    Then this read was not held
+    And a call with "k1" gets 200
+
   Scenario: a held read that finds nothing new counts from when it was sent
     Guards against an age that starts with the answer: a version that is stored after the store looked is then
     accepted for as long as the read was held.
@@ -120,8 +132,9 @@
 
     Given a VM that requires keys and has read the keys "k1 of austral"
     When a malformed version is stored
+    And the boot clock of the VM advances by 4 s
     And the VM reads the configuration
-    And the boot clock of the VM advances by 5.1 s
+    And the boot clock of the VM advances by 1.2 s
     Then a call with "k1" gets 503
     When version 3 revokes all keys
     And the VM reads the configuration
