--- a/features/steps/team_keys_steps.py
+++ b/features/steps/team_keys_steps.py
@@ -1,5 +1,6 @@
 """Steps for the keys of teams."""
 
+import asyncio
 import json
 import logging
 
@@ -18,6 +19,7 @@
 from fireflywharf_daemon.logs import build_json_formatter
 from fireflywharf_daemon.workflows import Answer, LogRecord, ReadRecords
 from fireflywharf_platform._settings import SettingsError, parse_settings
+from fireflywharf_testing import reserve_port
 
 SETTINGS = {
     "node": "vm",
@@ -320,6 +322,31 @@
     assert world.call(first) == 503
 
 
+@when('malformed requests with "{key}" in their heads reach the server')
+def send_malformed(context, key):
+    heads = [
+        f"Authorization: Bearer {key}\0",
+        f"Authorization Bearer {key}",
+        f"Authorization: Bearer {key * 4000}",
+        f"Content-Length: {key}",
+    ]
+
+    async def send():
+        addresses = [("127.0.0.1", reserve_port("127.0.0.1")) for _ in range(3)]
+        await context.world.entry.open(*addresses)
+        for head in heads:
+            reader, writer = await asyncio.open_connection(*addresses[0])
+            writer.write(f"GET / HTTP/1.1\r\nHost: h\r\n{head}\r\n\r\n".encode())
+            assert (await reader.readline()).startswith(b"HTTP/1.0 400"), head
+            writer.close()
+        await context.world.entry.close()
+
+    asyncio.run(send())
+    rows = [json.loads(line) for line in context.logs.lines]
+    count = sum(row["message"] == "request is malformed" for row in rows)
+    assert count == len(heads), count
+
+
 @then('no log line, metric, answer, journal record or representation contains "{text}"')
 def check_no_key(context, text):
     world = context.world
--- a/features/team_keys.feature
+++ b/features/team_keys.feature
@@ -254,6 +254,7 @@
     Given a VM that requires keys and has read the keys "KEY-1 of austral"
     When versions with malformed teams that contain "KEY-2" are read
     And calls are made with "KEY-1", "KEY-2" and "KEY-3" in the header, well-formed or not
+    And malformed requests with "KEY-4" in their heads reach the server
     Then no log line, metric, answer, journal record or representation contains "KEY-"
 
   Scenario: the settings of the key check
