Place nothing on a worker until the directory shows its present process

A report of a later incarnation kept the capacity, the labels and the failure domain of the earlier process, although reports contain none of them.

The scheduler keeps the entries that the directory has shown, by incarnation. `Worker.is_usable` requires the entry of the present process; reports, ends and reconciliation go on without it. A notice, a log line and `undescribed_workers` in the line for waiting steps tell of it. A process whose entry was shown before its report is usable at once.

New scenario: workflow_incarnations.feature, "a process that the directory has not shown yet gets no runs". Two steps that let work start on a process known from reports only now also publish its entry; what they guard (order of reports, confirmation) is unchanged.

--- a/features/steps/workflow_incarnation_steps.py
+++ b/features/steps/workflow_incarnation_steps.py
@@ -70,7 +70,7 @@
         if by_report:
             for name in self.world.workers:
                 self.report(name, incarnation)
-            return
+        # A process gets runs only once the directory has shown it.
         for worker in self.world.workers.values():
             worker.info = attrs.evolve(worker.info, incarnation=incarnation)
         self.world.publish_directory()
--- a/features/steps/workflow_split_restart_steps.py
+++ b/features/steps/workflow_split_restart_steps.py
@@ -171,6 +171,9 @@
     """Note what the scheduler starts before and after the next confirmations."""
     reported_s = 100.2 + seconds
     report_worker(context.scheduler, LATER_WORKER, reported_s)
+    # Without its entry, the process would get no runs in any case.
+    directory = {LATER_WORKER.worker_id: LATER_WORKER}
+    context.scheduler.observe(DirectoryChanged(directory), reported_s)
     context.starts = find_starts_by_confirmation(context.scheduler, reported_s)
 
 
--- a/features/workflow_incarnations.feature
+++ b/features/workflow_incarnations.feature
@@ -150,3 +150,16 @@
     Given a job that an earlier scheduler has started on one of 2 workers
     When a new scheduler sees that worker restart in the directory and leave it without a report
     Then the job is started again after the wait for silent workers, not earlier
+
+  Scenario: a process that the directory has not shown yet gets no runs
+    The entry of the earlier process has other labels and more capacity, and the reports have neither.
+    Work that is placed by that entry runs on a worker that may not run it, or exceeds its capacity.
+
+    Given 2 workers of 4 cores with the label "a", of which one has runs of 3 s
+    When that worker restarts with 1 core and the label "b", which its reports show at once
+    And 6 tasks of 1 core arrive, half of them for the label "a"
+    Then that worker gets no runs for 1 s, and a notice says why once
+    And the tasks that the earlier process ran are started on the other worker
+    When the directory shows the present process
+    Then that worker gets one task of 1 core and none for the label "a"
+    And all tasks are complete within 20 s without a violation
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -30,6 +30,7 @@
     WorkerReported,
     WorkerRestarted,
     WorkerSilent,
+    WorkerUndescribed,
 )
 from ._journal import (
     MAIN_PARTITION,
@@ -112,6 +113,7 @@
     "WorkerReported",
     "WorkerRestarted",
     "WorkerSilent",
+    "WorkerUndescribed",
     "WorkersInUse",
     "WorkflowAccepted",
     "WorkflowCancelled",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -331,4 +331,19 @@
     source: IncarnationSource
 
 
-Action = StartRun | StopRun | AskApproval | RunLost | RunAdopted | WorkerRestarted
+@attrs.frozen(slots=True, kw_only=True)
+class WorkerUndescribed:
+    """Notice that a worker gets no runs until the directory shows its present process.
+
+    Args:
+        worker_id: the worker.
+        incarnation: incarnation of the present process.
+    """
+
+    worker_id: str
+    incarnation: int
+
+
+Action = (
+    StartRun | StopRun | AskApproval | RunLost | RunAdopted | WorkerRestarted | WorkerUndescribed
+)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -27,6 +27,7 @@
     WorkerReported,
     WorkerRestarted,
     WorkerSilent,
+    WorkerUndescribed,
 )
 from ._gang_plans import GangPlanner
 from ._headroom import Headroom
@@ -301,11 +302,15 @@
         for worker_id, info in directory.items():
             worker = self.workers.get(worker_id)
             if worker is None:
-                worker = Worker(info=info, free=info.capacity)
+                worker = Worker(info=info, free=info.capacity, entries={info.incarnation: info})
                 worker.runs_end_s = now_s + self.timing.inherited_wait_s
                 self.workers[worker_id] = worker
                 self.runs.capacity_version += 1
                 continue
+            was_described = worker.is_described
+            worker.keep_entry(info)
+            if worker.is_described and not was_described:
+                self.runs.capacity_version += 1
             if info == worker.info or info.incarnation in worker.ended_incarnations:
                 continue
             if info.incarnation < worker.info.incarnation:
@@ -313,8 +318,7 @@
                 continue
             if info.incarnation != worker.info.incarnation:
                 self._handle_restart(worker, info.incarnation, IncarnationSource.DIRECTORY, now_s)
-            used = worker.info.capacity - worker.free
-            worker.info, worker.free = info, info.capacity - used
+            worker.update_info(info)
             self.runs.capacity_version += 1
 
     def _handle_silence(self, worker_id: str, renewed_s: float) -> None:
@@ -337,6 +341,15 @@
         worker.has_reported = worker.reachable = False
         self.runs.handle_restart(worker, now_s)
 
+    def _describe_process(self, worker: Worker, incarnation: int) -> None:
+        """Use the entry of the process that a report has shown, if the directory has shown one."""
+        entry = worker.entries.get(incarnation)
+        if entry is not None:
+            worker.update_info(entry)
+            return
+        worker.info = attrs.evolve(worker.info, incarnation=incarnation)
+        self.outbox.append(WorkerUndescribed(worker_id=worker.worker_id, incarnation=incarnation))
+
     def _expire_workers(self, now_s: float) -> None:
         for worker in list(self.workers.values()):
             # A later tenure may have renewed the leases.
@@ -357,7 +370,7 @@
                 # It may be a late answer of an earlier process.
                 return
             self._handle_restart(worker, event.incarnation, IncarnationSource.REPORT, now_s)
-            worker.info = attrs.evolve(worker.info, incarnation=event.incarnation)
+            self._describe_process(worker, event.incarnation)
         if not worker.is_usable(now_s):
             self.runs.capacity_version += 1
         worker.reachable = True
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -94,6 +94,8 @@
 
 _CERTAIN_START_S = 1.0
 """Time before the start of a gang from which work of no higher priority may use its capacity."""
+_ENTRIES_MAX = 4
+"""Number of processes of a worker whose directory entries are kept."""
 _BACKFILL_FACTOR = 1.5
 """Safety factor on the expected run time of work that uses reserved capacity."""
 
@@ -130,7 +132,9 @@
     """A worker with its free capacity.
 
     Args:
-        info: entry of the worker in the directory; its incarnation is the latest one known.
+        info: entry of the worker in the directory; its incarnation is the latest one known. The
+            other fields may be those of an earlier process while `is_described` is false.
+        entries: latest entries that the directory has shown, by incarnation.
         ended_incarnations: earlier incarnations, which the directory may show again.
         incarnation_shown_s: local time at which the present incarnation was last shown, in seconds.
         free: capacity minus the demand of all runs.
@@ -154,6 +158,7 @@
 
     info: WorkerInfo
     free: ResourceVector
+    entries: dict[int, WorkerInfo] = attrs.field(factory=dict)
     ended_incarnations: set[int] = attrs.field(factory=set)
     incarnation_shown_s: float = float("-inf")
     runs: dict[tuple[TaskName, int], Run] = attrs.field(factory=dict)
@@ -176,10 +181,32 @@
         """Identifier of the worker in the directory."""
         return self.info.worker_id
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the directory has shown the entry of the present process.
+
+        A worker may restart with another capacity, other labels or in another failure domain, and
+        its reports contain none of these.
+        """
+        return self.info.incarnation in self.entries
+
+    def keep_entry(self, entry: WorkerInfo) -> None:
+        """Keep an entry that the directory shows, and discard those of the oldest processes."""
+        self.entries[entry.incarnation] = entry
+        for incarnation in list(self.entries)[:-_ENTRIES_MAX]:
+            if incarnation != self.info.incarnation:
+                del self.entries[incarnation]
+
+    def update_info(self, info: WorkerInfo) -> None:
+        """Use another directory entry, and derive the free capacity from it."""
+        used = self.info.capacity - self.free
+        self.info, self.free = info, info.capacity - used
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether new runs may be started on the worker."""
         return (
             self.has_reported
+            and self.is_described
             and self.reachable
             and self.in_directory
             and not self.info.draining
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
@@ -50,6 +50,7 @@
             "open_starts": scheduler.runs.starting_count,
             "open_starts_max": round(scheduler.runs.start_window.limit_),
             "headroom_workers": len(scheduler.headroom.workers_),
+            "undescribed_workers": sum(not w.is_described for w in scheduler.workers.values()),
             **_explain_capacity(scheduler, step, now_s),
         }
         for step in steps[:rows_max]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
@@ -12,6 +12,7 @@
     StartRun,
     StopRun,
     WorkerRestarted,
+    WorkerUndescribed,
     WorkflowScheduler,
     explain_waiting,
 )
@@ -85,6 +86,11 @@
                         "source": action.source.value,
                     },
                 )
+            case WorkerUndescribed():
+                _LOG.warning(
+                    "worker gets no runs until the directory shows its present process",
+                    extra={"worker": action.worker_id, "worker_incarnation": action.incarnation},
+                )
 
     def _describe_confirmation(self) -> dict:
         """Return a log field that shows whether a successor may have been active already."""
