End the reservation of places for urgent tasks

The learned rate of urgent tasks decayed in each decision without reaching zero, and any rate above zero keeps a place.

The rate is zero from 4 s (one time constant) after the last urgent job. A long-running step uses kept places once it has looked for a place for 1.5 s; with attempts up to 1 s apart, it starts within 3 s where there is room. The bound also holds while urgent jobs arrive all the time.

New scenarios in workflow_recovery.feature.

--- a/features/workflow_recovery.feature
+++ b/features/workflow_recovery.feature
@@ -44,6 +44,25 @@
     When a task arrives that requires the label of these two
     Then the task is complete within 7 s
 
+  Scenario: a long-running task is started again on places that are kept for urgent tasks
+    Urgent jobs arrive all the time, so that places are always kept, and the other workers are full of
+    long runs. The task would wait until these end, beside an idle worker.
+
+    Given 4 workers, of which two are full for a minute, one has a long-running task and one is idle
+    And urgent jobs that arrive every 0.5 s
+    When the worker of the long-running task restarts without room for it
+    Then the long-running task is started again within 3 s
+    And places are still kept for urgent tasks
+
+  Scenario: places for urgent tasks are kept for some seconds after the last urgent job
+    The learned rate decays in steps and would never reach zero, so that one place would be kept for
+    the rest of the tenure, while most capacity is used.
+
+    Given 4 workers, of which two are full for a minute, one has a long-running task and one is idle
+    And an urgent job that has ended
+    When a task arrives whose only alternative is full
+    Then it is started between 3 s and 6 s after the urgent job
+
   Scenario: a start order that reaches the next process of a worker runs its task once
     An order in flight is not bound to the process, only to the id of the worker. If its task is
     started elsewhere as soon as the process has ended, it runs twice.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_headroom.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_headroom.py
@@ -12,6 +12,15 @@
 """Time for which the expected arrivals are covered; then enough runs have ended again."""
 _DECAY_S = 4.0
 """Time constant of the learned arrival rate, in seconds."""
+_QUIET_S = _DECAY_S
+"""Time after the last urgent job from which no further ones are expected.
+
+The decay alone never reaches zero, and any rate above zero keeps a place. After one time constant
+without an arrival, the rate is most likely below one place in `_WINDOW_S`."""
+LONG_RUNNING_WAIT_MAX_S = 1.5
+"""Time for which a long-running task waits for a place at most while places are kept.
+
+It must be started again within 3 s where there is room, and attempts are up to 1 s apart."""
 _SCARCE_SHARE = 0.5
 """Used share of all capacity from which free places count as scarce."""
 _SIZE_WEIGHT = 0.05
@@ -25,9 +34,11 @@
     smaller than the urgent ones, or wait already when capacity becomes free, so they take every
     piece before it is large enough for an urgent task. The urgent tasks of the next moments
     therefore have places on some workers, where other work only uses what is too small for them.
+    Places are kept until `_QUIET_S` after the last urgent job, and from a long-running task for
+    `LONG_RUNNING_WAIT_MAX_S` at most.
 
     Attributes:
-        rate_: learned number of urgent tasks that arrive per second.
+        rate_: learned number of urgent tasks that arrive per second; 0 once none are expected.
         size_: learned mean size of an urgent task; None before the first.
         workers_: workers on which places are kept.
         is_scarce_: whether so much capacity is used that other work may not take kept places.
@@ -40,6 +51,7 @@
         self.is_scarce_ = False
         self._priority: int | None = None
         self._observed_s = 0.0
+        self._arrived_s = float("-inf")
 
     def is_urgent(self, job: Job) -> bool:
         """Return whether a job has the highest priority seen so far."""
@@ -56,6 +68,7 @@
         for spec in job.spec.steps:
             if spec.after or spec.long_running:
                 continue
+            self._arrived_s = now_s
             self.rate_ += spec.tasks_count / _DECAY_S
             size = spec.demand
             self.size_ = size if self.size_ is None else _blend(self.size_, size)
@@ -63,6 +76,8 @@
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._observed_s)
         self.rate_ *= max(0.0, 1.0 - elapsed_s / _DECAY_S)
+        if now_s >= self._arrived_s + _QUIET_S:
+            self.rate_ = 0.0
         self._observed_s = now_s
 
     def choose_workers(self, workers: Iterable[Worker], now_s: float) -> None:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -277,6 +277,8 @@
         blocked_version: capacity version at the latest unsuccessful placement; -1 to retry at once.
         tickets_renewed_s: local time of the latest request to renew expired tickets, in seconds.
         last_attempt_s: local time of the latest placement attempt, in seconds.
+        unplaced_s: local time of the first attempt since which some task has found no place, in
+            seconds; None if all have one.
         expected_run_s: expected run time of a task, in seconds.
         gang_plan: workers with capacity reserved for the gang; None if it has no reservation.
         retry_s: local time before which another attempt to place the gang is of no use, in seconds.
@@ -300,6 +302,7 @@
     blocked_version: int = -1
     tickets_renewed_s: float = float("-inf")
     last_attempt_s: float = float("-inf")
+    unplaced_s: float | None = None
     expected_run_s: float = 0.0
     gang_plan: GangPlan | None = None
     retry_s: float = float("-inf")
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
@@ -8,7 +8,7 @@
 from ._approvals import TicketTracker
 from ._confirmation import TenureConfirmation
 from ._events import StopCause
-from ._headroom import Headroom
+from ._headroom import LONG_RUNNING_WAIT_MAX_S, Headroom
 from ._names import TaskName
 from ._placement import assign_gang, assign_singles
 from ._reservations import Reservations, eventual_count
@@ -83,6 +83,8 @@
         indices = self._find_startable_tasks(step, now_s)
         if not indices:
             return
+        if step.unplaced_s is None:
+            step.unplaced_s = now_s
         free_by_worker = self._free_capacity(step, workers, now_s)
         limited_by_worker = self._limit_to_headroom(step, free_by_worker)
         pairs = self._assign_tasks(step, limited_by_worker, indices, now_s)
@@ -92,6 +94,7 @@
         for index, worker in pairs:
             self._start_run(step, index, worker, number, now_s)
         if not step.waiting:
+            step.unplaced_s = None
             self.reservations.release(step)
         elif step.spec.gang:
             self._reserve_for_gang(step, workers, now_s)
@@ -142,13 +145,17 @@
         """Return whether a step that finds no other place may use those kept for urgent tasks.
 
         It may while much of the capacity is free, or if places are kept on all workers that can run
-        its tasks. Otherwise, it would wait for as long as urgent tasks are expected.
+        its tasks. Otherwise, it would wait for as long as urgent tasks are expected. A long-running
+        step may after `LONG_RUNNING_WAIT_MAX_S`, because nothing bounds the runs on other workers.
         """
         kept = self.headroom.workers_
         if step.spec.gang or not any(worker.worker_id in workers for worker in kept):
             return False
         if not self.headroom.is_scarce_:
             return True
+        waited_s = 0.0 if step.unplaced_s is None else now_s - step.unplaced_s
+        if step.spec.long_running and waited_s >= LONG_RUNNING_WAIT_MAX_S:
+            return True
         if step.job.queue.approval is not None and any(
             worker_id not in step.asked and eventual_count(step, worker, now_s) > 0
             for worker_id, worker in workers.items()
