--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -30,6 +30,7 @@
     WorkerReported,
     WorkerRestarted,
     WorkerSilent,
+    WorkerUndescribed,
 )
 from ._journal import (
     MAIN_PARTITION,
@@ -118,6 +119,7 @@
     "WorkerReported",
     "WorkerRestarted",
     "WorkerSilent",
+    "WorkerUndescribed",
     "WorkersInUse",
     "WorkflowAccepted",
     "WorkflowCancelled",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -94,6 +94,8 @@
 
 _CERTAIN_START_S = 1.0
 """Time before the start of a gang from which work of no higher priority may use its capacity."""
+_ENTRIES_MAX = 4
+"""Number of processes of a worker whose directory entries are kept."""
 _BACKFILL_FACTOR = 1.5
 """Safety factor on the expected run time of work that uses reserved capacity."""
 
@@ -130,7 +132,9 @@
     """A worker with its free capacity.
 
     Args:
-        info: entry of the worker in the directory; its incarnation is the latest one known.
+        info: entry of the worker in the directory; its incarnation is the latest one known. The
+            other fields may be those of an earlier process while `is_described` is false.
+        entries: latest entries that the directory has shown, by incarnation.
         ended_incarnations: earlier incarnations, which the directory may show again.
         incarnation_shown_s: local time at which the present incarnation was last shown, in seconds.
         free: capacity minus the demand of all runs.
@@ -154,6 +158,7 @@
 
     info: WorkerInfo
     free: ResourceVector
+    entries: dict[int, WorkerInfo] = attrs.field(factory=dict)
     ended_incarnations: set[int] = attrs.field(factory=set)
     incarnation_shown_s: float = float("-inf")
     runs: dict[tuple[TaskName, int], Run] = attrs.field(factory=dict)
@@ -176,10 +181,32 @@
         """Identifier of the worker in the directory."""
         return self.info.worker_id
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the directory has shown the entry of the present process.
+
+        A worker may restart with another capacity, other labels or in another failure domain, and
+        its reports contain none of these.
+        """
+        return self.info.incarnation in self.entries
+
+    def keep_entry(self, entry: WorkerInfo) -> None:
+        """Keep an entry that the directory shows, and discard those of the oldest processes."""
+        self.entries[entry.incarnation] = entry
+        for incarnation in list(self.entries)[:-_ENTRIES_MAX]:
+            if incarnation != self.info.incarnation:
+                del self.entries[incarnation]
+
+    def update_info(self, info: WorkerInfo) -> None:
+        """Use another directory entry, and derive the free capacity from it."""
+        used = self.info.capacity - self.free
+        self.info, self.free = info, info.capacity - used
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether new runs may be started on the worker."""
         return (
             self.has_reported
+            and self.is_described
             and self.reachable
             and self.in_directory
             and not self.info.draining
@@ -252,6 +279,8 @@
         blocked_version: capacity version at the latest unsuccessful placement; -1 to retry at once.
         tickets_renewed_s: local time of the latest request to renew expired tickets, in seconds.
         last_attempt_s: local time of the latest placement attempt, in seconds.
+        unplaced_s: local time of the first attempt since which some task has found no place, in
+            seconds; None if all have one.
         expected_run_s: expected run time of a task, in seconds.
         gang_plan: workers with capacity reserved for the gang; None if it has no reservation.
         retry_s: local time before which another attempt to place the gang is of no use, in seconds.
@@ -275,6 +304,7 @@
     blocked_version: int = -1
     tickets_renewed_s: float = float("-inf")
     last_attempt_s: float = float("-inf")
+    unplaced_s: float | None = None
     expected_run_s: float = 0.0
     gang_plan: GangPlan | None = None
     retry_s: float = float("-inf")
