Keep the caps of teams: charge every run that may be alive

A team may be limited to an amount of running work. The new TeamLedger charges each run to the account of its team from the decision to start it, or from the report that shows it, until its end is certain. StepPlacer starts at most as many tasks as the cap leaves, a gang as a whole or not at all; a step that the cap holds gets no reservation, no approval request and no places for urgent tasks.

Until the runs of an earlier tenure are known, each inherited job counts with all its unfinished tasks, and a job that ended with all its tasks. A job of a team is closed, and its records deleted, only when none of its runs can be alive; otherwise the next scheduler would not know whose they are. WorkflowScheduler takes find_team beside find_spec for adopted runs of ended jobs.

--- a/features/steps/workflow_split_restart_steps.py
+++ b/features/steps/workflow_split_restart_steps.py
@@ -147,7 +147,11 @@
 def make_scheduler(state, workers, **options):
     """Return a scheduler of a journal that knows these workers at 100 s."""
     scheduler = WorkflowScheduler(
-        timing=Timing(), started_s=100.0, find_spec=state.find_spec, **options
+        timing=Timing(),
+        started_s=100.0,
+        find_spec=state.find_spec,
+        find_team=state.find_team,
+        **options,
     )
     scheduler.observe(DirectoryChanged({info.worker_id: info for info in workers}), 100.0)
     return scheduler
--- a/features/steps/workflow_split_world.py
+++ b/features/steps/workflow_split_world.py
@@ -99,6 +99,7 @@
             departures=state.departures,
             started_s=self.now_s,
             find_spec=state.find_spec,
+            find_team=state.find_team,
         )
         departures = {name: row.departure_id for name, row in state.departures.items()}
         tenure = Tenure(ordinal, scheduler, self.now_s, departures)
@@ -137,12 +138,18 @@
             record = WorkersInUse(worker_ids=tuple(sorted(in_use)), departures=departures)
             tenure.extra_records.append(record)
 
-    def submit(self, job_id, steps, payload="p"):
+    def submit(self, job_id, steps, payload="p", team=""):
         """Append a job to the journal; the tenures read it with their next step."""
         spec = WorkflowSpec(payload=payload, steps=tuple(steps))
         self.steps_by_job[job_id] = spec.steps
         self.append(
-            WorkflowAccepted(job_id=job_id, queue=self.queue, spec=spec, accepted_utc_s=0.0)
+            WorkflowAccepted(
+                job_id=job_id,
+                queue=self.queue,
+                spec=spec,
+                accepted_utc_s=self.now_s if team else 0.0,
+                team=team,
+            )
         )
 
     def is_ticket_valid(self, order, now_s):
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -125,6 +125,7 @@
             departures=self.journal_state.departures,
             started_s=self.now_s,
             find_spec=self.journal_state.find_spec,
+            find_team=self.journal_state.find_team,
         )
         for job_id, journaled in self.journal_state.jobs.items():
             event = JobAdded(job_id=job_id, journaled=journaled)
@@ -141,12 +142,18 @@
         directory = {n: w.info for n, w in self.workers.items() if n not in self.unlisted_workers}
         self.scheduler.observe(DirectoryChanged(directory), self.now_s)
 
-    def submit(self, job_id, steps, payload="p"):
+    def submit(self, job_id, steps, payload="p", team=""):
         """Append a job to the journal and pass it to the scheduler."""
         spec = WorkflowSpec(payload=payload, steps=tuple(steps))
         self.steps_by_job[job_id] = spec.steps
         self.append(
-            WorkflowAccepted(job_id=job_id, queue=self.queue, spec=spec, accepted_utc_s=0.0)
+            WorkflowAccepted(
+                job_id=job_id,
+                queue=self.queue,
+                spec=spec,
+                accepted_utc_s=self.now_s if team else 0.0,
+                team=team,
+            )
         )
         journaled = self.journal_state.jobs[job_id]
         event = JobAdded(job_id=job_id, journaled=journaled)
--- a/packages/fireflywharf-core/src/fireflywharf_core/accounts/_account.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/accounts/_account.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+
 import attrs
 
 from ..contracts import Contract, Quota
@@ -39,3 +41,11 @@
     def has_quota_for(self, size: ResourceVector, tasks_count: int = 1) -> bool:
         """Return whether the quota allows more tasks of a size."""
         return self.quota.allows(self.held + size.scaled(tasks_count))
+
+    def count_within_quota(self, size: ResourceVector, tasks_count: int) -> int:
+        """Return how many of `tasks_count` more tasks of a size the quota allows."""
+        if self.has_quota_for(size, tasks_count):
+            return tasks_count
+        return bisect.bisect_left(
+            range(1, tasks_count + 1), True, key=lambda count: not self.has_quota_for(size, count)
+        )
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -224,12 +224,20 @@
             step.approval_asked_s = None
         step.blocked_version = -1
 
-    def request_tickets(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> bool:
+    def request_tickets(
+        self, step: Step, workers: Mapping[str, Worker], tasks_count: int, now_s: float
+    ) -> bool:
         """Ask about further workers if the approved ones have too little free capacity.
 
         Workers that join or return later are included, because a step may be allowed on few
         workers only.
 
+        Args:
+            step: the step.
+            workers: usable workers of its service, by id.
+            tasks_count: number of its waiting tasks that may start now.
+            now_s: current local time, in seconds.
+
         Returns:
             Whether the step has a ticket or needs none.
         """
@@ -242,7 +250,7 @@
             if now_s < step.job.accepted_s + answer_s:
                 return False
         if step.approval_asked_s is None and self._can_ask(step):
-            asked_ids = self._choose_workers(step, workers, now_s)
+            asked_ids = self._choose_workers(step, workers, tasks_count, now_s)
             if asked_ids:
                 self._send_requests(step, asked_ids, now_s)
         return bool(step.tickets)
@@ -253,7 +261,9 @@
             or self._long_requests.total() < self.long_requests_max
         )
 
-    def _choose_workers(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> list[str]:
+    def _choose_workers(
+        self, step: Step, workers: Mapping[str, Worker], tasks_count: int, now_s: float
+    ) -> list[str]:
         """Return the ids of the workers to ask about next; empty if no request would help."""
         count_tasks = self._count_expected_tasks
         if step.gang_plan is not None:
@@ -261,7 +271,7 @@
             if step.gang_plan.start_s <= now_s + answer_s + _RENEWAL_LEAD_S:
                 return []
             count_tasks = self._count_fitting_tasks
-        missing = float(len(step.waiting))
+        missing = float(tasks_count)
         for worker_id in step.tickets:
             worker = workers.get(worker_id)
             missing -= 0 if worker is None else count_tasks(step, worker, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -485,6 +485,11 @@
         job = self.jobs.get(job_id)
         return None if job is None or job.accepted is None else job.accepted.spec
 
+    def find_team(self, job_id: str) -> str:
+        """Return the team of a job, also of one that has ended; empty without one."""
+        job = self.jobs.get(job_id)
+        return "" if job is None else job.team
+
     def pending_count(self, queue_name: str) -> int:
         """Return the number of accepted jobs of a queue of which no task has started."""
         return len(self._pending.get(queue_name, ()))
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -26,6 +26,7 @@
 from ._specs import WorkflowSpec
 from ._start_window import StartWindow
 from ._state import Job, Run, RunPhase, Step, Worker
+from ._team_ledger import TeamLedger
 from ._worker_health import WorkerHealth
 
 _UNHEALTHY_PAUSE_S = 1.0
@@ -41,6 +42,7 @@
         outbox: receives the orders.
         run_times: updated with the run times of successful tasks.
         timing: timeouts of the deployment.
+        ledger: charges the runs to their teams.
         find_spec: returns the specification of a job, also of one that has ended.
 
     Attributes:
@@ -59,6 +61,7 @@
         outbox: list[Action],
         run_times: RunTimes,
         timing,
+        ledger: TeamLedger,
         find_spec: Callable[[str], WorkflowSpec | None],
     ) -> None:
         self.first_number = 1
@@ -68,6 +71,7 @@
         self._workers = workers
         self._outbox = outbox
         self._timing = timing
+        self.ledger = ledger
         self.worker_health = WorkerHealth(run_times)
         self._ends = EndRecorder(
             run_times, self.worker_health, self.order_stop, self.order_stop_all
@@ -84,6 +88,7 @@
     def add(self, run: Run) -> None:
         """Register a run and occupy its capacity."""
         run.worker.add(run)
+        self.ledger.charge(run)
         if run.phase is RunPhase.STARTING:
             self._unanswered[run] = None
         if run.step is not None:
@@ -181,6 +186,7 @@
     def _release_run(self, run: Run) -> None:
         """Free the capacity of an ended run and requeue its task unless it is done."""
         run.worker.remove(run)
+        self.ledger.release(run)
         self.capacity_version += 1
         step, index = run.step, run.task.index
         if step is None or step.runs.get(index) is not run:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -23,6 +23,7 @@
     StartAnswered,
     StopAnswered,
     StopCause,
+    TeamsChanged,
     TenureConfirmed,
     WorkerReported,
     WorkerRestarted,
@@ -38,6 +39,7 @@
 from ._specs import WorkflowSpec
 from ._state import Job, Step, Worker
 from ._step_placement import StepPlacer
+from ._team_ledger import TeamLedger
 from ._timing import Timing
 
 DEPARTED_SILENCE_S = 2.0
@@ -60,6 +62,7 @@
         departures: departures of these workers by id.
         started_s: local time of the start of the tenure, in seconds.
         find_spec: returns the specification of a job, also of one that has ended.
+        find_team: returns the team of a job, also of one that has ended; empty without one.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         departures: Mapping[str, Departure] | None = None,
         started_s: float = 0.0,
         find_spec: Callable[[str], WorkflowSpec | None],
+        find_team: Callable[[str], str],
     ) -> None:
         self.timing = timing
         self.started_s = started_s
@@ -82,8 +86,9 @@
         self.reconciliation = Reconciliation(
             self.workers, self.confirmation, timing, workers_in_use, departures or {}, started_s
         )
+        self.ledger = TeamLedger(find_spec, find_team)
         self.runs = RunTable(
-            self.jobs, self.workers, self.outbox, self.run_times, timing, find_spec
+            self.jobs, self.workers, self.outbox, self.run_times, timing, self.ledger, find_spec
         )
         self.runs.first_number = first_number
         self.ticket_tracker = TicketTracker(self.workers, self.outbox)
@@ -124,6 +129,9 @@
                     self.runs.capacity_version += 1
             case JobCancelled(job_id):
                 self._handle_cancellation(job_id, now_s)
+            case TeamsChanged(teams):
+                self.ledger.update_teams(teams)
+                self.runs.capacity_version += 1
             case DirectoryChanged(workers):
                 self._apply_directory(workers, now_s)
             case WorkerSilent(worker_id, renewed_s):
@@ -144,6 +152,8 @@
         if self.runs.worker_health.end_probations(now_s):
             self.runs.capacity_version += 1
         is_reconciled = self.is_reconciled(now_s)
+        if is_reconciled and self.ledger.complete_reconciliation():
+            self.runs.capacity_version += 1
         ready = []
         for job in self.jobs.values():
             if job.state.is_final or not job.recorded or (job.inherited and not is_reconciled):
@@ -236,7 +246,8 @@
 
         The progress that the earlier `pop_progress` calls returned must already be durable.
         """
-        closed, self._closed = self._closed, []
+        closed = [job_id for job_id in self._closed if self.ledger.may_close(job_id)]
+        self._closed = [job_id for job_id in self._closed if not self.ledger.may_close(job_id)]
         return [WorkflowClosed(job_id=job_id) for job_id in closed]
 
     def find_step(self, name) -> Step | None:
@@ -254,6 +265,7 @@
                 self._unrecorded_cancellations.append(
                     WorkflowProgress(job_id=event.job_id, state=WorkflowState.CANCELLED)
                 )
+            self.ledger.add_inherited(event.job_id, journaled, None)
             # Its closing record was lost with an earlier scheduler. Without one, the job would
             # count as new once its progress has been deleted.
             self._closed.append(event.job_id)
@@ -271,10 +283,13 @@
         job.dirty = not has_progress
         if has_progress:
             job.restore(journaled.progress)
+            self.ledger.add_inherited(event.job_id, journaled, job)
         if not accepted.spec.times_count:
             job.create_occurrence(0)
         self.jobs[event.job_id] = job
-        self.headroom.observe(job, now_s)
+        if not any(self.ledger.is_held(step) for step in job.steps.values()):
+            # Places would be kept in vain for urgent tasks that a cap holds.
+            self.headroom.observe(job, now_s)
         self.ticket_tracker.apply_early_tickets(job.steps.values(), now_s)
 
     def _create_due_occurrences(self, job: Job, utc_s: float) -> None:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -55,6 +55,7 @@
         speed_read_s: local time of the previous progress reading for the speed, in seconds.
         speed_read_percent: progress at that reading.
         projected_s: total run time at the latest speed, in seconds; 0 if unknown.
+        team: team that the run is charged to; empty without one.
     """
 
     task: TaskName
@@ -80,6 +81,7 @@
     speed_read_s: float = 0.0
     speed_read_percent: float = 0.0
     projected_s: float = 0.0
+    team: str = ""
 
     def may_start_late(self, now_s: float) -> bool:
         """Return whether an order to start the run may still be on its way."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
@@ -78,9 +78,13 @@
             for run in step.runs.values():
                 self.runs.order_stop(run, StopCause.GANG_MEMBER_ENDED, now_s)
             return
-        if not self.ticket_tracker.request_tickets(step, workers, now_s):
+        allowed_count = self.runs.ledger.count_startable(step)
+        if not allowed_count:
+            self.reservations.release(step)
+            return
+        if not self.ticket_tracker.request_tickets(step, workers, allowed_count, now_s):
             return
-        indices = self._find_startable_tasks(step, now_s)
+        indices = self._find_startable_tasks(step, now_s)[:allowed_count]
         if not indices:
             return
         free_by_worker = self._free_capacity(step, workers, now_s)
@@ -181,11 +185,15 @@
         """Request new tickets for workers that have capacity for the waiting tasks."""
         if step.job.queue.approval is None:
             return
+        allowed_count = self.runs.ledger.count_startable(step)
+        if not allowed_count:
+            return
         free_by_worker = self._free_capacity(step, workers, now_s, accept_expired=True)
         if not self._may_use_headroom(step, workers, now_s):
             # A ticket for a worker on which the step gets no place would expire unused.
             free_by_worker = self._limit_to_headroom(step, free_by_worker)
-        pairs = assign_singles(step, free_by_worker, sorted(step.waiting), now_s)
+        indices = sorted(step.waiting)[:allowed_count]
+        pairs = assign_singles(step, free_by_worker, indices, now_s)
         chosen = dict.fromkeys(worker for _, worker in pairs)
         self.ticket_tracker.renew_tickets(step, list(chosen), now_s)
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -68,6 +68,7 @@
         departures=journal_state.departures,
         started_s=now_s,
         find_spec=journal_state.find_spec,
+        find_team=journal_state.find_team,
     )
     for job_id, journaled in journal_state.jobs.items():
         scheduler.observe(JobAdded(job_id=job_id, journaled=journaled), now_s)
@@ -356,6 +357,9 @@
     def _delete_expired_jobs(self) -> None:
         """Delete the records of jobs whose retention time has passed."""
         for job_id in self._journal_state.find_expired(self._now_s(), RETENTION_S):
+            if not self.scheduler.ledger.may_close(job_id):
+                # Its team would be unknown to the next scheduler.
+                continue
             for key in job_keys(job_id):
                 self._replace_record(LogRecord(key, b""))
 
