Tell the scheduler of the teams at its start and at each version

The caps reached callers' VMs but not the scheduler, which holds the work of teams until it knows them.

--- a/features/workflow_caps.feature
+++ b/features/workflow_caps.feature
@@ -111,3 +111,12 @@
     Given team t in a world with approvals, with 2 processors left of its cap
     When a step of 40 tasks of the team arrives
     Then its first request names workers for 2 tasks
+
+  Scenario: a daemon that becomes scheduler knows the caps, also the last one of a removed team
+    Guards against a successor that starts work of teams without their caps, and against versions of
+    the configuration that reach callers but not the scheduler.
+
+    Given a daemon that has read a cap of 6 processors for team t, and then its removal
+    When the daemon becomes scheduler
+    Then its scheduler applies the cap of 6 processors to the team, which is not listed
+    And it applies a cap of 2 processors within 1 s of reading the version that sets it
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -63,6 +63,7 @@
     WorkerInfo,
     WorkflowSpec,
 )
+from ._team_history import TeamHistory
 from ._timing import Timing
 from ._waiting_steps import explain_waiting
 
@@ -102,6 +103,7 @@
     "StopCause",
     "StopRun",
     "TaskName",
+    "TeamHistory",
     "TeamKeys",
     "TeamsChanged",
     "TenureConfirmed",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -14,6 +14,7 @@
     Configuration,
     JournalRecord,
     StepName,
+    TeamHistory,
     TenureRecord,
     Timing,
     VmPresent,
@@ -123,6 +124,7 @@
             metrics,
         )
         self._election = Election(presence, self._rng, lambda: self.reader.journal_state.vms)
+        self._team_history = TeamHistory()
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
         self.active_scheduler: ActiveScheduler | None = None
@@ -200,6 +202,9 @@
                 continue
             known = newer
             self.workflow_service.configuration = newer
+            teams_changed = self._team_history.observe(newer.teams)
+            if self.active_scheduler is not None:
+                self.active_scheduler.observe(teams_changed)
             _LOG.info(
                 "configuration applied",
                 extra={"version": newer.version, "queues": len(newer.queues)},
@@ -348,6 +353,8 @@
             self._balancer,
             self._metrics,
         )
+        for event in self._team_history.list_events():
+            self.active_scheduler.observe(event)
         self.reader.pause_s = SCHEDULER_PAUSE_S
         self.active_scheduler.start()
         self._metrics.tenures.labels("began").inc()
