--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -65,6 +65,7 @@
     WorkerInfo,
     WorkflowSpec,
 )
+from ._team_history import TeamHistory
 from ._timing import Timing
 from ._waiting_steps import explain_waiting
 
@@ -109,6 +110,7 @@
     "StopCause",
     "StopRun",
     "TaskName",
+    "TeamHistory",
     "TeamKeys",
     "TeamsChanged",
     "TenureConfirmed",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -15,6 +15,7 @@
     JournalRecord,
     KeyCheck,
     StepName,
+    TeamHistory,
     TenureRecord,
     Timing,
     VmPresent,
@@ -127,6 +128,7 @@
             key_check,
         )
         self._election = Election(presence, self._rng, lambda: self.reader.journal_state.vms)
+        self._team_history = TeamHistory()
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
         self.active_scheduler: ActiveScheduler | None = None
@@ -207,6 +209,9 @@
                 await asyncio.sleep(_CONFIGURATION_RETRY_S)
                 continue
             known = newer
+            teams_changed = self._team_history.observe(newer.teams)
+            if self.active_scheduler is not None:
+                self.active_scheduler.observe(teams_changed)
 
     async def _directory_loop(self) -> None:
         while True:
@@ -351,6 +356,8 @@
             self._balancer,
             self._metrics,
         )
+        for event in self._team_history.list_events():
+            self.active_scheduler.observe(event)
         self.reader.pause_s = SCHEDULER_PAUSE_S
         self.active_scheduler.start()
         self._metrics.tenures.labels("began").inc()
