Report a request without a connection as not sent

A timeout below that of connecting (0.5 s against 0.6 s) made an append uncertain although no connection had been established. The trace of the session now shows whether the request has got a connection.

--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -90,11 +90,28 @@
     """The dedicated connection of the request before has been closed."""
 
 
-async def _keep_connection(_session, context, _params) -> None:
-    if context.trace_request_ctx is Connection.UNCHANGED:
+@attrs.define(slots=True, eq=False)
+class _RequestTrace:
+    """State of one request.
+
+    Args:
+        connection: connection that the request may use.
+        is_connected: whether it has got a connection, so that it may have been sent.
+    """
+
+    connection: Connection
+    is_connected: bool = False
+
+
+async def _check_connection(_session, context, _params) -> None:
+    if context.trace_request_ctx.connection is Connection.UNCHANGED:
         raise _ConnectionChangedError("the connection has been closed")
 
 
+async def _record_connection(_session, context, _params) -> None:
+    context.trace_request_ctx.is_connected = True
+
+
 def _make_socket(info) -> socket.socket:
     family, kind, protocol = info[:3]
     sock = socket.socket(family=family, type=kind, proto=protocol)
@@ -164,13 +181,15 @@
         self._swept_s = time.monotonic()
         self._cookie_jar: aiohttp.DummyCookieJar | None = None
         self._trace = aiohttp.TraceConfig()
-        self._trace.on_connection_create_start.append(_keep_connection)
+        self._trace.on_connection_create_start.append(_check_connection)
+        self._trace.on_connection_create_end.append(_record_connection)
+        self._trace.on_connection_reuseconn.append(_record_connection)
 
     async def open(self) -> None:
         """Prepare the client; requires a running event loop."""
         self._cookie_jar = aiohttp.DummyCookieJar()
 
-    def _make_session(self, *traces: aiohttp.TraceConfig) -> aiohttp.ClientSession:
+    def _make_session(self) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=1,
@@ -181,7 +200,7 @@
             auto_decompress=False,
             cookie_jar=self._cookie_jar,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            trace_configs=list(traces),
+            trace_configs=[self._trace],
         )
 
     def _find_pools(self, address: str) -> _AddressPools:
@@ -193,9 +212,7 @@
         if pools is None:
             pools = self._pools[address] = _AddressPools(
                 shared=ConnectionPool(self._connections_max, self._keepalive_s, self._make_session),
-                dedicated=ConnectionPool(
-                    1, self._keepalive_s, lambda: self._make_session(self._trace)
-                ),
+                dedicated=ConnectionPool(1, self._keepalive_s, self._make_session),
             )
         return pools
 
@@ -266,6 +283,7 @@
         pool = pools.shared if connection is Connection.ANY else pools.dedicated
         sock_read_s = None if silence_s is None else wait_s + silence_s
         pooled: PooledConnection | None = None
+        trace = _RequestTrace(connection)
         try:
             async with stall_tolerant_timeout(timeout_s), pool.reserve() as pooled:
                 async with pooled.session.request(
@@ -275,7 +293,7 @@
                     headers=headers,
                     timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_S, sock_read=sock_read_s),
                     allow_redirects=False,
-                    trace_request_ctx=connection,
+                    trace_request_ctx=trace,
                 ) as response:
                     answer = Answer(response.status, await response.read())
                 pooled.answered_s = time.monotonic()
@@ -294,6 +312,8 @@
         except TimeoutError:
             if pooled is None:
                 return NotSent("all connections were in use")
+            if not trace.is_connected:
+                return NotSent("connecting timed out")
             self._close_suspects(address, pooled, wait_s)
             return NoAnswer("no answer in time")
         except (aiohttp.ClientError, OSError) as error:
