Tell callers in an outage of the log at once when to retry, and what has certainly not run

Four retries of one second each were used up within an outage of 4 s, some VMs rejected callers for seconds after it, and records that waited behind an unanswered append ended with an unknown outcome. - Retry-After is one second more than the outage has lasted, up to 4 s, with jitter. - Reads of a silent log overlap, 0.5 s apart, instead of waiting up to 2 s each; the appender repeats an unanswered attempt as soon as a read is answered. - A record that was in no attempt, or in rejected ones only, is rejected at its caller's deadline and leaves its group. The appenders have a module of their own.

--- a/features/steps/workflow_partition_steps.py
+++ b/features/steps/workflow_partition_steps.py
@@ -33,7 +33,8 @@
     UnknownJob,
     WorkflowMetrics,
 )
-from fireflywharf_daemon.workflows._journal import JournalAppender, JournalReader
+from fireflywharf_daemon.workflows._appends import JournalAppender
+from fireflywharf_daemon.workflows._journal import JournalReader
 from fireflywharf_daemon.workflows._service import WorkflowService
 from fireflywharf_daemon.workflows._submissions import Submissions
 
--- a/features/steps/workflow_resilience_steps.py
+++ b/features/steps/workflow_resilience_steps.py
@@ -34,9 +34,10 @@
     WorkerReport,
     WorkflowMetrics,
 )
+from fireflywharf_daemon.workflows._appends import GroupAppender
 from fireflywharf_daemon.workflows._background import BackgroundTasks
 from fireflywharf_daemon.workflows._decision_log import DecisionLog
-from fireflywharf_daemon.workflows._journal import GroupAppender, JournalReader
+from fireflywharf_daemon.workflows._journal import JournalReader
 from fireflywharf_daemon.workflows._sessions import WorkerSession
 from fireflywharf_platform._store import StoreClient
 from fireflywharf_platform._workers import WorkerClient
--- a/features/workflow_daemon.feature
+++ b/features/workflow_daemon.feature
@@ -162,13 +162,6 @@
     When 20 wide requests wait at one VM
     Then all have an outcome within 4 s and the service got at most 9
 
-  Scenario: a caller whose timeout expires while its record waits gets an uncertain outcome
-    The record stays in its group and is appended later. An outcome "not accepted" would be wrong.
-
-    Given a log that rejects the first 3 appends and accepts the next one
-    When a record with 0.1 s and one with 2 s are appended together
-    Then the first has an uncertain outcome and the second is stored
-
   Scenario Outline: the timeout of an append follows the observed times
     If it is too short for a slow log, repetitions make the queue of the log longer. If it is too
     long, the repetition after a lost answer is late.
--- a/features/workflow_resilience.feature
+++ b/features/workflow_resilience.feature
@@ -76,13 +76,19 @@
       | raises an unexpected error    | uncertain |
       | is answered without an offset | stored    |
 
-  Scenario: a daemon notices soon that a silent log answers again
+  Scenario Outline: a daemon notices soon that a silent log answers again
     Reads that were sent to the silent log get no answer. If the daemon waits for them until their
-    usual timeout, it rejects submissions for seconds after the end of the outage.
+    usual timeout, or for longer after each failure, it rejects submissions for seconds after the end
+    of the outage.
 
     Given a daemon that follows a log
-    When the log gives no answer for 4 s and then answers again
-    Then the daemon's state is current within 1.5 s
+    When the log gives no answer for <outage_s> s and then answers again
+    Then the daemon's state is current within 0.7 s
+
+    Examples:
+      | outage_s |
+      | 4        |
+      | 5.1      |
 
   Scenario Outline: tasks whose ends do not fit in one report are not started again
     A worker lists a limited number of ends in one answer. A run that is missing from a list that was
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -2,6 +2,7 @@
 
 from ._approvals import ApprovalRates, approval_request_ms, has_short_requests, sample_workers
 from ._candidates import candidate_rank
+from ._detours import retry_after_s
 from ._events import (
     Action,
     ApprovalFailed,
@@ -129,5 +130,6 @@
     "has_short_requests",
     "job_keys",
     "approval_request_ms",
+    "retry_after_s",
     "vm_key",
 ]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -29,6 +29,7 @@
 
 from ._active_scheduler import ActiveScheduler
 from ._append_timeouts import AppendTimeouts
+from ._appends import JournalAppender
 from ._approvals import ApprovalQueue
 from ._background import BackgroundTasks
 from ._election import Election, JournalWriter
@@ -37,7 +38,6 @@
 from ._journal import (
     FOLLOWER_PAUSE_S,
     SCHEDULER_PAUSE_S,
-    JournalAppender,
     JournalReader,
 )
 from ._metrics import WorkflowMetrics
@@ -95,11 +95,16 @@
         self._timing = timing
         self._rng = random.Random(presence.incarnation)
         times = AppendTimeouts()
-        self.reader = JournalReader(platform_services.log, self._handle_record, times=times)
+        self._appender = JournalAppender(platform_services.log, times)
+        self.reader = JournalReader(
+            platform_services.log,
+            self._handle_record,
+            times=times,
+            on_return=self._appender.abandon_overdue,
+        )
         self._submissions = Submissions(
             platform_services.log, self.reader.journal_state, self._handle_record
         )
-        self._appender = JournalAppender(platform_services.log, times)
         self._approvals = ApprovalQueue(platform_services.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
         self._approvals_http = HttpClient(_PEER_CONNECTIONS, _APPROVAL_KEEPALIVE_S)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -1,4 +1,4 @@
-"""Journal reader and group commit of journal records."""
+"""Reader of the journal."""
 
 from __future__ import annotations
 
@@ -11,19 +11,11 @@
     MAIN_PARTITION,
     JournalRecord,
     JournalState,
-    encode_record,
-    find_partition,
 )
 
 from ._append_timeouts import AppendTimeouts
-from ._background import result_or_default
 from ._clocks import boot_time_s
 from ._interfaces import (
-    Appended,
-    AppendFenced,
-    AppendRejected,
-    AppendResult,
-    AppendUncertain,
     LogRecord,
     Partition,
     ReadExpired,
@@ -43,10 +35,14 @@
 A job may be reported as unknown for up to three seconds after its acceptance."""
 _RETRY_S = 0.15
 """Pause after a failed read."""
-_PROBE_TIMEOUT_S = 0.5
-"""Timeout of the first read after a failed one; the slowest log answers in 0.3 s."""
-_PROBE_TIMEOUT_MAX_S = 2.0
-"""Maximum timeout of such reads; each failure doubles it, as a slow link may need longer."""
+_PROBE_INTERVAL_S = 0.5
+"""Time after which a read that follows a failed one is repeated; the slowest log answers in 0.3 s.
+
+A read that was sent to a silent log gets no answer when the log returns."""
+_PROBE_TIMEOUT_S = 2.0
+"""Timeout of such reads, whose answers may need longer than the interval on a slow link."""
+_DOWN_READS_COUNT = 2
+"""Failed reads in a row from which the log counts as down: one failure may be the connection's."""
 FOLLOWER_PAUSE_S = 0.2
 """Pause between reads of an inactive daemon; requests of callers interrupt it."""
 SCHEDULER_PAUSE_S = 0.08
@@ -67,6 +63,7 @@
         partition: number of the partition.
         journal_state: state to maintain; by default a new one.
         times: learns the duration of reads; None if it is not of interest.
+        on_return: called when the log answers again after a failed read.
 
     Attributes:
         journal_state: state derived from the records read so far.
@@ -85,6 +82,7 @@
         partition: int = MAIN_PARTITION,
         journal_state: JournalState | None = None,
         times: AppendTimeouts | None = None,
+        on_return: Callable[[], None] = lambda: None,
     ) -> None:
         self.journal_state = JournalState() if journal_state is None else journal_state
         self._partition = journal_partition(partition)
@@ -100,8 +98,10 @@
         self._waiting = False
         self._next_read: asyncio.Future | None = None
         self._available = True
-        self._probe_timeout_s = _PROBE_TIMEOUT_S
+        self._failures_count = 0
+        self._answered_s = boot_time_s()
         self._times = times
+        self._on_return = on_return
 
     @property
     def age_s(self) -> float:
@@ -118,6 +118,16 @@
         """Whether the state is recent enough to deny that a job exists."""
         return self.loaded and self.age_s < STALE_S
 
+    @property
+    def is_down(self) -> bool:
+        """Whether several reads in a row have failed, so that appends would fail as well."""
+        return self._failures_count >= _DOWN_READS_COUNT
+
+    @property
+    def outage_s(self) -> float:
+        """Time since the log last answered a read, in seconds; 0 if no read has failed since."""
+        return 0.0 if self._available else boot_time_s() - self._answered_s
+
     def has_read(self, offset: int) -> bool:
         """Return whether the state includes all records up to an offset.
 
@@ -221,6 +231,7 @@
                 self._apply(rows)
                 self.offset = max(end, self.offset)
                 self.loaded = True
+                self._record_answer()
                 self._record_success(started_s)
                 return True
             case ReadFailed(reason):
@@ -230,18 +241,30 @@
     async def _read_or_probe(self, wait_s: float) -> bool:
         """Read, or find out whether a log that did not answer has returned.
 
-        A read that was sent to a silent log gets no answer when the log returns, so a long timeout
-        would prolong the outage for the callers of this daemon.
+        A log that returns is noticed within `_PROBE_INTERVAL_S`, as reads overlap until one of them
+        is answered.
         """
         if self._available:
-            self._probe_timeout_s = _PROBE_TIMEOUT_S
             return await self._read(wait_s)
+        probes: set[asyncio.Task] = set()
         try:
-            async with asyncio.timeout(self._probe_timeout_s):
-                return await self._read(0.0)
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                while True:
+                    probes.add(asyncio.create_task(self._read(0.0)))
+                    done, probes = await asyncio.wait(
+                        probes, timeout=_PROBE_INTERVAL_S, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    if any(probe.result() for probe in done):
+                        return True
+                    if not probes:
+                        return False
         except TimeoutError:
-            self._probe_timeout_s = min(_PROBE_TIMEOUT_MAX_S, 2 * self._probe_timeout_s)
+            self._record_failure("no answer in time")
             return False
+        finally:
+            for probe in probes:
+                probe.cancel()
+            await asyncio.gather(*probes, return_exceptions=True)
 
     async def _read(self, wait_s: float) -> bool:
         """Read and apply records, and let the callers of `refresh` continue also after an error."""
@@ -262,6 +285,8 @@
             self._waiting = False
         if self._times is not None and wait_s == 0 and isinstance(result, ReadRecords):
             self._times.observe(time.monotonic() - sent_s)
+        if not isinstance(result, ReadFailed):
+            self._record_answer()
         match result:
             case ReadRecords(end, rows):
                 self._apply(rows)
@@ -300,138 +325,24 @@
                 )
 
     def _record_success(self, complete_s: float) -> None:
-        self.read_s = min(boot_time_s(), complete_s)
+        self.read_s = max(self.read_s, min(boot_time_s(), complete_s))
+
+    def _record_answer(self) -> None:
+        self._answered_s = boot_time_s()
+        self._failures_count = 0
         if not self._available:
             self._available = True
             _LOG.info(
                 "journal can be read again",
                 extra={"partition": self._partition.number, "offset": self.offset},
             )
+            self._on_return()
 
     def _record_failure(self, reason: str) -> None:
+        self._failures_count += 1
         if self._available:
             self._available = False
             _LOG.warning(
                 "journal cannot be read",
                 extra={"partition": self._partition.number, "reason": reason},
             )
-
-
-class GroupAppender:
-    """Appends the records of concurrent callers in groups (group commit).
-
-    Records that arrive during an append are sent together with the next one. Appending a record
-    twice is harmless, because the journal retains one record per key.
-
-    Args:
-        log: the shared log.
-        partition: partition to append to.
-        times: learned duration of appends; by default that of this partition.
-    """
-
-    _PAUSE_S = 0.05
-    _REJECTIONS_MAX = 4
-    """Rejected attempts, 50 ms apart, after which callers are refused; they may try another VM."""
-
-    def __init__(
-        self, log: SharedLog, partition: Partition, times: AppendTimeouts | None = None
-    ) -> None:
-        self._log = log
-        self._partition = partition
-        self._queue: list[tuple[LogRecord, asyncio.Future, float]] = []
-        self._wake = asyncio.Event()
-        self.appends_count = 0
-        self._times = AppendTimeouts() if times is None else times
-
-    def put(self, record: LogRecord, deadline_s: float) -> asyncio.Future:
-        """Queue a record; the returned future resolves to an `AppendResult`.
-
-        Args:
-            record: the record.
-            deadline_s: local time at which the caller stops waiting, in seconds.
-        """
-        future = asyncio.get_running_loop().create_future()
-        self._queue.append((record, future, deadline_s))
-        self._wake.set()
-        return future
-
-    def put_record(self, record: JournalRecord, deadline_s: float) -> asyncio.Future:
-        """Encode and queue a journal record; see `put`."""
-        return self.put(LogRecord(*encode_record(record)), deadline_s)
-
-    async def run(self) -> None:
-        """Append queued records until cancelled."""
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            batch, self._queue = self._queue, []
-            if batch:
-                result = await result_or_default(
-                    self._append(batch), AppendUncertain("unexpected error"), "log"
-                )
-                for index, (_, future, _) in enumerate(batch):
-                    own = result
-                    if isinstance(result, Appended) and result.offset >= 0:
-                        own = Appended(result.offset + index)
-                    if not future.done():
-                        future.set_result(own)
-
-    async def _append(self, batch: list[tuple[LogRecord, asyncio.Future, float]]) -> AppendResult:
-        records = [record for record, _, _ in batch]
-        deadline_s = max(deadline for _, _, deadline in batch)
-        uncertain: AppendUncertain | None = None
-        unanswered = rejections = 0
-        while True:
-            self.appends_count += 1
-            sent_s = time.monotonic()
-            timeout_s = min(self._times.predict(unanswered), deadline_s - sent_s)
-            result = await self._log.append(self._partition, records, timeout_s=max(0.1, timeout_s))
-            match result:
-                case Appended() | AppendFenced():
-                    self._times.observe(time.monotonic() - sent_s)
-                    return result
-                case AppendUncertain():
-                    uncertain = result
-                    unanswered += 1
-                case AppendRejected():
-                    rejections += 1
-                    if uncertain is None and rejections >= self._REJECTIONS_MAX:
-                        return result
-            now_s = time.monotonic()
-            if now_s + self._PAUSE_S >= deadline_s:
-                return uncertain or result
-            self._expire_callers(batch, now_s)
-            await asyncio.sleep(self._PAUSE_S)
-
-    @staticmethod
-    def _expire_callers(batch: list[tuple[LogRecord, asyncio.Future, float]], now_s: float) -> None:
-        """Resolve the futures of callers past their deadline; their records stay in the group."""
-        for _, future, deadline_s in batch:
-            if now_s >= deadline_s and not future.done():
-                future.set_result(AppendUncertain("the log did not answer in time"))
-
-
-class JournalAppender:
-    """Appends the records of callers and of this VM to the partitions of the journal.
-
-    Load pattern: while the log is slow, a partition takes a few appends per second, and the VMs of
-    a large deployment would wait for each other for seconds. Jobs are therefore spread over many
-    partitions by their ids, and none of them delays the records of the scheduler.
-
-    Args:
-        log: the shared log.
-        times: learned duration of calls; by default that of appends only.
-    """
-
-    def __init__(self, log: SharedLog, times: AppendTimeouts | None = None) -> None:
-        times = AppendTimeouts() if times is None else times
-        self.appenders = [
-            GroupAppender(log, journal_partition(number), times)
-            for number in range(log.partitions_count)
-        ]
-
-    def put_record(self, record: JournalRecord, deadline_s: float) -> asyncio.Future:
-        """Encode and queue a record; see `GroupAppender.put`."""
-        encoded = LogRecord(*encode_record(record))
-        appender = self.appenders[find_partition(encoded.key, len(self.appenders))]
-        return appender.put(encoded, deadline_s)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Callable
 
@@ -19,10 +20,12 @@
     WorkflowSpec,
     WorkflowState,
     job_keys,
+    retry_after_s,
 )
 
+from ._appends import JournalAppender
 from ._interfaces import Appended, AppendRejected
-from ._journal import JournalAppender, JournalReader
+from ._journal import JournalReader
 from ._metrics import WorkflowMetrics
 from ._submissions import Submissions
 
@@ -36,8 +39,6 @@
 """Timeout of the journal read for a query."""
 _SUBMISSION_TIMEOUT_S = 1.5
 """Timeout of reading a partition of submissions for a query."""
-_RETRY_AFTER_S = 1
-"""Retry delay for callers after a rejection because of a log outage; outages last seconds."""
 
 
 @attrs.frozen(slots=True)
@@ -112,6 +113,7 @@
         self._on_accept = on_accept
         self._on_stored = on_stored
         self._metrics = metrics
+        self._rng = random.Random()
         self.configuration: Configuration | None = None
 
     @property
@@ -136,7 +138,7 @@
     ) -> Reply:
         if self._find_job(job_id) is not None:
             return Accepted()
-        if not self._reader.is_current:
+        if self._reader.is_down or not self._reader.is_current:
             return self._reject(queue, job_id, "the journal cannot be read")
         record = WorkflowAccepted(job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time())
         future = self._appender.put_record(record, started_s + STORE_TIMEOUT_S)
@@ -167,7 +169,10 @@
                 "journal_age_s": round(min(self._reader.age_s, 1e6), 3),
             },
         )
-        return Rejected(reason, _RETRY_AFTER_S)
+        return self._make_rejection(reason)
+
+    def _make_rejection(self, reason: str) -> Rejected:
+        return Rejected(reason, retry_after_s(self._reader.outage_s, self._rng.random()))
 
     async def get_state(self, job_id: str) -> Reply:
         """Return the state of a job."""
@@ -178,7 +183,8 @@
 
     async def _read_job(self, job_id: str) -> JournaledWorkflow | UnknownJob | Rejected:
         """Read the journal, and return the job or the reply that it cannot be found."""
-        await self._reader.refresh(_REFRESH_TIMEOUT_S)
+        if not self._reader.is_down:
+            await self._reader.refresh(_REFRESH_TIMEOUT_S)
         known = self._find_job(job_id)
         if known is None:
             may_deny = await self._read_submission(job_id)
@@ -200,7 +206,7 @@
         return await self._submissions.catch_up(keys[0], _SUBMISSION_TIMEOUT_S)
 
     def _reject_unread(self) -> Rejected:
-        return Rejected("the journal cannot be read", _RETRY_AFTER_S)
+        return self._make_rejection("the journal cannot be read")
 
     async def cancel(self, job_id: str) -> Reply:
         """Cancel a job; a job that has ended is left unchanged."""
@@ -212,6 +218,8 @@
             return known
         if known.state.is_final:
             return Accepted()
+        if self._reader.is_down:
+            return self._reject_unread()
         record = WorkflowCancelled(job_id=job_id)
         match await asyncio.shield(self._appender.put_record(record, deadline_s)):
             case Appended(offset):
@@ -219,12 +227,12 @@
                 _LOG.info("job cancelled", extra={"job_id": job_id, "offset": offset})
                 return Accepted()
             case AppendRejected(reason):
-                return Rejected(reason, _RETRY_AFTER_S)
+                return self._make_rejection(reason)
         return Uncertain("the log did not answer")
 
     async def count_pending(self, queue: Queue) -> Reply:
         """Return the number of jobs of a queue of which no task has started."""
-        if not self._reader.is_current:
+        if not (self._reader.is_down or self._reader.is_current):
             await self._reader.refresh(_REFRESH_TIMEOUT_S)
         if not self._reader.is_current:
             return self._reject_unread()
