--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
@@ -2,6 +2,7 @@
 
 from ._clocks import boot_time_s
 from ._daemon import WorkflowDaemon
+from ._forwarding import CallerRequest, CallForwarder, OutageResponse, TakenCalls
 from ._http import Answer, Connection, HttpClient, HttpOutcome, NoAnswer, NotSent
 from ._interfaces import (
     Appended,
@@ -49,7 +50,11 @@
     "AppendResult",
     "AppendUncertain",
     "Appended",
+    "CallForwarder",
+    "CallerRequest",
     "Connection",
+    "OutageResponse",
+    "TakenCalls",
     "ApprovalGranted",
     "WorkflowService",
     "PollFailed",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -50,6 +50,17 @@
             "scheduler_appends_total", "Appends of the scheduler by result.", "result"
         )
         self.tenures = counter("tenures_total", "Tenures of this daemon by event.", "event")
+        self.forwarded_calls = counter(
+            "forwarded_calls_total", "Calls that were forwarded to peers by result.", "result"
+        )
+        self.taken_calls = counter(
+            "taken_calls_total", "Calls that peers have forwarded to this VM by result.", "result"
+        )
+        self.outage_s = Gauge(
+            "fireflywharf_log_outage_seconds",
+            "Time since the log last answered a read; 0 while reads succeed.",
+            registry=registry,
+        )
         self.submission_s = histogram("submission", "Time to answer a submission.")
         self.append_s = histogram("scheduler_append", "Time of an append of the scheduler.")
         self.first_start_s = histogram(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Callable
 
@@ -23,11 +24,13 @@
     WorkflowSpec,
     WorkflowState,
     job_keys,
+    retry_after_s,
 )
 
+from ._appends import JournalAppender
 from ._clocks import boot_time_s
 from ._interfaces import Appended, AppendRejected
-from ._journal import JournalAppender, JournalReader
+from ._journal import JournalReader
 from ._metrics import WorkflowMetrics
 from ._submissions import Submissions
 
@@ -41,8 +44,6 @@
 """Timeout of the journal read for a query."""
 _SUBMISSION_TIMEOUT_S = 1.5
 """Timeout of reading a partition of submissions for a query."""
-_RETRY_AFTER_S = 1
-"""Retry delay for callers after a rejection because of a log outage; outages last seconds."""
 _OUTDATED = "the configuration is outdated"
 
 
@@ -155,6 +156,7 @@
 
     Attributes:
         configuration: current configuration; None until one has been read.
+        can_forward: returns whether a peer can presumably serve the callers of this VM.
     """
 
     def __init__(
@@ -174,7 +176,9 @@
         self._on_stored = on_stored
         self._metrics = metrics
         self._key_check = KeyCheck() if key_check is None else key_check
+        self._rng = random.Random()
         self.configuration: Configuration | None = None
+        self.can_forward: Callable[[], bool] = lambda: False
         self._configuration_complete_s = float("-inf")
         metrics.configuration_age_s.set_function(lambda: self.configuration_age_s)
 
@@ -206,11 +210,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers can be served."""
-        return (
-            self.configuration is not None
-            and self._reader.is_current
-            and self._key_check.can_accept(self.configuration, self.configuration_age_s)
-        )
+        if self.configuration is None:
+            return False
+        can_accept = self._key_check.can_accept(self.configuration, self.configuration_age_s)
+        return (self._reader.is_current and can_accept) or self.can_forward()
 
     def admit(self, host: str, path: str, key: str | None) -> AdmittedCall | Reply:
         """Return the queue and the team of a call, or the reply that refuses it.
@@ -221,7 +224,7 @@
             key: key of the caller's team; None without one.
         """
         if self.configuration is None:
-            return Rejected("no configuration yet", _RETRY_AFTER_S)
+            return self._make_rejection("no configuration yet")
         age_s = self.configuration_age_s
         queue = self.configuration.find_queue(host, path)
         if queue is None:
@@ -249,7 +252,7 @@
                 "configuration_age_s": round(min(age_s, 1e6), 3),
             },
         )
-        return Rejected(_OUTDATED, _RETRY_AFTER_S)
+        return self._make_rejection(_OUTDATED)
 
     async def submit(
         self, queue: Queue, job_id: str, spec: WorkflowSpec, *, team: str = ""
@@ -277,7 +280,7 @@
                 return Accepted()
             _log_other_team(job_id, queue.name, "submission")
             return JobOfOtherTeam()
-        if not self._reader.is_current:
+        if self._reader.is_down or not self._reader.is_current:
             return self._reject(queue, job_id, "the journal cannot be read")
         record = WorkflowAccepted(
             job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time(), team=team
@@ -310,7 +313,10 @@
                 "journal_age_s": round(min(self._reader.age_s, 1e6), 3),
             },
         )
-        return Rejected(reason, _RETRY_AFTER_S)
+        return self._make_rejection(reason)
+
+    def _make_rejection(self, reason: str) -> Rejected:
+        return Rejected(reason, retry_after_s(self._reader.outage_s, self._rng.random()))
 
     async def get_state(self, job_id: str, *, team: str = "") -> Reply:
         """Return the state of a job of a team; a job of another team is unknown to it."""
@@ -326,7 +332,8 @@
 
     async def _read_job(self, job_id: str) -> JournaledWorkflow | UnknownJob | Rejected:
         """Read the journal, and return the job or the reply that it cannot be found."""
-        await self._reader.refresh(_REFRESH_TIMEOUT_S)
+        if not self._reader.is_down:
+            await self._reader.refresh(_REFRESH_TIMEOUT_S)
         known = self._find_job(job_id)
         if known is None:
             may_deny = await self._read_submission(job_id)
@@ -348,7 +355,7 @@
         return await self._submissions.catch_up(keys[0], _SUBMISSION_TIMEOUT_S)
 
     def _reject_unread(self) -> Rejected:
-        return Rejected("the journal cannot be read", _RETRY_AFTER_S)
+        return self._make_rejection("the journal cannot be read")
 
     async def cancel(self, job_id: str, *, team: str = "") -> Reply:
         """Cancel a job of a team; a job that has ended is left unchanged."""
@@ -363,6 +370,8 @@
             return UnknownJob()
         if known.state.is_final:
             return Accepted()
+        if self._reader.is_down:
+            return self._reject_unread()
         record = WorkflowCancelled(job_id=job_id)
         match await asyncio.shield(self._appender.put_record(record, deadline_s)):
             case Appended(offset):
@@ -370,12 +379,12 @@
                 _LOG.info("job cancelled", extra={"job_id": job_id, "offset": offset})
                 return Accepted()
             case AppendRejected(reason):
-                return Rejected(reason, _RETRY_AFTER_S)
+                return self._make_rejection(reason)
         return Uncertain("the log did not answer")
 
     async def count_pending(self, queue: Queue) -> Reply:
         """Return the number of jobs of a queue of which no task has started."""
-        if not self._reader.is_current:
+        if not (self._reader.is_down or self._reader.is_current):
             await self._reader.refresh(_REFRESH_TIMEOUT_S)
         if not self._reader.is_current:
             return self._reject_unread()
