Adapt two test worlds to the forwarder and to the age of the configuration

The features team_keys and workflow_caps were written beside the forwarding of calls, and their worlds lacked what the entry server and the configuration loop ask for since the merge.

--- a/features/steps/team_keys_world.py
+++ b/features/steps/team_keys_world.py
@@ -13,6 +13,7 @@
 from fireflywharf_core.workflows import JournalState, KeyCheck, encode_record
 from fireflywharf_daemon.workflows import (
     Appended,
+    CallForwarder,
     ReadFailed,
     ReadRecords,
     WorkflowMetrics,
@@ -77,7 +78,9 @@
     """Journal in memory, in the place of the reader, the submissions and the appender."""
 
     is_current = True
+    is_down = False
     age_s = 0.0
+    outage_s = 0.0
 
     def __init__(self):
         self.journal_state = JournalState()
@@ -136,7 +139,8 @@
             self.metrics,
             check,
         )
-        self.entry = EntryServer(self.service, self.metrics.registry)
+        forwarder = CallForwarder("vm-0", dict, lambda: True, self.metrics)
+        self.entry = EntryServer(self.service, self.metrics.registry, forwarder)
         self.answers = []
 
     def put_version(self, version, teams):
--- a/features/steps/workflow_cap_daemon_steps.py
+++ b/features/steps/workflow_cap_daemon_steps.py
@@ -14,6 +14,8 @@
 class QueuedConfiguration:
     """Source of the configuration that returns queued versions of the teams."""
 
+    complete_s = 0.0
+
     def __init__(self):
         self.versions = asyncio.Queue()
         self.count = 0
