--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -24,7 +24,7 @@
 Queued requests are not repeated earlier, because each repetition lengthens the queue for all."""
 _REQUEST_WORKERS_MAX = 100
 """Maximum number of workers in one request (protocol of the approval service)."""
-_USUAL_REQUEST_WORKERS = 30
+USUAL_REQUEST_WORKERS = 30
 """Number of workers in a request that the objectives allow for (rules of the deployment)."""
 SHORT_REQUEST_MAX_MS = 50.0
 """Maximum duration of a short request.
@@ -70,7 +70,7 @@
 
 def has_short_requests(approval: Approval) -> bool:
     """Return whether requests of a queue are usually answered while a job is being stored."""
-    return approval_request_ms(approval, _USUAL_REQUEST_WORKERS) <= SHORT_REQUEST_MAX_MS
+    return approval_request_ms(approval, USUAL_REQUEST_WORKERS) <= SHORT_REQUEST_MAX_MS
 
 
 class ApprovalRates:
@@ -246,7 +246,7 @@
             return True
         first = not step.spec.after and step.name.occurrence == 0 and not step.job.inherited
         if first and not step.asked and has_short_requests(approval):
-            answer_s = self.expected_answer_s(step, _USUAL_REQUEST_WORKERS) + _FIRST_TICKETS_WAIT_S
+            answer_s = self.expected_answer_s(step, USUAL_REQUEST_WORKERS) + _FIRST_TICKETS_WAIT_S
             if now_s < step.job.accepted_s + answer_s:
                 return False
         if step.approval_asked_s is None and self._can_ask(step):
@@ -267,7 +267,7 @@
         """Return the ids of the workers to ask about next; empty if no request would help."""
         count_tasks = self._count_expected_tasks
         if step.gang_plan is not None:
-            answer_s = self.expected_answer_s(step, _USUAL_REQUEST_WORKERS)
+            answer_s = self.expected_answer_s(step, USUAL_REQUEST_WORKERS)
             if step.gang_plan.start_s <= now_s + answer_s + _RENEWAL_LEAD_S:
                 return []
             count_tasks = self._count_fitting_tasks
