Revoke and add keys of teams in the connection soak

Callers use every key at every daemon all the time, while connections go silent, the store rejects calls, and in each round two daemons are cut off from the configuration, one of them suspended, as keys are changed. A call with a key that was revoked longer than revoke_ms before it was sent must not succeed, and a key that has been valid for config_apply_ms must not get 401 or 404.

--- a/features/steps/connection_soak.py
+++ b/features/steps/connection_soak.py
@@ -6,6 +6,7 @@
 
 import json
 import random
+import signal
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -14,6 +15,7 @@
 import attrs
 import urllib3
 from aiohttp import web
+from connection_soak_keys import APPLY_S, KEY_SETTINGS, PERMANENT_KEY, KeyCallers, KeyRing
 from platform_processes import PlatformDaemon, PlatformDeployment, wait_for
 from run_folders import keep_run_folders
 
@@ -33,6 +35,11 @@
 REJECTION_KINDS = ["429", "503", "reset", "no answer"]
 WAVE = {"wave": 1, "machines": ["m-1"], "duration_s": 60, "cap": 1}
 FIRST_QUEUES_COUNT = 8
+KEY_CHANGES_COUNT = 4
+SUSPENSION_S = 7.0
+"""Duration of a suspension; longer than the bound for revocations."""
+CUT_OFF_AFTER_S = 2.0
+READY_S = 6.0
 
 
 @attrs.define
@@ -43,11 +50,13 @@
         share: share of the calls that are rejected.
         kind: status of the answer, `reset` or `no answer`.
         rng: draws which calls are rejected; used only by the thread of the stand-ins.
+        topic: topic whose calls are rejected; empty for all.
     """
 
     share: float
     kind: str
     rng: random.Random = attrs.field(repr=False)
+    topic: str = ""
 
 
 class ConnectionSoak:
@@ -57,17 +66,24 @@
         seed: seed of the faults.
         rounds_count: number of rounds; each has faults, a pause and checks.
         daemons_count: number of daemons.
+        with_keys: whether calls need keys, which are then revoked and added during the faults.
 
     Attributes:
         events: what was done, with times in seconds since the start.
         breaches: broken rules.
         kept_folders: copies of the logs, if the run failed.
+        callers: callers with keys; None without keys.
     """
 
-    def __init__(self, seed, rounds_count=2, daemons_count=4):
+    def __init__(self, seed, rounds_count=2, daemons_count=4, with_keys=False):
         self.seed, self.rounds_count = seed, rounds_count
         self.events, self.breaches, self.kept_folders = [], [], []
         self._rng = random.Random(seed)
+        # Keys have draws of their own, so that a seed gives the same faults without them.
+        self._key_rng = random.Random(f"keys {seed}")
+        self._ring = KeyRing(self._key_rng) if with_keys else None
+        self._config_apply_s = APPLY_S if with_keys else CONFIG_APPLY_S
+        self.callers = None
         self._rejections = {}
         self._begin_s = time.monotonic()
         self.deployment = PlatformDeployment(0, executors_count=EXECUTORS_COUNT)
@@ -81,7 +97,9 @@
             self._store_servers[name] = server
             addresses = SimpleNamespace(store_address=address, advice_address=world.advice_address)
             folder = str(self.deployment.folder)
-            self.deployment.daemons.append(PlatformDaemon(name, addresses, folder))
+            daemon = PlatformDaemon(name, addresses, folder, **(KEY_SETTINGS if with_keys else {}))
+            daemon.key = PERMANENT_KEY if with_keys else None
+            self.deployment.daemons.append(daemon)
         self.queues = []
         self._queues_count = 0
         self._version = 1
@@ -94,9 +112,17 @@
             self._put_configuration()
             self.deployment.start()
             wait_for(self.deployment.scheduler, 5.0, "no scheduler")
+            if self._ring is not None:
+                self._start_callers()
             for number in range(self.rounds_count):
                 self._play_round(number)
+                if self._ring is not None:
+                    self._cut_off()
         finally:
+            if self.callers is not None:
+                self.callers.stop()
+                self.breaches += self.callers.breaches
+                self._note(f"calls with keys: {dict(sorted(self.callers.statuses.items()))}")
             if self.breaches or sys.exc_info()[0] is not None:
                 (self.deployment.folder / "connection-soak.txt").write_text(
                     "\n".join([*self.breaches, *self.events]) + "\n"
@@ -112,7 +138,9 @@
     def _reject(self, name, request):
         """Return the answer to a call that is rejected; runs in the thread of the stand-ins."""
         rejection = self._rejections.get(name)
-        if rejection is None or rejection.rng.random() >= rejection.share:
+        if rejection is None or rejection.topic not in request.query.get("topic", ""):
+            return None
+        if rejection.rng.random() >= rejection.share:
             return None
         match rejection.kind:
             case "reset":
@@ -160,7 +188,18 @@
             "version": self._version,
             "routes": [first, *routes],
         }
-        self.world.call(self.world.put_configuration, configuration)
+        if self._ring is None:
+            self.world.call(self.world.put_configuration, configuration)
+        else:
+            self._ring.put(
+                lambda teams: self.world.call(
+                    self.world.put_configuration, {**configuration, "tenants": teams}
+                )
+            )
+
+    def _change_keys(self):
+        self._note(f"version {self._version + 1}: {self._ring.change()}")
+        self._put_configuration()
 
     def _change_configuration(self):
         """Add or drop a queue; records of upkeep come before and after the version at random."""
@@ -194,6 +233,11 @@
         actions += [
             (rng.uniform(0.2 * FAULTS_S, FAULTS_S), self._change_configuration) for _ in range(2)
         ]
+        if self._ring is not None:
+            actions += [
+                (self._key_rng.uniform(0.0, FAULTS_S), self._change_keys)
+                for _ in range(KEY_CHANGES_COUNT)
+            ]
         for at_s, action in sorted(actions, key=lambda row: row[0]):
             time.sleep(max(0.0, begin_s + at_s - time.monotonic()))
             action()
@@ -203,9 +247,43 @@
         self._change_configuration()
         changed_s = time.monotonic()
         self._cancel(lasting_id)
-        time.sleep(max(0.0, changed_s + CONFIG_APPLY_S - time.monotonic()))
+        time.sleep(max(0.0, changed_s + self._config_apply_s - time.monotonic()))
         self._check_configuration("after a change in calm")
 
+    def _start_callers(self):
+        path = self.world.configuration["routes"][0]["path_prefix"]
+        self.callers = KeyCallers(self._ring, self.deployment.daemons, path, self.seed)
+        self.callers.start()
+
+    def _cut_off(self):
+        """Cut two daemons off from the configuration, suspend one, and revoke keys meanwhile.
+
+        Calls wait in the socket of the suspended daemon, and are handled before its next read. The
+        journal can be read, since without it daemons reject all calls, also with a wrong check.
+        """
+        suspended, other = self._key_rng.sample(self.deployment.daemons, 2)
+        kind = self._key_rng.choice(REJECTION_KINDS)
+        self._rejections = {
+            daemon.name: Rejection(1.0, kind, random.Random(0), "keyed.op")
+            for daemon in (suspended, other)
+        }
+        for name in self._rejections:
+            self.world.call(self._store_servers[name].silence, Direction.ANSWERS)
+        self._note(f"{sorted(self._rejections)} are cut off from the configuration: {kind}")
+        suspended.send_signal(signal.SIGSTOP)
+        self._note(f"{suspended.name} is suspended")
+        try:
+            for _ in range(KEY_CHANGES_COUNT):
+                self._change_keys()
+            time.sleep(SUSPENSION_S)
+        finally:
+            suspended.send_signal(signal.SIGCONT)
+            self._note(f"{suspended.name} is resumed")
+        time.sleep(CUT_OFF_AFTER_S)
+        self._end_rejections()
+        for daemon in self.deployment.daemons:
+            wait_for(daemon.is_ready, READY_S, f"{daemon.name} is not ready after it was cut off")
+
     def _open_connections(self, lasting_id, number):
         """Start a lasting run, and leave many idle connections to the workers and the store."""
         daemon = self._rng.choice(self.deployment.daemons)
--- a/features/steps/connection_soak_steps.py
+++ b/features/steps/connection_soak_steps.py
@@ -10,6 +10,18 @@
     context.soak.run()
 
 
+@when("keys are revoked under these faults and suspensions in {rounds:d} round of seed {seed:d}")
+def run_connection_soak_with_keys(context, rounds, seed):
+    context.soak = ConnectionSoak(seed, rounds, with_keys=True)
+    context.soak.run()
+
+
+@then("no revoked key is accepted beyond the bound and no valid key is refused")
+def check_keys(context):
+    statuses = context.soak.callers.statuses
+    assert statuses["valid 200"] and statuses["revoked 401"] and statuses["revoked 503"], statuses
+
+
 @then("cancelled runs end in time and every daemon serves the newest configuration")
 def check_connection_soak(context):
     soak = context.soak
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -27,17 +27,26 @@
         name: name of the VM.
         world: object with the addresses of the store and the approval service.
         folder: folder for the settings file and the log file.
+        contracts: list `contracts` of the settings.
+        bounds: changes of `bounds` in the settings.
+
+    Attributes:
+        key: key that calls send; None for none.
     """
 
-    def __init__(self, name, world, folder):
+    def __init__(self, name, world, folder, contracts=(), bounds=None):
         self.name = name
+        self.key = None
         self.folder = pathlib.Path(folder)
         self.callers_port, self.readiness_port = reserve_port("127.0.0.1"), reserve_port(
             "127.0.0.1"
         )
         self.metrics_port = first = reserve_port("127.0.0.1", following_count=1)
         self.path = self.folder / f"{name}.json"
-        self.path.write_text(json.dumps(self._settings(world, first)))
+        settings = self._settings(world, first)
+        settings["bounds"] |= bounds or {}
+        settings["contracts"] = list(contracts)
+        self.path.write_text(json.dumps(settings))
         self.log = self.folder / f"{name}.log"
         self.process = None
 
@@ -88,11 +97,14 @@
 
         The body is an empty dict if the answer is not JSON.
         """
+        headers = {"Host": HOST, "Content-Type": "application/json"}
+        if self.key is not None:
+            headers["Authorization"] = f"Bearer {self.key}"
         with urllib3.PoolManager(retries=False) as pool:
             response = pool.request(
                 method,
                 f"http://127.0.0.1:{self.callers_port}{path}",
-                headers={"Host": HOST, "Content-Type": "application/json"},
+                headers=headers,
                 body=None if body is None else json.dumps(body),
                 timeout=timeout_s,
             )
