Notice a silent log from unanswered appends and overdue reads; test daemons that the store turns away

A daemon noticed a silent store only when a long poll had timed out after 2.2 s, and rejected callers at once only after 4.9 s. An append without an answer now makes it read at once; reads overlap until one is answered, and it counts the log as down after two signs, about 1.1 s after the silence began. The stand-in store can turn away single VMs (503, 429, reset, silence, lost appends and answers).

--- a/features/steps/workflow_outage_steps.py
+++ b/features/steps/workflow_outage_steps.py
@@ -245,3 +245,28 @@
     assert all(isinstance(reply, Rejected) for reply in context.replies), context.replies
     assert {reply.retry_after_s for reply in context.replies} == {delay_s}, context.replies
     assert context.took_s < limit_s, context.took_s
+
+
+@given("a daemon that follows a log in a long poll")
+def create_polled_log(context):
+    context.log = DeafLog()
+
+
+@when("the log {falls} and an append gets no answer")
+def doubt_log(context, falls):
+    async def run():
+        reader = context.reader = JournalReader(context.log, ignore, times=AppendTimeouts())
+        loop = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.1)
+        context.log.is_deaf = falls == "falls silent"
+        reader.doubt()
+        await asyncio.sleep(1.2)
+        loop.cancel()
+
+    asyncio.run(run())
+
+
+@then("within {seconds:g} s the log counts as {state}")
+def check_log_state(context, seconds, state):
+    expected = (state == "down", state == "answering")
+    assert (context.reader.is_down, context.reader.is_answering) == expected, expected
--- a/features/workflow_outages.feature
+++ b/features/workflow_outages.feature
@@ -57,3 +57,16 @@
     Given a daemon whose log has given no answer for 4 s
     When callers submit, query, cancel and count jobs
     Then each call is rejected within 0.1 s with a retry delay of 4 s
+
+  Scenario Outline: an append without an answer makes the daemon check the log at once
+    Guards against seconds in which callers wait for a silent log until a long poll is overdue, and
+    against a daemon that gives up a log that only lost one answer.
+
+    Given a daemon that follows a log in a long poll
+    When the log <falls> and an append gets no answer
+    Then within 1.2 s the log counts as <state>
+
+    Examples:
+      | falls           | state     |
+      | falls silent    | down      |
+      | goes on working | answering |
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_appends.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_appends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -76,6 +77,7 @@
         log: the shared log.
         partition: partition to append to.
         times: learned duration of appends; by default that of this partition.
+        on_silence: called after an attempt without an answer.
     """
 
     _PAUSE_S = 0.05
@@ -83,9 +85,14 @@
     """Rejected attempts, 50 ms apart, after which callers are refused; they may try another VM."""
 
     def __init__(
-        self, log: SharedLog, partition: Partition, times: AppendTimeouts | None = None
+        self,
+        log: SharedLog,
+        partition: Partition,
+        times: AppendTimeouts | None = None,
+        on_silence: Callable[[], None] = lambda: None,
     ) -> None:
         self._log = log
+        self._on_silence = on_silence
         self._partition = partition
         self._queue: list[_PendingRecord] = []
         self._wake = asyncio.Event()
@@ -151,6 +158,7 @@
                 case AppendUncertain():
                     uncertain = result
                     unanswered += 1
+                    self._on_silence()
                 case AppendRejected():
                     rejections += 1
                     if uncertain is None:
@@ -193,12 +201,18 @@
     Args:
         log: the shared log.
         times: learned duration of calls; by default that of appends only.
+        on_silence: called after an attempt without an answer.
     """
 
-    def __init__(self, log: SharedLog, times: AppendTimeouts | None = None) -> None:
+    def __init__(
+        self,
+        log: SharedLog,
+        times: AppendTimeouts | None = None,
+        on_silence: Callable[[], None] = lambda: None,
+    ) -> None:
         times = AppendTimeouts() if times is None else times
         self.appenders = [
-            GroupAppender(log, journal_partition(number), times)
+            GroupAppender(log, journal_partition(number), times, on_silence)
             for number in range(log.partitions_count)
         ]
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -97,13 +97,9 @@
         self._timing = timing
         self._rng = random.Random(presence.incarnation)
         times = AppendTimeouts()
-        self._appender = JournalAppender(platform_services.log, times)
-        self.reader = JournalReader(
-            platform_services.log,
-            self._handle_record,
-            times=times,
-            on_return=self._appender.abandon_overdue,
-        )
+        self.reader = JournalReader(platform_services.log, self._handle_record, times=times)
+        self._appender = JournalAppender(platform_services.log, times, self.reader.doubt)
+        self.reader.on_return = self._appender.abandon_overdue
         self._submissions = Submissions(
             platform_services.log, self.reader.journal_state, self._handle_record
         )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -63,7 +63,6 @@
         partition: number of the partition.
         journal_state: state to maintain; by default a new one.
         times: learns the duration of reads; None if it is not of interest.
-        on_return: called when the log answers again after a failed read.
 
     Attributes:
         journal_state: state derived from the records read so far.
@@ -73,6 +72,7 @@
             clock would hide the records that were written while the VM was suspended.
         pause_s: pause between two reads, in seconds.
         poll_s: duration of a long poll, in seconds; 0 if reads do not wait for records.
+        on_return: called when the log answers again after a failed read.
     """
 
     def __init__(
@@ -82,7 +82,6 @@
         partition: int = MAIN_PARTITION,
         journal_state: JournalState | None = None,
         times: AppendTimeouts | None = None,
-        on_return: Callable[[], None] = lambda: None,
     ) -> None:
         self.journal_state = JournalState() if journal_state is None else journal_state
         self._partition = journal_partition(partition)
@@ -99,10 +98,10 @@
         self._next_read: asyncio.Future | None = None
         self._available = True
         self._failures_count = 0
-        self._due_s = float("inf")
+        self._doubted = asyncio.Event()
         self._answered_s = boot_time_s()
         self._times = times
-        self._on_return = on_return
+        self.on_return: Callable[[], None] = lambda: None
 
     @property
     def age_s(self) -> float:
@@ -121,8 +120,8 @@
 
     @property
     def is_answering(self) -> bool:
-        """Whether the latest read succeeded and the one in progress is not overdue."""
-        return self.loaded and self._available and time.monotonic() < self._due_s
+        """Whether the latest read succeeded and neither a read nor an append is overdue."""
+        return self.loaded and self._available and self._failures_count == 0
 
     @property
     def is_down(self) -> bool:
@@ -244,33 +243,60 @@
                 self._record_failure(reason)
         return False
 
+    def doubt(self) -> None:
+        """Check at once whether the log answers, because it has not answered an append."""
+        self._doubted.set()
+
     async def _read_or_probe(self, wait_s: float) -> bool:
         """Read, or find out whether a log that did not answer has returned.
 
-        A log that returns is noticed within `_PROBE_INTERVAL_S`, as reads overlap until one of them
-        is answered.
+        Further reads are sent when the first one is overdue, or an append got no answer, until one
+        of them is answered. A log that falls silent or returns is noticed within about a second.
         """
-        if self._available:
+        if self._available and self._times is None:
             return await self._read(wait_s)
-        probes: set[asyncio.Task] = set()
+        interval_s = _PROBE_INTERVAL_S if self._times is None else self._times.predict(0)
+        reads = {asyncio.create_task(self._read(wait_s if self._available else 0.0))}
         try:
-            async with asyncio.timeout(_PROBE_TIMEOUT_S):
-                while True:
-                    probes.add(asyncio.create_task(self._read(0.0)))
-                    done, probes = await asyncio.wait(
-                        probes, timeout=_PROBE_INTERVAL_S, return_when=asyncio.FIRST_COMPLETED
-                    )
-                    if any(probe.result() for probe in done):
-                        return True
-                    if not probes:
-                        return False
-        except TimeoutError:
-            self._record_failure("no answer in time")
-            return False
+            if self._available and await self._wait_undoubted(reads, wait_s + interval_s):
+                return any(read.result() for read in reads)
+            return await self._probe(reads, interval_s)
+        finally:
+            for read in reads:
+                read.cancel()
+            await asyncio.gather(*reads, return_exceptions=True)
+
+    async def _wait_undoubted(self, reads: set[asyncio.Task], limit_s: float) -> bool:
+        """Wait for a read, and return whether it ended in time and no append went unanswered."""
+        doubt = asyncio.create_task(self._doubted.wait())
+        try:
+            done, _ = await asyncio.wait(
+                {*reads, doubt}, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+            )
         finally:
-            for probe in probes:
-                probe.cancel()
-            await asyncio.gather(*probes, return_exceptions=True)
+            doubt.cancel()
+        if reads <= done:
+            return True
+        self._doubted.clear()
+        self._failures_count += 1
+        reads.add(asyncio.create_task(self._read(0.0)))
+        return False
+
+    async def _probe(self, reads: set[asyncio.Task], interval_s: float) -> bool:
+        limit_s = time.monotonic() + _PROBE_TIMEOUT_S
+        while time.monotonic() < limit_s:
+            done, _ = await asyncio.wait(
+                reads, timeout=interval_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            reads -= done
+            if any(read.result() for read in done):
+                return True
+            if done and not reads:
+                return False
+            if not done:
+                self._record_failure("no answer in time")
+            reads.add(asyncio.create_task(self._read(0.0)))
+        return False
 
     async def _read(self, wait_s: float) -> bool:
         """Read and apply records, and let the callers of `refresh` continue also after an error."""
@@ -285,13 +311,10 @@
         started_s = boot_time_s()
         self._waiting = wait_s > 0
         sent_s = time.monotonic()
-        overdue_s = _PROBE_INTERVAL_S if self._times is None else self._times.predict(0)
-        self._due_s = sent_s + wait_s + overdue_s
         try:
             result = await self._log.read(self._partition, self.offset, wait_s=wait_s)
         finally:
             self._waiting = False
-            self._due_s = float("inf")
         if self._times is not None and wait_s == 0 and isinstance(result, ReadRecords):
             self._times.observe(time.monotonic() - sent_s)
         if not isinstance(result, ReadFailed):
@@ -345,7 +368,7 @@
                 "journal can be read again",
                 extra={"partition": self._partition.number, "offset": self.offset},
             )
-            self._on_return()
+            self.on_return()
 
     def _record_failure(self, reason: str) -> None:
         self._failures_count += 1
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/__init__.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/__init__.py
@@ -9,6 +9,7 @@
 from ._silence import Direction, SilenceableServer
 from ._stand_ins import PlatformStandIns
 from ._store import StandInStore, StoreFault
+from ._store_gate import GateMode, StoreGate
 
 __all__ = [
     "Direction",
@@ -16,6 +17,7 @@
     "Event",
     "FaultNoted",
     "FaultyExecutor",
+    "GateMode",
     "LeaseLapsed",
     "PlatformStandIns",
     "RunEnded",
@@ -24,4 +26,5 @@
     "StandInExecutor",
     "StandInStore",
     "StoreFault",
+    "StoreGate",
 ]
