--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -212,10 +212,8 @@
                     f"{task} runs twice, on {place}, run {active_run.order.number}"
                 )
         job = self.journal_state.jobs[order.task.step_name.job_id]
-        if job.progress is not None:
-            for row in job.progress.steps:
-                if row.step == order.task.step_name.step and row.done_bits >> order.task.index & 1:
-                    self.violations.append(f"{order.task} starts after its recorded end")
+        if job.progress is not None and is_recorded_done(job.progress, order.task):
+            self.violations.append(f"{order.task} starts after its recorded end")
         for earlier in spec.after:
             step = attrs.evolve(order.task.step_name, step=earlier)
             count = self.steps_by_job[order.task.step_name.job_id][earlier].tasks_count
@@ -368,6 +366,17 @@
         return self.journal_state.jobs[job_id].state
 
 
+def is_recorded_done(progress, task):
+    """Return whether a progress record shows a task as done."""
+    name = task.step_name
+    done_ranges = ((0, progress.done_before), *progress.done_ranges)
+    return any(first <= name.occurrence < end for first, end in done_ranges) or any(
+        (row.occurrence, row.step) == (name.occurrence, name.step)
+        and row.done_bits >> task.index & 1
+        for row in progress.steps
+    )
+
+
 def make_step(count, cpu=1000, **changes):
     """Return a step of `count` tasks."""
     size = ResourceVector(cpu, 500)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -15,6 +15,7 @@
     JobCancelled,
     JobsRecorded,
     LossCause,
+    ProgressTooLarge,
     ReportedEnd,
     ReportedRun,
     RunAdopted,
@@ -32,6 +33,7 @@
     WorkerSilent,
     WorkerUndescribed,
 )
+from ._job_limits import JobLimits, LimitExceeded, find_exceeded_limit, record_size_bytes
 from ._journal import (
     MAIN_PARTITION,
     JournaledWorkflow,
@@ -50,6 +52,7 @@
     encode_record,
     find_partition,
     job_keys,
+    progress_job_id,
     vm_key,
 )
 from ._keys import TeamKeys
@@ -83,6 +86,12 @@
     "ApprovalRates",
     "JobAdded",
     "JobCancelled",
+    "JobLimits",
+    "LimitExceeded",
+    "ProgressTooLarge",
+    "find_exceeded_limit",
+    "progress_job_id",
+    "record_size_bytes",
     "JobsRecorded",
     "JournalState",
     "MAIN_PARTITION",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_events.py
@@ -112,6 +112,16 @@
     job_ids: tuple[str, ...]
 
 
+@attrs.frozen(slots=True)
+class ProgressTooLarge:
+    """The journal has rejected the progress of a job for its size.
+
+    The job starts no further runs until a later, smaller progress has become durable.
+    """
+
+    job_id: str
+
+
 @attrs.frozen(slots=True)
 class TenureConfirmed:
     """The journal has accepted a record of the tenure, so no later tenure had begun before.
@@ -225,6 +235,7 @@
 Event = (
     JobAdded
     | JobsRecorded
+    | ProgressTooLarge
     | TenureConfirmed
     | JobCancelled
     | DirectoryChanged
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -113,10 +113,14 @@
     Args:
         job_id: identifier of the job.
         state: current state.
-        steps: progress of the steps.
+        steps: progress of the steps of open occurrences. Records of earlier versions also have
+            those of occurrences that are done.
         queue: name of the queue of a waiting job; empty otherwise.
         team: team of the job; empty without teams. Daemons that do not read the submissions learn
             from it who may ask for the job.
+        done_before: number below which all occurrences are done.
+        done_ranges: further occurrences that are done, as pairs of the first one and the one after
+            the last.
     """
 
     job_id: str
@@ -124,6 +128,8 @@
     steps: tuple[StepProgress, ...] = ()
     queue: str = ""
     team: str = ""
+    done_before: int = 0
+    done_ranges: tuple[tuple[int, int], ...] = ()
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -225,6 +231,8 @@
     steps: list[tuple[int, int, bytes, dict[int, tuple[int, ...]]]]
     queue: str = ""
     team: str = ""
+    done_before: int = 0
+    done_ranges: tuple[tuple[int, int], ...] = ()
 
 
 _CODEC = TaggedCodec(
@@ -249,12 +257,20 @@
             return f"c{job_id}", _CODEC.encode(record)
         case WorkflowClosed(job_id=job_id):
             return f"a{job_id}", _CODEC.encode(record)
-        case WorkflowProgress(job_id=job_id, state=state, steps=steps, queue=queue, team=team):
+        case WorkflowProgress(job_id=job_id):
             rows = [
                 (row.occurrence, row.step, _BitsetCodec.pack(row.done_bits), row.failures)
-                for row in steps
+                for row in record.steps
             ]
-            packed = _PackedProgress(job_id, state.value, rows, queue, team)
+            packed = _PackedProgress(
+                job_id,
+                record.state.value,
+                rows,
+                record.queue,
+                record.team,
+                record.done_before,
+                record.done_ranges,
+            )
             return f"p{job_id}", _CODEC.encode(packed)
         case TenureRecord():
             return TENURE_KEY, _CODEC.encode(record)
@@ -283,7 +299,13 @@
         for k, s, bits, failures in record.steps
     )
     return WorkflowProgress(
-        job_id=record.job_id, state=state, steps=steps, queue=record.queue, team=record.team
+        job_id=record.job_id,
+        state=state,
+        steps=steps,
+        queue=record.queue,
+        team=record.team,
+        done_before=record.done_before,
+        done_ranges=record.done_ranges,
     )
 
 
@@ -297,6 +319,11 @@
     return [prefix + job_id for prefix in _JOB_PREFIX]
 
 
+def progress_job_id(key: str) -> str | None:
+    """Return the id of the job whose progress is stored under a key; None for other keys."""
+    return key[1:] if _JOB_PREFIX.get(key[:1]) == "progress" else None
+
+
 def find_partition(key: str, partitions_count: int) -> int:
     """Return the partition of a key in a journal with `partitions_count` partitions.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -20,6 +20,7 @@
     JobCancelled,
     JobsRecorded,
     LossCause,
+    ProgressTooLarge,
     StartAnswered,
     StopAnswered,
     StopCause,
@@ -31,7 +32,9 @@
 )
 from ._gang_plans import GangPlanner
 from ._headroom import Headroom
+from ._job_limits import JobLimits, open_occurrences_max
 from ._journal import Departure, WorkflowClosed, WorkflowProgress, WorkflowState
+from ._occurrences import create_due_occurrences
 from ._placement_order import placement_order_key
 from ._reconciliation import Reconciliation
 from ._reservations import Reservations
@@ -41,6 +44,10 @@
 from ._step_placement import StepPlacer
 from ._timing import Timing
 
+BLOCKED_RETRY_S = 5.0
+"""Time after which progress that the journal rejected for its size is stored again.
+
+It may have shrunk since, or the store may have rejected it for another reason."""
 DEPARTED_SILENCE_S = 2.0
 """Time without an answer after which a worker that is not in the directory counts as departed."""
 
@@ -61,6 +68,7 @@
         departures: departures of these workers by id.
         started_s: local time of the start of the tenure, in seconds.
         find_spec: returns the specification of a job, also of one that has ended.
+        limits: limits on the size of a job.
     """
 
     def __init__(
@@ -72,8 +80,10 @@
         departures: Mapping[str, Departure] | None = None,
         started_s: float = 0.0,
         find_spec: Callable[[str], WorkflowSpec | None],
+        limits: JobLimits | None = None,
     ) -> None:
         self.timing = timing
+        self.limits = JobLimits() if limits is None else limits
         self.started_s = started_s
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
@@ -120,6 +130,10 @@
                 for job_id in job_ids:
                     if job_id in self.jobs:
                         self.jobs[job_id].recorded = True
+                        self.jobs[job_id].blocked_s = None
+            case ProgressTooLarge(job_id):
+                if job_id in self.jobs:
+                    self.jobs[job_id].blocked_s = now_s
             case TenureConfirmed(sent_s):
                 if self.confirmation.observe(sent_s):
                     self.runs.capacity_version += 1
@@ -149,7 +163,10 @@
         for job in self.jobs.values():
             if job.state.is_final or not job.recorded or (job.inherited and not is_reconciled):
                 continue
-            self._create_due_occurrences(job, utc_s)
+            if job.blocked_s is not None:
+                job.dirty = job.dirty or now_s >= job.blocked_s + BLOCKED_RETRY_S
+                continue
+            create_due_occurrences(job, utc_s)
             ready += [step for step in job.steps.values() if step.waiting and job.is_ready(step)]
         for step in ready:
             step.expected_run_s = self.run_times.predict(step)
@@ -268,6 +285,7 @@
             inherited=has_progress,
             recorded=has_progress,
             team=journaled.team,
+            open_occurrences_max=open_occurrences_max(accepted.spec, accepted.queue, self.limits),
         )
         job.dirty = not has_progress
         if has_progress:
@@ -278,15 +296,6 @@
         self.headroom.observe(job, now_s)
         self.ticket_tracker.apply_early_tickets(job.steps.values(), now_s)
 
-    def _create_due_occurrences(self, job: Job, utc_s: float) -> None:
-        spec = job.spec
-        if not spec.times_count or len(job.steps) == spec.times_count * len(spec.steps):
-            return
-        for occurrence in range(spec.times_count):
-            if utc_s < spec.first_due_utc_s + occurrence * spec.interval_s:
-                return
-            job.create_occurrence(occurrence)
-
     def _handle_cancellation(self, job_id: str, now_s: float) -> None:
         job = self.jobs.get(job_id)
         if job is not None and not job.state.is_final:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
@@ -36,6 +36,7 @@
             "runs": len(step.runs),
             "gang": step.spec.gang,
             "recorded": step.job.recorded,
+            "progress_too_large": step.job.blocked_s is not None,
             "asked": len(step.asked),
             "allowed": len(step.tickets),
             "approval_age_s": (
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -13,9 +13,11 @@
     Event,
     JobAdded,
     JobCancelled,
+    JobLimits,
     JobsRecorded,
     JournalRecord,
     JournalState,
+    ProgressTooLarge,
     StartRun,
     StopRun,
     TenureConfirmed,
@@ -29,8 +31,10 @@
     WorkflowScheduler,
     encode_record,
     job_keys,
+    progress_job_id,
 )
 
+from ._append_groups import find_size_bytes
 from ._background import BackgroundTasks
 from ._decision_log import DecisionLog
 from ._election import RENEWAL_S, JournalWriter
@@ -58,7 +62,11 @@
 
 
 def _make_scheduler(
-    record: TenureRecord, journal_state: JournalState, timing: Timing, now_s: float
+    record: TenureRecord,
+    journal_state: JournalState,
+    timing: Timing,
+    limits: JobLimits,
+    now_s: float,
 ) -> WorkflowScheduler:
     """Return the scheduler of a tenure, which knows the jobs in the journal."""
     scheduler = WorkflowScheduler(
@@ -68,6 +76,7 @@
         departures=journal_state.departures,
         started_s=now_s,
         find_spec=journal_state.find_spec,
+        limits=limits,
     )
     for job_id, journaled in journal_state.jobs.items():
         scheduler.observe(JobAdded(job_id=job_id, journaled=journaled), now_s)
@@ -113,7 +122,9 @@
         self._closing = False
         self._resigning = False
         self._now_s = time.monotonic
-        self.scheduler = _make_scheduler(record, journal_state, timing, self._now_s())
+        self.scheduler = _make_scheduler(
+            record, journal_state, timing, writer.limits, self._now_s()
+        )
         self.scheduler.observe(TenureConfirmed(writer.confirmed_s), self._now_s())
         self._worker_ids_in_use = set(journal_state.workers_in_use)
         self._departures = {
@@ -375,6 +386,28 @@
         else:
             self.scheduler.observe(confirmed, self._now_s())
 
+    def _block_jobs(self) -> set[str]:
+        """Block the jobs whose progress is too large for the journal, and return their ids."""
+        job_ids = set()
+        for record in self._writer.pop_too_large():
+            job_id = progress_job_id(record.key)
+            job = self.scheduler.jobs.get(job_id)
+            queue_name = "" if job is None else job.queue.name
+            self._metrics.progress_too_large.labels(queue_name).inc()
+            if job is None or job.blocked_s is None:
+                _LOG.error(
+                    "progress is too large for the journal; the job starts no further runs",
+                    extra={
+                        "job_id": job_id,
+                        "queue": queue_name,
+                        "size_bytes": find_size_bytes(record),
+                        "limit_bytes": self._writer.limits.value_max_bytes,
+                    },
+                )
+            self.observe(ProgressTooLarge(job_id))
+            job_ids.add(job_id)
+        return job_ids
+
     async def _record_loop(self) -> None:
         """Append progress, other records and tenure renewals in groups."""
         renewed_s, renewal = self._now_s(), 0
@@ -410,5 +443,6 @@
             if records and isinstance(await self._writer.append(records), AppendFenced):
                 self.end_tenure("the journal rejected the epoch as stale")
                 return
-            self._observe_recorded(progress)
+            too_large = self._block_jobs()
+            self._observe_recorded([row for row in progress if row.job_id not in too_large])
             self._resolve_flushes(flushes_count, True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -12,6 +12,7 @@
     ApprovalRates,
     ApprovalReceived,
     Configuration,
+    JobLimits,
     JournalRecord,
     StepName,
     TenureRecord,
@@ -80,6 +81,7 @@
         platform_services: external services.
         timing: timeouts of the deployment.
         metrics: counters and histograms.
+        limits: limits of the log on the size of records and appends.
     """
 
     def __init__(
@@ -88,7 +90,9 @@
         platform_services: PlatformServices,
         timing: Timing,
         metrics: WorkflowMetrics,
+        limits: JobLimits | None = None,
     ) -> None:
+        self._limits = JobLimits() if limits is None else limits
         self._presence = presence
         self._metrics = metrics
         self._platform = platform_services
@@ -99,7 +103,7 @@
         self._submissions = Submissions(
             platform_services.log, self.reader.journal_state, self._handle_record
         )
-        self._appender = JournalAppender(platform_services.log, times)
+        self._appender = JournalAppender(platform_services.log, times, self._limits)
         self._approvals = ApprovalQueue(platform_services.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
         self._approvals_http = HttpClient(_PEER_CONNECTIONS, _APPROVAL_KEEPALIVE_S)
@@ -121,6 +125,7 @@
             self._request_first_tickets,
             self._handle_stored,
             metrics,
+            self._limits,
         )
         self._election = Election(presence, self._rng, lambda: self.reader.journal_state.vms)
         self._directory: Mapping[str, WorkerInfo] = {}
@@ -326,7 +331,11 @@
             return
         tenure = self._election.next_tenure()
         writer = JournalWriter(
-            self._platform.log, tenure.epoch, self.reader.add_early_record, self._metrics
+            self._platform.log,
+            tenure.epoch,
+            self.reader.add_early_record,
+            self._metrics,
+            self._limits,
         )
         _LOG.info("candidacy started", extra={"epoch": tenure.epoch})
         result = await writer.append([tenure], fail_fast=True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -16,13 +16,16 @@
 
 from fireflywharf_core.workflows import (
     MAIN_PARTITION,
+    JobLimits,
     JournalRecord,
     TenureRecord,
     VmPresent,
     candidate_rank,
     encode_record,
+    progress_job_id,
 )
 
+from ._append_groups import find_size_bytes, split_by_size
 from ._append_timeouts import AppendTimeouts
 from ._clocks import boot_time_s
 from ._interfaces import (
@@ -76,6 +79,7 @@
         epoch: fencing token of the tenure.
         on_appended: called with the offset of each record that has become durable, and the record.
         metrics: counts results and durations.
+        limits: limits on the size of records and appends.
 
     Attributes:
         confirmed_s: local time at which the latest confirmed append was sent, in seconds.
@@ -87,14 +91,17 @@
         epoch: int,
         on_appended: Callable[[int, LogRecord], None],
         metrics: WorkflowMetrics,
+        limits: JobLimits | None = None,
     ) -> None:
         self.epoch = epoch
+        self.limits = JobLimits() if limits is None else limits
         self.confirmed_s = time.monotonic()
         self._confirmed_boot_s = boot_time_s()
         self._log = log
         self._on_appended = on_appended
         self._metrics = metrics
         self._sequence = 0
+        self._too_large: list[LogRecord] = []
         self._times = AppendTimeouts(_APPEND_TIMEOUT_MAX_S)
 
     @property
@@ -105,10 +112,13 @@
     async def append(
         self, records: list[JournalRecord | LogRecord], fail_fast: bool = False
     ) -> Appended | AppendFenced | AppendRejected:
-        """Append records and retry until the outcome is known.
+        """Append records in order and retry until the outcome is known.
+
+        Progress that the log does not accept for its size is left out; see `pop_too_large`. It
+        would otherwise block the tenure and the records of all other jobs.
 
         Args:
-            records: records of one append.
+            records: records of one append, or of several if they exceed the limit of one.
             fail_fast: return a rejection instead of retrying, unless an earlier attempt may have
                 taken effect.
         """
@@ -116,6 +126,40 @@
             record if isinstance(record, LogRecord) else LogRecord(*encode_record(record))
             for record in records
         ]
+        accepted = [record for record in encoded if not self._leave_out(record)]
+        result: Appended | AppendFenced | AppendRejected = Appended(-1)
+        for group in split_by_size(accepted, lambda record: record, self.limits):
+            result = await self._append_group(group, fail_fast)
+            if not isinstance(result, Appended):
+                break
+        return result
+
+    def pop_too_large(self) -> list[LogRecord]:
+        """Return the records that were left out since the last call."""
+        too_large, self._too_large = self._too_large, []
+        return too_large
+
+    def _leave_out(self, record: LogRecord, rejected: bool = False) -> bool:
+        """Leave out the progress of a job if it is too large or was rejected on its own."""
+        is_too_large = rejected or find_size_bytes(record) > self.limits.value_max_bytes
+        if not is_too_large or progress_job_id(record.key) is None:
+            return False
+        self._too_large.append(record)
+        return True
+
+    async def _append_parts(
+        self, encoded: list[LogRecord], fail_fast: bool
+    ) -> Appended | AppendFenced | AppendRejected:
+        """Append the two halves of a group that the log has rejected as a whole."""
+        half = len(encoded) // 2
+        result = await self._append_group(encoded[:half], fail_fast)
+        if not isinstance(result, Appended):
+            return result
+        return await self._append_group(encoded[half:], fail_fast)
+
+    async def _append_group(
+        self, encoded: list[LogRecord], fail_fast: bool
+    ) -> Appended | AppendFenced | AppendRejected:
         writer = Writer(WRITER_NAME, self.epoch, self._sequence)
         self._sequence += 1
         pause_s = 0.05
@@ -137,6 +181,13 @@
                     return result
                 case AppendRejected() if fail_fast and not unanswered:
                     return result
+                case AppendRejected(is_permanent=True) if len(encoded) > 1:
+                    # The log counts only appends that it accepts.
+                    self._sequence = writer.sequence
+                    return await self._append_parts(encoded, fail_fast)
+                case AppendRejected(is_permanent=True) if self._leave_out(encoded[0], True):
+                    self._sequence = writer.sequence
+                    return Appended(-1)
                 case AppendRejected(reason) | AppendUncertain(reason):
                     if isinstance(result, AppendUncertain):
                         unanswered += 1
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -66,9 +66,16 @@
 
 @attrs.frozen(slots=True)
 class AppendRejected:
-    """The records were not appended and will not be appended later."""
+    """The records were not appended and will not be appended later.
+
+    Args:
+        reason: reason for the log.
+        is_permanent: whether the log rejects these records for what they are, for instance for
+            their size, so that it would reject a repetition as well.
+    """
 
     reason: str
+    is_permanent: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -9,12 +9,14 @@
 
 from fireflywharf_core.workflows import (
     MAIN_PARTITION,
+    JobLimits,
     JournalRecord,
     JournalState,
     encode_record,
     find_partition,
 )
 
+from ._append_groups import split_by_size
 from ._append_timeouts import AppendTimeouts
 from ._background import result_or_default
 from ._clocks import boot_time_s
@@ -327,6 +329,7 @@
         log: the shared log.
         partition: partition to append to.
         times: learned duration of appends; by default that of this partition.
+        limits: limits on the size of records and appends.
     """
 
     _PAUSE_S = 0.05
@@ -334,8 +337,13 @@
     """Rejected attempts, 50 ms apart, after which callers are refused; they may try another VM."""
 
     def __init__(
-        self, log: SharedLog, partition: Partition, times: AppendTimeouts | None = None
+        self,
+        log: SharedLog,
+        partition: Partition,
+        times: AppendTimeouts | None = None,
+        limits: JobLimits | None = None,
     ) -> None:
+        self._limits = JobLimits() if limits is None else limits
         self._log = log
         self._partition = partition
         self._queue: list[tuple[LogRecord, asyncio.Future, float]] = []
@@ -365,16 +373,25 @@
             await self._wake.wait()
             self._wake.clear()
             batch, self._queue = self._queue, []
-            if batch:
-                result = await result_or_default(
-                    self._append(batch), AppendUncertain("unexpected error"), "log"
-                )
-                for index, (_, future, _) in enumerate(batch):
-                    own = result
-                    if isinstance(result, Appended) and result.offset >= 0:
-                        own = Appended(result.offset + index)
-                    if not future.done():
-                        future.set_result(own)
+            for group in split_by_size(batch, lambda row: row[0], self._limits):
+                await self._append_group(group)
+
+    async def _append_group(self, batch: list[tuple[LogRecord, asyncio.Future, float]]) -> None:
+        """Append a group and resolve its futures."""
+        result = await result_or_default(
+            self._append(batch), AppendUncertain("unexpected error"), "log"
+        )
+        if isinstance(result, AppendRejected) and result.is_permanent and len(batch) > 1:
+            # Only one of the records may be the reason.
+            for row in batch:
+                await self._append_group([row])
+            return
+        for index, (_, future, _) in enumerate(batch):
+            own = result
+            if isinstance(result, Appended) and result.offset >= 0:
+                own = Appended(result.offset + index)
+            if not future.done():
+                future.set_result(own)
 
     async def _append(self, batch: list[tuple[LogRecord, asyncio.Future, float]]) -> AppendResult:
         records = [record for record, _, _ in batch]
@@ -393,9 +410,9 @@
                 case AppendUncertain():
                     uncertain = result
                     unanswered += 1
-                case AppendRejected():
+                case AppendRejected(is_permanent=is_permanent):
                     rejections += 1
-                    if uncertain is None and rejections >= self._REJECTIONS_MAX:
+                    if uncertain is None and (is_permanent or rejections >= self._REJECTIONS_MAX):
                         return result
             now_s = time.monotonic()
             if now_s + self._PAUSE_S >= deadline_s:
@@ -421,12 +438,18 @@
     Args:
         log: the shared log.
         times: learned duration of calls; by default that of appends only.
+        limits: limits on the size of records and appends.
     """
 
-    def __init__(self, log: SharedLog, times: AppendTimeouts | None = None) -> None:
+    def __init__(
+        self,
+        log: SharedLog,
+        times: AppendTimeouts | None = None,
+        limits: JobLimits | None = None,
+    ) -> None:
         times = AppendTimeouts() if times is None else times
         self.appenders = [
-            GroupAppender(log, journal_partition(number), times)
+            GroupAppender(log, journal_partition(number), times, limits)
             for number in range(log.partitions_count)
         ]
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -36,6 +36,11 @@
         self.appends = counter(
             "scheduler_appends_total", "Appends of the scheduler by result.", "result"
         )
+        self.progress_too_large = counter(
+            "progress_too_large_total",
+            "Progress records that were not stored for their size, by queue.",
+            "queue",
+        )
         self.tenures = counter("tenures_total", "Tenures of this daemon by event.", "event")
         self.submission_s = histogram("submission", "Time to answer a submission.")
         self.append_s = histogram("scheduler_append", "Time of an append of the scheduler.")
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -11,13 +11,16 @@
 
 from fireflywharf_core.workflows import (
     Configuration,
+    JobLimits,
     JournaledWorkflow,
     JournalRecord,
+    LimitExceeded,
     Queue,
     WorkflowAccepted,
     WorkflowCancelled,
     WorkflowSpec,
     WorkflowState,
+    find_exceeded_limit,
     job_keys,
 )
 
@@ -53,6 +56,13 @@
     retry_after_s: int
 
 
+@attrs.frozen(slots=True)
+class TooLarge:
+    """The job exceeds a limit of the deployment and was not accepted; a repetition is useless."""
+
+    exceeded: LimitExceeded
+
+
 @attrs.frozen(slots=True)
 class Uncertain:
     """It is unknown whether the request took effect; the caller should repeat it."""
@@ -79,7 +89,7 @@
     count: int
 
 
-Reply = Accepted | Rejected | Uncertain | UnknownJob | JobStateReply | PendingCountReply
+Reply = Accepted | Rejected | TooLarge | Uncertain | UnknownJob | JobStateReply | PendingCountReply
 
 
 class WorkflowService:
@@ -92,6 +102,7 @@
         on_accept: called with each submitted job while it is being stored.
         on_stored: called with each record that has become durable, and its offset.
         metrics: counts outcomes and durations.
+        limits: limits on the size of a job.
 
     Attributes:
         configuration: current configuration; None until one has been read.
@@ -105,7 +116,9 @@
         on_accept: Callable[[WorkflowAccepted], None],
         on_stored: Callable[[JournalRecord, int], None],
         metrics: WorkflowMetrics,
+        limits: JobLimits | None = None,
     ) -> None:
+        self._limits = JobLimits() if limits is None else limits
         self._reader = reader
         self._submissions = submissions
         self._appender = appender
@@ -136,9 +149,13 @@
     ) -> Reply:
         if self._find_job(job_id) is not None:
             return Accepted()
+        record = WorkflowAccepted(job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time())
+        exceeded = find_exceeded_limit(record, self._limits)
+        if exceeded is not None:
+            self._reject(queue, job_id, f"too large: {exceeded.field}")
+            return TooLarge(exceeded)
         if not self._reader.is_current:
             return self._reject(queue, job_id, "the journal cannot be read")
-        record = WorkflowAccepted(job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time())
         future = self._appender.put_record(record, started_s + STORE_TIMEOUT_S)
         self._on_accept(record)
         result = await asyncio.shield(future)
