--- a/features/steps/workflow_too_large_steps.py
+++ b/features/steps/workflow_too_large_steps.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import json
+import logging
 import time
 
 from behave import given, then, when
 from prometheus_client import CollectorRegistry
-from workflow_world import make_step
+from workflow_tenure_steps import SilentWorkers
+from workflow_world import WorkflowWorld, make_step
 
 from fireflywharf_core.workflows import (
+    JobAdded,
     JobLimits,
     JournalState,
     Queue,
     StepProgress,
     TenureRecord,
+    Timing,
     WorkflowProgress,
     WorkflowSpec,
     WorkflowState,
@@ -23,12 +27,16 @@
     AppendRejected,
     LogRecord,
     Partition,
+    PlatformServices,
     Topic,
     WorkflowMetrics,
     WorkflowService,
+    _active_scheduler,
 )
+from fireflywharf_daemon.workflows._active_scheduler import ActiveScheduler
 from fireflywharf_daemon.workflows._election import JournalWriter
 from fireflywharf_daemon.workflows._journal import GroupAppender
+from fireflywharf_daemon.workflows._submissions import Submissions
 from fireflywharf_platform._entry import to_response
 
 FRAME_BYTES = 4
@@ -41,6 +49,7 @@
     def __init__(self, record_max_bytes=1 << 30, request_max_bytes=1 << 30):
         self.record_max_bytes = record_max_bytes
         self.request_max_bytes = request_max_bytes
+        self.partitions_count = 1
         self.records = []
         self.sequence = 0
 
@@ -213,3 +222,97 @@
 @then("no record was appended")
 def check_nothing_appended(context):
     assert not context.accepted, context.accepted
+
+
+class LineHandler(logging.Handler):
+    """Keeps the log records that it gets."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        """Keep a log record."""
+        self.lines.append(record)
+
+
+def make_active_scheduler(context):
+    """Return an active scheduler that knows the jobs of a journal."""
+    world = WorkflowWorld(workers_count=0)
+    for job_id in ("a", "b"):
+        world.submit(job_id, [make_step(2)])
+    context.metrics = WorkflowMetrics(CollectorRegistry())
+    state = JournalState()
+    scheduler = ActiveScheduler(
+        TenureRecord(holder="a#1", epoch=5, ordinal=1),
+        JournalWriter(context.log, 5, lambda *row: None, context.metrics, context.limits),
+        state,
+        Submissions(context.log, state, lambda *row: None),
+        PlatformServices(
+            log=context.log,
+            directory=None,
+            configuration=None,
+            workers=SilentWorkers(),
+            approvals=None,
+        ),
+        Timing(),
+        on_tenure_end=lambda reason: None,
+        on_loaded=lambda: None,
+        approvals=None,
+        metrics=context.metrics,
+    )
+    for job_id, journaled in world.journal_state.jobs.items():
+        scheduler.observe(JobAdded(job_id=job_id, journaled=journaled))
+    return scheduler
+
+
+@when(
+    'an active scheduler stores the progress of job "{large}" of {size_bytes:d} bytes beside that'
+    ' of job "{small}"'
+)
+def store_progress(context, large, size_bytes, small):
+    handler = LineHandler()
+
+    async def run():
+        context.scheduler = make_active_scheduler(context)
+        step = context.scheduler.scheduler.jobs[large].steps[0, 0]
+        step.failures[0] = tuple(range(1 << 20, (1 << 20) + size_bytes // 5))
+        context.scheduler._background.spawn(context.scheduler._record_loop())
+        async with asyncio.timeout(WAIT_S):
+            await context.scheduler.flush()
+            while sum(record.key == "tenure" for record in context.log.records) < 2:
+                await asyncio.sleep(0.01)
+        await context.scheduler.close()
+
+    logger = logging.getLogger(_active_scheduler.__name__)
+    logger.addHandler(handler)
+    try:
+        asyncio.run(run())
+    finally:
+        logger.removeHandler(handler)
+    context.lines = handler.lines
+
+
+@then('the log has the progress of "{job_id}", and the tenure is renewed')
+def check_small_progress(context, job_id):
+    keys = [record.key for record in context.log.records]
+    assert set(keys) == {f"p{job_id}", "tenure"}, keys
+
+
+@then('a log line names job "{job_id}", the size of its record and the limit')
+def check_line(context, job_id):
+    (line,) = (line for line in context.lines if "too large" in line.getMessage())
+    assert line.job_id == job_id and line.size_bytes > 3000, vars(line)
+    assert line.limit_bytes == context.limits.value_max_bytes, vars(line)
+
+
+@then('the metric for such records is {count:d}, and only "{job_id}" is blocked')
+def check_metric(context, count, job_id):
+    value = context.metrics.registry.get_sample_value(
+        "fireflywharf_progress_too_large_total", {"queue": "q"}
+    )
+    assert value == count, value
+    jobs = context.scheduler.scheduler.jobs
+    blocked = [name for name, job in jobs.items() if job.blocked_s is not None]
+    assert blocked == [job_id], blocked
+    assert [name for name, job in jobs.items() if job.recorded] == ["b"], jobs
--- a/features/workflow_record_sizes.feature
+++ b/features/workflow_record_sizes.feature
@@ -60,6 +60,15 @@
     When records of 100, 3000 and 100 bytes are appended together
     Then only the second is refused, and for good
 
+  Scenario: the scheduler names, counts and blocks the job whose progress is too large
+    Without the job id and the sizes in the log, an operator sees only that a job does not end.
+
+    Given a log whose largest record is 1000 bytes, and a scheduler that assumes 262144 bytes
+    When an active scheduler stores the progress of job "a" of 3000 bytes beside that of job "b"
+    Then the log has the progress of "b", and the tenure is renewed
+    And a log line names job "a", the size of its record and the limit
+    And the metric for such records is 1, and only "a" is blocked
+
   Scenario: a job whose progress is too large starts no further runs until it is stored
     Guards the other jobs, and the job itself once its progress has become smaller.
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_limits.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_limits.py
@@ -112,6 +112,8 @@
         queue: queue of the job.
         limits: limits of the deployment.
     """
+    if not spec.times_count:
+        return 1
     overhead_bytes = _progress_overhead_bytes("", queue, "") + 2 * _ROW_BYTES
     failures_count = min(_FAILURES_COUNTED_MAX, queue.max_attempts - 1)
     # An open occurrence may also separate two ranges of those that are done.
