--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -16,6 +16,7 @@
     JobCancelled,
     JobsRecorded,
     LossCause,
+    ProgressTooLarge,
     ReportedEnd,
     ReportedRun,
     RunAdopted,
@@ -33,6 +34,7 @@
     WorkerSilent,
     WorkerUndescribed,
 )
+from ._job_limits import JobLimits, LimitExceeded, find_exceeded_limit, record_size_bytes
 from ._journal import (
     MAIN_PARTITION,
     JournaledWorkflow,
@@ -51,6 +53,7 @@
     encode_record,
     find_partition,
     job_keys,
+    progress_job_id,
     vm_key,
 )
 from ._key_check import KeyAccepted, KeyCheck, KeyDecision, KeyUndecidable, KeyUnknown
@@ -86,6 +89,12 @@
     "ApprovalRates",
     "JobAdded",
     "JobCancelled",
+    "JobLimits",
+    "LimitExceeded",
+    "ProgressTooLarge",
+    "find_exceeded_limit",
+    "progress_job_id",
+    "record_size_bytes",
     "JobsRecorded",
     "JournalState",
     "MAIN_PARTITION",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_appends.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_appends.py
@@ -8,8 +8,9 @@
 
 import attrs
 
-from fireflywharf_core.workflows import JournalRecord, encode_record, find_partition
+from fireflywharf_core.workflows import JobLimits, JournalRecord, encode_record, find_partition
 
+from ._append_groups import split_by_size
 from ._append_timeouts import AppendTimeouts
 from ._background import result_or_default
 from ._interfaces import (
@@ -78,6 +79,7 @@
         partition: partition to append to.
         times: learned duration of appends; by default that of this partition.
         on_silence: called after an attempt without an answer.
+        limits: limits on the size of records and appends.
     """
 
     _PAUSE_S = 0.05
@@ -90,7 +92,9 @@
         partition: Partition,
         times: AppendTimeouts | None = None,
         on_silence: Callable[[], None] = lambda: None,
+        limits: JobLimits | None = None,
     ) -> None:
+        self._limits = JobLimits() if limits is None else limits
         self._log = log
         self._on_silence = on_silence
         self._partition = partition
@@ -131,16 +135,26 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            group, self._queue = self._queue, []
-            result = await result_or_default(
-                self._append(group), AppendUncertain("unexpected error"), "log"
-            )
-            for index, pending in enumerate(group):
-                own = result
-                if isinstance(result, Appended) and result.offset >= 0:
-                    own = Appended(result.offset + index)
-                if not pending.future.done():
-                    pending.future.set_result(own)
+            waiting, self._queue = self._queue, []
+            for group in split_by_size(waiting, lambda pending: pending.record, self._limits):
+                await self._append_group(group)
+
+    async def _append_group(self, group: list[_PendingRecord]) -> None:
+        """Append a group and resolve its futures."""
+        result = await result_or_default(
+            self._append(group), AppendUncertain("unexpected error"), "log"
+        )
+        if isinstance(result, AppendRejected) and result.is_permanent and len(group) > 1:
+            # Only one of the records may be the reason.
+            for pending in group:
+                await self._append_group([pending])
+            return
+        for index, pending in enumerate(group):
+            own = result
+            if isinstance(result, Appended) and result.offset >= 0:
+                own = Appended(result.offset + index)
+            if not pending.future.done():
+                pending.future.set_result(own)
 
     async def _append(self, group: list[_PendingRecord]) -> AppendResult | None:
         """Append a group, of which the records leave that are not to be stored any more."""
@@ -159,13 +173,13 @@
                     uncertain = result
                     unanswered += 1
                     self._on_silence()
-                case AppendRejected():
+                case AppendRejected(is_permanent=is_permanent):
                     rejections += 1
                     if uncertain is None:
-                        if rejections >= self._REJECTIONS_MAX:
-                            return result
                         for pending in group:
                             pending.may_be_stored = False
+                        if is_permanent or rejections >= self._REJECTIONS_MAX:
+                            return result
             await asyncio.sleep(self._PAUSE_S)
 
     async def _send(self, group: list[_PendingRecord], timeout_s: float) -> AppendResult:
@@ -202,6 +216,7 @@
         log: the shared log.
         times: learned duration of calls; by default that of appends only.
         on_silence: called after an attempt without an answer.
+        limits: limits on the size of records and appends.
     """
 
     def __init__(
@@ -209,10 +224,11 @@
         log: SharedLog,
         times: AppendTimeouts | None = None,
         on_silence: Callable[[], None] = lambda: None,
+        limits: JobLimits | None = None,
     ) -> None:
         times = AppendTimeouts() if times is None else times
         self.appenders = [
-            GroupAppender(log, journal_partition(number), times, on_silence)
+            GroupAppender(log, journal_partition(number), times, on_silence, limits)
             for number in range(log.partitions_count)
         ]
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -12,6 +12,7 @@
     ApprovalRates,
     ApprovalReceived,
     Configuration,
+    JobLimits,
     JournalRecord,
     KeyCheck,
     StepName,
@@ -85,6 +86,7 @@
         timing: timeouts of the deployment.
         metrics: counters and histograms.
         key_check: decides which keys of callers are accepted.
+        limits: limits of the log on the size of records and appends.
     """
 
     def __init__(
@@ -94,7 +96,9 @@
         timing: Timing,
         metrics: WorkflowMetrics,
         key_check: KeyCheck | None = None,
+        limits: JobLimits | None = None,
     ) -> None:
+        self._limits = JobLimits() if limits is None else limits
         self._presence = presence
         self._metrics = metrics
         self._platform = platform_services
@@ -102,7 +106,9 @@
         self._rng = random.Random(presence.incarnation)
         times = AppendTimeouts()
         self.reader = JournalReader(platform_services.log, self._handle_record, times=times)
-        self._appender = JournalAppender(platform_services.log, times, self.reader.doubt)
+        self._appender = JournalAppender(
+            platform_services.log, times, self.reader.doubt, self._limits
+        )
         self.reader.on_return = self._appender.abandon_overdue
         self._submissions = Submissions(
             platform_services.log, self.reader.journal_state, self._handle_record
@@ -139,6 +145,7 @@
             self._handle_stored,
             metrics,
             key_check,
+            self._limits,
         )
         self.workflow_service.can_forward = self.forwarder.can_forward
         self._election = Election(presence, self._rng, lambda: self.reader.journal_state.vms)
@@ -353,7 +360,11 @@
             return
         tenure = self._election.next_tenure()
         writer = JournalWriter(
-            self._platform.log, tenure.epoch, self.reader.add_early_record, self._metrics
+            self._platform.log,
+            tenure.epoch,
+            self.reader.add_early_record,
+            self._metrics,
+            self._limits,
         )
         _LOG.info("candidacy started", extra={"epoch": tenure.epoch})
         result = await writer.append([tenure], fail_fast=True)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -49,6 +49,11 @@
         self.appends = counter(
             "scheduler_appends_total", "Appends of the scheduler by result.", "result"
         )
+        self.progress_too_large = counter(
+            "progress_too_large_total",
+            "Progress records that were not stored for their size, by queue.",
+            "queue",
+        )
         self.tenures = counter("tenures_total", "Tenures of this daemon by event.", "event")
         self.forwarded_calls = counter(
             "forwarded_calls_total", "Calls that were forwarded to peers by result.", "result"
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -12,17 +12,20 @@
 
 from fireflywharf_core.workflows import (
     Configuration,
+    JobLimits,
     JournaledWorkflow,
     JournalRecord,
     KeyAccepted,
     KeyCheck,
     KeyUndecidable,
     KeyUnknown,
+    LimitExceeded,
     Queue,
     WorkflowAccepted,
     WorkflowCancelled,
     WorkflowSpec,
     WorkflowState,
+    find_exceeded_limit,
     job_keys,
     retry_after_s,
 )
@@ -60,6 +63,13 @@
     retry_after_s: int
 
 
+@attrs.frozen(slots=True)
+class TooLarge:
+    """The job exceeds a limit of the deployment and was not accepted; a repetition is useless."""
+
+    exceeded: LimitExceeded
+
+
 @attrs.frozen(slots=True)
 class Uncertain:
     """It is unknown whether the request took effect; the caller should repeat it."""
@@ -104,6 +114,7 @@
 Reply = (
     Accepted
     | Rejected
+    | TooLarge
     | Uncertain
     | UnknownJob
     | JobOfOtherTeam
@@ -153,6 +164,7 @@
         on_stored: called with each record that has become durable, and its offset.
         metrics: counts outcomes and durations.
         key_check: decides which keys of callers are accepted.
+        limits: limits on the size of a job.
 
     Attributes:
         configuration: current configuration; None until one has been read.
@@ -168,7 +180,9 @@
         on_stored: Callable[[JournalRecord, int], None],
         metrics: WorkflowMetrics,
         key_check: KeyCheck | None = None,
+        limits: JobLimits | None = None,
     ) -> None:
+        self._limits = JobLimits() if limits is None else limits
         self._reader = reader
         self._submissions = submissions
         self._appender = appender
@@ -280,11 +294,15 @@
                 return Accepted()
             _log_other_team(job_id, queue.name, "submission")
             return JobOfOtherTeam()
-        if self._reader.is_down or not self._reader.is_current:
-            return self._reject(queue, job_id, "the journal cannot be read")
         record = WorkflowAccepted(
             job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time(), team=team
         )
+        exceeded = find_exceeded_limit(record, self._limits)
+        if exceeded is not None:
+            self._reject(queue, job_id, f"too large: {exceeded.field}")
+            return TooLarge(exceeded)
+        if self._reader.is_down or not self._reader.is_current:
+            return self._reject(queue, job_id, "the journal cannot be read")
         future = self._appender.put_record(record, started_s + STORE_TIMEOUT_S)
         self._on_accept(record)
         result = await asyncio.shield(future)
