--- a/features/steps/workflow_cap_steps.py
+++ b/features/steps/workflow_cap_steps.py
@@ -80,6 +80,7 @@
             worker = rng.choice(list(world.workers.values()))
             if rng.random() < 0.5:
                 worker.restart()
+                world.publish_directory()
             worker.reachable = False
             silences.append((world.now_s + rng.uniform(0.2, 8.0), worker))
         if (everything or "killed" in fault) and index % round(3.0 / STEP_S) == 0 and index:
--- a/features/steps/workflow_too_large_steps.py
+++ b/features/steps/workflow_too_large_steps.py
@@ -34,8 +34,8 @@
     _active_scheduler,
 )
 from fireflywharf_daemon.workflows._active_scheduler import ActiveScheduler
+from fireflywharf_daemon.workflows._appends import GroupAppender
 from fireflywharf_daemon.workflows._election import JournalWriter
-from fireflywharf_daemon.workflows._journal import GroupAppender
 from fireflywharf_daemon.workflows._submissions import Submissions
 from fireflywharf_platform._entry import to_response
 
@@ -169,7 +169,8 @@
     def __init__(self):
         self.journal_state = JournalState()
         self.is_current = True
-        self.age_s = 0.0
+        self.is_down = False
+        self.age_s = self.outage_s = 0.0
 
 
 @given("a service with records of {record_bytes:d} bytes and appends of {request_bytes:d} bytes")
