--- a/features/steps/workflow_too_large_steps.py
+++ b/features/steps/workflow_too_large_steps.py
@@ -144,7 +144,7 @@
 @when("records of {first:d}, {second:d} and {third:d} bytes are appended together")
 def append_group(context, first, second, third):
     async def run():
-        appender = GroupAppender(context.log, Partition(Topic.JOURNAL), None, context.limits)
+        appender = GroupAppender(context.log, Partition(Topic.JOURNAL), limits=context.limits)
         futures = [
             appender.put(LogRecord(f"a{size}", b"v" * size), time.monotonic() + WAIT_S)
             for size in (first, second, third)
@@ -184,7 +184,7 @@
         context.accepted.append,
         None,
         WorkflowMetrics(CollectorRegistry()),
-        limits,
+        limits=limits,
     )
 
 
