Detect tasks that slow each other down, and count that as a cost among workers with room

The speed of a run with a neighbour is compared with the speed of the same run without it, so the size of the task and a constant speed of the worker cancel out. A significant pair is a cost after slow workers, data rack and reservations and before the best fit.

behave: workflows, workflow_recovery and workflow_starts pass.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from ..resources import ResourceVector
+from ._interference import NO_COSTS, InterferenceCosts
 from ._state import Step, Worker
 from ._worker_health import is_on_probation
 
@@ -50,26 +51,40 @@
     return limit_count(step, worker, fit_count(free, step.spec.demand))
 
 
-def worker_rank(step: Step, worker: Worker, free: ResourceVector, now_s: float) -> tuple:
+def worker_rank(
+    step: Step, worker: Worker, free: ResourceVector, now_s: float, cost: float = 0.0
+) -> tuple:
     """Return the sort key of a worker for single tasks; the lowest one is preferred.
 
     Best fit: the fullest worker that fits comes first, which leaves large free blocks for wide
-    steps. Slow workers, other racks than that of the data, and workers with capacity reserved for
-    a gang come later.
+    steps. Slow workers, other racks than that of the data, workers with capacity reserved for a
+    gang, and workers on which the task and the present runs slow each other (`cost`) come later.
     """
     return (
         now_s < worker.slow_until_s,
         bool(step.spec.data_rack) and worker.info.rack != step.spec.data_rack,
         any(holder is not step for holder in worker.reservations),
+        cost,
         free.processors_millicores,
     )
 
 
+def _split_by_cost(
+    worker: Worker, count: int, costs: InterferenceCosts, tasks_count: int
+) -> Iterable[tuple[float, int]]:
+    """Return cost and number of the places on a worker; their sum suffices for `tasks_count`."""
+    cost = costs.by_worker.get(worker, 0.0)
+    if not costs.same_step:
+        return ((cost, count),)
+    return [(cost + place * costs.same_step, 1) for place in range(min(count, tasks_count))]
+
+
 def assign_singles(
     step: Step,
     free_by_worker: Mapping[Worker, ResourceVector],
     indices: Iterable[int],
     now_s: float,
+    costs: InterferenceCosts = NO_COSTS,
 ) -> list[tuple[int, Worker]]:
     """Assign tasks that do not have to run at the same time.
 
@@ -78,30 +93,36 @@
         free_by_worker: free capacity of the eligible workers.
         indices: indices of the tasks.
         now_s: current local time, in seconds.
+        costs: slowdown by the runs that are present on the workers.
 
     Returns:
         Pairs of task index and worker, for as many tasks as fit.
     """
     counts = [
-        (worker_rank(step, worker, free, now_s), worker, placeable_count(step, worker, free))
+        (worker, free, placeable_count(step, worker, free))
         for worker, free in free_by_worker.items()
     ]
-    counts = [row for row in counts if row[2] > 0]
-    counts.sort(key=lambda row: row[0])
-    left = {worker: count for _, worker, count in counts}
+    ranked = [
+        (worker_rank(step, worker, free, now_s, cost), worker, part)
+        for worker, free, count in counts
+        if count > 0
+        for cost, part in _split_by_cost(worker, count, costs, len(step.waiting))
+    ]
+    ranked.sort(key=lambda row: row[0])
+    left = [[worker, count] for _, worker, count in ranked]
     pairs = []
     for index in indices:
         avoided = step.avoided.get(index)
         chosen = None
-        for worker, count in left.items():
-            if count > 0 and (chosen is None or worker.worker_id != avoided):
-                chosen = worker
-                if worker.worker_id != avoided:
+        for row in left:
+            if row[1] > 0 and (chosen is None or row[0].worker_id != avoided):
+                chosen = row
+                if row[0].worker_id != avoided:
                     break
         if chosen is None:
             break
-        left[chosen] -= 1
-        pairs.append((index, chosen))
+        chosen[1] -= 1
+        pairs.append((index, chosen[0]))
     return pairs
 
 
@@ -118,13 +139,18 @@
 
 
 def assign_gang(
-    step: Step, free_by_worker: Mapping[Worker, ResourceVector], indices: list[int], now_s: float
+    step: Step,
+    free_by_worker: Mapping[Worker, ResourceVector],
+    indices: list[int],
+    now_s: float,
+    costs: InterferenceCosts = NO_COSTS,
 ) -> list[tuple[int, Worker]] | None:
     """Assign all tasks of a gang, or none.
 
     Workers with the most free capacity come first, to spread the gang over few workers; slow
-    workers and those on which a member failed or stalled come last. A rack-sensitive gang is placed
-    on a single rack if one has enough capacity.
+    workers and those on which a member failed or stalled come last. Before them come workers on
+    which a member and the present runs slow each other: a gang is as slow as its slowest member. A
+    rack-sensitive gang is placed on a single rack if one has enough capacity.
 
     Returns:
         Pairs of task index and worker, or None if the gang does not fit.
@@ -136,7 +162,13 @@
     if sum(count for _, count in counts) < len(indices):
         return None
     avoided = set(step.avoided.values())
-    counts.sort(key=lambda row: (row[0].worker_id in avoided, now_s < row[0].slow_until_s, -row[1]))
+    ranked = [
+        ((worker.worker_id in avoided, now_s < worker.slow_until_s, cost, -count), worker, part)
+        for worker, count in counts
+        for cost, part in _split_by_cost(worker, count, costs, len(indices))
+    ]
+    ranked.sort(key=lambda row: row[0])
+    counts = [(worker, count) for _, worker, count in ranked]
     preferred = step.spec.data_rack
     racks = [preferred] if preferred else []
     if step.spec.rack_sensitive:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -21,6 +21,7 @@
     StopRun,
     WorkerReported,
 )
+from ._interference import InterferenceModel
 from ._journal import WorkflowState
 from ._names import TaskName
 from ._specs import WorkflowSpec
@@ -48,6 +49,7 @@
         capacity_version: incremented whenever capacity becomes free or usable.
         closed_job_ids: ended jobs without runs, to be removed by the scheduler.
         worker_health: detects unhealthy workers.
+        interference: learns which tasks slow each other down.
         start_window: limits the start orders without an answer.
         starting_count: number of runs whose start has not been answered.
     """
@@ -69,6 +71,7 @@
         self._outbox = outbox
         self._timing = timing
         self.worker_health = WorkerHealth(run_times)
+        self.interference = InterferenceModel()
         self._ends = EndRecorder(
             run_times, self.worker_health, self.order_stop, self.order_stop_all
         )
@@ -244,6 +247,7 @@
 
     def handle_report(self, worker: Worker, event: WorkerReported, now_s: float) -> None:
         """Process the running and ended runs that a worker reported."""
+        self.interference.observe(worker, event, now_s)
         for end in event.ended:
             self._handle_end(worker, end, now_s)
         alive = set()
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
@@ -173,9 +173,10 @@
         indices: list[int],
         now_s: float,
     ) -> list[tuple[int, Worker]]:
+        costs = self.runs.interference.predict(step, free_by_worker, now_s)
         if step.spec.gang:
-            return assign_gang(step, free_by_worker, indices, now_s) or []
-        return assign_singles(step, free_by_worker, indices, now_s)
+            return assign_gang(step, free_by_worker, indices, now_s, costs) or []
+        return assign_singles(step, free_by_worker, indices, now_s, costs)
 
     def _renew_tickets(self, step: Step, workers: Mapping[str, Worker], now_s: float) -> None:
         """Request new tickets for workers that have capacity for the waiting tasks."""
@@ -185,7 +186,8 @@
         if not self._may_use_headroom(step, workers, now_s):
             # A ticket for a worker on which the step gets no place would expire unused.
             free_by_worker = self._limit_to_headroom(step, free_by_worker)
-        pairs = assign_singles(step, free_by_worker, sorted(step.waiting), now_s)
+        costs = self.runs.interference.predict(step, free_by_worker, now_s)
+        pairs = assign_singles(step, free_by_worker, sorted(step.waiting), now_s, costs)
         chosen = dict.fromkeys(worker for _, worker in pairs)
         self.ticket_tracker.renew_tickets(step, list(chosen), now_s)
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from ._interference import describe_pair
 from ._placement import placeable_count
 from ._reservations import eventual_count
 from ._scheduler import WorkflowScheduler
 from ._state import Step
 
+_INTERFERENCE_ROWS_MAX = 3
+
 
 def explain_waiting(
     scheduler: WorkflowScheduler, now_s: float, age_s: float, rows_max: int
@@ -50,12 +53,20 @@
             "open_starts": scheduler.runs.starting_count,
             "open_starts_max": round(scheduler.runs.start_window.limit_),
             "headroom_workers": len(scheduler.headroom.workers_),
+            "interference": _explain_interference(scheduler, step),
             **_explain_capacity(scheduler, step, now_s),
         }
         for step in steps[:rows_max]
     ]
 
 
+def _explain_interference(scheduler: WorkflowScheduler, step: Step) -> list[dict]:
+    """Return the strongest pairs that affect where the step is placed, never whether it waits."""
+    rows = scheduler.runs.interference.find_significant(step)
+    rows.sort(key=lambda row: -row[1].slowdown)
+    return [describe_pair(*row) for row in rows[:_INTERFERENCE_ROWS_MAX]]
+
+
 def _explain_capacity(scheduler: WorkflowScheduler, step: Step, now_s: float) -> dict:
     plan = step.gang_plan
     usable = list(scheduler.find_usable_workers(step.job.queue.service, now_s).values())
