--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -31,6 +31,7 @@
     WorkerRestarted,
     WorkerSilent,
 )
+from ._interference import InterferenceModel, describe_pair
 from ._journal import (
     MAIN_PARTITION,
     JournaledWorkflow,
@@ -78,6 +79,7 @@
     "EndKind",
     "IncarnationSource",
     "Event",
+    "InterferenceModel",
     "JournaledWorkflow",
     "ApprovalRates",
     "JobAdded",
@@ -123,6 +125,7 @@
     "candidate_rank",
     "sample_workers",
     "decode_record",
+    "describe_pair",
     "encode_record",
     "explain_waiting",
     "find_partition",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -35,6 +35,7 @@
 from ._decision_log import DecisionLog
 from ._election import RENEWAL_S, JournalWriter
 from ._interfaces import AppendFenced, LogRecord, PlatformServices
+from ._interference_log import InterferenceLog
 from ._metrics import WorkflowMetrics
 from ._orders import OrderSender
 from ._peers import ApprovalBalancer
@@ -131,6 +132,7 @@
         self._decision_log = DecisionLog(
             self.scheduler, record.epoch, self._now_s(), lambda: writer.confirmation_age_s
         )
+        self._interference_log = InterferenceLog(self.scheduler.runs.interference, metrics)
         self._background = BackgroundTasks(
             "scheduler", lambda: self.end_tenure("a background task of the scheduler failed")
         )
@@ -161,6 +163,7 @@
         """Stop all loops and sessions."""
         self._closing = True
         await self._background.close()
+        self._interference_log.close()
         self._resolve_flushes(len(self._flush_futures), False)
 
     async def resign(self) -> None:
@@ -343,6 +346,7 @@
                         self._background.spawn(self._orders.request_approval(action))
             self._remove_departed_workers()
             self._decision_log.log_state(self._now_s())
+            self._interference_log.update(self._now_s())
             if self.scheduler.confirmation.is_wanted or any(
                 job.dirty for job in self.scheduler.jobs.values()
             ):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
@@ -24,6 +24,9 @@
         def counter(name: str, text: str, label: str) -> Counter:
             return Counter(f"fireflywharf_{name}", text, [label], registry=registry)
 
+        def gauge(name: str, text: str, *labels: str) -> Gauge:
+            return Gauge(f"fireflywharf_{name}", text, labels, registry=registry)
+
         def histogram(name: str, text: str) -> Histogram:
             return Histogram(
                 f"fireflywharf_{name}_seconds", text, buckets=LATENCY_BUCKETS_S, registry=registry
@@ -37,6 +40,16 @@
             "scheduler_appends_total", "Appends of the scheduler by result.", "result"
         )
         self.tenures = counter("tenures_total", "Tenures of this daemon by event.", "event")
+        self.interference_changes = counter(
+            "interference_changes_total", "Pairs of tasks found to slow each other.", "event"
+        )
+        self.interference_pairs = gauge("interference_pairs", "Pairs of tasks by state.", "state")
+        self.interference_slowdown = gauge(
+            "interference_slowdown_ratio", "Additional run time.", "slowed", "neighbour"
+        )
+        self.interference_observations = gauge(
+            "interference_observations", "Observed runs of a pair.", "slowed", "neighbour"
+        )
         self.submission_s = histogram("submission", "Time to answer a submission.")
         self.append_s = histogram("scheduler_append", "Time of an append of the scheduler.")
         self.first_start_s = histogram(
@@ -45,3 +58,8 @@
         self.take_over_s = histogram(
             "take_over", "Time from standing for scheduler to the first decision."
         )
+
+    def clear_interference(self) -> None:
+        """Remove the metrics of all pairs of tasks."""
+        self.interference_slowdown.clear()
+        self.interference_observations.clear()
