--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_placement.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
+from operator import itemgetter
 
 from ..resources import ResourceVector
 from ._interference import NO_COSTS, InterferenceCosts
@@ -69,14 +70,22 @@
     )
 
 
-def _split_by_cost(
-    worker: Worker, count: int, costs: InterferenceCosts, tasks_count: int
-) -> Iterable[tuple[float, int]]:
-    """Return cost and number of the places on a worker; their sum suffices for `tasks_count`."""
-    cost = costs.by_worker.get(worker, 0.0)
-    if not costs.same_step:
-        return ((cost, count),)
-    return [(cost + place * costs.same_step, 1) for place in range(min(count, tasks_count))]
+def _split_places(
+    ranked: Iterable[tuple[tuple, Worker, int]], cost_index: int, same_step: float, tasks_count: int
+) -> list[tuple[tuple, Worker, int]]:
+    """Return a row for each place of a worker, each with the cost of the tasks in the others.
+
+    The places suffice for as many of `tasks_count` tasks as before.
+    """
+    return [
+        (
+            (*rank[:cost_index], rank[cost_index] + place * same_step, *rank[cost_index + 1 :]),
+            worker,
+            1,
+        )
+        for rank, worker, count in ranked
+        for place in range(min(count, tasks_count))
+    ]
 
 
 def assign_singles(
@@ -98,17 +107,15 @@
     Returns:
         Pairs of task index and worker, for as many tasks as fit.
     """
-    counts = [
-        (worker, free, placeable_count(step, worker, free))
-        for worker, free in free_by_worker.items()
-    ]
+    find_cost = costs.by_worker.get
     ranked = [
-        (worker_rank(step, worker, free, now_s, cost), worker, part)
-        for worker, free, count in counts
-        if count > 0
-        for cost, part in _split_by_cost(worker, count, costs, len(step.waiting))
+        (worker_rank(step, worker, free, now_s, find_cost(worker, 0.0)), worker, count)
+        for worker, free in free_by_worker.items()
+        if (count := placeable_count(step, worker, free)) > 0
     ]
-    ranked.sort(key=lambda row: row[0])
+    if costs.same_step > 0:
+        ranked = _split_places(ranked, 3, costs.same_step, len(step.waiting))
+    ranked.sort(key=itemgetter(0))
     left = [[worker, count] for _, worker, count in ranked]
     pairs = []
     for index in indices:
@@ -138,6 +145,33 @@
     return pairs if len(pairs) == len(indices) else None
 
 
+def _order_by_cost(
+    counts: Iterable[tuple[Worker, int]],
+    costs: InterferenceCosts,
+    avoided: Container[str],
+    tasks_count: int,
+    now_s: float,
+) -> list[tuple[Worker, int]]:
+    """Return places for members of a gang, those with the least slowdown first."""
+    ranked = [
+        (
+            (
+                worker.worker_id in avoided,
+                now_s < worker.slow_until_s,
+                costs.by_worker.get(worker, 0.0),
+                -count,
+            ),
+            worker,
+            count,
+        )
+        for worker, count in counts
+    ]
+    if costs.same_step > 0:
+        ranked = _split_places(ranked, 2, costs.same_step, tasks_count)
+    ranked.sort(key=itemgetter(0))
+    return [(worker, count) for _, worker, count in ranked]
+
+
 def assign_gang(
     step: Step,
     free_by_worker: Mapping[Worker, ResourceVector],
@@ -162,13 +196,12 @@
     if sum(count for _, count in counts) < len(indices):
         return None
     avoided = set(step.avoided.values())
-    ranked = [
-        ((worker.worker_id in avoided, now_s < worker.slow_until_s, cost, -count), worker, part)
-        for worker, count in counts
-        for cost, part in _split_by_cost(worker, count, costs, len(indices))
-    ]
-    ranked.sort(key=lambda row: row[0])
-    counts = [(worker, count) for _, worker, count in ranked]
+    if costs is NO_COSTS:
+        counts.sort(
+            key=lambda row: (row[0].worker_id in avoided, now_s < row[0].slow_until_s, -row[1])
+        )
+    else:
+        counts = _order_by_cost(counts, costs, avoided, len(indices), now_s)
     preferred = step.spec.data_rack
     racks = [preferred] if preferred else []
     if step.spec.rack_sensitive:
