--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -34,6 +34,7 @@
     WorkerSilent,
     WorkerUndescribed,
 )
+from ._interference import InterferenceModel, describe_pair
 from ._job_limits import JobLimits, LimitExceeded, find_exceeded_limit, record_size_bytes
 from ._journal import (
     MAIN_PARTITION,
@@ -85,6 +86,7 @@
     "EndKind",
     "IncarnationSource",
     "Event",
+    "InterferenceModel",
     "JournaledWorkflow",
     "ApprovalRates",
     "JobAdded",
@@ -143,6 +145,7 @@
     "candidate_rank",
     "sample_workers",
     "decode_record",
+    "describe_pair",
     "encode_record",
     "explain_waiting",
     "find_partition",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -24,6 +24,9 @@
         def counter(name: str, text: str, label: str) -> Counter:
             return Counter(f"fireflywharf_{name}", text, [label], registry=registry)
 
+        def gauge(name: str, text: str, *labels: str) -> Gauge:
+            return Gauge(f"fireflywharf_{name}", text, labels, registry=registry)
+
         def histogram(name: str, text: str) -> Histogram:
             return Histogram(
                 f"fireflywharf_{name}_seconds", text, buckets=LATENCY_BUCKETS_S, registry=registry
@@ -66,6 +69,16 @@
             "Time since the log last answered a read; 0 while reads succeed.",
             registry=registry,
         )
+        self.interference_changes = counter(
+            "interference_changes_total", "Pairs of tasks found to slow each other.", "event"
+        )
+        self.interference_pairs = gauge("interference_pairs", "Pairs of tasks by state.", "state")
+        self.interference_slowdown = gauge(
+            "interference_slowdown_ratio", "Additional run time.", "slowed", "neighbour"
+        )
+        self.interference_observations = gauge(
+            "interference_observations", "Observed runs of a pair.", "slowed", "neighbour"
+        )
         self.submission_s = histogram("submission", "Time to answer a submission.")
         self.append_s = histogram("scheduler_append", "Time of an append of the scheduler.")
         self.first_start_s = histogram(
@@ -74,3 +87,8 @@
         self.take_over_s = histogram(
             "take_over", "Time from standing for scheduler to the first decision."
         )
+
+    def clear_interference(self) -> None:
+        """Remove the metrics of all pairs of tasks."""
+        self.interference_slowdown.clear()
+        self.interference_observations.clear()
