Keep malformed answers of the store out of errors

The HTTP library quotes the line of a response that it cannot parse, and this text became the reason of a failed read, which is logged. The reason now names the kind of error only.

--- a/features/steps/team_keys_steps.py
+++ b/features/steps/team_keys_steps.py
@@ -17,8 +17,9 @@
     decode_record,
 )
 from fireflywharf_daemon.logs import build_json_formatter
-from fireflywharf_daemon.workflows import Answer, LogRecord, ReadRecords
+from fireflywharf_daemon.workflows import Answer, HttpClient, LogRecord, ReadRecords
 from fireflywharf_platform._settings import SettingsError, parse_settings
+from fireflywharf_platform._store import StoreClient
 from fireflywharf_testing import reserve_port
 
 SETTINGS = {
@@ -347,6 +348,27 @@
     assert count == len(heads), count
 
 
+@when('the store sends a malformed answer that contains "{key}"')
+def send_malformed_answer(context, key):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx{key}\r\n\r\n".encode())
+        await writer.drain()
+        writer.close()
+
+    async def read():
+        http = HttpClient(1)
+        await http.open()
+        async with await asyncio.start_server(answer, "127.0.0.1", 0) as server:
+            host, port = server.sockets[0].getsockname()
+            result = await StoreClient(http, f"{host}:{port}").newest_named("keyed.op")
+        await http.close()
+        return result
+
+    context.failed_read = asyncio.run(read())
+    assert "malformed response" in context.failed_read.reason, context.failed_read
+
+
 @then('no log line, metric, answer, journal record or representation contains "{text}"')
 def check_no_key(context, text):
     world = context.world
@@ -358,6 +380,7 @@
         "metrics": [generate_latest(world.metrics.registry).decode()],
         "answers": [f"{row.headers} {row.body}" for row in world.answers],
         "records": [repr(row) for row in world.journal.rows],
+        "errors": [context.failed_read.reason],
         "representations": [
             repr(world.service.configuration),
             repr(world.service.configuration.keys),
--- a/features/team_keys.feature
+++ b/features/team_keys.feature
@@ -260,6 +260,7 @@
     When versions with malformed teams that contain "KEY-2" are read
     And calls are made with "KEY-1", "KEY-2" and "KEY-3" in the header, well-formed or not
     And malformed requests with "KEY-4" in their heads reach the server
+    And the store sends a malformed answer that contains "KEY-5"
     Then no log line, metric, answer, journal record or representation contains "KEY-"
 
   Scenario: the settings of the key check
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_http.py
@@ -298,7 +298,10 @@
             return NoAnswer("no answer in time")
         except (aiohttp.ClientError, OSError) as error:
             self._close_suspects(address, pooled)
-            return NoAnswer(f"{type(error).__name__}: {error}")
+            # The error quotes the response, which may be a configuration with keys of teams.
+            malformed = isinstance(error, aiohttp.ClientResponseError)
+            text = "malformed response" if malformed else str(error)
+            return NoAnswer(f"{type(error).__name__}: {text}")
 
     async def call_json(
         self,
