--- a/features/team_keys.feature
+++ b/features/team_keys.feature
@@ -136,6 +136,8 @@
     And the VM reads the configuration
     And the boot clock of the VM advances by 1.2 s
     Then a call with "k1" gets 503
+    When the VM reads the configuration
+    Then this read was held for 1.2 s and the configuration is 6.4 s old
     When version 3 revokes all keys
     And the VM reads the configuration
     Then a call with "k1" gets 401
@@ -260,6 +262,7 @@
     When versions with malformed teams that contain "KEY-2" are read
     And calls are made with "KEY-1", "KEY-2" and "KEY-3" in the header, well-formed or not
     And malformed requests with "KEY-4" in their heads reach the server
+    And the store sends a malformed answer that contains "KEY-5"
     Then no log line, metric, answer, journal record or representation contains "KEY-"
 
   Scenario: the settings of the key check
