Document forwarding; wait for the peer before a late denial; pause between failed probes

A review of the code found two faults: a denial of this VM (401 by an old configuration) was reported although a peer might accept the same submission, and reads that failed at once beside a long poll followed each other without a pause.

--- a/features/steps/workflow_detour_steps.py
+++ b/features/steps/workflow_detour_steps.py
@@ -158,6 +158,11 @@
         case "uncertain":
             await asyncio.sleep(OWN_S)
             return web.Response(status=504)
+        case "denied":
+            return web.Response(status=401)
+        case "denied later":
+            await asyncio.sleep(OWN_S)
+            return web.Response(status=401)
     await asyncio.sleep(OWN_S)
     return web.Response(status=200)
 
--- a/features/steps/workflow_outage_steps.py
+++ b/features/steps/workflow_outage_steps.py
@@ -190,14 +190,18 @@
 
     def __init__(self):
         super().__init__(["silent"])
-        self.is_deaf = False
+        self.is_deaf = self.is_rejecting = False
+        self.reads_count = 0
 
     async def newest(self, partition):
         """Return an empty journal."""
         return ReadRecords(0, ())
 
     async def read(self, partition, offset, *, wait_s):
-        """Answer at the end of the wait, or fail after the usual timeout of a read."""
+        """Answer at the end of the wait, or fail at once or after the usual timeout of a read."""
+        self.reads_count += 1
+        if self.is_rejecting:
+            return ReadFailed("the store answered 503")
         await asyncio.sleep(wait_s + 1.2 * self.is_deaf)
         return ReadFailed("no answer in time") if self.is_deaf else ReadRecords(0, ())
 
@@ -259,6 +263,7 @@
         loop = asyncio.create_task(reader.run())
         await asyncio.sleep(0.1)
         context.log.is_deaf = falls == "falls silent"
+        context.log.is_rejecting = falls == "rejects reads"
         reader.doubt()
         await asyncio.sleep(1.2)
         loop.cancel()
@@ -266,7 +271,8 @@
     asyncio.run(run())
 
 
-@then("within {seconds:g} s the log counts as {state}")
-def check_log_state(context, seconds, state):
+@then("within {seconds:g} s the log counts as {state} and has got at most {count:d} reads")
+def check_log_state(context, seconds, state, count):
+    assert context.log.reads_count <= count, context.log.reads_count
     expected = (state == "down", state == "answering")
     assert (context.reader.is_down, context.reader.is_answering) == expected, expected
--- a/features/workflow_detours.feature
+++ b/features/workflow_detours.feature
@@ -77,6 +77,9 @@
       | uncertain | have no store, have no store  | 504    | 2     |
       | uncertain | die                           | 504    | 1     |
       | accepted  | die                           | 200    | 1     |
+      | denied    | accept                        | 401    | 0     |
+      | denied later | accept                     | 200    | 1     |
+      | denied later | reject                     | 401    | 1     |
 
   Scenario Outline: a query is tried at another peer after no answer
     Guards against a query that fails although it can be repeated without harm.
--- a/features/workflow_outages.feature
+++ b/features/workflow_outages.feature
@@ -59,14 +59,15 @@
     Then each call is rejected within 0.1 s with a retry delay of 4 s
 
   Scenario Outline: an append without an answer makes the daemon check the log at once
-    Guards against seconds in which callers wait for a silent log until a long poll is overdue, and
-    against a daemon that gives up a log that only lost one answer.
+    Guards against seconds in which callers wait for a silent log until a long poll is overdue, against
+    a daemon that gives up a log that only lost one answer, and against one that floods the log.
 
     Given a daemon that follows a log in a long poll
     When the log <falls> and an append gets no answer
-    Then within 1.2 s the log counts as <state>
+    Then within 1.2 s the log counts as <state> and has got at most 10 reads
 
     Examples:
       | falls           | state     |
       | falls silent    | down      |
+      | rejects reads   | down      |
       | goes on working | answering |
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -37,11 +37,7 @@
 from ._forwarding import CallForwarder, TakenCalls
 from ._http import HttpClient
 from ._interfaces import Appended, LogRecord, PlatformServices
-from ._journal import (
-    FOLLOWER_PAUSE_S,
-    SCHEDULER_PAUSE_S,
-    JournalReader,
-)
+from ._journal import FOLLOWER_PAUSE_S, SCHEDULER_PAUSE_S, JournalReader
 from ._metrics import WorkflowMetrics
 from ._peers import ApprovalBalancer, PeerClient, PeerServer, RecordMessage
 from ._service import WorkflowService
@@ -96,13 +92,11 @@
         self._platform = platform_services
         self._timing = timing
         self._rng = random.Random(presence.incarnation)
-        times = AppendTimeouts()
-        self.reader = JournalReader(platform_services.log, self._handle_record, times=times)
-        self._appender = JournalAppender(platform_services.log, times, self.reader.doubt)
+        log, times = platform_services.log, AppendTimeouts()
+        self.reader = JournalReader(log, self._handle_record, times=times)
+        self._appender = JournalAppender(log, times, self.reader.doubt)
         self.reader.on_return = self._appender.abandon_overdue
-        self._submissions = Submissions(
-            platform_services.log, self.reader.journal_state, self._handle_record
-        )
+        self._submissions = Submissions(log, self.reader.journal_state, self._handle_record)
         self._approvals = ApprovalQueue(platform_services.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
         self._approvals_http = HttpClient(_PEER_CONNECTIONS, _APPROVAL_KEEPALIVE_S)
@@ -110,10 +104,7 @@
             taken_calls_max(presence.processors_millicores), self._can_serve_peers, metrics
         )
         self.forwarder = CallForwarder(
-            presence.vm,
-            lambda: self.reader.journal_state.vms,
-            lambda: self.reader.is_answering,
-            metrics,
+            presence.vm, self._vms, lambda: self.reader.is_answering, metrics
         )
         metrics.outage_s.set_function(lambda: self.reader.outage_s)
         self._peer_server = PeerServer(
@@ -121,10 +112,7 @@
         )
         self._peer_client = PeerClient(self._peer_http)
         self._balancer = ApprovalBalancer(
-            self._approvals,
-            self._approvals_http,
-            presence.vm,
-            lambda: self.reader.journal_state.vms,
+            self._approvals, self._approvals_http, presence.vm, self._vms
         )
         self._approval_rates = ApprovalRates()
         self.workflow_service = WorkflowService(
@@ -136,7 +124,7 @@
             metrics,
         )
         self.workflow_service.can_forward = self.forwarder.can_forward
-        self._election = Election(presence, self._rng, lambda: self.reader.journal_state.vms)
+        self._election = Election(presence, self._rng, self._vms)
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
         self.active_scheduler: ActiveScheduler | None = None
@@ -145,9 +133,8 @@
 
     async def start(self) -> None:
         """Start the servers and all loops."""
-        await self._peer_http.open()
-        await self._approvals_http.open()
-        await self.forwarder.open()
+        for client in (self._peer_http, self._approvals_http, self.forwarder):
+            await client.open()
         host, _, port = self._presence.address.rpartition(":")
         await self._peer_server.open(host, int(port))
         for loop in (
@@ -174,8 +161,8 @@
         await self._background.close()
         await self.forwarder.close()
         await self._peer_server.close()
-        await self._peer_http.close()
-        await self._approvals_http.close()
+        for client in (self._peer_http, self._approvals_http):
+            await client.close()
 
     async def _announce(self) -> None:
         """Record the address of this VM in the journal."""
@@ -297,6 +284,9 @@
         if address is not None:
             self._background.spawn(self._peer_client.send_record(address, offset, stored))
 
+    def _vms(self) -> Mapping[str, VmPresent]:
+        return self.reader.journal_state.vms
+
     def _can_serve_peers(self) -> bool:
         return not self._stopping and self.reader.is_answering and self.reader.is_current
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
@@ -26,6 +26,8 @@
 _LOG = logging.getLogger(__name__)
 
 CALLS_PATH = "/calls"
+_HEAD_START_S = 0.005
+"""Time in which this VM denies malformed calls and unknown keys by itself."""
 _CHECK_S = 0.1
 """Time between two checks, during a call, whether the log still answers."""
 _REPEATABLE_TIMEOUT_S = 0.8
@@ -107,10 +109,6 @@
     return web.Response(status=504, body=body, content_type="application/json")
 
 
-def _is_undone_or_unknown(response: web.Response) -> bool:
-    return isinstance(response, OutageResponse) or response.status == 504
-
-
 def _is_accepted(answer: web.Response | PeerOutcome) -> bool:
     return isinstance(answer, web.Response) and answer.status < 300
 
@@ -166,6 +164,7 @@
             return await self._serve_repeatable(call, serve_here)
         own = asyncio.ensure_future(serve_here())
         try:
+            await asyncio.wait({own}, timeout=_HEAD_START_S)
             while self._is_answering() and not own.done():
                 await asyncio.wait({own}, timeout=_CHECK_S)
             if own.done() and not isinstance(own.result(), OutageResponse):
@@ -192,16 +191,13 @@
 
         A rejection may be reported only if the call has certainly no effect on either side.
         """
-        while True:
-            if own.done() and not _is_undone_or_unknown(own.result()):
-                return own.result()
-            if peer.done() and _is_accepted(peer.result()):
-                return peer.result()
-            waiting = {future for future in (own, peer) if not future.done()}
-            if not waiting:
-                break
-            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        if own.result().status == 504:
+        waiting = {own, peer}
+        while waiting:
+            done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            for future in done:
+                if _is_accepted(future.result()):
+                    return future.result()
+        if not isinstance(own.result(), OutageResponse):
             return own.result()
         match peer.result():
             case web.Response() as answer:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_journal.py
@@ -293,7 +293,9 @@
                 return True
             if done and not reads:
                 return False
-            if not done:
+            if done:
+                await asyncio.sleep(_RETRY_S)
+            else:
                 self._record_failure("no answer in time")
             reads.add(asyncio.create_task(self._read(0.0)))
         return False
