Hold reads of the configuration also while the newest version is malformed

Such a version does not renew the age by which keys are checked, and the reads were no longer held then, so each VM read without a pause other than that between two reads until the operator corrected it. Whether a read is held now depends on the latest read that ended at the end of the topic.

--- a/features/team_keys.feature
+++ b/features/team_keys.feature
@@ -136,6 +136,8 @@
     And the VM reads the configuration
     And the boot clock of the VM advances by 1.2 s
     Then a call with "k1" gets 503
+    When the VM reads the configuration
+    Then this read was held for 1.2 s and the configuration is 6.4 s old
     When version 3 revokes all keys
     And the VM reads the configuration
     Then a call with "k1" gets 401
