Place the jobs that a team sends beyond its weight after owed work

At full load, jobs were ordered by slack alone, so one team that sends several times its usual load takes the places of all others. TeamRates classifies the jobs of each team by a token bucket over their acceptance times: rate is the weight, the burst one second's worth, at least one job. Excess jobs come after owed ones that are within three times their objective, leave the places for urgent tasks, keep no owed work waiting by reservations, and send no long approval request while an owed step waits for its turn. A job without a team is owed, as is one of a team whose weight was never known; a weight of 0 makes all jobs excess.

workflow_shares 19 of 19, workflows 35, workflow_recovery 16, workflow_split 34, workflow_caps 23 and workflow_starts 17 scenarios passed. Each check taken out makes a scenario fail: order 2, headroom 1, reservation 1, share of reservations 1, turn for approvals 1, sorting 1, late records 1.

--- a/features/steps/workflow_team_world.py
+++ b/features/steps/workflow_team_world.py
@@ -5,7 +5,7 @@
 
 from fireflywharf_core.contracts import UNLIMITED, Quota, TeamQuota
 from fireflywharf_core.resources import ResourceVector
-from fireflywharf_core.workflows import TeamsChanged
+from fireflywharf_core.workflows import TeamsChanged, WorkflowProgress, WorkflowState
 
 
 def make_quota(processors_millicores=UNLIMITED, memory_mb=UNLIMITED):
@@ -31,6 +31,9 @@
         self.caps = {team.team: team.quota for team in teams}
         self.highest_use = {}
         self.team_by_job = {}
+        self.accepted_at_s = {}
+        self.ended_s = {}
+        self.excess_by_job = {}
         super().__init__(*args, **options)
 
     def list_schedulers(self):
@@ -52,6 +55,7 @@
     def submit(self, job_id, steps, payload="p", team=""):
         """Submit a job of a team."""
         self.team_by_job[job_id] = team
+        self.accepted_at_s[job_id] = self.now_s
         super().submit(job_id, steps, payload, team)
 
     def used_by(self, team):
@@ -87,7 +91,29 @@
 
 
 class TeamWorld(TeamChecks, WorkflowWorld):
-    """World of one scheduler at a time, with teams."""
+    """World of one scheduler at a time, with teams.
+
+    Attributes:
+        excess_by_job: whether a job of a team is excess, by the first scheduler that had it.
+        ended_s: time at which the complete state of a job became durable, by job id.
+    """
+
+    def utc_s(self):
+        """Return the time of day, which is the virtual time."""
+        return self.now_s
+
+    def step(self):
+        """Advance the time, and note the classes of new jobs."""
+        super().step()
+        for job in self.scheduler.jobs.values():
+            if job.team:
+                self.excess_by_job.setdefault(job.job_id, job.is_excess)
+
+    def append(self, record):
+        """Append a record and note the end of a job."""
+        super().append(record)
+        if isinstance(record, WorkflowProgress) and record.state is WorkflowState.COMPLETE:
+            self.ended_s.setdefault(record.job_id, self.now_s)
 
 
 class TeamSplitWorld(TeamChecks, SplitWorld):
--- a/features/steps/workflow_world.py
+++ b/features/steps/workflow_world.py
@@ -108,6 +108,10 @@
         self.answered_polls_s = {}
         self.begin_tenure()
 
+    def utc_s(self):
+        """Return the time of day, in seconds since the Unix epoch."""
+        return 0.0
+
     def append(self, record):
         """Append a record to the journal."""
         key, value = encode_record(record)
@@ -321,7 +325,7 @@
         for name, worker in self.workers.items():
             if name in self.scheduler.workers and self._is_poll_answered(name, worker):
                 reported_serials[name] = self._poll_worker(name, worker)
-        for action in self.scheduler.decide(self.now_s, 0.0):
+        for action in self.scheduler.decide(self.now_s, self.utc_s()):
             self.execute(action)
         for record in self.scheduler.pop_closed():
             self.append(record)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -51,6 +51,8 @@
 """Number of workers in each of several requests that are sent to different VMs at once."""
 _PARALLEL_SHARE = 0.2
 """Share of the VMs without a long request that may be used for one step."""
+_OWED_TURN_S = 0.7
+"""Time for which an owed step that found no turn keeps the next one; a gang tries as often."""
 _FREE_SHARE = 0.5
 """Free share of a worker's capacity that is assumed if the real one is unknown."""
 
@@ -162,6 +164,7 @@
         self._workers = workers
         self._outbox = outbox
         self._early_tickets: dict[StepName, list[ApprovalReceived]] = {}
+        self._owed_waits_until_s = float("-inf")
 
     def has_valid_ticket(self, step: Step, worker_id: str, now_s: float) -> bool:
         """Return whether the step has a ticket that is valid long enough to reach the worker."""
@@ -249,7 +252,7 @@
             answer_s = self.expected_answer_s(step, _USUAL_REQUEST_WORKERS) + _FIRST_TICKETS_WAIT_S
             if now_s < step.job.accepted_s + answer_s:
                 return False
-        if step.approval_asked_s is None and self._can_ask(step):
+        if step.approval_asked_s is None and self._has_turn(step, not step.tickets, now_s):
             asked_ids = self._choose_workers(step, workers, tasks_count, now_s)
             if asked_ids:
                 self._send_requests(step, asked_ids, now_s)
@@ -261,6 +264,23 @@
             or self._long_requests.total() < self.long_requests_max
         )
 
+    def _has_turn(self, step: Step, is_waiting: bool, now_s: float) -> bool:
+        """Return whether a step may send a request now.
+
+        Excess steps send no long ones while an owed step waits for its turn.
+
+        Args:
+            step: the step.
+            is_waiting: whether it can start no further task without the answer.
+            now_s: current local time, in seconds.
+        """
+        can_ask = self._can_ask(step)
+        if step.job.is_excess and not has_short_requests(step.job.queue.approval):
+            return can_ask and now_s >= self._owed_waits_until_s
+        if is_waiting and not can_ask:
+            self._owed_waits_until_s = now_s + _OWED_TURN_S
+        return can_ask
+
     def _choose_workers(
         self, step: Step, workers: Mapping[str, Worker], tasks_count: int, now_s: float
     ) -> list[str]:
@@ -342,7 +362,11 @@
         expired = [
             w.worker_id for w in chosen if not self.has_valid_ticket(step, w.worker_id, answer_s)
         ]
-        return bool(expired) and self._can_ask(step) and self._send_request(step, expired, now_s)
+        return (
+            bool(expired)
+            and self._has_turn(step, True, now_s)
+            and self._send_request(step, expired, now_s)
+        )
 
     def renew_gang_tickets(self, step: Step, plan: GangPlan, now_s: float) -> bool:
         """Request the tickets of a gang so that all are valid when it is expected to start.
@@ -359,7 +383,7 @@
             return False
         if all(self.has_valid_ticket(step, worker_id, answer_s) for worker_id in worker_ids):
             return False
-        return self._can_ask(step) and self._send_request(step, worker_ids, now_s)
+        return self._has_turn(step, True, now_s) and self._send_request(step, worker_ids, now_s)
 
     def _send_requests(self, step: Step, worker_ids: list[str], now_s: float) -> None:
         """Ask about many workers with one request, or with several that are served in parallel."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
@@ -79,7 +79,7 @@
         plan = self._planner.plan(step, allowed, present, now_s)
         if plan is not None and present is None and plan.start_s > now_s:
             size = step.spec.demand.scaled(len(step.waiting))
-            plan = plan if self._is_within_limit(size, now_s) else None
+            plan = plan if self._is_within_limit(step, size, now_s) else None
         self.release(step)
         if plan is not None:
             was_firm = present is not None and present.firm
@@ -103,13 +103,13 @@
                 worker.reservations.pop(step, None)
         step.gang_plan = None
 
-    def _is_within_limit(self, size: ResourceVector, now_s: float) -> bool:
+    def _is_within_limit(self, step: Step, size: ResourceVector, now_s: float) -> bool:
         capacity = sum(w.info.capacity.processors_millicores for w in self._workers.values())
         reserved = sum(
             reservation.size.processors_millicores
             for worker in self._workers.values()
-            for reservation in worker.reservations.values()
-            if now_s < reservation.until_s
+            for holder, reservation in worker.reservations.items()
+            if now_s < reservation.until_s and (step.job.is_excess or not holder.job.is_excess)
         )
         # The first gang may exceed the limit; otherwise a very wide one would never start.
         return (
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -40,6 +40,7 @@
 from ._state import Job, Step, Worker
 from ._step_placement import StepPlacer
 from ._team_ledger import TeamLedger
+from ._team_rates import TeamRates
 from ._timing import Timing
 
 DEPARTED_SILENCE_S = 2.0
@@ -87,6 +88,7 @@
             self.workers, self.confirmation, timing, workers_in_use, departures or {}, started_s
         )
         self.ledger = TeamLedger(find_spec, find_team)
+        self.team_rates = TeamRates()
         self.runs = RunTable(
             self.jobs, self.workers, self.outbox, self.run_times, timing, self.ledger, find_spec
         )
@@ -154,6 +156,7 @@
         is_reconciled = self.is_reconciled(now_s)
         if is_reconciled and self.ledger.complete_reconciliation():
             self.runs.capacity_version += 1
+        self._classify_jobs(now_s, utc_s)
         ready = []
         for job in self.jobs.values():
             if job.state.is_final or not job.recorded or (job.inherited and not is_reconciled):
@@ -260,6 +263,9 @@
         if journaled.accepted is None or event.job_id in self.jobs:
             return
         has_progress = journaled.progress is not None
+        if journaled.team:
+            accepted_utc_s = journaled.accepted.accepted_utc_s
+            self.team_rates.add(event.job_id, journaled.team, accepted_utc_s)
         if journaled.state.is_final:
             if journaled.cancelled and not (has_progress and journaled.progress.state.is_final):
                 self._unrecorded_cancellations.append(
@@ -287,11 +293,21 @@
         if not accepted.spec.times_count:
             job.create_occurrence(0)
         self.jobs[event.job_id] = job
-        if not any(self.ledger.is_held(step) for step in job.steps.values()):
-            # Places would be kept in vain for urgent tasks that a cap holds.
+        if not job.team:
             self.headroom.observe(job, now_s)
         self.ticket_tracker.apply_early_tickets(job.steps.values(), now_s)
 
+    def _classify_jobs(self, now_s: float, utc_s: float) -> None:
+        """Classify the jobs of teams as owed or excess, once the weights and all jobs are known.
+
+        The directory is passed on only after all jobs in the journal were read. Places are not kept
+        for urgent tasks that are excess or that a cap holds.
+        """
+        if self.team_rates.has_pending and self.ledger.listed_teams is not None and self.workers:
+            for job in self.team_rates.classify(self.jobs, self.ledger.accounts, utc_s):
+                if not any(self.ledger.is_held(step) for step in job.steps.values()):
+                    self.headroom.observe(job, now_s)
+
     def _create_due_occurrences(self, job: Job, utc_s: float) -> None:
         spec = job.spec
         if not spec.times_count or len(job.steps) == spec.times_count * len(spec.steps):
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -118,9 +118,12 @@
         """Return whether `step` may not use the capacity that is reserved for `holder`.
 
         Work of a higher priority may use it until the plan of the gang is firm, and other work if
-        it is expected to end before the start of the gang.
+        it is expected to end before the start of the gang. An excess gang blocks no owed work.
         """
-        if step.job.queue.priority < holder.job.queue.priority:
+        if holder.job.is_excess and not step.job.is_excess:
+            return False
+        is_favoured = holder.job.is_excess or not step.job.is_excess
+        if is_favoured and step.job.queue.priority < holder.job.queue.priority:
             return holder.gang_plan is not None and holder.gang_plan.firm
         if now_s >= self.start_s - _CERTAIN_START_S:
             return True
@@ -344,6 +347,7 @@
         steps: steps by occurrence and index.
         dirty: whether progress must be stored.
         team: team of the job; empty without teams.
+        is_excess: whether its team has sent it beyond its weight.
     """
 
     job_id: str
@@ -356,6 +360,7 @@
     steps: dict[tuple[int, int], Step] = attrs.field(factory=dict)
     dirty: bool = False
     team: str = ""
+    is_excess: bool = False
 
     def create_occurrence(self, occurrence: int) -> None:
         """Create the steps of an occurrence that do not exist yet."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
@@ -136,7 +136,8 @@
         self, step: Step, free_by_worker: dict[Worker, ResourceVector]
     ) -> dict[Worker, ResourceVector]:
         """Return the capacity without the places that are kept for urgent tasks."""
-        if self.headroom.is_urgent(step.job) or step.gang_plan is not None:
+        is_urgent = self.headroom.is_urgent(step.job) or step.gang_plan is not None
+        if is_urgent and not step.job.is_excess:
             return free_by_worker
         return {
             worker: self.headroom.limit(worker, free) for worker, free in free_by_worker.items()
@@ -153,6 +154,8 @@
             return False
         if not self.headroom.is_scarce_:
             return True
+        if step.job.is_excess:
+            return False
         if step.job.queue.approval is not None and any(
             worker_id not in step.asked and eventual_count(step, worker, now_s) > 0
             for worker_id, worker in workers.items()
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -99,7 +100,7 @@
     def _find_account(self, team: str) -> Account:
         account = self.accounts.get(team)
         if account is None:
-            account = self.accounts[team] = Account(name=team, weight=0.0, quota=_NO_CAP)
+            account = self.accounts[team] = Account(name=team, weight=math.inf, quota=_NO_CAP)
         return account
 
     def add_inherited(self, job_id: str, journaled: JournaledWorkflow, job: Job | None) -> None:
