--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -344,6 +344,7 @@
             None if it is stored. No further runs are started until then.
         dirty: whether progress must be stored.
         team: team of the job; empty without teams.
+        is_excess: whether its team has sent it beyond its weight.
     """
 
     job_id: str
@@ -360,6 +361,7 @@
     blocked_s: float | None = None
     dirty: bool = False
     team: str = ""
+    is_excess: bool = False
 
     def create_occurrence(self, occurrence: int) -> None:
         """Create the steps of an occurrence that do not exist yet, unless it is done."""
