--- a/features/steps/workflow_interference_steps.py
+++ b/features/steps/workflow_interference_steps.py
@@ -8,12 +8,12 @@
 from prometheus_client import CollectorRegistry
 from workflow_interference_world import InterferenceWorld
 
-from fireflywharf_core.workflows import InterferenceModel, StartRun
+from fireflywharf_core.workflows import InterferenceModel, StartRun, explain_waiting
 from fireflywharf_daemon.workflows._interference_log import InterferenceLog
 from fireflywharf_daemon.workflows._metrics import WorkflowMetrics
 
 RATES = {"a": 2.0, "b": 2.0, "c": 2.0}
-WORK_S = {"a": 2.0, "b": 3.0, "c": 0.8, "e": 0.6, "s": float("inf")}
+WORK_S = {"a": 2.0, "b": 3.0, "c": 0.8, "e": 0.3, "s": float("inf")}
 
 
 class IdleModel(InterferenceModel):
@@ -131,6 +131,16 @@
     assert all(sorted(present) == ["a", "a", "a", "b"] for present in images.values()), images
 
 
+@then("the explanation of the waiting one names the pair")
+def check_explanation(context):
+    world = context.world
+    (row,) = explain_waiting(world.scheduler, world.now_s, 0.0, 8)
+    assert row["places"] == 0 and row["waiting"] == 1, row
+    pairs = {(pair["slowed"], pair["neighbour"]) for pair in row["interference"]}
+    assert pairs and pairs <= {("q a", "q b"), ("q b", "q a")}, row
+    assert all(pair["slowdown"] > 0.5 and pair["observations"] > 5 for pair in row["interference"])
+
+
 @when("one job with 8 tasks of a arrives at idle workers")
 def submit_to_idle_workers(context):
     assert ("a", "a") in image_pairs(context.world.model)
@@ -153,12 +163,12 @@
     world = context.world
     assert image_pairs(world.model)
     drain(world)
-    world.submit_image("a", count=4, max_per_worker=1)
-    world.run(0.15)
     world.work_s["c"] = 5.0
     world.submit_image("c", count=4, cpu=2500, max_per_worker=1)
     world.run(0.15)
-    world.submit_image("b", count=4, gang=True, max_per_worker=1)
+    world.submit_image("a", count=4, cpu=2000, max_per_worker=1)
+    world.run(0.15)
+    world.submit_image("b", count=4, gang=True)
     world.run(0.15)
 
 
@@ -189,7 +199,7 @@
     context.seen = set()
     model = context.world.model
     context.world.run_load(
-        seconds, {"a": 4.0, "e": 8.0}, lambda: context.seen.update(image_pairs(model))
+        seconds, {"a": 4.0, "e": 10.0}, lambda: context.seen.update(image_pairs(model))
     )
 
 
@@ -212,8 +222,16 @@
     assert ("s", "a") not in image_pairs(world.model), world.model.significant_
 
 
-@when("the images no longer slow each other, and jobs arrive for {seconds:g} s")
+@when(
+    "the images no longer slow each other, and so many jobs arrive for {seconds:g} s that they meet"
+)
 def end_interference(context, seconds):
+    context.world.speed_factors.clear()
+    context.world.run_load(seconds, {"a": 4.0, "b": 4.0, "c": 4.0})
+
+
+@when("no jobs arrive for {seconds:g} s")
+def pass_time(context, seconds):
     world = context.world
     context.lines = []
     context.metrics = WorkflowMetrics(CollectorRegistry())
@@ -224,8 +242,7 @@
     ):
         log.update(world.now_s)
         context.found_samples = samples(context.metrics)
-        world.speed_factors.clear()
-        world.run_load(seconds, RATES, lambda: log.update(world.now_s))
+        world.run_load(seconds, {}, lambda: log.update(world.now_s))
 
 
 def samples(metrics):
--- a/features/workflow_interference.feature
+++ b/features/workflow_interference.feature
@@ -25,6 +25,7 @@
     And jobs of both images and of a third one have arrived for 120 s
     When 3 tasks of a run on each worker and 9 tasks of b arrive
     Then 8 of them start at once, one on each worker
+    And the explanation of the waiting one names the pair
 
   Scenario: identical tasks that slow each other are spread over the workers
     Fails if the tasks of one step are still packed on few workers.
@@ -65,15 +66,23 @@
     Then it is known that a slows s
     And nothing is known about tasks of s with an objective of 200 ms
 
-  Scenario: evidence decays once tasks no longer slow each other
+  Scenario: evidence decays
     Fails if a pair that was significant once stays so although nothing confirms it.
 
     Given 8 workers on which images a and b run at half their speed beside each other
     And jobs of both images and of a third one have arrived for 120 s
-    When the images no longer slow each other, and jobs arrive for 240 s
+    When no jobs arrive for 240 s
     Then no pair is significant
     And the log has named the pair when it began and when it ended, and the metrics are empty
 
+  Scenario: a pair ends once its tasks no longer slow each other
+    Fails if earlier evidence outweighs what is observed now.
+
+    Given 8 workers on which images a and b run at half their speed beside each other
+    And jobs of both images and of a third one have arrived for 120 s
+    When the images no longer slow each other, and so many jobs arrive for 100 s that they meet
+    Then no pair is significant
+
   Scenario: the number of pairs is bounded
     Fails if each name of an image, which callers choose, occupies memory, or if many names push out
     a significant pair.
