Part the progress of a job from its state; count done occurrences in the bound of inherited jobs

The functions that make and restore progress records had made the state depend on the modules that use it. The upper bound of what an inherited job may have running counted occurrences that are done and no longer kept, so a team would have waited for the reconciliation in vain.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -8,12 +8,11 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from ._events import Action, ApprovalReceived, AskApproval
-from ._gang_plans import GangPlan
 from ._names import StepName
 from ._placement import fit_count, placeable_count
 from ._reservations import eventual_count
 from ._specs import Approval, StepSpec, WorkerInfo
-from ._state import Step, Worker
+from ._state import GangPlan, Step, Worker
 
 _TICKET_MARGIN_S = 0.15
 """Minimum remaining validity of a ticket when an order is sent; covers the network delay."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_gang_plans.py
@@ -9,7 +9,7 @@
 
 from ._estimates import RunTimes
 from ._placement import UNLIMITED, fit_count, limit_count
-from ._state import Run, RunPhase, Step, Worker
+from ._state import GangPlan, Run, RunPhase, Step, Worker
 
 _STOP_S = 0.2
 """Expected time until a run that was ordered to stop has ended."""
@@ -23,21 +23,6 @@
 """Minimum gain in time for which a gang changes its workers."""
 
 
-@attrs.frozen(slots=True)
-class GangPlan:
-    """Workers that can run a whole gang together.
-
-    Args:
-        counts: number of members by worker.
-        start_s: local time at which all of them are expected to have room, in seconds.
-        firm: whether the start is so close that no work of a higher priority may delay it.
-    """
-
-    counts: Mapping[Worker, int]
-    start_s: float
-    firm: bool = False
-
-
 @attrs.frozen(slots=True)
 class _Gain:
     """Further members of a gang that fit on a worker from some time on.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_occurrences.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_occurrences.py
@@ -1,12 +1,8 @@
-"""Occurrences of a job with scheduled times: which are created, open and done."""
+"""Compact set of the occurrences of a job that are done."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from ._state import Job
 
 
 class OccurrenceSet:
@@ -66,40 +62,3 @@
                 first, end = min(first, other_first), max(end, other_end)
         self._ranges = sorted([*kept, (first, end)])
         self._count = sum(stop - start for start, stop in self._ranges)
-
-
-def create_due_occurrences(job: Job, utc_s: float) -> None:
-    """Create the steps of due occurrences, as far as further ones may be open.
-
-    Args:
-        job: a job with scheduled times.
-        utc_s: seconds since the Unix epoch.
-    """
-    spec = job.spec
-
-    def is_due() -> bool:
-        due_utc_s = spec.first_due_utc_s + job.next_occurrence * spec.interval_s
-        return job.next_occurrence < spec.times_count and utc_s >= due_utc_s
-
-    if not is_due():
-        return
-    retire_occurrences(job)
-    while is_due() and job.open_occurrences_count < job.open_occurrences_max:
-        job.create_occurrence(job.next_occurrence)
-        job.next_occurrence += 1
-
-
-def retire_occurrences(job: Job) -> None:
-    """Remove the steps of occurrences that are done, unless runs of them may be alive.
-
-    Otherwise, memory and records would grow with each occurrence of a job.
-    """
-    if not job.spec.times_count or job.state.is_final:
-        return
-    indices = range(len(job.spec.steps))
-    for occurrence in {occurrence for occurrence, _ in job.steps}:
-        steps = [job.steps[occurrence, index] for index in indices]
-        if all(step.done and not step.runs for step in steps):
-            job.done.add(occurrence)
-            for index in indices:
-                del job.steps[occurrence, index]
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reservations.py
@@ -7,9 +7,9 @@
 import attrs
 
 from ..resources import ResourceVector
-from ._gang_plans import GangPlan, GangPlanner
+from ._gang_plans import GangPlanner
 from ._placement import fit_count, limit_count
-from ._state import Step, Worker
+from ._state import GangPlan, Reservation, Step, Worker
 
 RESERVED_SHARE_MAX = 0.15
 """Maximum share of all processors that is reserved; more would leave too much capacity idle."""
@@ -29,42 +29,6 @@
 """Maximum time between two attempts; below the lifetime of a reservation."""
 
 
-_CERTAIN_START_S = 1.0
-"""Time before the start of a gang from which work of no higher priority may use its capacity."""
-_BACKFILL_FACTOR = 1.5
-"""Safety factor on the expected run time of work that uses reserved capacity."""
-
-
-@attrs.frozen(slots=True)
-class Reservation:
-    """Capacity of a worker that is reserved for a gang.
-
-    Args:
-        size: the reserved resources.
-        until_s: local time at which the reservation expires, in seconds.
-        start_s: local time at which the gang is expected to start, in seconds.
-    """
-
-    size: ResourceVector
-    until_s: float
-    start_s: float
-
-    def blocks(self, holder: Step, step: Step, now_s: float) -> bool:
-        """Return whether `step` may not use the capacity that is reserved for `holder`.
-
-        Work of a higher priority may use it until the plan of the gang is firm, and other work if
-        it is expected to end before the start of the gang. An excess gang blocks no owed work.
-        """
-        if holder.job.is_excess and not step.job.is_excess:
-            return False
-        is_favoured = holder.job.is_excess or not step.job.is_excess
-        if is_favoured and step.job.queue.priority < holder.job.queue.priority:
-            return holder.gang_plan is not None and holder.gang_plan.firm
-        if now_s >= self.start_s - _CERTAIN_START_S:
-            return True
-        return now_s + _BACKFILL_FACTOR * step.expected_run_s > self.start_s
-
-
 def eventual_count(step: Step, worker: Worker, now_s: float) -> int:
     """Return how many tasks of a step fit on a worker once its current finite runs have ended."""
     free = worker.available_capacity(step, now_s) + worker.finite_demand
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -34,8 +34,8 @@
 from ._gang_plans import GangPlanner
 from ._headroom import Headroom
 from ._job_limits import JobLimits, open_occurrences_max
+from ._job_progress import create_due_occurrences, make_progress, restore_progress
 from ._journal import Departure, WorkflowClosed, WorkflowProgress, WorkflowState
-from ._occurrences import create_due_occurrences
 from ._placement_order import placement_order_key
 from ._reconciliation import Reconciliation
 from ._reservations import Reservations
@@ -260,7 +260,7 @@
                 self._closed.append(job_id)
         self.runs.closed_job_ids.clear()
         cancelled, self._unrecorded_cancellations = self._unrecorded_cancellations, []
-        return [*cancelled, *(job.progress() for job in changed)]
+        return [*cancelled, *(make_progress(job) for job in changed)]
 
     def pop_closed(self) -> list[WorkflowClosed]:
         """Return the closing records of jobs that have ended and have no runs.
@@ -307,7 +307,7 @@
         )
         job.dirty = not has_progress
         if has_progress:
-            job.restore(journaled.progress)
+            restore_progress(job, journaled.progress)
             self.ledger.add_inherited(event.job_id, journaled, job)
         if not accepted.spec.times_count:
             job.create_occurrence(0)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
 
 from ..resources import ResourceVector
 from ._events import StopCause
-from ._journal import StepProgress, WorkflowProgress, WorkflowState
+from ._journal import WorkflowState
 from ._names import StepName, TaskName
-from ._occurrences import OccurrenceSet, retire_occurrences
+from ._occurrences import OccurrenceSet
 from ._specs import Queue, StepSpec, WorkerInfo, WorkflowSpec
 
-if TYPE_CHECKING:
-    from ._gang_plans import GangPlan
-    from ._reservations import Reservation
-
 GANG_INDEX = -1
 """Task index under which the failures of a whole gang are counted."""
 
@@ -99,8 +95,42 @@
         return self.step is None or not self.step.spec.long_running
 
 
+_CERTAIN_START_S = 1.0
+"""Time before the start of a gang from which work of no higher priority may use its capacity."""
 _ENTRIES_MAX = 4
 """Number of processes of a worker whose directory entries are kept."""
+_BACKFILL_FACTOR = 1.5
+"""Safety factor on the expected run time of work that uses reserved capacity."""
+
+
+@attrs.frozen(slots=True)
+class Reservation:
+    """Capacity of a worker that is reserved for a gang.
+
+    Args:
+        size: the reserved resources.
+        until_s: local time at which the reservation expires, in seconds.
+        start_s: local time at which the gang is expected to start, in seconds.
+    """
+
+    size: ResourceVector
+    until_s: float
+    start_s: float
+
+    def blocks(self, holder: Step, step: Step, now_s: float) -> bool:
+        """Return whether `step` may not use the capacity that is reserved for `holder`.
+
+        Work of a higher priority may use it until the plan of the gang is firm, and other work if
+        it is expected to end before the start of the gang. An excess gang blocks no owed work.
+        """
+        if holder.job.is_excess and not step.job.is_excess:
+            return False
+        is_favoured = holder.job.is_excess or not step.job.is_excess
+        if is_favoured and step.job.queue.priority < holder.job.queue.priority:
+            return holder.gang_plan is not None and holder.gang_plan.firm
+        if now_s >= self.start_s - _CERTAIN_START_S:
+            return True
+        return now_s + _BACKFILL_FACTOR * step.expected_run_s > self.start_s
 
 
 @attrs.define(slots=True, eq=False)
@@ -216,6 +246,21 @@
                 self.finite_demand = self.finite_demand - run.demand
 
 
+@attrs.frozen(slots=True)
+class GangPlan:
+    """Workers that can run a whole gang together.
+
+    Args:
+        counts: number of members by worker.
+        start_s: local time at which all of them are expected to have room, in seconds.
+        firm: whether the start is so close that no work of a higher priority may delay it.
+    """
+
+    counts: Mapping[Worker, int]
+    start_s: float
+    firm: bool = False
+
+
 @attrs.define(slots=True, eq=False)
 class Step:
     """A step of one occurrence of a job.
@@ -309,19 +354,6 @@
         """Return whether a task is done."""
         return bool(self.done_bits >> index & 1)
 
-    def progress(self) -> StepProgress:
-        """Return the progress to store in the journal, without the failures of done tasks."""
-        return StepProgress(
-            occurrence=self.name.occurrence,
-            step=self.name.step,
-            done_bits=self.done_bits,
-            failures={
-                index: numbers
-                for index, numbers in self.failures.items()
-                if not (self.done if index == GANG_INDEX else self.is_done(index))
-            },
-        )
-
 
 @attrs.define(slots=True, eq=False)
 class Job:
@@ -388,33 +420,3 @@
     def open_occurrences_count(self) -> int:
         """Number of occurrences with steps."""
         return len(self.steps) // max(1, len(self.spec.steps))
-
-    def progress(self) -> WorkflowProgress:
-        """Return the progress to store in the journal; its size depends on what is open."""
-        retire_occurrences(self)
-        rows = () if self.state.is_final else (step.progress() for step in self.steps.values())
-        return WorkflowProgress(
-            job_id=self.job_id,
-            state=self.state,
-            queue=self.queue.name if self.state is WorkflowState.QUEUED else "",
-            team=self.team,
-            steps=tuple(row for row in rows if row.done_bits or row.failures),
-            done_before=self.done.done_before,
-            done_ranges=self.done.later_ranges,
-        )
-
-    def restore(self, progress: WorkflowProgress) -> None:
-        """Restore the progress that an earlier tenure stored."""
-        self.state = progress.state
-        self.done = OccurrenceSet(progress.done_before, progress.done_ranges)
-        self.next_occurrence = self.done.done_before
-        for row in progress.steps:
-            self.create_occurrence(row.occurrence)
-            step = self.steps.get((row.occurrence, row.step))
-            if step is None:
-                continue
-            step.done_bits = row.done_bits
-            step.failures = dict(row.failures)
-            step.raise_run_numbers()
-            step.waiting = {i for i in step.waiting if not row.done_bits >> i & 1}
-        retire_occurrences(self)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
@@ -210,8 +210,9 @@
 def _unfinished_size(spec: WorkflowSpec, job: Job | None) -> ResourceVector:
     """Return the size of all tasks that are not done; all tasks if the job has ended."""
     total = ResourceVector()
+    occurrences_count = spec.occurrences_count - (0 if job is None else len(job.done))
     for step_spec in spec.steps:
-        total = total + _size_of(step_spec, step_spec.tasks_count * spec.occurrences_count)
+        total = total + _size_of(step_spec, step_spec.tasks_count * occurrences_count)
     for step in () if job is None else job.steps.values():
         total = total - _size_of(step.spec, step.done_bits.bit_count())
     return total
