Keep the logs of failed scenarios and print the tracebacks of errors

The report of the checks lacked the message of a step that ended in an error, as the JSON report of behave has those of failed assertions only, and the path of kept logs, as behave replaces the message after the hook. Kept folders were not bounded.

`tools/checks_formatter.py` adds both to the report. A long message is printed with its start and its end. The folders are kept in target/failed/, one for each failed scenario, the newest 20. The daemon of the scenarios of the command line logs to such a folder as well.

--- a/features/steps/cli_daemon_steps.py
+++ b/features/steps/cli_daemon_steps.py
@@ -2,13 +2,13 @@
 
 import json
 import pathlib
-import tempfile
 import time
 
 import urllib3
 from behave import given, then, when
 from cli_daemon_process import DaemonProcess
 from cli_runner import run_cli, run_concurrent_applies
+from run_folders import create_run_folder, remove_run_folder
 
 from fireflywharf_core.results import ResultCode
 
@@ -24,9 +24,8 @@
 
 @given("stand-ins and a daemon that is starting")
 def start_daemon(context):
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
-    context.folder = pathlib.Path(folder.name)
+    context.folder = create_run_folder()
+    context.add_cleanup(remove_run_folder, context.folder)
     context.server = DaemonProcess(context.folder)
     context.add_cleanup(context.server.stop)
     context.server.start()
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -20,6 +20,7 @@
 """Number of feature files that run concurrently; most of them wait for timers of daemons."""
 SLOW_FEATURES = frozenset({"daemon_platform.feature"})
 """Feature files that take longest; they start first."""
+FORMATTER = "checks_formatter:ChecksFormatter"
 BIN = pathlib.Path(sys.executable).parent
 
 
@@ -32,6 +33,14 @@
     return process.returncode == 0
 
 
+def shorten(text: str) -> str:
+    """Return the start and the end of a long text; the path of the kept logs is at its end."""
+    if len(text) <= MESSAGE_MAX_CHARACTERS:
+        return text
+    half = MESSAGE_MAX_CHARACTERS // 2
+    return f"{text[:half]}\n[...]\n{text[-half:]}"
+
+
 def print_failure(element: dict) -> None:
     """Print the failed step of a scenario and its message."""
     for step in element.get("steps", []):
@@ -39,7 +48,7 @@
         if result.get("status") in ("failed", "error"):
             message = result.get("error_message", "")
             message_text = "\n".join(message) if isinstance(message, list) else str(message)
-            print(f"\n{element['name']}\n  {step['name']}\n{message_text[:MESSAGE_MAX_CHARACTERS]}")
+            print(f"\n{element['name']}\n  {step['name']}\n{shorten(message_text)}")
 
 
 def run_feature(path: pathlib.Path, tag_options: list[str]) -> list[tuple[str, str]]:
@@ -47,8 +56,12 @@
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-capture", "--no-summary", *tag_options]
-        command += ["-f", "json", "-o", str(report), str(path)]
-        environment = dict(os.environ, PATH=f"{BIN}{os.pathsep}{os.environ.get('PATH', '')}")
+        command += ["-f", FORMATTER, "-o", str(report), str(path)]
+        environment = dict(
+            os.environ,
+            PATH=f"{BIN}{os.pathsep}{os.environ.get('PATH', '')}",
+            PYTHONPATH=f"{ROOT / 'tools'}{os.pathsep}{os.environ.get('PYTHONPATH', '')}",
+        )
         started_s = time.monotonic()
         process = subprocess.run(
             command, cwd=ROOT, env=environment, capture_output=True, text=True, check=False
