Test calls in circles, a peer without the log and a flood of reads

Taking out a mechanism left three scenarios green: calls forwarded again (hidden by the peer's own check), the check itself, and the pause between failed probes (no poll was in flight). A gate that rejects appends only, a scenario for the check and a later doubt close these gaps. The scenario of the dying peer repeated the call only once, while its VM was still cut off; it now repeats it for 2 s.

--- a/features/platform_outages.feature
+++ b/features/platform_outages.feature
@@ -44,6 +44,16 @@
       | reset   | 1.6     |
       | silence | 2.2     |
 
+  Scenario: VMs that can only read the store forward calls to each other
+    Guards against calls that are forwarded in circles: each of these VMs takes calls of the others,
+    until its append is rejected.
+
+    Given 3 daemons with their own access to the store
+    When all VMs get "503 for appends" from the store for 3 s while jobs are submitted to them
+    Then from 0 s on each submission is rejected within 1.5 s, and the last retry delays are 1 to 1 s
+    And no call was forwarded more than 3 times
+    And from 1 s after the outage every VM accepts jobs
+
   Scenario Outline: the peer dies while it stores a job for another VM
     Guards against "not run" for a job that may be stored, and against a job that runs twice when its
     caller repeats the call.
--- a/features/steps/platform_outage_steps.py
+++ b/features/steps/platform_outage_steps.py
@@ -87,6 +87,9 @@
     context.deployment.start()
     context.scheduler = wait_for(context.deployment.scheduler, 5.0, "no scheduler")
     # Every VM has to read the addresses of the others before it is cut off.
+    keys = {f"v{daemon.name}" for daemon in context.deployment.daemons}
+    journal = context.deployment.world.store.topic("keyed.journal").newest_by_key
+    wait_for(lambda: keys <= set(journal), 10.0, "a VM has not announced itself")
     time.sleep(1.0)
 
 
@@ -133,11 +136,11 @@
 @then("the VM logged each forwarded call with job id, peer, result and duration")
 def check_forward_lines(context):
     lines = context.deployment.forwarded(context.daemon)
-    assert len(lines) >= 8, len(lines)
     for line in lines:
         assert {"job_id", "peer", "result", "ms"} <= line.keys(), line
     forwarded_ids = {line["job_id"] for line in lines if line["result"] == "answered"}
-    assert forwarded_ids & {row.job_id for row in context.answers}, forwarded_ids
+    late_ids = {row.job_id for row in context.answers if 1.7 < row.at_s < 3.8}
+    assert late_ids and late_ids <= forwarded_ids, late_ids - forwarded_ids
 
 
 @then("from {pause_s:g} s after the outage the VM serves its callers by itself")
@@ -198,12 +201,12 @@
     " and the last retry delays are {low_s:d} to {high_s:d} s"
 )
 def check_all_rejected(context, known_s, limit_s, low_s, high_s):
-    rows = [row for row in context.submitter.join() if row.at_s < context.seconds - 0.5]
+    rows = [row for row in context.submitter.join() if row.at_s < context.seconds - limit_s]
     late = [row for row in rows if row.at_s >= known_s]
     wrong = [row for row in late if row.status != 503 or row.took_s > limit_s]
     assert not wrong, wrong
     assert all(row.status in (503, 504) for row in rows), rows
-    delays = {row.retry_after_s for row in rows if row.at_s > context.seconds - 1.5}
+    delays = {row.retry_after_s for row in rows if row.at_s > context.seconds - limit_s - 1.0}
     assert delays and delays <= set(range(low_s, high_s + 1)), rows
 
 
@@ -254,11 +257,13 @@
     for daemon in deployment.daemons:
         deployment.set_mode(daemon, "open")
     deployment.daemons[1].start()
-    wait_for(deployment.daemons[0].is_ready, 10.0, "not ready")
-    submitter = Submitter([deployment.daemons[0]])
-    submitter.submit(deployment.daemons[0])
-    (row,) = submitter.join()
-    assert row.status == 200, row
+    job = {"spec": "x", "steps": STEPS}
+    path = f"/jobs/{context.answer.job_id}"
+    wait_for(
+        lambda: deployment.daemons[0].call("POST", path, job)[0] == 200,
+        2.0,
+        "no submission accepted",
+    )
     executors = deployment.world.executors
 
     def done():
--- a/features/steps/workflow_detour_steps.py
+++ b/features/steps/workflow_detour_steps.py
@@ -143,6 +143,8 @@
                 return web.Response(status=503)
             case "are busy":
                 return web.Response(status=429)
+            case "accept slowly":
+                await asyncio.sleep(2 * OWN_S)
             case "die":
                 request.transport.abort()
         status = 409 if self.behaviour == "reject" else 200
@@ -213,8 +215,16 @@
     context.taken = TakenCalls(count, lambda: True, WorkflowMetrics(CollectorRegistry()))
 
 
+@given("a VM that takes {count:d} calls of others at the same time but cannot use the log")
+def create_cut_off_taker(context, count):
+    context.taken = TakenCalls(count, lambda: False, WorkflowMetrics(CollectorRegistry()))
+
+
 async def serve_taken(context, count, remaining_ms):
+    context.handled_count = 0
+
     async def handle(request):
+        context.handled_count += 1
         await asyncio.sleep(0.1)
         return web.Response(status=200)
 
@@ -225,7 +235,15 @@
 
 @when("{count:d} calls of others arrive at once")
 def take_calls(context, count):
+    started_s = time.monotonic()
     context.answers = asyncio.run(serve_taken(context, count, 1000))
+    context.took_s = time.monotonic() - started_s
+
+
+@then("both are told within {limit_s:g} s that it has no store, and none was handled")
+def check_cut_off(context, limit_s):
+    assert [answer.status for answer in context.answers] == [503, 503], context.answers
+    assert context.handled_count == 0 and context.took_s < limit_s, context.took_s
 
 
 @then("{answered:d} of them are answered and {busy:d} are told that it is busy")
--- a/features/steps/workflow_outage_steps.py
+++ b/features/steps/workflow_outage_steps.py
@@ -261,7 +261,7 @@
     async def run():
         reader = context.reader = JournalReader(context.log, ignore, times=AppendTimeouts())
         loop = asyncio.create_task(reader.run())
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.4)
         context.log.is_deaf = falls == "falls silent"
         context.log.is_rejecting = falls == "rejects reads"
         reader.doubt()
--- a/features/workflow_detours.feature
+++ b/features/workflow_detours.feature
@@ -79,6 +79,7 @@
       | accepted  | die                           | 200    | 1     |
       | denied    | accept                        | 401    | 0     |
       | denied later | accept                     | 200    | 1     |
+      | denied later | accept slowly              | 200    | 1     |
       | denied later | reject                     | 401    | 1     |
 
   Scenario Outline: a query is tried at another peer after no answer
@@ -109,6 +110,13 @@
     When 5 calls of others arrive at once
     Then 3 of them are answered and 2 are told that it is busy
 
+  Scenario: a VM that cannot use the log takes no calls of others
+    Guards against calls that wait for the append of a VM that cannot store them either.
+
+    Given a VM that takes 3 calls of others at the same time but cannot use the log
+    When 2 calls of others arrive at once
+    Then both are told within 0.05 s that it has no store, and none was handled
+
   Scenario: a call that ends after its remaining time has an unknown outcome
     Guards against an answer that reaches no caller, and a rejection of a submission that is stored.
 
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_store_gate.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_store_gate.py
@@ -18,6 +18,7 @@
     DOWN = "503"
     RESET = "reset"
     SILENT = "silence"
+    APPENDS_DOWN = "503 for appends"
     APPENDS_LOST = "appends lost"
     ANSWERS_LOST = "answers of appends lost"
 
@@ -48,6 +49,8 @@
                 return web.Response(status=503)
             case GateMode.SILENT:
                 return await stay_silent(request.transport)
+            case GateMode.APPENDS_DOWN if is_append:
+                return web.Response(status=503)
             case GateMode.APPENDS_LOST if is_append:
                 return await stay_silent(request.transport)
             case GateMode.ANSWERS_LOST if is_append:
