Check the metrics of forwarded calls at daemons that the store turns away

The scenario now compares the counter of the VM with those of its peers and reads the length of the outage.

--- a/features/platform_outages.feature
+++ b/features/platform_outages.feature
@@ -11,6 +11,7 @@
     Then every submission was accepted within 2.5 s and the VM stayed ready
     And queries, counts and cancellations at the VM were answered within 1 s
     And the VM logged each forwarded call with job id, peer, result and duration
+    And the metrics count these calls at the VM and at its peers, and the length of the outage
     And from 1 s after the outage the VM serves its callers by itself
     And every accepted job ran exactly once
 
--- a/features/steps/platform_outage_steps.py
+++ b/features/steps/platform_outage_steps.py
@@ -4,6 +4,7 @@
 import time
 from types import SimpleNamespace
 
+import urllib3
 from behave import given, then, when
 from platform_processes import PlatformDaemon, PlatformDeployment, wait_for
 
@@ -114,9 +115,35 @@
         status, body, _ = daemon.call(method, f"/jobs/{path}")
         context.calls.append((method, status, body, time.monotonic() - started_s))
     context.answers = context.submitter.join()
+    context.samples = [read_metrics(daemon) for daemon in deployment.daemons]
     deployment.set_mode(daemon, "open")
 
 
+def read_metrics(daemon):
+    """Return the samples of the metrics endpoint of a daemon by name and labels."""
+    with urllib3.PoolManager(retries=False) as pool:
+        url = f"http://127.0.0.1:{daemon.metrics_port}/metrics"
+        text = pool.request("GET", url, timeout=2.0).data.decode()
+    rows = (line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))
+    return {name: float(value) for name, value in rows}
+
+
+@then("the metrics count these calls at the VM and at its peers, and the length of the outage")
+def check_metrics(context):
+    forwarded, taken = (
+        f'fireflywharf_{name}_calls_total{{result="answered"}}' for name in ("forwarded", "taken")
+    )
+    daemons = context.deployment.daemons
+    own = context.samples[daemons.index(context.daemon)]
+    forwarded_count = own[forwarded]
+    assert forwarded_count > 3, own
+    assert sum(sample.get(taken, 0.0) for sample in context.samples) >= forwarded_count
+    assert own["fireflywharf_log_outage_seconds"] > 2.0, own
+    assert not any(
+        sample["fireflywharf_log_outage_seconds"] for sample in context.samples if sample is not own
+    )
+
+
 @then("every submission was accepted within {limit_s:g} s and the VM stayed ready")
 def check_all_accepted(context, limit_s):
     rows = [row for row in context.answers if row.status != 200 or row.took_s > limit_s]
