Answer no caller by an older configuration than a peer has shown

Cause: a VM that cannot use the log forwards calls, and the peer may have a newer version of the configuration. A caller saw a new queue through the peer (200), and when the log answered again, before the VM had read the version, the VM itself answered 404. A peer with an older version could show the reverse.

Change: the answer of a peer names its version, and a VM that has passed on a version answers by no older one: it forwards or rejects with 503 until it has read it. A forwarded call names the version that the peer must have, and a peer with an older one says that it cannot take the call.

--- a/features/workflow_detours.feature
+++ b/features/workflow_detours.feature
@@ -123,3 +123,21 @@
     Given a VM that takes 3 calls of others at the same time
     When a call arrives with less remaining time than it takes
     Then the peer is told that its outcome is unknown
+
+  Scenario: a VM answers by no version older than one of which a peer has answered its callers
+    Guards against a caller that sees a new queue through a peer, and then 404 for it from the VM
+    itself, once the log answers again and before the VM has read the version.
+
+    Given a VM that has read version 4
+    Then it answers a call of an unknown queue with 404
+    When it passes on the answer of a peer that has version 8
+    Then it answers a call of an unknown queue with 503
+    When it reads version 8
+    Then it answers a call of an unknown queue with 404
+
+  Scenario: a peer with an older version takes no forwarded call
+    Guards against a VM whose callers see an older version through a peer than through itself.
+
+    Given a VM that has read version 4
+    Then a forwarded call that needs version 4 is answered with 200
+    And a forwarded call that needs version 8 is answered with 503
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -134,6 +134,7 @@
             self._limits,
         )
         self.workflow_service.can_forward = self.forwarder.can_forward
+        self.forwarder.floor = self.taken_calls.floor = self.workflow_service
         self._election = Election(presence, self._rng, self._vms)
         self._team_history = TeamHistory()
         self._directory: Mapping[str, WorkerInfo] = {}
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Mapping
+from typing import Protocol
 
 import attrs
 import msgspec
@@ -93,15 +94,36 @@
     headers: dict[str, str] = attrs.field(repr=False)
     body: bytes = attrs.field(repr=False)
     remaining_ms: int
+    version: int = 0
+    """Version of the configuration that the peer must have at least."""
 
 
 @attrs.frozen(slots=True)
 class CallAnswer:
-    """Answer to the caller."""
+    """Answer to the caller, and the version of the configuration of the VM that gave it."""
 
     status: int
     headers: dict[str, str]
     body: bytes
+    version: int = 0
+
+
+class VersionFloor(Protocol):
+    """Version of the configuration below which a VM must not answer callers.
+
+    A caller that has seen the effect of a version, at whichever VM, must not get an answer of an
+    older one from the same VM afterwards.
+
+    Attributes:
+        version: version of the configuration of this VM; 0 without one.
+        version_floor: highest version of which this VM has passed on an answer, or its own.
+    """
+
+    version: int
+    version_floor: int
+
+    def raise_floor(self, version: int) -> None:
+        """Answer no caller by an older version from now on."""
 
 
 def _make_unknown() -> web.Response:
@@ -121,6 +143,9 @@
         vms: returns the VMs of the deployment by name.
         is_answering: returns whether the log answers this VM.
         metrics: counts the forwarded calls.
+
+    Attributes:
+        floor: versions of the configuration of this VM; None if they do not matter.
     """
 
     def __init__(
@@ -137,6 +162,7 @@
         self._peers = DetourPeers(own_vm)
         self._rng = random.Random(own_vm)
         self._background = BackgroundTasks("forwarding")
+        self.floor: VersionFloor | None = None
 
     def can_forward(self) -> bool:
         """Return whether callers of this VM can presumably be served by a peer."""
@@ -261,6 +287,7 @@
             {name: call.headers[name] for name in _FORWARDED_HEADERS if name in call.headers},
             body,
             int((remaining_s - _RETURN_S) * 1000),
+            0 if self.floor is None else self.floor.version_floor,
         )
         result = await self._http.call(
             "POST",
@@ -274,6 +301,8 @@
                     answer = msgspec.msgpack.decode(content, type=CallAnswer)
                 except (msgspec.DecodeError, RecursionError):
                     return PeerOutcome.NO_ANSWER, None
+                if self.floor is not None:
+                    self.floor.raise_floor(answer.version)
                 response = web.Response(
                     status=answer.status, headers=answer.headers, body=answer.body
                 )
@@ -297,6 +326,7 @@
 
     Attributes:
         handler: serves a call as one of a caller of this VM; None before the entry is open.
+        floor: versions of the configuration of this VM; None if they do not matter.
     """
 
     def __init__(
@@ -307,10 +337,12 @@
         self._metrics = metrics
         self._count = 0
         self.handler: Callable[[CallerRequest], Awaitable[web.Response]] | None = None
+        self.floor: VersionFloor | None = None
 
     async def serve(self, message: CallMessage) -> web.Response:
         """Return the answer to the peer: that to its caller, or that nothing was done."""
-        if self.handler is None or not self._can_serve():
+        is_outdated = self.floor is not None and self.floor.version < message.version
+        if self.handler is None or is_outdated or not self._can_serve():
             return self._refuse(PeerOutcome.NO_STORE, 503)
         if self._count >= self._calls_max:
             return self._refuse(PeerOutcome.BUSY, 429)
@@ -325,7 +357,8 @@
         headers = {
             name: response.headers[name] for name in _ANSWER_HEADERS if name in response.headers
         }
-        answer = CallAnswer(response.status, headers, bytes(response.body or b""))
+        version = 0 if self.floor is None else self.floor.version
+        answer = CallAnswer(response.status, headers, bytes(response.body or b""), version)
         return web.Response(body=msgspec.msgpack.encode(answer))
 
     async def _handle(self, message: CallMessage) -> web.Response:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -194,6 +194,7 @@
         self.configuration: Configuration | None = None
         self.can_forward: Callable[[], bool] = lambda: False
         self._configuration_complete_s = float("-inf")
+        self._passed_on_version = 0
         metrics.configuration_age_s.set_function(lambda: self.configuration_age_s)
 
     def apply_configuration(self, newer: Configuration | None, complete_s: float) -> None:
@@ -216,6 +217,20 @@
             },
         )
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration of this VM; 0 without one."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    @property
+    def version_floor(self) -> int:
+        """Version of the configuration below which no caller of this VM may be answered."""
+        return max(self.version, self._passed_on_version)
+
+    def raise_floor(self, version: int) -> None:
+        """Record that a peer with this version has answered a caller of this VM."""
+        self._passed_on_version = max(self._passed_on_version, version)
+
     @property
     def configuration_age_s(self) -> float:
         """Time for which a newer configuration may have existed unknown to this VM, in seconds."""
@@ -226,8 +241,12 @@
         """Whether callers can be served."""
         if self.configuration is None:
             return False
-        can_accept = self._key_check.can_accept(self.configuration, self.configuration_age_s)
-        return (self._reader.is_current and can_accept) or self.can_forward()
+        can_accept = (
+            self._reader.is_current
+            and self.version >= self.version_floor
+            and self._key_check.can_accept(self.configuration, self.configuration_age_s)
+        )
+        return can_accept or self.can_forward()
 
     def admit(self, host: str, path: str, key: str | None) -> AdmittedCall | Reply:
         """Return the queue and the team of a call, or the reply that refuses it.
@@ -240,6 +259,8 @@
         if self.configuration is None:
             return self._make_rejection("no configuration yet")
         age_s = self.configuration_age_s
+        if self.version < self.version_floor:
+            return self._reject_outdated("", age_s)
         queue = self.configuration.find_queue(host, path)
         if queue is None:
             if self._key_check.can_refuse(self.configuration, age_s):
