Show caps and classes in the log and the metrics

A step that waits because of a cap looked like one without places. The log line and explain_waiting give the team, its class, what the cap leaves and the limits that hold the step; three metrics give what each listed team holds, the steps that a cap holds, and the excess jobs.

--- a/features/steps/workflow_cap_steps.py
+++ b/features/steps/workflow_cap_steps.py
@@ -4,10 +4,21 @@
 
 import attrs
 from behave import given, then, when
+from prometheus_client import CollectorRegistry
 from workflow_team_world import TeamSplitWorld, TeamWorld, make_team
 from workflow_world import STEP_S, make_step
 
-from fireflywharf_core.workflows import StartRun, StopRun, TeamsChanged, WorkflowScheduler
+from fireflywharf_core.workflows import (
+    StartRun,
+    StopRun,
+    TeamsChanged,
+    WorkflowScheduler,
+    count_excess_jobs,
+    count_held_steps,
+    explain_waiting,
+    list_held_processors,
+)
+from fireflywharf_daemon.workflows import WorkflowMetrics
 
 CAP = 6000
 
@@ -403,3 +414,49 @@
         counts.setdefault(row.step.job_id, len(row.worker_ids))
     # The learned share of approved workers differs a little between the requests.
     assert counts["wide"] <= counts["narrow"] + 2, counts
+
+
+@when("a task of the team and a gang of 2 tasks beyond its weight arrive")
+def submit_task_and_gang(context):
+    world = context.world
+    world.submit("task", [make_timed_step(1, 1.0)], team="t")
+    world.run(0.1)
+    world.set_teams(make_team("t", CAP, weight=0.0), make_team("u"))
+    world.submit("gang", [make_timed_step(2, 1.0, gang=True)], team="t")
+    world.run(0.5)
+
+
+@then('the log fields of the {job_id} are "{job_class}" and "{cap}"')
+def check_fields(context, job_id, job_class, cap):
+    rows = {row["job_id"]: row for row in explain_waiting(context.world.scheduler, 999.0, 0.0, 8)}
+    row = rows[job_id]
+    assert (row["team"], row["class"], row["cap"]) == ("t", job_class, cap), row
+    assert row["cap_leaves"] == 0
+
+
+def read_metrics(context):
+    """Return the metrics of the teams by name and team."""
+    scheduler = context.world.scheduler
+    context.metrics.set_teams(
+        list_held_processors(scheduler), count_held_steps(scheduler), count_excess_jobs(scheduler)
+    )
+    return {
+        (sample.name.removeprefix("fireflywharf_"), sample.labels.get("team", "")): sample.value
+        for metric in context.metrics.registry.collect()
+        for sample in metric.samples
+    }
+
+
+@then("the metrics show 6000 millicores held by the team, 2 held steps and 1 excess job")
+def check_metrics(context):
+    context.metrics = WorkflowMetrics(CollectorRegistry())
+    values = read_metrics(context)
+    assert values["team_held_processors_millicores", "t"] == CAP
+    assert values["cap_held_steps", ""] == 2
+    assert values["excess_jobs", ""] == 1
+
+
+@then("they show no team after the team is removed")
+def check_no_team(context):
+    context.world.set_teams()
+    assert ("team_held_processors_millicores", "t") not in read_metrics(context)
--- a/features/workflow_caps.feature
+++ b/features/workflow_caps.feature
@@ -112,6 +112,14 @@
     When a step of 40 tasks of the team arrives
     Then its first request names workers for 2 tasks
 
+  Scenario: the log and the metrics tell which cap holds a step, and the class of its job
+    Given team t at its cap with single tasks that take 8 s
+    When a task of the team and a gang of 2 tasks beyond its weight arrive
+    Then the log fields of the task are "owed" and "processors: 6000m held, 1000m wanted, cap 6000m"
+    And the log fields of the gang are "excess" and "processors: 6000m held, 2000m wanted, cap 6000m"
+    And the metrics show 6000 millicores held by the team, 2 held steps and 1 excess job
+    And they show no team after the team is removed
+
   Scenario: a daemon that becomes scheduler knows the caps, also the last one of a removed team
     Guards against a successor that starts work of teams without their caps, and against versions of
     the configuration that reach callers but not the scheduler.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -64,6 +64,7 @@
     WorkflowSpec,
 )
 from ._team_history import TeamHistory
+from ._team_report import count_excess_jobs, count_held_steps, list_held_processors
 from ._timing import Timing
 from ._waiting_steps import explain_waiting
 
@@ -123,7 +124,10 @@
     "WorkflowSpec",
     "WorkflowState",
     "candidate_rank",
+    "list_held_processors",
     "sample_workers",
+    "count_excess_jobs",
+    "count_held_steps",
     "decode_record",
     "encode_record",
     "explain_waiting",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
@@ -6,6 +6,7 @@
 from ._reservations import eventual_count
 from ._scheduler import WorkflowScheduler
 from ._state import Step
+from ._team_report import explain_team
 
 
 def explain_waiting(
@@ -51,6 +52,7 @@
             "open_starts_max": round(scheduler.runs.start_window.limit_),
             "headroom_workers": len(scheduler.headroom.workers_),
             **_explain_capacity(scheduler, step, now_s),
+            **explain_team(scheduler, step),
         }
         for step in steps[:rows_max]
     ]
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -27,8 +27,11 @@
     WorkflowCancelled,
     WorkflowProgress,
     WorkflowScheduler,
+    count_excess_jobs,
+    count_held_steps,
     encode_record,
     job_keys,
+    list_held_processors,
 )
 
 from ._background import BackgroundTasks
@@ -162,6 +165,7 @@
         """Stop all loops and sessions."""
         self._closing = True
         await self._background.close()
+        self._metrics.set_teams({}, 0, 0)
         self._resolve_flushes(len(self._flush_futures), False)
 
     async def resign(self) -> None:
@@ -343,7 +347,12 @@
                     case AskApproval():
                         self._background.spawn(self._orders.request_approval(action))
             self._remove_departed_workers()
-            self._decision_log.log_state(self._now_s())
+            if self._decision_log.log_state(self._now_s()):
+                self._metrics.set_teams(
+                    list_held_processors(self.scheduler),
+                    count_held_steps(self.scheduler),
+                    count_excess_jobs(self.scheduler),
+                )
             if self.scheduler.confirmation.is_wanted or any(
                 job.dirty for job in self.scheduler.jobs.values()
             ):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_decision_log.py
@@ -90,14 +90,19 @@
         """Return a log field that shows whether a successor may have been active already."""
         return {"confirmation_age_s": round(self._find_confirmation_age_s(), 3)}
 
-    def log_state(self, now_s: float) -> None:
-        """Log the reconciliation of earlier runs once, and at intervals the steps that wait."""
+    def log_state(self, now_s: float) -> bool:
+        """Log the reconciliation of earlier runs once, and at intervals the steps that wait.
+
+        Returns:
+            Whether the interval has passed.
+        """
         self._log_reconciliation(now_s)
         if now_s < self._reported_s + _REPORT_INTERVAL_S:
-            return
+            return False
         self._reported_s = now_s
         for row in explain_waiting(self._scheduler, now_s, _REPORT_AGE_S, _REPORT_ROWS_MAX):
             _LOG.info("step waits", extra=row)
+        return True
 
     def _log_reconciliation(self, now_s: float) -> None:
         assumed_ended_ids = self._scheduler.reconciliation.assumed_ended_ids
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from collections.abc import Mapping
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
@@ -45,3 +47,33 @@
         self.take_over_s = histogram(
             "take_over", "Time from standing for scheduler to the first decision."
         )
+        self.team_held = Gauge(
+            "fireflywharf_team_held_processors_millicores",
+            "Processors that the runs of a team hold.",
+            ["team"],
+            registry=registry,
+        )
+        self.cap_held_steps = Gauge(
+            "fireflywharf_cap_held_steps",
+            "Waiting steps of which a cap allows no task to start.",
+            registry=registry,
+        )
+        self.excess_jobs = Gauge(
+            "fireflywharf_excess_jobs",
+            "Unfinished jobs beyond the weights of their teams.",
+            registry=registry,
+        )
+
+    def set_teams(self, held: Mapping[str, int], steps_count: int, excess_count: int) -> None:
+        """Set the metrics of the teams; teams that are not in `held` are removed.
+
+        Args:
+            held: processors that each team holds, in millicores.
+            steps_count: number of steps that a cap holds.
+            excess_count: number of unfinished jobs that are excess.
+        """
+        self.team_held.clear()
+        for team, amount in held.items():
+            self.team_held.labels(team).set(amount)
+        self.cap_held_steps.set(steps_count)
+        self.excess_jobs.set(excess_count)
