--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -71,6 +71,7 @@
     WorkflowSpec,
 )
 from ._team_history import TeamHistory
+from ._team_report import count_excess_jobs, count_held_steps, list_held_processors
 from ._timing import Timing
 from ._waiting_steps import explain_waiting
 
@@ -143,7 +144,10 @@
     "WorkflowSpec",
     "WorkflowState",
     "candidate_rank",
+    "list_held_processors",
     "sample_workers",
+    "count_excess_jobs",
+    "count_held_steps",
     "decode_record",
     "describe_pair",
     "encode_record",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_waiting_steps.py
@@ -7,6 +7,7 @@
 from ._reservations import eventual_count
 from ._scheduler import WorkflowScheduler
 from ._state import Step
+from ._team_report import explain_team
 
 _INTERFERENCE_ROWS_MAX = 3
 
@@ -57,6 +58,7 @@
             "undescribed_workers": sum(not w.is_described for w in scheduler.workers.values()),
             "interference": _explain_interference(scheduler, step),
             **_explain_capacity(scheduler, step, now_s),
+            **explain_team(scheduler, step),
         }
         for step in steps[:rows_max]
     ]
