Keep caps and classes of teams that the scheduler has not read; allow small teams a burst of four jobs

A review by reading found: a scheduler that has not read the version that adds a team, or started after its removal, started the team's jobs without a cap; after a change of scheduler, excess jobs got the tokens of owed jobs that had ended; the first acceptance by a clock that is ahead kept a team's bucket from filling; a query that timed out at the peer was answered with 504 although another peer or this VM could answer; a call with an undecodable header failed during an outage.

Change: the acceptance names the team's weight and quota, which count until a version lists the team; the progress names the class of a job; acceptance times are limited to the present time; a timeout at a peer counts as no answer for queries; such a header counts as not sent. The burst of a team is at least four jobs instead of one: a team of one or two jobs per second sends that many in a second by chance, and they were placed last. The rows of the limits of the classes change with it.

--- a/features/steps/workflow_share_steps.py
+++ b/features/steps/workflow_share_steps.py
@@ -237,6 +237,8 @@
 
     job_id: str
     is_excess: bool | None = None
+    recorded: bool = False
+    dirty: bool = False
 
 
 def classify(context, rows, every=1):
@@ -298,12 +300,12 @@
     assert len(different) <= 3, different
 
 
-@when("a team with weight {weight} sends 5 jobs at once")
+@when("a team with weight {weight} sends 7 jobs at once")
 def send_at_once(context, weight):
     context.accounts = {}
     if weight != "unknown":
         context.accounts = {"t": Account("t", float(weight), make_team("t").quota)}
-    context.times = {f"j{index}": 1.0 for index in range(5)}
+    context.times = {f"j{index}": 1.0 for index in range(7)}
     context.classes = classify(context, [(1.0, job_id) for job_id in context.times])
 
 
--- a/features/workflow_caps.feature
+++ b/features/workflow_caps.feature
@@ -128,3 +128,11 @@
     When the daemon becomes scheduler
     Then its scheduler applies the cap of 6 processors to the team, which is not listed
     And it applies a cap of 2 processors within 1 s of reading the version that sets it
+
+  Scenario: the cap of a team that the scheduler has not read holds
+    Guards against starts without a cap while a version with a new team has reached the VM that
+    accepts its jobs but not the scheduler, and after the removal of a team.
+
+    Given a scheduler whose configuration does not list team t, which has a cap of 6 processors
+    When 12 tasks of the team arrive in jobs that name its quota
+    Then the team has had 6 processors running at most, and all its jobs are complete
--- a/features/workflow_shares.feature
+++ b/features/workflow_shares.feature
@@ -55,15 +55,18 @@
     Then all of them are owed
 
   Scenario Outline: teams at the limits of the classes
-    When a team with weight <weight> sends 5 jobs at once
+    A second's worth of jobs may arrive at once, and four jobs of a small team.
+
+    When a team with weight <weight> sends 7 jobs at once
     Then <count> of them are owed
 
     Examples:
       | weight  | count   |
       | 0       | 0       |
-      | 0.1     | 1       |
-      | 3       | 3       |
-      | unknown | 5       |
+      | 0.1     | 4       |
+      | 3       | 4       |
+      | 6       | 6       |
+      | unknown | 7       |
 
   Scenario: excess steps send no long approval requests while an owed step waits for one
     Given a world with one VM for long approval requests, and excess steps that wait for approval
@@ -108,3 +111,11 @@
     Given a world with one VM for long approval requests, and excess steps that wait for approval
     When an owed step finds the VM busy
     Then excess steps have no turn within 0.6 s, even if the VM is free, but 0.8 s later
+
+  Scenario: excess jobs stay excess after a change of scheduler
+    Guards against a successor that gives the excess jobs the tokens of owed jobs that have ended,
+    whose acceptances are no longer in the journal.
+
+    Given team t with a weight of 2, which sends 30 jobs in 3 s
+    When the scheduler is replaced after some of the owed jobs have ended
+    Then its successor counts the same of the other jobs as excess
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_progress.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_progress.py
@@ -56,6 +56,7 @@
         steps=tuple(row for row in rows if row.done_bits or row.failures),
         done_before=job.done.done_before,
         done_ranges=job.done.later_ranges,
+        is_excess=job.is_excess,
     )
 
 
@@ -75,7 +76,7 @@
 
 def restore_progress(job: Job, progress: WorkflowProgress) -> None:
     """Restore the progress that an earlier tenure stored."""
-    job.state = progress.state
+    job.state, job.is_excess = progress.state, progress.is_excess
     job.done = OccurrenceSet(progress.done_before, progress.done_ranges)
     job.next_occurrence = job.done.done_before
     for row in progress.steps:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from ..contracts import TeamQuota
 from ..records import TaggedCodec, UndecodableError, UnknownTypeError
 from ._specs import Queue, WorkflowSpec
 
@@ -59,6 +60,8 @@
         spec: the submitted specification.
         accepted_utc_s: time of acceptance, in seconds since the Unix epoch.
         team: team whose key submitted it; empty without teams.
+        team_quota: weight and quota of the team at that time; a scheduler may not have read the
+            version that adds the team, or may have started after the team was removed.
     """
 
     job_id: str
@@ -66,6 +69,7 @@
     spec: WorkflowSpec
     accepted_utc_s: float
     team: str = ""
+    team_quota: TeamQuota | None = None
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -116,6 +120,8 @@
         steps: progress of the steps of open occurrences. Records of earlier versions also have
             those of occurrences that are done.
         queue: name of the queue of a waiting job; empty otherwise.
+        is_excess: whether its team sent it beyond its weight. Its class must survive a change of
+            scheduler, which does not know the jobs that have ended.
         team: team of the job; empty without teams. Daemons that do not read the submissions learn
             from it who may ask for the job.
         done_before: number below which all occurrences are done.
@@ -130,6 +136,7 @@
     team: str = ""
     done_before: int = 0
     done_ranges: tuple[tuple[int, int], ...] = ()
+    is_excess: bool = False
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -233,6 +240,7 @@
     team: str = ""
     done_before: int = 0
     done_ranges: tuple[tuple[int, int], ...] = ()
+    is_excess: bool = False
 
 
 _CODEC = TaggedCodec(
@@ -270,6 +278,7 @@
                 record.team,
                 record.done_before,
                 record.done_ranges,
+                record.is_excess,
             )
             return f"p{job_id}", _CODEC.encode(packed)
         case TenureRecord():
@@ -306,6 +315,7 @@
         team=record.team,
         done_before=record.done_before,
         done_ranges=record.done_ranges,
+        is_excess=record.is_excess,
     )
 
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -282,8 +282,10 @@
             return
         has_progress = journaled.progress is not None
         if journaled.team:
-            accepted_utc_s = journaled.accepted.accepted_utc_s
-            self.team_rates.add(event.job_id, journaled.team, accepted_utc_s)
+            self.ledger.add_team(journaled.accepted.team_quota)
+            if not (has_progress and journaled.progress.is_excess):
+                accepted_utc_s = journaled.accepted.accepted_utc_s
+                self.team_rates.add(event.job_id, journaled.team, accepted_utc_s, has_progress)
         if journaled.state.is_final:
             if journaled.cancelled and not (has_progress and journaled.progress.state.is_final):
                 self._unrecorded_cancellations.append(
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
@@ -161,6 +161,10 @@
     keys: TeamKeys = attrs.field(factory=TeamKeys)
     requires_keys: bool = False
 
+    def find_quota(self, team: str) -> TeamQuota | None:
+        """Return the weight and quota of a team, or None."""
+        return next((row for row in self.teams if row.team == team), None)
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of `host` with the longest matching path prefix, or None."""
         matching = [q for q in self.queues if q.host == host and path.startswith(q.path_prefix)]
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
@@ -74,6 +74,7 @@
         accounts: account of each team by name. A team that was removed from the configuration keeps
             its last quota and weight for its jobs.
         listed_teams: names of the teams in the configuration; None before it is known.
+        known_teams: names of the teams whose quota is known, from the configuration or from a job.
         is_reconciled: whether all runs of earlier tenures are known or have ended.
     """
 
@@ -86,6 +87,7 @@
         self._find_team = find_team
         self.accounts: dict[str, Account] = {}
         self.listed_teams: frozenset[str] | None = None
+        self.known_teams: set[str] = set()
         self.is_reconciled = False
         self._charges: dict[str, _JobCharge] = {}
 
@@ -96,6 +98,14 @@
             account = self._find_account(name)
             account.weight, account.quota = team.weight, team.quota
         self.listed_teams = frozenset(listed)
+        self.known_teams.update(listed)
+
+    def add_team(self, team: TeamQuota | None) -> None:
+        """Apply the quota with which a job was accepted, if no version has listed its team."""
+        if team is not None and team.team not in self.known_teams:
+            self.known_teams.add(team.team)
+            account = self._find_account(team.team)
+            account.weight, account.quota = team.weight, team.quota
 
     def _find_account(self, team: str) -> Account:
         account = self.accounts.get(team)
@@ -187,7 +197,7 @@
         team = step.job.team
         if not team:
             return wanted
-        if self.listed_teams is None:
+        if self.listed_teams is None and team not in self.known_teams:
             return 0
         count = self._find_account(team).count_within_quota(step.spec.size, wanted)
         return 0 if step.spec.gang and count < wanted else count
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_rates.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_rates.py
@@ -13,8 +13,11 @@
 
 _BURST_S = 1.0
 """Time whose jobs a team may send at once without any of them being excess, in seconds."""
-_BURST_MIN = 1.0
-"""Minimum burst, so that a team with a weight below one job per second has owed jobs at all."""
+_BURST_MIN = 4.0
+"""Minimum burst in jobs.
+
+A team of one or two jobs per second sends up to four within a second by chance; counted as excess,
+these would be the last to be placed."""
 _SETTLED_S = 5.0
 """Age from which the order of acceptances is final; records arrive within a second of each other.
 
@@ -122,22 +125,24 @@
 
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
-        self._pending: list[tuple[float, str, str]] = []
+        self._pending: list[tuple[float, str, str, bool]] = []
 
     @property
     def has_pending(self) -> bool:
         """Whether jobs have no class yet."""
         return bool(self._pending)
 
-    def add(self, job_id: str, team: str, accepted_utc_s: float) -> None:
+    def add(self, job_id: str, team: str, accepted_utc_s: float, is_owed: bool = False) -> None:
         """Add a job of a team, to be classified by the next call of `classify`.
 
         Args:
             job_id: the job.
             team: its team.
             accepted_utc_s: time in its acceptance record, in seconds since the Unix epoch.
+            is_owed: whether an earlier scheduler has recorded it as owed. Such a job stays owed and
+                takes a token, if there is one; recorded excess jobs take none and are not added.
         """
-        self._pending.append((accepted_utc_s, job_id, team))
+        self._pending.append((accepted_utc_s, job_id, team, is_owed))
 
     def classify(
         self, jobs: Mapping[str, Job], accounts: Mapping[str, Account], utc_s: float
@@ -153,16 +158,20 @@
             The owed jobs among them.
         """
         owed = []
-        for accepted_s, job_id, team in sorted(self._pending):
+        for accepted_utc_s, job_id, team, was_owed in sorted(self._pending):
+            # The clock of the VM that accepted the job may be ahead.
+            accepted_s = min(accepted_utc_s, utc_s)
             account = accounts.get(team)
             bucket = self._find_bucket(
                 team, math.inf if account is None else account.weight, accepted_s
             )
             bucket.settle(utc_s - _SETTLED_S)
-            is_owed = bucket.take(accepted_s)
+            is_owed = bucket.take(accepted_s) or was_owed
             job = jobs.get(job_id)
             if job is not None:
                 job.is_excess = not is_owed
+                # The first progress may have been recorded without the class.
+                job.dirty |= job.is_excess and job.recorded
                 if is_owed:
                     owed.append(job)
         self._pending.clear()
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
@@ -289,11 +289,13 @@
             int((remaining_s - _RETURN_S) * 1000),
             0 if self.floor is None else self.floor.version_floor,
         )
+        try:
+            content = msgspec.msgpack.encode(message)
+        except UnicodeEncodeError:
+            # A header of the caller is not valid text.
+            return PeerOutcome.NOT_SENT, None
         result = await self._http.call(
-            "POST",
-            f"http://{address}{CALLS_PATH}",
-            timeout_s=remaining_s,
-            body=msgspec.msgpack.encode(message),
+            "POST", f"http://{address}{CALLS_PATH}", timeout_s=remaining_s, body=content
         )
         match result:
             case Answer(200, content):
@@ -301,6 +303,9 @@
                     answer = msgspec.msgpack.decode(content, type=CallAnswer)
                 except (msgspec.DecodeError, RecursionError):
                     return PeerOutcome.NO_ANSWER, None
+                if call.is_repeatable and answer.status == 504:
+                    # Another peer, or the memory of this VM, may have the answer in time.
+                    return PeerOutcome.NO_ANSWER, None
                 if self.floor is not None:
                     self.floor.raise_floor(answer.version)
                 response = web.Response(
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -316,7 +316,12 @@
             _log_other_team(job_id, queue.name, "submission")
             return JobOfOtherTeam()
         record = WorkflowAccepted(
-            job_id=job_id, queue=queue, spec=spec, accepted_utc_s=time.time(), team=team
+            job_id=job_id,
+            queue=queue,
+            spec=spec,
+            accepted_utc_s=time.time(),
+            team=team,
+            team_quota=self.configuration.find_quota(team) if team else None,
         )
         exceeded = find_exceeded_limit(record, self._limits)
         if exceeded is not None:
