Check a configuration before it is stored

A VM reports the first error of a configuration only, skips a malformed team with a warning, and says nothing about entries that it can never select. Operators saw such mistakes only after the version was in force.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -2,6 +2,13 @@
 
 from ._approvals import ApprovalRates, approval_request_ms, has_short_requests, sample_workers
 from ._candidates import candidate_rank
+from ._configuration_check import (
+    Finding,
+    Severity,
+    check_configuration,
+    check_version_rises,
+)
+from ._configuration_differences import Difference, find_differences
 from ._detours import TRIES_MAX, DetourPeers, PeerOutcome, retry_after_s, taken_calls_max
 from ._events import (
     Action,
@@ -58,7 +65,7 @@
     vm_key,
 )
 from ._key_check import KeyAccepted, KeyCheck, KeyDecision, KeyUndecidable, KeyUnknown
-from ._keys import TeamKeys
+from ._keys import TeamKeys, digest_key
 from ._names import StepName, TaskName
 from ._scheduler import WorkflowScheduler
 from ._specs import (
@@ -81,11 +88,13 @@
     "ApprovalReceived",
     "AskApproval",
     "Configuration",
+    "Difference",
     "Directory",
     "DirectoryChanged",
     "EndKind",
     "IncarnationSource",
     "Event",
+    "Finding",
     "InterferenceModel",
     "JournaledWorkflow",
     "ApprovalRates",
@@ -112,6 +121,7 @@
     "RunAdopted",
     "RunLost",
     "Queue",
+    "Severity",
     "StartAnswered",
     "StartResult",
     "StartRun",
@@ -144,10 +154,14 @@
     "WorkflowState",
     "candidate_rank",
     "sample_workers",
+    "check_configuration",
+    "check_version_rises",
     "decode_record",
     "describe_pair",
+    "digest_key",
     "encode_record",
     "explain_waiting",
+    "find_differences",
     "find_partition",
     "has_short_requests",
     "job_keys",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_keys.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_keys.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable, Mapping
 
 
-def _digest(key: str) -> bytes:
+def digest_key(key: str) -> bytes:
+    """Return the SHA-256 digest of a key."""
     return hashlib.sha256(key.encode(errors="surrogatepass")).digest()
 
 
@@ -29,7 +30,7 @@
         self._team_by_digest: dict[bytes, str] = {}
         ambiguous = set()
         for team, keys in (keys_by_team or {}).items():
-            for digest in map(_digest, keys):
+            for digest in map(digest_key, keys):
                 if self._team_by_digest.setdefault(digest, team) != team:
                     ambiguous.add(digest)
         for digest in ambiguous:
@@ -37,7 +38,7 @@
 
     def find_team(self, key: str) -> str | None:
         """Return the name of the team that the key belongs to, or None."""
-        return self._team_by_digest.get(_digest(key))
+        return self._team_by_digest.get(digest_key(key))
 
     def __repr__(self) -> str:
         return f"TeamKeys(keys_count={len(self._team_by_digest)})"
