--- a/features/steps/connection_soak.py
+++ b/features/steps/connection_soak.py
@@ -84,6 +84,7 @@
         self._ring = KeyRing(self._key_rng) if with_keys else None
         self._config_apply_s = APPLY_S if with_keys else CONFIG_APPLY_S
         self.callers = None
+        self.outdated_count = 0
         self._rejections = {}
         self._begin_s = time.monotonic()
         self.deployment = PlatformDeployment(0, executors_count=EXECUTORS_COUNT)
@@ -123,6 +124,11 @@
                 self.callers.stop()
                 self.breaches += self.callers.breaches
                 self._note(f"calls with keys: {dict(sorted(self.callers.statuses.items()))}")
+                self.outdated_count = sum(
+                    row.get("reason") == "the configuration is outdated"
+                    for daemon in self.deployment.daemons
+                    for row in daemon.read_log_lines()
+                )
             if self.breaches or sys.exc_info()[0] is not None:
                 (self.deployment.folder / "connection-soak.txt").write_text(
                     "\n".join([*self.breaches, *self.events]) + "\n"
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_forwarding.py
@@ -43,7 +43,8 @@
 
 A submission on a connection that has gone silent ends with an unknown outcome."""
 _FORWARDED_HEADERS = ("Host", "Authorization")
-_ANSWER_HEADERS = ("Content-Type", "Retry-After", "WWW-Authenticate")
+_CONNECTION_HEADERS = frozenset({"connection", "content-length", "date", "server"})
+"""Headers of an answer that belong to the connection to the peer and not to the answer."""
 
 
 class OutageResponse(web.Response):
@@ -360,7 +361,9 @@
             return self._refuse(PeerOutcome.NO_STORE, 503)
         self._metrics.taken_calls.labels(PeerOutcome.ANSWERED.value).inc()
         headers = {
-            name: response.headers[name] for name in _ANSWER_HEADERS if name in response.headers
+            name: value
+            for name, value in response.headers.items()
+            if name.lower() not in _CONNECTION_HEADERS
         }
         version = 0 if self.floor is None else self.floor.version
         answer = CallAnswer(response.status, headers, bytes(response.body or b""), version)
