Read the configuration anew when the log answers again; part replies from the service

Cause: after an outage of the store, a read of the configuration that had been sent into it ended only after 1.2 s of silence, followed by a pause of 0.3 s. Where keys are revoked strictly, all VMs answered 503 to calls with keys for that time, as their configuration was too old, and no peer could help. Found in a review by reading.

--- a/features/steps/workflow_cap_daemon_steps.py
+++ b/features/steps/workflow_cap_daemon_steps.py
@@ -86,3 +86,44 @@
 @then("it applies a cap of 2 processors within 1 s of reading the version that sets it")
 def check_second_cap(context):
     assert context.was_applied
+
+
+class SilentConfiguration(QueuedConfiguration):
+    """Source whose first read gets no answer."""
+
+    reads_count = 0
+
+    async def next_version(self, known):
+        """Return the next version, but not to the first read."""
+        self.reads_count += 1
+        if self.reads_count == 1:
+            await asyncio.Event().wait()
+        return await self.versions.get()
+
+
+async def read_after_return(context):
+    """Run a daemon whose read of the configuration gets no answer until the log returns."""
+    source = SilentConfiguration()
+    source.put(make_team("t"))
+    services = PlatformServices(
+        log=MemoryLog(1), directory=None, configuration=source, workers=None, approvals=None
+    )
+    presence = VmPresent(vm="vm-1", incarnation="vm-1#1", address="127.0.0.1:1")
+    daemon = WorkflowDaemon(presence, services, Timing(), WorkflowMetrics(CollectorRegistry()))
+    daemon._background.spawn_loop(daemon._configuration_loop)
+    await wait_until(lambda: source.reads_count == 1, 1.0)
+    daemon.reader.on_return()
+    await wait_until(lambda: daemon.workflow_service.configuration is not None, 0.25)
+    context.was_applied = True
+    await daemon._background.close()
+
+
+@when("a read of the configuration gets no answer and the log answers again")
+def run_silent_read(context):
+    context.was_applied = False
+    asyncio.run(asyncio.wait_for(read_after_return(context), 5.0))
+
+
+@then("the newest version is applied within 0.25 s")
+def check_applied(context):
+    assert context.was_applied
--- a/features/workflow_outages.feature
+++ b/features/workflow_outages.feature
@@ -71,3 +71,10 @@
       | falls silent    | down      |
       | rejects reads   | down      |
       | goes on working | answering |
+
+  Scenario: the configuration is read anew as soon as the log answers again
+    Guards against VMs that reject all calls with keys for another second after an outage, because
+    their read of the configuration waits for an answer of the silent store.
+
+    When a read of the configuration gets no answer and the log answers again
+    Then the newest version is applied within 0.25 s
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/__init__.py
@@ -26,7 +26,7 @@
     Writer,
 )
 from ._metrics import WorkflowMetrics
-from ._service import (
+from ._replies import (
     Accepted,
     AdmittedCall,
     JobOfOtherTeam,
@@ -39,8 +39,8 @@
     Uncertain,
     UnknownJob,
     UnknownQueue,
-    WorkflowService,
 )
+from ._service import WorkflowService
 
 __all__ = [
     "Accepted",
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
@@ -103,7 +104,8 @@
         log, times = platform_services.log, AppendTimeouts()
         self.reader = JournalReader(log, self._handle_record, times=times)
         self._appender = JournalAppender(log, times, self.reader.doubt, self._limits)
-        self.reader.on_return = self._appender.abandon_overdue
+        self.reader.on_return = self._handle_log_return
+        self._log_returned = asyncio.Event()
         self._submissions = Submissions(log, self.reader.journal_state, self._handle_record)
         self._approvals = ApprovalQueue(platform_services.approvals)
         self._peer_http = HttpClient(_PEER_CONNECTIONS)
@@ -210,18 +212,41 @@
         known: Configuration | None = None
         while True:
             source = self._platform.configuration
-            newer = await source.next_version(known)
+            newer = await self._read_next_version(known)
             # Nothing is awaited between the read and this call, so that no call of a caller is
             # checked with the earlier keys and the later age.
             self.workflow_service.apply_configuration(newer, source.complete_s)
             if newer is None:
-                await asyncio.sleep(_CONFIGURATION_RETRY_S)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_CONFIGURATION_RETRY_S):
+                        await self._log_returned.wait()
                 continue
             known = newer
             teams_changed = self._team_history.observe(newer.teams)
             if self.active_scheduler is not None:
                 self.active_scheduler.observe(teams_changed)
 
+    async def _read_next_version(self, known: Configuration | None) -> Configuration | None:
+        """Wait for a newer version; start the read anew when the log answers again.
+
+        A read that was sent to a silent store gets no answer when the store returns, and until the
+        next one ends, calls with keys are rejected for the age of the configuration.
+        """
+        self._log_returned.clear()
+        read = asyncio.ensure_future(self._platform.configuration.next_version(known))
+        returned = asyncio.ensure_future(self._log_returned.wait())
+        try:
+            await asyncio.wait({read, returned}, return_when=asyncio.FIRST_COMPLETED)
+            return read.result() if read.done() else None
+        finally:
+            read.cancel()
+            returned.cancel()
+            await asyncio.gather(read, returned, return_exceptions=True)
+
+    def _handle_log_return(self) -> None:
+        self._appender.abandon_overdue()
+        self._log_returned.set()
+
     async def _directory_loop(self) -> None:
         while True:
             directory = await self._platform.directory.poll()
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -8,8 +8,6 @@
 import time
 from collections.abc import Callable
 
-import attrs
-
 from fireflywharf_core.workflows import (
     Configuration,
     JobLimits,
@@ -19,12 +17,10 @@
     KeyCheck,
     KeyUndecidable,
     KeyUnknown,
-    LimitExceeded,
     Queue,
     WorkflowAccepted,
     WorkflowCancelled,
     WorkflowSpec,
-    WorkflowState,
     find_exceeded_limit,
     job_keys,
     retry_after_s,
@@ -35,6 +31,20 @@
 from ._interfaces import Appended, AppendRejected
 from ._journal import JournalReader
 from ._metrics import WorkflowMetrics
+from ._replies import (
+    Accepted,
+    AdmittedCall,
+    JobOfOtherTeam,
+    JobStateReply,
+    PendingCountReply,
+    Rejected,
+    Reply,
+    TooLarge,
+    Unauthorized,
+    Uncertain,
+    UnknownJob,
+    UnknownQueue,
+)
 from ._submissions import Submissions
 
 _LOG = logging.getLogger(__name__)
@@ -50,94 +60,6 @@
 _OUTDATED = "the configuration is outdated"
 
 
-@attrs.frozen(slots=True)
-class Accepted:
-    """The request is durable, or has been so before."""
-
-
-@attrs.frozen(slots=True)
-class Rejected:
-    """The request had no effect and will have none; the caller may retry after `retry_after_s`."""
-
-    reason: str
-    retry_after_s: int
-
-
-@attrs.frozen(slots=True)
-class TooLarge:
-    """The job exceeds a limit of the deployment and was not accepted; a repetition is useless."""
-
-    exceeded: LimitExceeded
-
-
-@attrs.frozen(slots=True)
-class Uncertain:
-    """It is unknown whether the request took effect; the caller should repeat it."""
-
-    reason: str
-
-
-@attrs.frozen(slots=True)
-class UnknownJob:
-    """The job does not exist."""
-
-
-@attrs.frozen(slots=True)
-class JobOfOtherTeam:
-    """The submitted id is that of a job of another team; nothing was stored."""
-
-
-@attrs.frozen(slots=True)
-class UnknownQueue:
-    """No queue serves the path."""
-
-
-@attrs.frozen(slots=True)
-class Unauthorized:
-    """The call needs the key of a team and has none."""
-
-
-@attrs.frozen(slots=True)
-class JobStateReply:
-    """State of a job."""
-
-    state: WorkflowState
-
-
-@attrs.frozen(slots=True)
-class PendingCountReply:
-    """Number of jobs of a queue of which no task has started."""
-
-    count: int
-
-
-Reply = (
-    Accepted
-    | Rejected
-    | TooLarge
-    | Uncertain
-    | UnknownJob
-    | JobOfOtherTeam
-    | UnknownQueue
-    | Unauthorized
-    | JobStateReply
-    | PendingCountReply
-)
-
-
-@attrs.frozen(slots=True)
-class AdmittedCall:
-    """A call that may be served.
-
-    Args:
-        queue: queue that it addresses.
-        team: team of the caller; empty if the call needs no key.
-    """
-
-    queue: Queue
-    team: str
-
-
 def _may_access(team: str, job: JournaledWorkflow) -> bool:
     """Return whether a team may ask for a job.
 
