Reject jobs that the cap of their team never allows to start

Cause: a task larger than its team's cap, or a gang that is larger as a whole, was accepted and waited for ever.

Change: such a job is rejected when it is submitted, with field, value and limit (400). A wide step whose tasks run a part at a time is accepted as before.

--- a/features/steps/workflow_team_change_steps.py
+++ b/features/steps/workflow_team_change_steps.py
@@ -6,7 +6,7 @@
 from workflow_world import make_step
 
 from fireflywharf_core.resources import ResourceVector
-from fireflywharf_core.workflows import WorkflowAccepted
+from fireflywharf_core.workflows import WorkflowAccepted, WorkflowSpec, find_exceeded_quota
 
 
 class UnlistedTeamWorld(TeamWorld):
@@ -71,3 +71,17 @@
     present = {job.job_id: job.is_excess for job in world.scheduler.jobs.values()}
     assert sum(present.values()) >= 10, present
     assert present == {job_id: world.excess_by_job[job_id] for job_id in present}
+
+
+@when("a job with {kind} of {count:d} tasks of {cores:d} processors is checked against a cap of 6")
+def check_quota(context, kind, count, cores):
+    step = make_step(count, cpu=cores * 1000, gang="gang" in kind)
+    spec = WorkflowSpec(payload="", steps=(make_step(1), step))
+    context.exceeded = find_exceeded_quota(spec, make_team("t", 6000))
+
+
+@then("{answer} is found")
+def check_found(context, answer):
+    found = context.exceeded
+    text = "nothing" if found is None else f"{found.field}: {found.value} of {found.limit}"
+    assert text == answer, text
--- a/features/workflow_caps.feature
+++ b/features/workflow_caps.feature
@@ -136,3 +136,17 @@
     Given a scheduler whose configuration does not list team t, which has a cap of 6 processors
     When 12 tasks of the team arrive in jobs that name its quota
     Then the team has had 6 processors running at most, and all its jobs are complete
+
+  Scenario Outline: a job that its team's cap never allows to start is found when it is submitted
+    Guards against callers who wait for a job that cannot run, and against rejections of wide steps
+    that run a part at a time.
+
+    When a job with <kind> of <count> tasks of <cores> processors is checked against a cap of 6
+    Then <answer> is found
+
+    Examples:
+      | kind   | count | cores | answer                                                    |
+      | a gang | 6     | 1     | nothing                                                   |
+      | a gang | 7     | 1     | steps[1], processors_millicores of a gang: 7000 of 6000   |
+      | a step | 60    | 6     | nothing                                                   |
+      | a step | 1     | 7     | steps[1], processors_millicores of a task: 7000 of 6000   |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -42,7 +42,13 @@
     WorkerUndescribed,
 )
 from ._interference import InterferenceModel, describe_pair
-from ._job_limits import JobLimits, LimitExceeded, find_exceeded_limit, record_size_bytes
+from ._job_limits import (
+    JobLimits,
+    LimitExceeded,
+    find_exceeded_limit,
+    find_exceeded_quota,
+    record_size_bytes,
+)
 from ._journal import (
     MAIN_PARTITION,
     JournaledWorkflow,
@@ -105,6 +111,7 @@
     "LimitExceeded",
     "ProgressTooLarge",
     "find_exceeded_limit",
+    "find_exceeded_quota",
     "progress_job_id",
     "record_size_bytes",
     "JobsRecorded",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_limits.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_limits.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..contracts import UNLIMITED, TeamQuota
 from ._journal import WorkflowAccepted, WorkflowProgress, WorkflowState, encode_record
 from ._specs import Queue, StepSpec, WorkflowSpec
 
@@ -100,6 +101,29 @@
     return None
 
 
+def find_exceeded_quota(spec: WorkflowSpec, team: TeamQuota) -> LimitExceeded | None:
+    """Return the limit of a team that a task, or a gang as a whole, exceeds on its own.
+
+    Such a job could never start, and would wait until its caller gives up.
+
+    Args:
+        spec: specification of the job.
+        team: the team, with its quota.
+    """
+    for index, step in enumerate(spec.steps):
+        size = step.size.scaled(step.tasks_count) if step.gang else step.size
+        if team.quota.allows(size):
+            continue
+        for name in ("processors_millicores", "memory_mb", "accelerators_count"):
+            value, limit = getattr(size, name), getattr(team.quota, name)
+            if limit != UNLIMITED and value > limit:
+                what = "gang" if step.gang else "task"
+                return LimitExceeded(
+                    field=f"steps[{index}], {name} of a {what}", value=value, limit=limit
+                )
+    return None
+
+
 def open_occurrences_max(spec: WorkflowSpec, queue: Queue, limits: JobLimits) -> int:
     """Return how many occurrences of a job may be open at once, at least one.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -22,6 +22,7 @@
     WorkflowCancelled,
     WorkflowSpec,
     find_exceeded_limit,
+    find_exceeded_quota,
     job_keys,
     retry_after_s,
 )
@@ -246,6 +247,8 @@
             team_quota=self.configuration.find_quota(team) if team else None,
         )
         exceeded = find_exceeded_limit(record, self._limits)
+        if exceeded is None and record.team_quota is not None:
+            exceeded = find_exceeded_quota(spec, record.team_quota)
         if exceeded is not None:
             self._reject(queue, job_id, f"too large: {exceeded.field}")
             return TooLarge(exceeded)
