--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -255,6 +255,18 @@
         self.runner, self.address = await listen(self.serve)
         self.ticker = asyncio.create_task(self.tick())
 
+    async def leave(self):
+        """End the process and its entry, and return the tasks that ended with it."""
+        self.ticker.cancel()
+        tasks = [run.task for run in self.runs.values()]
+        for run in list(self.runs.values()):
+            del self.runs[run.task, run.number]
+            end_s = time.monotonic()
+            self.history.append((run.task, run.number, run.start_s, end_s, "gone", self.name))
+        await self.runner.cleanup()
+        self.store.put("keyed.servers", self.name, b"")
+        return tasks
+
     def clock_ms(self):
         return int((time.monotonic() - self.clock_s) * 1000)
 
