--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -50,25 +51,23 @@
         self.file.write(f"{self.now_s():8.3f} {text}\n")
 
 
+TAKEN_PORTS = set()
+
+
 def free_ports(count=1):
-    """Return a port so that it and the following ones are free now."""
+    """Return a port so that it and the following ones are free, below the ephemeral ones."""
     while True:
-        sockets = []
+        ports = range(first := random.randrange(12000, 30000), first + count)
+        if not TAKEN_PORTS.isdisjoint(ports):
+            continue
         try:
-            first = socket.socket()
-            first.bind(("127.0.0.1", 0))
-            sockets.append(first)
-            port = first.getsockname()[1]
-            for offset in range(1, count):
-                more = socket.socket()
-                sockets.append(more)
-                more.bind(("127.0.0.1", port + offset))
-            return port
+            for port in ports:
+                with socket.socket() as trial:
+                    trial.bind(("127.0.0.1", port))
         except OSError:
             continue
-        finally:
-            for used in sockets:
-                used.close()
+        TAKEN_PORTS.update(ports)
+        return first
 
 
 async def listen(handler):
@@ -508,7 +507,7 @@
         return newest[1]
 
     async def call(self, daemon, method, path, body=None, timeout_s=3.0, note=""):
-        """Send a request as a client; return the status, or None without an answer, and the body."""
+        """Send a request as a client; return the status (None without an answer) and the body."""
         data = None if body is None else json.dumps(body).encode()
         sent_s = self.record.now_s()
         status, content = None, {}
