--- a/review/12/case.py
+++ b/review/12/case.py
@@ -36,7 +36,7 @@
     world.record.write(f"{leaving.name} has left, with {tasks}")
     started_s = left_s
     if trouble:
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(0.2)
         stopped = world.scheduler()
         world.record.write(f"SIGTERM for {stopped.name}, the scheduler")
         await stopped.kill(signal.SIGTERM)
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -256,6 +256,7 @@
 
     async def leave(self):
         """End the process and its entry, and return the tasks that ended with it."""
+        self.silent = True
         self.ticker.cancel()
         tasks = [run.task for run in self.runs.values()]
         for run in list(self.runs.values()):
@@ -363,6 +364,8 @@
         limit_s = time.monotonic() + min(2.0, body.get("wait_ms", 0) / 1000)
         while not self.ends and time.monotonic() < limit_s:
             await asyncio.sleep(0.01)
+        if self.silent:
+            await asyncio.sleep(60)
         now_s = time.monotonic()
         running = [
             [run.task, run.number, "", self.percent(run, now_s), 0] for run in self.runs.values()
