Move the token bucket and the retry budget to a package of their own

Cause: the workflow service needs a token bucket, and an import from the routing package would load the whole router into the daemon of the platform, which does not use it.

Change: `routing/_buckets.py` becomes `budgets`; nothing in the classes changes.

--- a/packages/fireflywharf-core/src/fireflywharf_core/routing/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/routing/_state.py
@@ -6,10 +6,10 @@
 
 import attrs
 
+from ..budgets import RetryBudget, TokenBucket
 from ..contracts import UNLIMITED, Contract
 from ..results import NotRun, Outcome, ResultCode
 from ._actions import Action, Answer
-from ._buckets import RetryBudget, TokenBucket
 from ._claims import KeyClaimTable
 from ._counters import RoutingCounters
 from ._executed_keys import AnswerCache, ExecutedKeys
