Store the cancellation of a job that is not known yet

The submission may be in an append of any daemon, in a repetition, or take effect in the store later; a look at the daemon's own appends would not show it.

Change: the cancellation is stored before the answer, in the partition of the job and with the team of the caller, and applies to a submission of a team that the caller may access, whichever record comes first. A record of a cancelled job that the scheduler writes names its team.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -67,6 +67,7 @@
     encode_record,
     find_partition,
     job_keys,
+    may_access,
     progress_job_id,
     vm_key,
 )
@@ -176,6 +177,7 @@
     "find_partition",
     "has_short_requests",
     "job_keys",
+    "may_access",
     "approval_request_ms",
     "DetourPeers",
     "PeerOutcome",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 import zlib
 from collections import deque
@@ -31,6 +32,9 @@
 _DELETED_KEPT_S = 60.0
 """Time for which the offset of a deleted key is kept; older records of it arrive within seconds."""
 _SUBMISSION_PREFIXES = ("a", "c")
+_TEAM_SEPARATOR = "."
+"""Separates the id of a job from a team in a key; ids of jobs do not contain it."""
+_TEAM_DIGEST_BYTES = 8
 MAIN_PARTITION = 0
 """Partition with the records of the scheduler and of the VMs."""
 
@@ -74,9 +78,16 @@
 
 @attrs.frozen(slots=True, kw_only=True)
 class WorkflowCancelled:
-    """A caller cancelled a job."""
+    """A caller cancelled a job.
+
+    Args:
+        job_id: identifier of the job.
+        team: team of the caller if its VM did not know the job; the record then applies only to a
+            job that this team may access. None if the VM has found that the caller may access it.
+    """
 
     job_id: str
+    team: str | None = None
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -261,8 +272,8 @@
     match record:
         case WorkflowAccepted(job_id=job_id):
             return f"a{job_id}", _CODEC.encode(record)
-        case WorkflowCancelled(job_id=job_id):
-            return f"c{job_id}", _CODEC.encode(record)
+        case WorkflowCancelled(job_id=job_id, team=team):
+            return _cancellation_key(job_id, team), _CODEC.encode(record)
         case WorkflowClosed(job_id=job_id):
             return f"a{job_id}", _CODEC.encode(record)
         case WorkflowProgress(job_id=job_id):
@@ -324,9 +335,43 @@
     return f"{_VM_PREFIX}{vm}"
 
 
-def job_keys(job_id: str) -> list[str]:
-    """Return the keys of all records of a job."""
-    return [prefix + job_id for prefix in _JOB_PREFIX]
+def job_keys(job_id: str, cancelling_teams: Iterable[str] = ()) -> list[str]:
+    """Return the keys of all records of a job.
+
+    Args:
+        job_id: identifier of the job.
+        cancelling_teams: teams that cancelled the job before it was known to exist.
+    """
+    keys = [prefix + job_id for prefix in _JOB_PREFIX]
+    return keys + [_cancellation_key(job_id, team) for team in cancelling_teams]
+
+
+def _cancellation_key(job_id: str, team: str | None) -> str:
+    """Return the key of a cancellation.
+
+    Cancellations of an unknown job have a key for each team. With a common one, the record of
+    another team would replace that of the team to which the job belongs. The length of keys is
+    limited, that of names is not.
+    """
+    if team is None:
+        return f"c{job_id}"
+    digest = hashlib.blake2s(team.encode(), digest_size=_TEAM_DIGEST_BYTES).hexdigest()
+    return f"c{job_id}{_TEAM_SEPARATOR}{digest}"
+
+
+def _job_id_of(key: str) -> str:
+    return key[1:].partition(_TEAM_SEPARATOR)[0]
+
+
+def may_access(team: str, job_team: str) -> bool:
+    """Return whether a team may ask for a job and cancel it.
+
+    Args:
+        team: team of the caller; empty without one.
+        job_team: team of the job; empty if it was recorded before there were teams, or came from a
+            public queue.
+    """
+    return job_team in ("", team)
 
 
 def progress_job_id(key: str) -> str | None:
@@ -342,7 +387,7 @@
     """
     if partitions_count <= 1 or key[:1] not in _SUBMISSION_PREFIXES:
         return MAIN_PARTITION
-    return 1 + zlib.crc32(key[1:].encode()) % (partitions_count - 1)
+    return 1 + zlib.crc32(_job_id_of(key).encode()) % (partitions_count - 1)
 
 
 @attrs.define(slots=True, eq=False)
@@ -358,6 +403,8 @@
         final_s: local time at which the final state was read, in seconds.
         closed: whether the job has ended and its acceptance was replaced.
         team: team of the job, which is kept after its acceptance was replaced; empty without teams.
+        early_cancellations: local time, in seconds, at which the latest cancellation by a team was
+            read before the job was known to exist, by team.
     """
 
     accepted: WorkflowAccepted | None = None
@@ -368,6 +415,7 @@
     final_s: float | None = None
     closed: bool = False
     team: str = ""
+    early_cancellations: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def exists(self) -> bool:
@@ -492,13 +540,21 @@
                 # The scheduler has recorded the team of the first acceptance.
                 if job.progress is None or not job.team:
                     job.team = record.team
+                if any(may_access(team, job.team) for team in job.early_cancellations):
+                    job.cancelled = job.cancelled or not before.is_final
                 age_s = 0.0 if utc_s is None else utc_s - record.accepted_utc_s
                 job.accepted_s = now_s - min(AGE_MAX_S, max(0.0, age_s))
             case WorkflowClosed():
                 job.closed, job.accepted = True, None
-            case WorkflowCancelled():
+            case WorkflowCancelled(team=team):
+                if team is not None and not job.exists:
+                    # Its submission may still be on its way to the log.
+                    job.early_cancellations[team] = now_s
+                    return False
                 if job.cancelled or before.is_final:
                     return False
+                if team is not None and not may_access(team, job.team):
+                    return False
                 job.cancelled = True
             case WorkflowProgress():
                 job.progress = record
@@ -542,6 +598,16 @@
             if job.final_s is not None and now_s - job.final_s >= retention_s
         ]
 
+    def find_expired_cancellations(self, now_s: float, retention_s: float) -> list[str]:
+        """Return the keys of cancellations of jobs that were not submitted for `retention_s`."""
+        return [
+            _cancellation_key(job_id, team)
+            for job_id, job in self.jobs.items()
+            if not job.exists
+            for team, read_s in job.early_cancellations.items()
+            if now_s - read_s >= retention_s
+        ]
+
     @property
     def keys_count(self) -> int:
         """Number of keys of which the offset is kept."""
@@ -559,5 +625,15 @@
             self.vms.pop(key[1:], None)
         if key[:1] not in _JOB_PREFIX:
             return
-        self.jobs.pop(key[1:], None)
-        self._discard_pending(key[1:])
+        job_id = _job_id_of(key)
+        job = self.jobs.get(job_id)
+        if job is not None and _JOB_PREFIX[key[:1]] == "cancelled" and job.early_cancellations:
+            # Only this cancellation has expired: another team may have sent a later one, and the
+            # job may have been submitted since.
+            for team in list(job.early_cancellations):
+                if _cancellation_key(job_id, team) == key:
+                    del job.early_cancellations[team]
+            if job.exists or job.early_cancellations:
+                return
+        self.jobs.pop(job_id, None)
+        self._discard_pending(job_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -289,7 +289,9 @@
         if journaled.state.is_final:
             if journaled.cancelled and not (has_progress and journaled.progress.state.is_final):
                 self._unrecorded_cancellations.append(
-                    WorkflowProgress(job_id=event.job_id, state=WorkflowState.CANCELLED)
+                    WorkflowProgress(
+                        job_id=event.job_id, state=WorkflowState.CANCELLED, team=journaled.team
+                    )
                 )
             self.ledger.add_inherited(event.job_id, journaled, None)
             # Its closing record was lost with an earlier scheduler. Without one, the job would
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -155,6 +155,7 @@
         self._metrics = metrics
         self._orders = OrderSender(self, platform_services.workers, approvals, metrics)
         self._unstarted_read_s: dict[str, float] = {}
+        self._deleted_cancellations: set[str] = set()
 
     def start(self) -> None:
         """Start the decision and record loops, and read the submissions."""
@@ -215,8 +216,10 @@
         """Process a record that was read from the journal."""
         match record:
             case WorkflowAccepted(job_id=job_id):
-                self._unstarted_read_s[job_id] = self._now_s()
-                self.observe(JobAdded(job_id=job_id, journaled=journal_state.jobs[job_id]))
+                journaled = journal_state.jobs[job_id]
+                if not journaled.state.is_final:
+                    self._unstarted_read_s[job_id] = self._now_s()
+                self.observe(JobAdded(job_id=job_id, journaled=journaled))
                 self._records_pending.set()
             case WorkflowCancelled(job_id=job_id):
                 self._unstarted_read_s.pop(job_id, None)
@@ -384,8 +387,12 @@
             if not self.scheduler.ledger.may_close(job_id):
                 # Its team would be unknown to the next scheduler.
                 continue
-            for key in job_keys(job_id):
+            for key in job_keys(job_id, self._journal_state.jobs[job_id].early_cancellations):
                 self._replace_record(LogRecord(key, b""))
+        expired = self._journal_state.find_expired_cancellations(self._now_s(), RETENTION_S)
+        for key in set(expired) - self._deleted_cancellations:
+            self._replace_record(LogRecord(key, b""))
+        self._deleted_cancellations = set(expired)
 
     def _replace_record(self, record: LogRecord) -> None:
         """Queue a record of an ended job for its partition."""
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -36,6 +36,11 @@
 
         self.submissions = counter("submissions_total", "Submissions by outcome.", "outcome")
         self.rejections = counter("rejections_total", "Rejected submissions.", "reason")
+        self.early_cancellations = counter(
+            "early_cancellations_total",
+            "Cancellations of jobs that were not known to exist, by outcome.",
+            "outcome",
+        )
         self.unauthorized = counter(
             "unauthorized_total", "Calls that were refused for want of a key.", "queue"
         )
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_service.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from fireflywharf_core.budgets import TokenBucket
 from fireflywharf_core.workflows import (
     Configuration,
     JobLimits,
@@ -24,6 +25,7 @@
     find_exceeded_limit,
     find_exceeded_quota,
     job_keys,
+    may_access,
     retry_after_s,
 )
 
@@ -58,15 +60,12 @@
 """Timeout of the journal read for a query."""
 _SUBMISSION_TIMEOUT_S = 1.5
 """Timeout of reading a partition of submissions for a query."""
-_OUTDATED = "the configuration is outdated"
-
+_EARLY_CANCELLATIONS_PER_S = 10.0
+"""Rate at which a VM stores cancellations of unknown jobs.
 
-def _may_access(team: str, job: JournaledWorkflow) -> bool:
-    """Return whether a team may ask for a job.
-
-    A job that was recorded before there were teams, or that came from a public queue, has none.
-    """
-    return job.team in ("", team)
+Each of them is kept for minutes, and any caller may send them."""
+_EARLY_CANCELLATIONS_BURST = 200
+_OUTDATED = "the configuration is outdated"
 
 
 def _log_other_team(job_id: str, queue_name: str, call: str) -> None:
@@ -114,6 +113,9 @@
         self._metrics = metrics
         self._key_check = KeyCheck() if key_check is None else key_check
         self._rng = random.Random()
+        self._early_cancellations = TokenBucket(
+            _EARLY_CANCELLATIONS_PER_S, _EARLY_CANCELLATIONS_BURST
+        )
         self.configuration: Configuration | None = None
         self.can_forward: Callable[[], bool] = lambda: False
         self._configuration_complete_s = float("-inf")
@@ -234,7 +236,7 @@
     ) -> Reply:
         known = self._find_job(job_id)
         if known is not None:
-            if _may_access(team, known):
+            if may_access(team, known.team):
                 return Accepted()
             _log_other_team(job_id, queue.name, "submission")
             return JobOfOtherTeam()
@@ -294,7 +296,7 @@
             known = await self._read_job(job_id)
         if not isinstance(known, JournaledWorkflow):
             return known
-        if not _may_access(team, known):
+        if not may_access(team, known.team):
             _log_other_team(job_id, known.queue_name, "query")
             return UnknownJob()
         return JobStateReply(known.state)
@@ -327,25 +329,52 @@
         return self._make_rejection("the journal cannot be read")
 
     async def cancel(self, job_id: str, *, team: str = "") -> Reply:
-        """Cancel a job of a team; a job that has ended is left unchanged."""
+        """Cancel a job of a team; a job that has ended is left unchanged.
+
+        The submission of an unknown job may still be on its way to the log, from any VM. A
+        cancellation of it is therefore stored before the caller is told that there is no such job,
+        and applies to a later submission until it is deleted.
+        """
         deadline_s = time.monotonic() + STORE_TIMEOUT_S
         known = self._find_job(job_id)
         if known is None:
             known = await self._read_job(job_id)
-        if not isinstance(known, JournaledWorkflow):
-            return known
-        if not _may_access(team, known):
+        match known:
+            case UnknownJob():
+                return await self._cancel_unknown(job_id, team, deadline_s)
+            case Rejected():
+                return known
+        if not may_access(team, known.team):
             _log_other_team(job_id, known.queue_name, "cancellation")
             return UnknownJob()
         if known.state.is_final:
             return Accepted()
         if self._reader.is_down:
             return self._reject_unread()
-        record = WorkflowCancelled(job_id=job_id)
+        return await self._store_cancellation(WorkflowCancelled(job_id=job_id), deadline_s)
+
+    async def _cancel_unknown(self, job_id: str, team: str, deadline_s: float) -> Reply:
+        """Store a cancellation that applies to a submission by the team that is still to come."""
+        if not self._early_cancellations.try_take(1, time.monotonic()):
+            self._metrics.early_cancellations.labels("rejected").inc()
+            return self._make_rejection("too many cancellations of unknown jobs")
+        reply = await self._store_cancellation(
+            WorkflowCancelled(job_id=job_id, team=team), deadline_s
+        )
+        self._metrics.early_cancellations.labels(type(reply).__name__.lower()).inc()
+        if not isinstance(reply, Accepted):
+            return reply
+        known = self._find_job(job_id)
+        return Accepted() if known is not None and known.cancelled else UnknownJob()
+
+    async def _store_cancellation(self, record: WorkflowCancelled, deadline_s: float) -> Reply:
         match await asyncio.shield(self._appender.put_record(record, deadline_s)):
             case Appended(offset):
                 self._on_stored(record, offset)
-                _LOG.info("job cancelled", extra={"job_id": job_id, "offset": offset})
+                _LOG.info(
+                    "job cancelled" if record.team is None else "unknown job cancelled",
+                    extra={"job_id": record.job_id, "offset": offset},
+                )
                 return Accepted()
             case AppendRejected(reason):
                 return self._make_rejection(reason)
