Let a task wait for lost workers only if an earlier tenure may have left a run of it

Cause: `Reconciliation.is_complete` was one gate for all inherited jobs. It only has to hold back a task of which a run may be at work on a worker that has not reported.

Change: a task of which this tenure has seen or started a run, and all steps that depend on it, pass the gate. The earlier scheduler knew no end of that run, so it started nothing after it, and the worker refuses the earlier scheduler since its report. A gang passes when all of its members were seen. Tasks that were seen nowhere wait as before.

--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -98,6 +98,7 @@
         if run.step is not None:
             index = run.task.index
             run.step.runs[index] = run
+            run.step.sighted.add(index)
             run.step.waiting.discard(index)
             run.step.run_numbers[index] = max(run.step.run_numbers.get(index, 0), run.number)
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -59,10 +59,11 @@
     """Assigns the tasks of all jobs to the workers of one deployment.
 
     One instance serves one tenure. It adopts the runs of earlier tenures from the reports of the
-    workers. Jobs that an earlier tenure may have started wait until every worker is reconciled,
-    that is, until all earlier runs are known or have ended. A job without progress in the journal
-    has none, because its first progress becomes durable before its first run is started, and the
-    journal refuses the records of an earlier tenure.
+    workers. A task of which an earlier tenure may have started a run that is not known waits until
+    every worker is reconciled, that is, until all earlier runs are known or have ended; see
+    `Step.find_accounted`. A job without progress in the journal has none, because its first
+    progress becomes durable before its first run is started, and the journal refuses the records of
+    an earlier tenure.
 
     Args:
         timing: timeouts of the deployment.
@@ -169,18 +170,23 @@
         if self.runs.worker_health.end_probations(now_s):
             self.runs.capacity_version += 1
         is_reconciled = self.is_reconciled(now_s)
+        self.placer.is_reconciled = is_reconciled
         if is_reconciled and self.ledger.complete_reconciliation():
             self.runs.capacity_version += 1
         self._classify_jobs(now_s, utc_s)
         ready = []
         for job in self.jobs.values():
-            if job.state.is_final or not job.recorded or (job.inherited and not is_reconciled):
+            if job.state.is_final or not job.recorded:
                 continue
             if job.blocked_s is not None:
                 job.dirty = job.dirty or now_s >= job.blocked_s + BLOCKED_RETRY_S
                 continue
             create_due_occurrences(job, utc_s)
-            ready += [step for step in job.steps.values() if step.waiting and job.is_ready(step)]
+            ready += [
+                step
+                for step in job.steps.values()
+                if step.find_accounted(is_reconciled) and job.is_ready(step)
+            ]
         for step in ready:
             step.expected_run_s = self.run_times.predict(step)
         ready.sort(key=lambda step: placement_order_key(step, self.run_times, now_s))
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -290,6 +290,7 @@
         expected_run_s: expected run time of a task, in seconds.
         gang_plan: workers with capacity reserved for the gang; None if it has no reservation.
         retry_s: local time before which another attempt to place the gang is of no use, in seconds.
+        sighted: indices of the tasks of which this tenure has started a run, or seen one at work.
     """
 
     name: StepName
@@ -314,6 +315,7 @@
     expected_run_s: float = 0.0
     gang_plan: GangPlan | None = None
     retry_s: float = float("-inf")
+    sighted: set[int] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.waiting = {
@@ -336,6 +338,23 @@
         if worker_id in self.tickets:
             self.tickets[worker_id] = (self.tickets[worker_id][0], float("-inf"))
 
+    def find_accounted(self, is_reconciled: bool) -> set[int]:
+        """Return the waiting tasks of which no earlier tenure can have left an unknown run.
+
+        An earlier tenure started no further run of a task of which this tenure has seen a run at
+        work, nor any run of a step that depends on it, because no end of that run was known. The
+        worker that reported the run refuses the earlier tenures, so they learn of no end later.
+
+        Args:
+            is_reconciled: whether all runs of earlier tenures are known or have ended.
+        """
+        if is_reconciled or not self.job.inherited or self.job.has_sighted_before(self):
+            return self.waiting
+        if self.spec.gang and len(self.sighted) < self.spec.tasks_count:
+            # A member that was not seen may still be at work.
+            return set()
+        return self.waiting & self.sighted
+
     @property
     def done(self) -> bool:
         """Whether all tasks are done."""
@@ -409,6 +428,19 @@
         occurrence = step.name.occurrence
         return all(self.steps[occurrence, index].done for index in step.spec.after)
 
+    def has_sighted_before(self, step: Step) -> bool:
+        """Return whether this tenure has seen a run of a step that `step` depends on."""
+        occurrence = step.name.occurrence
+        pending, visited = list(step.spec.after), set()
+        while pending:
+            index = pending.pop()
+            if index not in visited:
+                visited.add(index)
+                if self.steps[occurrence, index].sighted:
+                    return True
+                pending += self.spec.steps[index].after
+        return False
+
     @property
     def is_complete(self) -> bool:
         """Whether every task of every occurrence is done."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_step_placement.py
@@ -39,6 +39,9 @@
         reservations: capacity that is reserved for gangs.
         headroom: places that are kept for urgent tasks.
         confirmation: tells up to when no later tenure had begun.
+
+    Attributes:
+        is_reconciled: whether all runs of earlier tenures are known or have ended.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         self.reservations = reservations
         self.headroom = headroom
         self.confirmation = confirmation
+        self.is_reconciled = False
 
     def should_place(self, step: Step, position: int, now_s: float) -> bool:
         """Return whether another attempt to place a step may succeed.
@@ -147,7 +151,7 @@
         """
         indices = [
             index
-            for index in sorted(step.waiting)
+            for index in sorted(step.find_accounted(self.is_reconciled))
             if self.confirmation.covers(step.lost_s.get(index, float("-inf")), now_s)
         ]
         return [] if step.spec.gang and len(indices) < len(step.waiting) else indices
