--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -49,11 +49,10 @@
     find_exceeded_quota,
     record_size_bytes,
 )
-from ._journal import (
+from ._journal import JournaledWorkflow, JournalState
+from ._journal_records import (
     MAIN_PARTITION,
-    JournaledWorkflow,
     JournalRecord,
-    JournalState,
     StepProgress,
     TenureRecord,
     VmPresent,
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_candidates.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_candidates.py
@@ -5,7 +5,9 @@
 import hashlib
 from collections.abc import Mapping
 
-from ._journal import VmPresent
+from ._journal_records import (
+    VmPresent,
+)
 
 STRONG_VM_SHARE = 0.5
 """Minimum processor speed and bandwidth of a preferred candidate, relative to the largest VM.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_detours.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_detours.py
@@ -7,7 +7,9 @@
 from enum import Enum
 from itertools import accumulate
 
-from ._journal import VmPresent
+from ._journal_records import (
+    VmPresent,
+)
 
 _RETRY_MAX_S = 4.0
 """Maximum retry delay; outages of the log last up to 9 s, and callers retry four times."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_ends.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_ends.py
@@ -6,7 +6,9 @@
 
 from ._estimates import RunTimes
 from ._events import EndKind, ReportedEnd, StopCause
-from ._journal import WorkflowState
+from ._journal_records import (
+    WorkflowState,
+)
 from ._state import GANG_INDEX, Job, Run, Step, Worker
 from ._worker_health import WorkerHealth
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_limits.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_limits.py
@@ -5,7 +5,12 @@
 import attrs
 
 from ..contracts import UNLIMITED, TeamQuota
-from ._journal import WorkflowAccepted, WorkflowProgress, WorkflowState, encode_record
+from ._journal_records import (
+    WorkflowAccepted,
+    WorkflowProgress,
+    WorkflowState,
+    encode_record,
+)
 from ._specs import Queue, StepSpec, WorkflowSpec
 
 _RECORD_OVERHEAD_BYTES = 16
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_progress.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_job_progress.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from ._journal import StepProgress, WorkflowProgress, WorkflowState
+from ._journal_records import (
+    StepProgress,
+    WorkflowProgress,
+    WorkflowState,
+)
 from ._occurrences import OccurrenceSet
 from ._state import GANG_INDEX, Job, Step
 
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_runs.py
@@ -22,7 +22,9 @@
     WorkerReported,
 )
 from ._interference import InterferenceModel
-from ._journal import WorkflowState
+from ._journal_records import (
+    WorkflowState,
+)
 from ._names import TaskName
 from ._specs import WorkflowSpec
 from ._start_window import StartWindow
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -35,7 +35,12 @@
 from ._headroom import Headroom
 from ._job_limits import JobLimits, open_occurrences_max
 from ._job_progress import create_due_occurrences, make_progress, restore_progress
-from ._journal import Departure, WorkflowClosed, WorkflowProgress, WorkflowState
+from ._journal import Departure
+from ._journal_records import (
+    WorkflowClosed,
+    WorkflowProgress,
+    WorkflowState,
+)
 from ._placement_order import placement_order_key
 from ._reconciliation import Reconciliation
 from ._reservations import Reservations
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -9,7 +9,9 @@
 
 from ..resources import ResourceVector
 from ._events import StopCause
-from ._journal import WorkflowState
+from ._journal_records import (
+    WorkflowState,
+)
 from ._names import StepName, TaskName
 from ._occurrences import OccurrenceSet
 from ._specs import Queue, StepSpec, WorkerInfo, WorkflowSpec
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_team_ledger.py
@@ -10,7 +10,10 @@
 from ..accounts import Account
 from ..contracts import UNLIMITED, Quota, TeamQuota
 from ..resources import ResourceVector
-from ._journal import JournaledWorkflow, WorkflowState
+from ._journal import JournaledWorkflow
+from ._journal_records import (
+    WorkflowState,
+)
 from ._specs import StepSpec, WorkflowSpec
 from ._state import Job, Run, Step
 
