Wait for one lease instead of two spans after a change of scheduler

Cause: a scheduler without confirmation by the store renewed for 6 s more, each time with a whole lease, and its successor counted both spans from its own start, also after a resignation.

Change: no lease outlasts the latest confirmation by more than 7 s, the wait counts from the reading of the last record of the earlier tenure, and a scheduler that resigns renews and starts nothing any more, so that its successor waits for one lease. An earlier process of the same VM has exited and gave no lease since. A session renews only after the first report, so that a worker that never answers is accounted for when the leases of earlier tenures have expired. A tenure record has the time in office.

The example of the wait for a lease (over 12.25 s) is replaced by the stricter rule that no lease, at whatever time it is renewed, outlasts the wait. The scenario of a second scheduler that is cut off after 7 and 8 s now uses 3.5 and 4.5 s: later, the lease that it is about has expired. In virtual time, schedulers now append their renewals, and leases end as the deployment's timing says.

--- a/features/steps/platform_malformed_steps.py
+++ b/features/steps/platform_malformed_steps.py
@@ -197,10 +197,10 @@
 @when("a worker answers a poll with a clock of {clock_ms} and is polled again")
 def poll_with_odd_clock(context, clock_ms):
     context.http = OneAnswerHttp({**REPORT, "running": [], "clock_ms": json.loads(clock_ms)})
-    client = WorkerClient(context.http, 6.0)
+    client = WorkerClient(context.http)
 
     async def poll():
-        return await client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, renew=True)
+        return await client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, lease_s=6.0)
 
     asyncio.run(poll())
     asyncio.run(poll())
@@ -341,8 +341,8 @@
     def poll(body):
         http = OneAnswerHttp({})
         http.answer = type(http.answer)(200, body)
-        client = WorkerClient(http, 6.0)
-        options = {"epoch": 1, "acknowledged": 0, "wait_s": 0.0, "renew": True}
+        client = WorkerClient(http)
+        options = {"epoch": 1, "acknowledged": 0, "wait_s": 0.0, "lease_s": 6.0}
         for _ in range(2):
             result = asyncio.run(client.poll_worker(WORKER, **options))
         if isinstance(result, PollFailed):
--- a/features/steps/platform_worker_process_steps.py
+++ b/features/steps/platform_worker_process_steps.py
@@ -32,8 +32,8 @@
 
 def poll(http, info=WORKER):
     """Return the result of a poll by the client of the platform."""
-    client = WorkerClient(http, 6.0)
-    return client.poll_worker(info, epoch=1, acknowledged=0, wait_s=0.0, renew=False)
+    client = WorkerClient(http)
+    return client.poll_worker(info, epoch=1, acknowledged=0, wait_s=0.0, lease_s=0.0)
 
 
 def reserve_address():
@@ -138,11 +138,11 @@
         session = WorkerSession(
             attrs.evolve(context.entries[context.order.worker_id], address=address),
             epoch=1,
-            gateway=WorkerClient(http, 6.0),
+            gateway=WorkerClient(http),
             observe=functools.partial(observe, world),
             flush=None,
             on_fenced=lambda worker_id: None,
-            may_renew=lambda: True,
+            find_lease_s=lambda: 6.0,
             metrics=WorkflowMetrics(CollectorRegistry()),
         )
         task = asyncio.create_task(session.run())
--- a/features/steps/workflow_acknowledgement_steps.py
+++ b/features/steps/workflow_acknowledgement_steps.py
@@ -65,7 +65,7 @@
         observe=lambda event: None,
         flush=flush,
         on_fenced=lambda worker_id: None,
-        may_renew=lambda: True,
+        find_lease_s=lambda: 6.0,
         metrics=WorkflowMetrics(CollectorRegistry()),
     )
     task = asyncio.create_task(session.run())
@@ -190,7 +190,7 @@
     server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
     info = attrs.evolve(WORKER, address=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
     try:
-        await use(info, WorkerClient(http, 6.0))
+        await use(info, WorkerClient(http))
     finally:
         server.close()
         await http.close()
@@ -235,7 +235,7 @@
         other = attrs.evolve(info, worker_id="other")
         for polled, acknowledged in ((info, 0), (other, 0), (info, context.ends_count)):
             await client.poll_worker(
-                polled, epoch=1, acknowledged=acknowledged, wait_s=0.0, renew=True
+                polled, epoch=1, acknowledged=acknowledged, wait_s=0.0, lease_s=6.0
             )
             # The end of the connection has to be read before the next poll.
             await asyncio.sleep(0.05)
--- a/features/steps/workflow_resilience_steps.py
+++ b/features/steps/workflow_resilience_steps.py
@@ -169,8 +169,8 @@
 def poll_malformed_worker(context, row, name):
     body = {"clock_ms": 5, "born": 1, "running": [], "finished": []}
     body[name] = [json.loads(row)]
-    client = WorkerClient(OneAnswerHttp(body), 6.0)
-    poll = client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, renew=False)
+    client = WorkerClient(OneAnswerHttp(body))
+    poll = client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, lease_s=0.0)
     context.poll_result = asyncio.run(poll)
 
 
@@ -209,7 +209,7 @@
         observe=context.events.append,
         flush=None,
         on_fenced=lambda worker_id: None,
-        may_renew=lambda: True,
+        find_lease_s=lambda: 6.0,
         metrics=WorkflowMetrics(CollectorRegistry()),
     )
 
@@ -388,8 +388,8 @@
 def poll_worker_with_ends(context, count):
     rows = [[number, f"{'a' * 16}.0.0.{number}", 1, "done", ""] for number in range(1, count + 1)]
     body = {"clock_ms": 5, "born": 1, "running": [], "finished": rows}
-    client = WorkerClient(OneAnswerHttp(body), 6.0)
-    poll = client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, renew=False)
+    client = WorkerClient(OneAnswerHttp(body))
+    poll = client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, lease_s=0.0)
     context.poll_result = asyncio.run(poll)
 
 
--- a/features/steps/workflow_session_steps.py
+++ b/features/steps/workflow_session_steps.py
@@ -80,7 +80,7 @@
         observe=lambda event: None,
         flush=flush,
         on_fenced=lambda worker_id: None,
-        may_renew=lambda: True,
+        find_lease_s=lambda: 6.0,
         metrics=context.metrics,
     )
 
@@ -164,8 +164,8 @@
 @given("a worker client that knows the clock of a worker")
 def create_client_with_clock(context):
     context.http = OneAnswerHttp({"clock_ms": 50_000, "born": 1})
-    context.client = WorkerClient(context.http, 6.0)
-    poll = context.client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, renew=False)
+    context.client = WorkerClient(context.http)
+    poll = context.client.poll_worker(WORKER, epoch=1, acknowledged=0, wait_s=0.0, lease_s=0.0)
     asyncio.run(poll)
     context.read_s = time.monotonic()
 
@@ -188,7 +188,7 @@
 @when("a poll with a renewal that was decided {seconds:g} s ago is sent")
 def send_delayed_poll(context, seconds):
     context.decided_s = time.monotonic() - seconds
-    options = {"epoch": 1, "acknowledged": 0, "wait_s": 0.0, "renew": True}
+    options = {"epoch": 1, "acknowledged": 0, "wait_s": 0.0, "lease_s": 6.0}
     poll = context.client.poll_worker(WORKER, asked_s=context.decided_s, **options)
     asyncio.run(poll)
 
--- a/features/steps/workflow_split_world.py
+++ b/features/steps/workflow_split_world.py
@@ -89,7 +89,8 @@
     def begin_tenure(self):
         """Begin a tenure, which reads the journal, while the earlier ones may go on."""
         ordinal = len(self.tenures) + 1
-        self.append(TenureRecord(holder=f"d{ordinal}", epoch=ordinal, ordinal=ordinal))
+        holder = f"d{ordinal}"
+        self.append(TenureRecord(holder=holder, epoch=ordinal, ordinal=ordinal))
         self.accepted_s = self.now_s
         state = self.journal_state
         scheduler = WorkflowScheduler(
@@ -98,6 +99,7 @@
             workers_in_use=state.workers_in_use,
             departures=state.departures,
             started_s=self.now_s,
+            leases_end_s=state.tenures.leases_end_s(self.timing, holder, 0.0),
             find_spec=state.find_spec,
             find_team=state.find_team,
         )
@@ -273,8 +275,8 @@
         if lists is None:
             tenure.end_cause = f"{name} has seen a later epoch"
             return None
-        if not renew:
-            worker.lease_end_s = lease_end_s
+        lease_s = self.timing.find_lease_s(self.now_s - tenure.confirmed_s) if renew else 0.0
+        worker.lease_end_s = max(lease_end_s, self.now_s + lease_s)
         for end in ends:
             if end.kind is EndKind.DONE:
                 self._record_acknowledged(end.task)
@@ -336,6 +338,10 @@
             tenure.departures[name] = f"{tenure.ordinal}.{len(tenure.departures) + 1}"
             self._record_workers_in_use(tenure)
 
+    def _make_renewal(self, tenure):
+        ordinal = tenure.ordinal
+        return TenureRecord(holder=f"d{ordinal}", epoch=ordinal, ordinal=ordinal, renewal=1)
+
     def _send_append(self, tenure):
         if tenure.append is None:
             records = [*tenure.extra_records, *tenure.scheduler.pop_closed()]
@@ -344,6 +350,8 @@
             is_due = self.now_s >= tenure.appended_s + RENEWAL_S - STEP_S / 2
             if not (records or progress or tenure.observed_ends or is_due):
                 return
+            if not records and not progress:
+                records = [self._make_renewal(tenure)]
             job_ids = tuple(record.job_id for record in progress)
             tenure.append = Append(records + progress, job_ids, dict(tenure.observed_ends))
             tenure.observed_ends.clear()
--- a/features/steps/workflow_start_steps.py
+++ b/features/steps/workflow_start_steps.py
@@ -1,6 +1,7 @@
 """Steps for start orders and for the workers on which a scheduler may have started runs."""
 
 import asyncio
+import math
 from types import SimpleNamespace
 
 import attrs
@@ -386,6 +387,15 @@
     context.timing = Timing(task_lease_s=lease_s)
 
 
-@then("a new scheduler waits for more than {wait_s:g} s for a worker that is silent")
-def check_inherited_wait(context, wait_s):
-    assert context.timing.inherited_wait_s > wait_s, context.timing
+@then("a renewal {age_s:g} s after the latest confirmation gives a lease of {lease_s:g} s")
+def check_lease(context, age_s, lease_s):
+    assert math.isclose(context.timing.find_lease_s(age_s), lease_s, abs_tol=1e-9), context.timing
+
+
+@then("no lease outlasts the time for which a new scheduler waits for a silent worker")
+def check_inherited_wait(context):
+    timing = context.timing
+    for tenth in range(round(timing.permission_s * 10) + 50):
+        lease_s = timing.find_lease_s(tenth / 10)
+        end_s = tenth / 10 + lease_s * (1 + timing.clock_drift) if lease_s else 0.0
+        assert end_s < timing.inherited_wait_s, (tenth, timing)
--- a/features/steps/workflow_takeover_steps.py
+++ b/features/steps/workflow_takeover_steps.py
@@ -1,13 +1,26 @@
 """Steps for jobs in flight at a change of scheduler."""
 
+import asyncio
+import re
+
 import attrs
 from behave import given, then, when
 from workflow_partition_steps import count_starts
+from workflow_tenure_steps import PendingLog, make_scheduler
 from workflow_world import WorkflowWorld, make_step
 
-from fireflywharf_core.workflows import EndKind, StartRun
-
-LONG_S = 600.0
+from fireflywharf_core.workflows import (
+    EndKind,
+    JournalState,
+    StartRun,
+    TenureRecord,
+    Timing,
+    WorkflowProgress,
+    WorkflowState,
+    encode_record,
+)
+
+LONG_S = 60.0
 JOBS = {
     "a lasting task": (make_step(1, long_running=True),),
     "a first step": (make_step(1), make_step(1, after=(0,))),
@@ -16,7 +29,7 @@
 
 
 class TakeoverWorld(WorkflowWorld):
-    """World of three workers; a scheduler may end before it records what it has observed."""
+    """World of four workers; a scheduler may end before it records what it has observed."""
 
     records = True
 
@@ -35,9 +48,9 @@
     )
 
 
-@given("{work} on the first of three workers, and a task on each of the others")
+@given("{work} on the first of four workers, and a task on all but one of the others")
 def start_work(context, work):
-    world = context.world = TakeoverWorld(workers_count=3)
+    world = context.world = TakeoverWorld(workers_count=4)
     context.work = work
     for worker in world.workers.values():
         worker.run_time_s = LONG_S
@@ -45,14 +58,14 @@
     world.run(1.0)
     taken = {find_worker(world, "a", index)[0] for index in range(JOBS[work][0].tasks_count)}
     others = [worker for worker in world.workers.values() if worker not in taken]
-    for number in range(len(others)):
+    for number in range(len(others) - 1):
         world.submit(f"b{number}", [make_step(1, cpu=4000)])
     world.run(1.0)
     context.first, context.first_key = find_worker(world, "a")
     context.places = {
         "first": context.first,
         "second": find_worker(world, "a", JOBS[work][0].tasks_count - 1)[0],
-        "last": find_worker(world, f"b{len(others) - 1}")[0],
+        "last": find_worker(world, f"b{len(others) - 2}")[0],
     }
 
 
@@ -116,7 +129,7 @@
 def check_late(context, task):
     wait_s = context.world.scheduler.timing.inherited_wait_s
     context.world.run(context.taken_over_s + wait_s - context.world.now_s - 0.2)
-    assert find_next_start(context) is None, find_next_start(context)
+    assert find_next_start(context) is None, (find_next_start(context), context.taken_over_s)
     context.world.run(0.7)
     assert find_next_start(context) is not None
 
@@ -124,3 +137,69 @@
 @then("no task runs twice")
 def check_violations(context):
     assert not context.world.violations, context.world.violations
+
+
+@given('a daemon "{vm}" whose process began at {seconds:g} s')
+def describe_daemon(context, vm, seconds):
+    context.own, context.process_started_s = f"{vm}#own", seconds
+    context.state, context.offset, context.ordinal = JournalState(), 0, 0
+
+
+def read_tenure(context, vm, now_s, first=False, **fields):
+    """Let the daemon read a tenure record; `first` for that of a new tenure."""
+    context.ordinal += first
+    record = TenureRecord(
+        holder=vm if "#" in vm else f"{vm}#1",
+        epoch=context.ordinal,
+        ordinal=context.ordinal,
+        **fields,
+    )
+    context.state.apply(context.offset, *encode_record(record), now_s)
+    context.offset += 1
+
+
+@when("it reads the tenures {records}")
+def read_records(context, records):
+    if "only the newest record" in records:
+        vm, active_s = re.search(r'of "(\w)", for (\d+) s', records).groups()
+        context.ordinal = 7
+        read_tenure(context, vm, 100.0, active_s=int(active_s), resigned="resigned" in records)
+    for vm, last_s, resigns in re.findall(r'"(\w)" until ([\d.]+) s(, which resigns)?', records):
+        until_s = float(last_s)
+        read_tenure(context, vm, until_s - 0.3, first=True)
+        progress = WorkflowProgress(job_id="a", state=WorkflowState.RUNNING)
+        context.state.apply(context.offset, *encode_record(progress), until_s - 0.1)
+        context.offset += 1
+        read_tenure(context, vm, until_s, resigned=bool(resigns))
+    own_s = re.search(r"its own tenure at (\d+) s", records)
+    read_tenure(context, context.own, float(own_s.group(1)) if own_s else 101.0, first=True)
+
+
+@then("the leases of the earlier tenures end {end_s} s after {since_s:g} s")
+def check_leases_end(context, end_s, since_s):
+    expected_s = float("-inf") if end_s == "none" else since_s + float(end_s)
+    actual_s = context.state.tenures.leases_end_s(Timing(), context.own, context.process_started_s)
+    assert actual_s == expected_s or abs(actual_s - expected_s) < 1e-6, actual_s
+
+
+@given("an active scheduler that was confirmed just now")
+def prepare_scheduler(context):
+    context.results = []
+
+
+@when("it begins to resign while the journal does not answer")
+def begin_to_resign(context):
+    async def run():
+        scheduler = make_scheduler(PendingLog(), None)
+        before = scheduler.find_lease_s(), scheduler.may_start()
+        resignation = asyncio.create_task(scheduler.resign())
+        await asyncio.sleep(0.01)
+        context.results = [before, (scheduler.find_lease_s(), scheduler.may_start())]
+        await resignation
+
+    asyncio.run(run())
+
+
+@then("it gives no lease and starts no run")
+def check_resigning(context):
+    assert context.results == [(6.0, True), (0.0, False)], context.results
--- a/features/steps/workflow_tenure_steps.py
+++ b/features/steps/workflow_tenure_steps.py
@@ -80,6 +80,7 @@
         on_loaded=lambda: None,
         approvals=None,
         metrics=metrics,
+        process_started_s=time.monotonic(),
     )
     return scheduler
 
--- a/features/steps/workflow_too_large_steps.py
+++ b/features/steps/workflow_too_large_steps.py
@@ -261,6 +261,7 @@
         on_loaded=lambda: None,
         approvals=None,
         metrics=context.metrics,
+        process_started_s=time.monotonic(),
     )
     for job_id, journaled in world.journal_state.jobs.items():
         scheduler.observe(JobAdded(job_id=job_id, journaled=journaled))
--- a/features/workflow_split.feature
+++ b/features/workflow_split.feature
@@ -49,8 +49,8 @@
 
     Examples:
       | seconds |
-      | 7       |
-      | 8       |
+      | 3.5     |
+      | 4.5     |
 
   Scenario: a recorded departure proves nothing to a superseded scheduler
     The worker may have come back to the successor before its runs have ended.
--- a/features/workflow_starts.feature
+++ b/features/workflow_starts.feature
@@ -3,17 +3,19 @@
   neither wait for workers that have left nor order more starts than its VM can send.
 
   Scenario Outline: the wait for silent workers follows the lease of the deployment
-    An earlier scheduler may renew leases for 6 s, and the clock of a worker may be 2% slow. With a
-    shorter wait, the next scheduler starts the tasks of such a worker while they are at work.
+    Guards against a lease that outlasts the wait: the next scheduler would start the tasks of such a worker while
+    they are at work.
 
     Given a deployment with leases of <lease_s> s
-    Then a new scheduler waits for more than <wait_s> s for a worker that is silent
+    Then a renewal 0.9 s after the latest confirmation gives a lease of <lease_s> s
+    And a renewal 2 s after the latest confirmation gives a lease of <later_s> s
+    And a renewal 6 s after the latest confirmation gives a lease of 0 s
+    And no lease outlasts the time for which a new scheduler waits for a silent worker
 
     Examples:
-      | lease_s | wait_s |
-      | 6       | 12.25  |
-      | 8       | 14.29  |
-      | 3       | 9.19   |
+      | lease_s | later_s |
+      | 6       | 5       |
+      | 10      | 9       |
 
   Scenario: a worker that has left is not recorded as in use for good
     The next scheduler waits up to 12.5 s for every recorded worker before it starts inherited jobs.
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -26,6 +26,7 @@
     may_access,
 )
 from ._specs import WorkflowSpec
+from ._tenure_history import TenureHistory
 
 AGE_MAX_S = 120.0
 """Maximum age of a job that is derived from the time of day, which can jump."""
@@ -108,8 +109,8 @@
 
     Attributes:
         jobs: jobs by id.
-        tenure: newest tenure record; None if there is none.
-        tenure_offset: offset of that record.
+        tenures: what is known of the tenures.
+        tenure_offset: offset of the newest tenure record.
         workers_in_use: ids of the workers on which runs may have been started.
         departures: departures of these workers by id.
         vms: VMs of the deployment by name.
@@ -118,7 +119,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JournaledWorkflow] = {}
-        self.tenure: TenureRecord | None = None
+        self.tenures = TenureHistory()
         self.tenure_offset = -1
         self.workers_in_use: tuple[str, ...] = ()
         self.departures: dict[str, Departure] = {}
@@ -156,6 +157,7 @@
         self, offset: int, key: str, value: bytes, now_s: float, utc_s: float | None
     ) -> JournalRecord | None:
         if not value:
+            self.tenures.observe_activity(now_s)
             self._delete_key(key)
             self._deleted.append((now_s, key, offset))
             self._forget_deleted(now_s)
@@ -170,9 +172,13 @@
     def _apply_record(
         self, record: JournalRecord, offset: int, now_s: float, utc_s: float | None
     ) -> bool:
+        match record:
+            case WorkersInUse() | WorkflowClosed() | WorkflowProgress():
+                self.tenures.observe_activity(now_s)
         match record:
             case TenureRecord():
-                self.tenure, self.tenure_offset = record, offset
+                self.tenures.observe(record, now_s)
+                self.tenure_offset = offset
                 return True
             case WorkersInUse(worker_ids=worker_ids, departures=departures):
                 self.workers_in_use = worker_ids
@@ -264,6 +270,11 @@
             if now_s - read_s >= retention_s
         ]
 
+    @property
+    def tenure(self) -> TenureRecord | None:
+        """Newest tenure record; None if there is none."""
+        return self.tenures.latest
+
     @property
     def keys_count(self) -> int:
         """Number of keys of which the offset is kept."""
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal_records.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal_records.py
@@ -154,7 +154,8 @@
         epoch: fencing token of the tenure; workers refuse orders with a lower one.
         ordinal: consecutive number of the tenure, starting at 1.
         renewal: counter of the renewals of this tenure.
-        resigned: whether the holder has resigned.
+        resigned: whether the holder has resigned. It gave no lease and no order after this record.
+        active_s: time for which the tenure has lasted, in whole seconds.
     """
 
     holder: str
@@ -162,6 +163,7 @@
     ordinal: int
     renewal: int = 0
     resigned: bool = False
+    active_s: int = 0
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reconciliation.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_reconciliation.py
@@ -22,7 +22,7 @@
         timing: timeouts of the deployment.
         workers_in_use: ids of the workers on which an earlier tenure may have started runs.
         departures: departures of these workers by id.
-        started_s: local time of the start of the tenure, in seconds.
+        leases_end_s: local time, in seconds, by which all leases of earlier tenures have expired.
 
     Attributes:
         assumed_ended_ids: ids of the workers that have not reported, and whose runs were assumed to
@@ -36,39 +36,49 @@
         timing: Timing,
         workers_in_use: Iterable[str],
         departures: Mapping[str, Departure],
-        started_s: float,
+        leases_end_s: float,
     ) -> None:
         self._workers = workers
         self._confirmation = confirmation
         self._timing = timing
-        self._unreconciled = set(workers_in_use)
+        self._workers_in_use = frozenset(workers_in_use)
+        self._ended_ids: set[str] = set()
         self._departures = dict(departures)
-        self._started_s = started_s
+        self.leases_end_s = leases_end_s
         self.assumed_ended_ids: frozenset[str] | None = None
 
-    def mark_reconciled(self, worker_id: str) -> None:
-        """Record that the earlier runs on a worker are known or have ended."""
-        self._unreconciled.discard(worker_id)
+    def mark_ended(self, worker_id: str) -> None:
+        """Record that the earlier runs on a silent worker have ended."""
+        self._ended_ids.add(worker_id)
 
     def is_complete(self, now_s: float) -> bool:
         """Return whether the earlier runs on all workers are known or have ended."""
         if self.assumed_ended_ids is None:
-            # A silent worker has ended its runs after the wait; one that answers may still hold
-            # ends that it has not reported.
-            wait_end_s = self._started_s + self._timing.inherited_wait_s
-            waited = self._confirmation.covers(wait_end_s, now_s) and not any(
-                worker.reachable and not worker.has_reported for worker in self._workers.values()
-            )
             self._expire_departures(now_s)
-            known = all(
-                worker.has_reported and self._confirmation.covers(worker.first_reported_s, now_s)
-                for worker in self._workers.values()
-            )
-            if waited or (known and not self._unreconciled):
-                silent = {w.worker_id for w in self._workers.values() if not w.has_reported}
-                self.assumed_ended_ids = frozenset(self._unreconciled | silent)
+            pending = [i for i in self._workers_in_use if not self._is_accounted(i, now_s)]
+            if not pending:
+                self.assumed_ended_ids = frozenset(
+                    i for i in self._workers_in_use if not self._has_reported(i)
+                )
         return self.assumed_ended_ids is not None
 
+    def _has_reported(self, worker_id: str) -> bool:
+        worker = self._workers.get(worker_id)
+        return worker is not None and worker.has_reported
+
+    def _is_accounted(self, worker_id: str, now_s: float) -> bool:
+        """Return whether the earlier runs on a worker are known or have ended.
+
+        One that answers may still hold ends that it has not reported.
+        """
+        worker = self._workers.get(worker_id)
+        if worker is not None and worker.has_reported:
+            return self._confirmation.covers(worker.first_reported_s, now_s)
+        if worker_id in self._ended_ids:
+            return True
+        has_answered = worker is not None and worker.reachable
+        return not has_answered and self._confirmation.covers(self.leases_end_s, now_s)
+
     def _expire_departures(self, now_s: float) -> None:
         """Treat the runs on workers that left during an earlier tenure as ended in time.
 
@@ -80,4 +90,4 @@
                 del self._departures[worker_id]
             elif self._confirmation.covers(departure.read_s + wait_s, now_s):
                 del self._departures[worker_id]
-                self._unreconciled.discard(worker_id)
+                self._ended_ids.add(worker_id)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_scheduler.py
@@ -76,6 +76,8 @@
         workers_in_use: ids of the workers on which an earlier tenure may have started runs.
         departures: departures of these workers by id.
         started_s: local time of the start of the tenure, in seconds.
+        leases_end_s: local time, in seconds, by which all leases of earlier tenures have expired;
+            by default the latest possible one.
         find_spec: returns the specification of a job, also of one that has ended.
         find_team: returns the team of a job, also of one that has ended; empty without one.
         limits: limits on the size of a job.
@@ -89,6 +91,7 @@
         workers_in_use: Iterable[str] = (),
         departures: Mapping[str, Departure] | None = None,
         started_s: float = 0.0,
+        leases_end_s: float | None = None,
         find_spec: Callable[[str], WorkflowSpec | None],
         find_team: Callable[[str], str],
         limits: JobLimits | None = None,
@@ -101,8 +104,10 @@
         self.run_times = RunTimes()
         self.outbox: list[Action] = []
         self.confirmation = TenureConfirmation()
+        if leases_end_s is None:
+            leases_end_s = started_s + timing.inherited_wait_s
         self.reconciliation = Reconciliation(
-            self.workers, self.confirmation, timing, workers_in_use, departures or {}, started_s
+            self.workers, self.confirmation, timing, workers_in_use, departures or {}, leases_end_s
         )
         self.ledger = TeamLedger(find_spec, find_team)
         self.team_rates = TeamRates()
@@ -358,7 +363,7 @@
             worker = self.workers.get(worker_id)
             if worker is None:
                 worker = Worker(info=info, free=info.capacity, entries={info.incarnation: info})
-                worker.runs_end_s = now_s + self.timing.inherited_wait_s
+                worker.runs_end_s = self.reconciliation.leases_end_s
                 self.workers[worker_id] = worker
                 self.runs.capacity_version += 1
                 continue
@@ -412,7 +417,7 @@
                 continue
             for run in list(worker.runs.values()):
                 self.runs.handle_lost(run, LossCause.LEASE_EXPIRED, now_s)
-            self.reconciliation.mark_reconciled(worker.worker_id)
+            self.reconciliation.mark_ended(worker.worker_id)
             if not worker.in_directory:
                 del self.workers[worker.worker_id]
 
@@ -430,9 +435,7 @@
             self.runs.capacity_version += 1
         worker.reachable = True
         worker.reported_s = worker.incarnation_shown_s = now_s
-        if event.ends_complete:
-            if not worker.has_reported:
-                worker.has_reported, worker.first_reported_s = True, now_s
-            self.reconciliation.mark_reconciled(event.worker_id)
+        if event.ends_complete and not worker.has_reported:
+            worker.has_reported, worker.first_reported_s = True, now_s
         worker.runs_end_s = max(worker.runs_end_s, now_s + self.timing.lease_bound_s)
         self.runs.handle_report(worker, event, now_s)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_timing.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_timing.py
@@ -11,6 +11,8 @@
 
     Args:
         task_lease_s: lease of a run; without renewal, a run ends after this time.
+        lease_slack_s: time for which a lease may outlast `task_lease_s` after the latest confirmed
+            record. Renewals later than this after the record give shorter leases.
         clock_drift: maximum relative rate error of a worker's clock.
         permission_s: time without a confirmed record after which a scheduler acts no more.
         start_permission_s: time without a confirmed record after which it starts no runs; at most
@@ -22,6 +24,7 @@
     """
 
     task_lease_s: float = 6.0
+    lease_slack_s: float = 1.0
     clock_drift: float = 0.02
     permission_s: float = 6.0
     start_permission_s: float = 1.0
@@ -37,5 +40,20 @@
 
     @property
     def inherited_wait_s(self) -> float:
-        """Time after which the runs on a worker that never answered in this tenure have ended."""
-        return self.permission_s + self.lease_bound_s
+        """Maximum time from the latest confirmed record of a tenure until its leases expire.
+
+        The deadline of a start order is a lease as well.
+        """
+        start_bound_s = self.start_validity_s * (1 + self.clock_drift) + self.network_margin_s
+        return max(self.lease_slack_s + self.lease_bound_s, self.start_permission_s + start_bound_s)
+
+    def find_lease_s(self, confirmation_age_s: float) -> float:
+        """Return the lease that a renewal may give now, in seconds; 0 if it may give none.
+
+        Args:
+            confirmation_age_s: time since the latest confirmed record was sent, in seconds.
+        """
+        if confirmation_age_s >= self.permission_s:
+            return 0.0
+        left_s = self.task_lease_s + self.lease_slack_s - confirmation_age_s
+        return max(0.0, min(self.task_lease_s, left_s))
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_active_scheduler.py
@@ -71,6 +71,7 @@
     timing: Timing,
     limits: JobLimits,
     now_s: float,
+    process_started_s: float,
 ) -> WorkflowScheduler:
     """Return the scheduler of a tenure, which knows the jobs in the journal."""
     scheduler = WorkflowScheduler(
@@ -79,6 +80,7 @@
         workers_in_use=journal_state.workers_in_use,
         departures=journal_state.departures,
         started_s=now_s,
+        leases_end_s=journal_state.tenures.leases_end_s(timing, record.holder, process_started_s),
         find_spec=journal_state.find_spec,
         find_team=journal_state.find_team,
         limits=limits,
@@ -102,6 +104,7 @@
         on_loaded: called when all submissions were read, so that workers can be used.
         approvals: distributes approval requests.
         metrics: counts results and durations.
+        process_started_s: local time of the start of this process, in seconds.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
         on_loaded: Callable[[], None],
         approvals: ApprovalBalancer,
         metrics: WorkflowMetrics,
+        process_started_s: float,
     ) -> None:
         self.record = record
         self._writer = writer
@@ -128,7 +132,7 @@
         self._resigning = False
         self._now_s = time.monotonic
         self.scheduler = _make_scheduler(
-            record, journal_state, timing, writer.limits, self._now_s()
+            record, journal_state, timing, writer.limits, self._now_s(), process_started_s
         )
         self.scheduler.observe(TenureConfirmed(writer.confirmed_s), self._now_s())
         self._worker_ids_in_use = set(journal_state.workers_in_use)
@@ -184,12 +188,17 @@
         self._resolve_flushes(len(self._flush_futures), False)
 
     async def resign(self) -> None:
-        """Record the resignation in the journal, then stop."""
+        """Record the resignation in the journal, then stop.
+
+        From now on, no lease is renewed and no order is sent, so that the successor waits for one
+        lease only.
+        """
         ended = TenureRecord(
             holder=self.record.holder,
             epoch=self.record.epoch,
             ordinal=self.record.ordinal,
             resigned=True,
+            active_s=self._active_s(),
         )
         self._resigning = True
         try:
@@ -299,7 +308,7 @@
             on_fenced=lambda worker_id: self.end_tenure(
                 f"worker {worker_id} rejected the epoch as stale"
             ),
-            may_renew=self.may_renew,
+            find_lease_s=self.find_lease_s,
             metrics=self._metrics,
         )
         task = self._background.spawn(session.run())
@@ -307,11 +316,18 @@
 
     def may_start(self) -> bool:
         """Return whether the tenure was confirmed recently enough to start runs."""
-        return self._writer.confirmation_age_s < self.scheduler.timing.start_permission_s
+        start_permission_s = self.scheduler.timing.start_permission_s
+        return not self._resigning and self._writer.confirmation_age_s < start_permission_s
+
+    def find_lease_s(self) -> float:
+        """Return the lease that a renewal may give now, in seconds; 0 if it may give none."""
+        if self._resigning:
+            return 0.0
+        return self.scheduler.timing.find_lease_s(self._writer.confirmation_age_s)
 
-    def may_renew(self) -> bool:
-        """Return whether the tenure was confirmed recently enough to renew leases."""
-        return self._writer.confirmation_age_s < self.scheduler.timing.permission_s
+    def _active_s(self) -> int:
+        """Return the time for which the tenure has lasted, in whole seconds."""
+        return int(self._now_s() - self.scheduler.started_s)
 
     async def flush(self) -> bool:
         """Wait until everything observed so far is durable, or the tenure has ended.
@@ -346,7 +362,7 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            if not self.may_renew():
+            if self.find_lease_s() <= 0:
                 continue
             self.scheduler.ticket_tracker.long_requests_max = (
                 self._approvals.long_requests_vms_count
@@ -462,6 +478,7 @@
                         epoch=self.record.epoch,
                         ordinal=self.record.ordinal,
                         renewal=renewal,
+                        active_s=self._active_s(),
                     )
                 )
             if records and isinstance(await self._writer.append(records), AppendFenced):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -144,6 +144,7 @@
         self.active_scheduler: ActiveScheduler | None = None
         self._background = BackgroundTasks("daemon")
         self._stopping = False
+        self._started_s = time.monotonic()
 
     async def start(self) -> None:
         """Start the servers and all loops."""
@@ -399,6 +400,7 @@
             self._directory_wake.set,
             self._balancer,
             self._metrics,
+            self._started_s,
         )
         for event in self._team_history.list_events():
             self.active_scheduler.observe(event)
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -218,7 +218,7 @@
         epoch: int,
         acknowledged: int,
         wait_s: float,
-        renew: bool,
+        lease_s: float,
         asked_s: float | None = None,
     ) -> PollResult:
         """Read the runs of a worker and optionally renew their leases.
@@ -232,7 +232,7 @@
             epoch: fencing token.
             acknowledged: serial number up to which ended runs are durable in the journal.
             wait_s: maximum time that the worker waits for a run to end, in seconds.
-            renew: whether the leases of all runs are renewed.
+            lease_s: lease of all runs from `asked_s` on, in seconds; 0 to renew none.
             asked_s: local time from which renewed leases count, in seconds; by default now.
         """
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_sessions.py
@@ -42,7 +42,7 @@
         observe: called with each event of the worker.
         flush: waits until all events observed so far are durable, and returns whether they are.
         on_fenced: called with the worker id if the worker rejected the epoch as stale.
-        may_renew: returns whether the tenure was confirmed recently enough to renew leases.
+        find_lease_s: returns the lease that a renewal may give now, in seconds; 0 for none.
         metrics: counts ended runs.
     """
 
@@ -55,7 +55,7 @@
         observe: Callable[[Event], None],
         flush: Callable[[], Awaitable[bool]],
         on_fenced: Callable[[str], None],
-        may_renew: Callable[[], bool],
+        find_lease_s: Callable[[], float],
         metrics: WorkflowMetrics,
     ) -> None:
         self.info = info
@@ -64,13 +64,14 @@
         self._observe = observe
         self._flush = flush
         self._on_fenced = on_fenced
-        self._may_renew = may_renew
+        self._find_lease_s = find_lease_s
         self._metrics = metrics
         self._acknowledged_serial = 0
         self._confirmed_serial = 0
         self._logged_serial = 0
         self._incarnation_shown_s = float("-inf")
         self._silent = False
+        self._has_reported = False
         self._renewed_s = 0.0
 
     def update_info(self, info: WorkerInfo) -> None:
@@ -90,8 +91,10 @@
         wait_s = 0.0
         while True:
             sent_s = time.monotonic()
-            renew = self._may_renew() and not self._silent
-            if renew:
+            # Leases that this tenure has not renewed expire with those of the earlier ones.
+            may_renew = self._has_reported and not self._silent
+            lease_s = self._find_lease_s() if may_renew else 0.0
+            if lease_s > 0:
                 self._renewed_s = sent_s
             acknowledged = self._serial_to_acknowledge()
             poll = self._gateway.poll_worker(
@@ -99,7 +102,7 @@
                 epoch=self._epoch,
                 acknowledged=acknowledged,
                 wait_s=wait_s,
-                renew=renew,
+                lease_s=lease_s,
                 asked_s=sent_s,
             )
             result = await result_or_default(
@@ -113,10 +116,14 @@
                     wait_s = 0.0
                 case WorkerReport():
                     wait_s = 0.0 if self._silent else POLL_WAIT_S
+                    self._has_reported = True
                     if result.acknowledgement_sent:
                         self._confirmed_serial = max(self._confirmed_serial, acknowledged)
                     self._handle_report(result, sent_s)
                     await self._acknowledge(result)
+                    if may_renew and lease_s <= 0:
+                        # The worker does not hold the answer of such a poll.
+                        await asyncio.sleep(_RETRY_S)
                 case PollFenced():
                     self._on_fenced(self.info.worker_id)
                     await asyncio.sleep(_RETRY_S)
