Ignore directory entries of other writers

Cause: only the fields in use were checked, and no service was compared with the configuration. Each entry was recorded as a worker in use, for which the next scheduler waits, and a later start in it counted as a restart of the worker with its id.

Change: `parse_worker` checks all fields of the page, and `WorkerDirectory` passes on only entries whose service a configuration or an accepted job has named. A worker whose entry another writer has replaced keeps its own latest entry and gets no new runs until it writes again or is removed. Ignored entries are logged and counted once.

Test: features/worker_directory.feature, and 16 more odd entries in features/platform_malformed.feature.

--- a/features/platform_malformed.feature
+++ b/features/platform_malformed.feature
@@ -17,6 +17,22 @@
       | 4000 opening brackets                                      |
       | an entry whose "version" is nested 4000 deep               |
       | an entry without "born"                                    |
+      | an entry without "service"                                 |
+      | an entry without "address"                                 |
+      | an entry without "zone"                                    |
+      | an entry without "version"                                 |
+      | an entry without "slots"                                   |
+      | an entry without "state"                                   |
+      | an entry without "cold_remaining_ms"                       |
+      | an entry without "sequence"                                |
+      | an entry without "capacity"                                |
+      | an entry without "labels"                                  |
+      | an entry whose "version" is 1                              |
+      | an entry whose "slots" is -1                               |
+      | an entry whose "slots" is null                             |
+      | an entry whose "sequence" is 1.5                           |
+      | an entry whose "cold_remaining_ms" is "0"                  |
+      | an entry whose "state" is "retired"                        |
       | an entry whose "born" is 0                                 |
       | an entry whose "born" is null                              |
       | an entry whose "born" is 5.0                               |
--- a/features/steps/platform_malformed_steps.py
+++ b/features/steps/platform_malformed_steps.py
@@ -79,8 +79,8 @@
         store.put("odd", encode_with(ENTRY, "version", "[" * 4000 + "]" * 4000))
     elif entry.endswith("line break"):
         store.put("odd\r\nX: 1", json.dumps(ENTRY).encode())
-    elif entry == 'an entry without "born"':
-        store.put("odd", encode_without(ENTRY, "born"))
+    elif entry.startswith("an entry without"):
+        store.put("odd", encode_without(ENTRY, entry.split('"')[1]))
     elif entry.endswith("cannot raise"):
         store.put("odd", json.dumps({**ENTRY, "address": "127.0.0.1:7001"}).encode())
         read = parse_worker
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/__init__.py
@@ -87,6 +87,7 @@
 from ._team_report import count_excess_jobs, count_held_steps, list_held_processors
 from ._timing import Timing
 from ._waiting_steps import explain_waiting
+from ._worker_directory import WorkerDirectory
 
 __all__ = [
     "Action",
@@ -147,6 +148,7 @@
     "TenureRecord",
     "Timing",
     "VmPresent",
+    "WorkerDirectory",
     "WorkerInfo",
     "WorkerReported",
     "WorkerRestarted",
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_approvals.py
@@ -122,7 +122,7 @@
     fitting = [
         (worker.worker_id, count)
         for worker in workers
-        if not worker.draining
+        if not (worker.draining or worker.suspended)
         and (not spec.required_label or spec.required_label in worker.labels)
         and (count := fit_count(worker.capacity, spec.demand)) > 0
     ]
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_specs.py
@@ -146,6 +146,7 @@
     Args:
         version: version number; the highest one is the newest.
         queues: all queues.
+        services: names of all services.
         standby_services: services whose workers are switched off.
         max_body_bytes: maximum length of a request body, in bytes.
         teams: teams with their weights, in owed jobs per second, and their quotas.
@@ -155,6 +156,7 @@
 
     version: int
     queues: tuple[Queue, ...]
+    services: frozenset[str] = frozenset()
     standby_services: frozenset[str] = frozenset()
     max_body_bytes: int = 1 << 20
     teams: tuple[TeamQuota, ...] = ()
@@ -185,6 +187,8 @@
         capacity: total resources.
         rack: label of its rack; empty if unknown.
         draining: whether the worker is about to leave and accepts no new runs.
+        suspended: whether another writer has replaced the entry, so that the worker gets no new
+            runs; the other fields are those of its own latest entry.
     """
 
     worker_id: str
@@ -196,6 +200,7 @@
     capacity: ResourceVector
     rack: str = ""
     draining: bool = False
+    suspended: bool = False
 
 
 Directory = Mapping[str, WorkerInfo]
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_state.py
@@ -218,6 +218,7 @@
             and self.reachable
             and self.in_directory
             and not self.info.draining
+            and not self.info.suspended
             and now_s >= self.set_aside_until_s
         )
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_daemon.py
@@ -21,6 +21,7 @@
     TenureRecord,
     Timing,
     VmPresent,
+    WorkerDirectory,
     WorkerInfo,
     WorkersInUse,
     WorkflowAccepted,
@@ -139,6 +140,7 @@
         self.forwarder.floor = self.taken_calls.floor = self.workflow_service
         self._election = Election(presence, self._rng, self._vms)
         self._team_history = TeamHistory()
+        self._worker_directory = WorkerDirectory()
         self._directory: Mapping[str, WorkerInfo] = {}
         self._directory_wake = asyncio.Event()
         self.active_scheduler: ActiveScheduler | None = None
@@ -191,6 +193,8 @@
     def _handle_record(self, record: JournalRecord, offset: int) -> None:
         now_s = time.monotonic()
         match record:
+            case WorkflowAccepted(queue=queue):
+                self._worker_directory.observe_services([queue.service])
             case TenureRecord():
                 previous = self._election.latest
                 self._election.observe(record, now_s)
@@ -223,6 +227,8 @@
                         await self._log_returned.wait()
                 continue
             known = newer
+            self._worker_directory.observe_services(newer.services)
+            self._worker_directory.observe_services(queue.service for queue in newer.queues)
             teams_changed = self._team_history.observe(newer.teams)
             if self.active_scheduler is not None:
                 self.active_scheduler.observe(teams_changed)
@@ -250,11 +256,11 @@
 
     async def _directory_loop(self) -> None:
         while True:
-            directory = await self._platform.directory.poll()
-            if directory is not None:
-                self._directory = directory
+            entries = await self._platform.directory.poll()
+            if entries is not None:
+                self._directory = self._select_workers(entries)
                 if self.active_scheduler is not None:
-                    await self.active_scheduler.handle_directory(directory)
+                    await self.active_scheduler.handle_directory(self._directory)
             pause_s = (
                 _FOLLOWER_DIRECTORY_S if self.active_scheduler is None else _SCHEDULER_DIRECTORY_S
             )
@@ -265,6 +271,17 @@
                 continue
             self._directory_wake.clear()
 
+    def _select_workers(self, entries: Mapping[str, WorkerInfo]) -> Mapping[str, WorkerInfo]:
+        """Return the workers among the entries of the directory; log and count the others once."""
+        for worker_id, service in self._worker_directory.pop_unknown(entries).items():
+            self._metrics.ignored_entries.labels("unknown service").inc()
+            _LOG.warning(
+                "directory entry is ignored",
+                extra={"worker": worker_id, "reason": f"service {service!r} is unknown"},
+            )
+        unreadable_ids = self._platform.directory.unreadable_ids
+        return self._worker_directory.select(entries, unreadable_ids)
+
     def _request_first_tickets(self, accepted: WorkflowAccepted) -> None:
         """Request tickets for the first steps of a job while the job is being stored.
 
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_interfaces.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -153,10 +153,16 @@
 
 
 class DirectorySource(Protocol):
-    """Directory of the registered workers."""
+    """Directory of the registered workers.
+
+    Attributes:
+        unreadable_ids: ids whose latest entry is unreadable.
+    """
+
+    unreadable_ids: Collection[str]
 
     async def poll(self) -> Mapping[str, WorkerInfo] | None:
-        """Return the current directory, or None if it could not be read."""
+        """Return the readable entries by id, or None if the directory could not be read."""
 
 
 class ConfigurationSource(Protocol):
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_metrics.py
@@ -54,6 +54,11 @@
             "Time since the latest read was sent that showed the newest configuration.",
             registry=registry,
         )
+        self.ignored_entries = counter(
+            "directory_entries_ignored_total",
+            "Entries of the directory of workers that were ignored, by cause.",
+            "cause",
+        )
         self.starts = counter("run_starts_total", "Orders to start a run by result.", "result")
         self.ends = counter("run_ends_total", "Ends of runs as workers listed them.", "how")
         self.appends = counter(
