Wait longer for the leases of schedulers of an earlier version

Cause: while a deployment is updated, the scheduler may still run the version that gives whole leases up to 6 s after its latest confirmation. A successor of this version waited 7.4 s for them, and they may last 12.4 s. By reading; no run showed it.

Change: a tenure record without a time in office is one of the earlier version, and its leases are waited for as before. The application of the records of a job is a function of its own.

Test: a row in features/workflow_takeovers.feature.

--- a/features/steps/workflow_split_world.py
+++ b/features/steps/workflow_split_world.py
@@ -90,7 +90,7 @@
         """Begin a tenure, which reads the journal, while the earlier ones may go on."""
         ordinal = len(self.tenures) + 1
         holder = f"d{ordinal}"
-        self.append(TenureRecord(holder=holder, epoch=ordinal, ordinal=ordinal))
+        self.append(TenureRecord(holder=holder, epoch=ordinal, ordinal=ordinal, active_s=0))
         self.accepted_s = self.now_s
         state = self.journal_state
         scheduler = WorkflowScheduler(
@@ -340,7 +340,9 @@
 
     def _make_renewal(self, tenure):
         ordinal = tenure.ordinal
-        return TenureRecord(holder=f"d{ordinal}", epoch=ordinal, ordinal=ordinal, renewal=1)
+        return TenureRecord(
+            holder=f"d{ordinal}", epoch=ordinal, ordinal=ordinal, renewal=1, active_s=0
+        )
 
     def _send_append(self, tenure):
         if tenure.append is None:
--- a/features/steps/workflow_takeover_steps.py
+++ b/features/steps/workflow_takeover_steps.py
@@ -148,12 +148,13 @@
 def read_tenure(context, vm, now_s, first=False, **fields):
     """Let the daemon read a tenure record; `first` for that of a new tenure."""
     context.ordinal += first
-    record = TenureRecord(
-        holder=vm if "#" in vm else f"{vm}#1",
-        epoch=context.ordinal,
-        ordinal=context.ordinal,
-        **fields,
-    )
+    fields = {
+        "holder": vm if "#" in vm else f"{vm}#1",
+        "epoch": context.ordinal,
+        "ordinal": context.ordinal,
+        "active_s": 0,
+    } | fields
+    record = TenureRecord(**fields)
     context.state.apply(context.offset, *encode_record(record), now_s)
     context.offset += 1
 
@@ -170,7 +171,8 @@
         progress = WorkflowProgress(job_id="a", state=WorkflowState.RUNNING)
         context.state.apply(context.offset, *encode_record(progress), until_s - 0.1)
         context.offset += 1
-        read_tenure(context, vm, until_s, resigned=bool(resigns))
+        age = {"active_s": -1} if "an earlier version" in records else {}
+        read_tenure(context, vm, until_s, resigned=bool(resigns), **age)
     own_s = re.search(r"its own tenure at (\d+) s", records)
     read_tenure(context, context.own, float(own_s.group(1)) if own_s else 101.0, first=True)
 
--- a/features/workflow_takeovers.feature
+++ b/features/workflow_takeovers.feature
@@ -49,6 +49,7 @@
       | "c" until 100 s, then its own tenure at 101 s               | 7.42  | 100   |
       | "c" until 100 s, which resigns, then its own tenure at 101 s | 6.42 | 100   |
       | "b" until 100 s, then its own tenure at 101 s               | 6.42  | 90    |
+      | "c" until 100 s of an earlier version, then its own tenure at 101 s | 12.42 | 100 |
       | "c" until 100 s, "d" until 104 s, which resigns, then its own tenure at 105 s | 6.42 | 104 |
       | "c" until 100 s, "d" until 100.5 s, which resigns, then its own tenure at 101 s | 7.42 | 100 |
       | at 100 s only the newest record, of "c", for 3 s in office, which resigned, then its own tenure at 101 s | 6.42 | 100 |
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal.py
@@ -192,6 +192,22 @@
                 self.vms[vm] = record
                 return True
         job = self.jobs.setdefault(record.job_id, JournaledWorkflow())
+        if not self._apply_job_record(job, record, offset, now_s, utc_s):
+            return False
+        if (job.state.is_final or job.closed) and job.final_s is None:
+            job.final_s = now_s
+        self._update_pending(record.job_id, job)
+        return True
+
+    @staticmethod
+    def _apply_job_record(
+        job: JournaledWorkflow,
+        record: JournalRecord,
+        offset: int,
+        now_s: float,
+        utc_s: float | None,
+    ) -> bool:
+        """Apply a record of a job, and return whether it changed the job."""
         before = job.state
         match record:
             case WorkflowAccepted():
@@ -221,9 +237,6 @@
             case WorkflowProgress():
                 job.progress = record
                 job.team = record.team or job.team
-        if (job.state.is_final or job.closed) and job.final_s is None:
-            job.final_s = now_s
-        self._update_pending(record.job_id, job)
         return True
 
     def _update_pending(self, job_id: str, job: JournaledWorkflow) -> None:
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal_records.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_journal_records.py
@@ -154,8 +154,10 @@
         epoch: fencing token of the tenure; workers refuse orders with a lower one.
         ordinal: consecutive number of the tenure, starting at 1.
         renewal: counter of the renewals of this tenure.
-        resigned: whether the holder has resigned. It gave no lease and no order after this record.
-        active_s: time for which the tenure has lasted, in whole seconds.
+        resigned: whether the holder has resigned. It gave no lease and started no run after this
+            record.
+        active_s: time for which the tenure has lasted, in whole seconds; -1 in records of earlier
+            versions, which gave whole leases for as long as they were permitted to act.
     """
 
     holder: str
@@ -163,7 +165,7 @@
     ordinal: int
     renewal: int = 0
     resigned: bool = False
-    active_s: int = 0
+    active_s: int = -1
 
 
 @attrs.frozen(slots=True, kw_only=True)
--- a/packages/fireflywharf-core/src/fireflywharf_core/workflows/_tenure_history.py
+++ b/packages/fireflywharf-core/src/fireflywharf_core/workflows/_tenure_history.py
@@ -22,11 +22,13 @@
         last_read_s: local time by which its last record had been read, in seconds. Its latest
             confirmed append was sent before.
         resigned: whether it has resigned.
+        is_earlier_version: whether its holder runs a version that gives longer leases.
     """
 
     holder: str
     last_read_s: float
     resigned: bool
+    is_earlier_version: bool = False
 
     def leases_end_s(self, timing: Timing, own: str, process_started_s: float) -> float:
         """Return the local time, in seconds, by which all leases that it gave have expired.
@@ -36,6 +38,8 @@
             own: incarnation of this daemon.
             process_started_s: local time of the start of this process, in seconds.
         """
+        if self.is_earlier_version:
+            return self.last_read_s + timing.permission_s + timing.lease_bound_s
         if self.resigned:
             return self.last_read_s + timing.lease_bound_s
         end_s = self.last_read_s + timing.inherited_wait_s
@@ -73,9 +77,15 @@
         known_ordinal = 0 if latest is None else latest.ordinal
         if record.ordinal > known_ordinal + 1:
             # Not all records were read. The tenure before ended when this one began at the latest.
-            self._add(EarlierTenure("", now_s - record.active_s, False), now_s)
+            is_earlier_version = record.active_s < 0
+            began_s = now_s - max(0, record.active_s)
+            self._add(EarlierTenure("", began_s, False, is_earlier_version), now_s)
         if latest is not None and record.epoch != latest.epoch:
-            self._add(EarlierTenure(latest.holder, self._activity_s, latest.resigned), now_s)
+            is_earlier_version = latest.active_s < 0
+            self._add(
+                EarlierTenure(latest.holder, self._activity_s, latest.resigned, is_earlier_version),
+                now_s,
+            )
         self.latest, self._activity_s = record, now_s
 
     def _add(self, tenure: EarlierTenure, now_s: float) -> None:
--- a/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
+++ b/packages/fireflywharf-daemon/src/fireflywharf_daemon/workflows/_election.py
@@ -295,7 +295,9 @@
         places = (1 << _EPOCH_RANK_BITS) - 1
         epoch = ordinal << _EPOCH_RANK_BITS | max(0, places - self._rank())
         epoch = epoch << _EPOCH_RANDOM_BITS | self._rng.getrandbits(_EPOCH_RANDOM_BITS)
-        return TenureRecord(holder=self._presence.incarnation, epoch=epoch, ordinal=ordinal)
+        return TenureRecord(
+            holder=self._presence.incarnation, epoch=epoch, ordinal=ordinal, active_s=0
+        )
 
     def _holder_vm(self) -> str:
         return "" if self.latest is None else self.latest.holder.partition("#")[0]
