Let the worker soak show entries of an unknown service

Cause: the odd entries of the soak had missing fields, other types or broken bytes, none an unknown service.

Change: a further kind of odd entry, under the id of a worker, with an unknown service and a later start.

--- a/features/steps/worker_soak_faults.py
+++ b/features/steps/worker_soak_faults.py
@@ -24,7 +24,7 @@
 """Mixes that are no part of the mix `all`, whose seeds would otherwise play other faults."""
 DAEMON_FAULTS = frozenset({"kill", "stop", "term", "store silent"})
 STORE_FAULTS = [StoreFault.DOWN, StoreFault.ANSWER_LOST, StoreFault.APPLIED_LATE]
-ODD_ENTRIES = ["no born", "wrong types", "broken"]
+ODD_ENTRIES = ["no born", "wrong types", "broken", "other service"]
 WORKER_SECONDS_PER_FAULT = 12.0
 """Mean time between two series of faults, times the number of workers."""
 PARTITION_PAUSE_S = 6.0
--- a/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
+++ b/packages/fireflywharf-testing/src/fireflywharf_testing/platform_stand_ins/_faulty_executor.py
@@ -82,8 +82,9 @@
         """Show an odd entry of another writer until the next heartbeat.
 
         Args:
-            kind: `no born`, `wrong types`, `broken` (bytes that cannot be read) or `earlier life`;
-                the last one does nothing without an earlier process.
+            kind: `no born`, `wrong types`, `broken` (bytes that cannot be read), `other service`
+                (an unknown one, with a later start) or `earlier life`; the last one does nothing
+                without an earlier process.
         """
         entry: object = self.entry()
         match kind:
@@ -91,6 +92,8 @@
                 del entry["born"]
             case "wrong types":
                 entry |= {"born": str(self.born), "slots": "eight"}
+            case "other service":
+                entry |= {"service": "inventory", "born": self.born + 1000}
             case "broken":
                 entry = b'{"service": "svc", '
             case "earlier life":
