--- a/features/workflow_starts.feature
+++ b/features/workflow_starts.feature
@@ -18,7 +18,7 @@
       | 10      | 9       |
 
   Scenario: a worker that has left is not recorded as in use for good
-    The next scheduler waits up to 12.5 s for every recorded worker before it starts inherited jobs.
+    The next scheduler waits seconds for every recorded worker before it starts some inherited jobs.
 
     Given a scheduler with 3 workers
     When one of them leaves the directory and its leases have expired
@@ -35,7 +35,7 @@
 
   Scenario: the departure of a worker is recorded without a further change of the directory
     Replays workers that have left 4 s before the scheduler is killed. All jobs in flight would wait
-    12.5 s for them.
+    seconds for them.
 
     When one of two workers leaves, then answers no more, and the scheduler ends 4 s later without a further change of the directory
     Then the next one starts an inherited job within 10.5 s of the departure
